--- /dev/null
+++ b/scripts/check_includes.py
@@ -0,0 +1,42 @@
+#!/usr/bin/env python3
+"""Checks the structure of the sources.
+
+Decision packages include neither the codec, the front end nor a network library, and each header
+declares one class at namespace level.
+"""
+
+import pathlib
+import re
+import sys
+
+DECISION_PACKAGES = {
+    "base", "scheduling", "limits", "targets", "jobs", "dispatch", "consensus", "membership"}
+FORBIDDEN = re.compile(
+    r'#include\s+["<]((protocol|frontend|outbound|peers|entryhost)/|nlohmann|websocketpp|asio|boost/asio|'
+    r"curl/|microhttpd|sys/socket|netinet|arpa/|valijson|prometheus)")
+CLASS = re.compile(r"^(?:class|struct)\s+(?:\w+\s*\([^)]*\)\s*)?(\w+)(?:\s+final)?[^;<]*\{", re.M)
+
+
+def main():
+    root = pathlib.Path(__file__).resolve().parent.parent
+    faults = []
+    for path in sorted((root / "src").rglob("*.*")):
+        if path.suffix not in {".h", ".cc"}:
+            continue
+        text = path.read_text()
+        name = path.relative_to(root)
+        if path.parent.name in DECISION_PACKAGES:
+            for match in FORBIDDEN.finditer(text):
+                faults.append(f"{name}: decision package includes {match.group(1)}")
+        if path.suffix == ".h":
+            classes = CLASS.findall(text)
+            if len(classes) > 1:
+                faults.append(f"{name}: more than one class: {', '.join(classes)}")
+            if "#pragma once" not in text:
+                faults.append(f"{name}: no #pragma once")
+    for fault in faults:
+        print(fault)
+    return 1 if faults else 0
+
+
+sys.exit(main())
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds and runs the tests: test.sh [address|thread]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bash scripts/install.sh
+bash scripts/build.sh "${1:-}"
+exec python3 scripts/run_tests.py "build/${1:-release}/test_bin"
