--- /dev/null
+++ b/src/base/error.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string>
+
+#include "base/error_code.h"
+#include "base/verdict.h"
+
+namespace sapphirecrank::base {
+
+/// Why an operation failed, and whether the work it was about may have run.
+struct Error {
+  ErrorCode code = ErrorCode::kInternal;
+  /// Name of the faulty field of the input, or empty.
+  std::string field;
+  std::string message;
+  Verdict verdict = Verdict::kNotRun;
+
+  friend bool operator==(const Error& a, const Error& b) {
+    return a.code == b.code && a.field == b.field && a.message == b.message &&
+           a.verdict == b.verdict;
+  }
+};
+
+}  // namespace sapphirecrank::base
--- /dev/null
+++ b/src/base/ids.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/strong_id.h"
+#include "base/strong_number.h"
+
+namespace sapphirecrank::base {
+
+using HostId = StrongId<struct HostIdTag>;
+using DataCentreId = StrongId<struct DataCentreIdTag>;
+using RackId = StrongId<struct RackIdTag>;
+using TargetId = StrongId<struct TargetIdTag>;
+using TeamId = StrongId<struct TeamIdTag>;
+/// The caller's name for work of one sort, to learn run times by.
+using TaskKind = StrongId<struct TaskKindTag>;
+/// Chosen by the caller; a resubmission repeats it.
+using SubmissionId = StrongId<struct SubmissionIdTag>;
+/// Chosen by the operator's client; a resend of a configuration change repeats it.
+using ChangeId = StrongId<struct ChangeIdTag>;
+
+/// Position of a task in its job, from 0.
+using TaskIndex = StrongNumber<struct TaskIndexTag, uint32_t>;
+/// Number of an agreed view of a data centre; fences records and assignments of older views.
+using Epoch = StrongNumber<struct EpochTag, uint64_t>;
+/// Election term of a replicated log.
+using Term = StrongNumber<struct TermTag, uint64_t>;
+/// Position in a replicated log, from 1.
+using LogIndex = StrongNumber<struct LogIndexTag, uint64_t>;
+/// Version of the configuration, from 1.
+using Version = StrongNumber<struct VersionTag, uint64_t>;
+/// Number of a message in a link; never used twice by one process.
+using Sequence = StrongNumber<struct SequenceTag, uint64_t>;
+/// Differs for each start of a process.
+using Incarnation = StrongNumber<struct IncarnationTag, uint64_t>;
+
+}  // namespace sapphirecrank::base
--- /dev/null
+++ b/src/base/manual_clock.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <atomic>
+
+#include "base/time.h"
+
+namespace sapphirecrank::base {
+
+/// A clock that stands still until it is advanced, for tests and benches.
+///
+/// Thread safety: all methods may be called from any thread.
+class ManualClock {
+ public:
+  /// Returns the current time.
+  TimePoint Now() const { return TimePoint(Duration(this->nanoseconds.load())); }
+
+  /// Moves the clock by `step`, which may be negative to provoke a clock jump.
+  void Advance(Duration step) { this->nanoseconds += step.count(); }
+
+  /// Returns a clock hook. Precondition: this object outlives the hook.
+  Clock Hook() const {
+    return [this] { return this->Now(); };
+  }
+
+ private:
+  // Starts late enough that subtracting a timeout stays positive.
+  std::atomic<Duration::rep> nanoseconds{Duration(std::chrono::hours(1)).count()};
+};
+
+}  // namespace sapphirecrank::base
--- /dev/null
+++ b/src/base/resources.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "base/units.h"
+
+namespace sapphirecrank::base {
+
+/// Processors, memory and accelerators that a task needs or a target has.
+struct Resources {
+  MilliCores processors;
+  ByteCount memory;
+  AcceleratorCount accelerators;
+
+  /// Tells whether `need` fits into this amount. Thread safety: pure.
+  bool Fits(const Resources& need) const {
+    return need.processors <= this->processors && need.memory <= this->memory &&
+           need.accelerators <= this->accelerators;
+  }
+
+  Resources& operator+=(const Resources& other) {
+    this->processors += other.processors;
+    this->memory += other.memory;
+    this->accelerators += other.accelerators;
+    return *this;
+  }
+  Resources& operator-=(const Resources& other) {
+    this->processors -= other.processors;
+    this->memory -= other.memory;
+    this->accelerators -= other.accelerators;
+    return *this;
+  }
+  friend bool operator==(const Resources& a, const Resources& b) {
+    return a.processors == b.processors && a.memory == b.memory && a.accelerators == b.accelerators;
+  }
+};
+
+}  // namespace sapphirecrank::base
--- /dev/null
+++ b/src/base/result.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+#include <tl/expected.hpp>
+#include <utility>
+
+#include "base/error.h"
+
+namespace sapphirecrank::base {
+
+/// A value or the error that took its place.
+template <typename T>
+using Result = tl::expected<T, Error>;
+
+/// Returns a failed result. `field` names the faulty field of the input, or is empty.
+inline tl::unexpected<Error> Fail(ErrorCode code, std::string message, std::string field = "",
+                                  Verdict verdict = Verdict::kNotRun) {
+  return tl::make_unexpected(Error{code, std::move(field), std::move(message), verdict});
+}
+
+}  // namespace sapphirecrank::base
--- /dev/null
+++ b/src/base/thread_name.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <string>
+
+namespace sapphirecrank::base {
+
+/// Names the calling thread for debuggers and process listings; Linux keeps 15 characters.
+void SetThreadName(const std::string& name);
+
+}  // namespace sapphirecrank::base
--- /dev/null
+++ b/src/base/timer_queue.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "base/time.h"
+
+namespace sapphirecrank::base {
+
+/// Runs functions at given times of the machine's steady clock, on one thread of its own.
+///
+/// Thread safety: all methods may be called from any thread, also from a timer function, except the
+/// destructor, which must not run on the timer thread.
+class TimerQueue {
+ public:
+  using Function = std::function<void()>;
+
+  /// Starts the thread. `name` is its name in the process, 15 characters at most.
+  explicit TimerQueue(const std::string& name);
+
+  /// Drops the functions that are not due and waits for a running one.
+  ~TimerQueue();
+
+  TimerQueue(const TimerQueue&) = delete;
+  TimerQueue& operator=(const TimerQueue&) = delete;
+
+  /// Runs `function` once after `delay`. The function must be short and must not wait.
+  void RunAfter(Duration delay, Function function);
+
+  /// Runs `function` every `period`, first after one period, until this object is destroyed.
+  void RunEvery(Duration period, Function function);
+
+ private:
+  void Run();
+  void Add(TimePoint due, Function function);
+
+  std::mutex mutex;
+  std::condition_variable changed;
+  // The counter keeps functions that are due at the same time in order of arrival.
+  std::map<std::pair<TimePoint, uint64_t>, Function> functions;
+  uint64_t next_number = 0;
+  bool stopping = false;
+  std::thread thread;
+};
+
+}  // namespace sapphirecrank::base
--- /dev/null
+++ b/src/base/worker_pool.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sapphirecrank::base {
+
+/// Runs functions on a fixed number of threads; functions with the same key run in order.
+///
+/// Thread safety: `Run` may be called from any thread, also from a function of the pool. The
+/// destructor must not run on a thread of the pool.
+class WorkerPool {
+ public:
+  using Function = std::function<void()>;
+
+  /// Starts `count` threads called `name`. Precondition: `count` > 0.
+  WorkerPool(const std::string& name, size_t count);
+
+  /// Runs what is queued, then joins the threads.
+  ~WorkerPool();
+
+  WorkerPool(const WorkerPool&) = delete;
+  WorkerPool& operator=(const WorkerPool&) = delete;
+
+  /// Queues `function`. Functions with equal `key` run one after the other in order of arrival.
+  void Run(size_t key, Function function);
+
+ private:
+  struct Lane {
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<Function> functions;
+    bool stopping = false;
+    std::thread thread;
+  };
+
+  static void RunLane(Lane& lane);
+
+  std::vector<std::unique_ptr<Lane>> lanes;
+};
+
+}  // namespace sapphirecrank::base
--- /dev/null
+++ b/tests/base/sharded_test.cc
@@ -0,0 +1,38 @@
+#include "base/sharded.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+using sapphirecrank::base::Sharded;
+
+TEST_GROUP(Sharded){};
+
+// Guards against lost updates when several threads change the same shards (thread sanitizer).
+TEST(Sharded, ConcurrentUpdatesAreAllKept) {
+  constexpr int kThreads = 4;
+  constexpr int kKeys = 100;
+  Sharded<int, std::unordered_map<int, int>> counters(8);
+  std::vector<std::thread> threads;
+  threads.reserve(kThreads);
+  for (int i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&counters] {
+      for (int key = 0; key < kKeys; ++key) {
+        counters.With(key, [key](auto& state) { ++state[key]; });
+      }
+    });
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  int total = 0;
+  counters.ForEach([&total](auto& state) {
+    for (const auto& [key, count] : state) {
+      total += count;
+    }
+  });
+  LONGS_EQUAL(kThreads * kKeys, total);
+}
