scheduling: Add the scheduler's interface with a FIFO least-loaded rule

The end-to-end path needs a scheduler, and later rules need a baseline to be measured against. Hooks run after the shard's lock is released. Not measured yet.

--- /dev/null
+++ b/src/scheduling/scheduler.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "base/sharded.h"
+#include "base/target_kind.h"
+#include "base/time.h"
+#include "scheduling/load_summary.h"
+#include "scheduling/start_decision.h"
+#include "scheduling/target_state.h"
+#include "scheduling/task_outcome.h"
+#include "scheduling/task_refusal.h"
+#include "scheduling/task_spec.h"
+
+namespace sapphirecrank::scheduling {
+
+/// Decides which queued task starts when on which of this host's targets.
+///
+/// State is sharded by target kind, each shard under its own lock. Hooks run after the lock is
+/// released, on the thread that made the change. Thread safety: all methods may be called from any
+/// thread, also from a hook.
+class Scheduler {
+ public:
+  /// Behaviour handed in; all members must be set.
+  struct Hooks {
+    /// Current time.
+    base::Clock now;
+    /// Called once for each decision. The callee starts the task and later calls `OnTaskEnded`.
+    std::function<void(const StartDecision&)> start;
+    /// Called once for each queued task that will not start.
+    std::function<void(const TaskRefusal&)> refuse;
+  };
+
+  /// Creates a scheduler without targets.
+  explicit Scheduler(Hooks hooks);
+
+  /// Queues a task or refuses it at once with "not run" (then no hook is called for it).
+  /// Precondition: no task with this key is queued or running here.
+  base::Result<void> Enqueue(const TaskSpec& task);
+
+  /// Adds a target or renews what is known of it.
+  void UpdateTarget(const TargetState& target);
+
+  /// Forgets a target; its running tasks still end through `OnTaskEnded`.
+  void RemoveTarget(const base::TargetId& target);
+
+  /// Releases the slot of a started task. Precondition: `start` was called for the pair; a pair
+  /// that isn't running is ignored.
+  void OnTaskEnded(const base::TaskKey& task, const base::TargetId& target,
+                   const TaskOutcome& outcome);
+
+  /// Drops the queued tasks of a submission and returns their keys; no hook is called for them.
+  std::vector<base::TaskKey> Cancel(const base::SubmissionId& submission);
+
+  /// Refuses tasks that can't make their deadline any more and starts what has become startable
+  /// by the passage of time. To be called every few milliseconds.
+  void ExpireDue();
+
+  /// Returns the load of one kind of targets.
+  LoadSummary Load(base::TargetKind kind);
+
+ private:
+  struct RunningTask {
+    base::TargetId target;
+    base::Resources declared;
+  };
+
+  struct Target {
+    TargetState state;
+    base::SlotCount used_slots;
+    base::Resources used;
+  };
+
+  struct Shard {
+    std::deque<TaskSpec> queue;
+    std::unordered_map<base::TargetId, Target> targets;
+    std::unordered_map<base::TaskKey, RunningTask> running;
+  };
+
+  struct Effects {
+    std::vector<StartDecision> starts;
+    std::vector<TaskRefusal> refusals;
+  };
+
+  static size_t ShardIndex(base::TargetKind kind);
+  static bool HoldsEver(const Target& target, const TaskSpec& task);
+  static bool FitsNow(const Target& target, const TaskSpec& task, base::TimePoint now);
+  static Target* LeastLoaded(Shard& shard, const TaskSpec& task, base::TimePoint now);
+  static void StartQueued(Shard& shard, base::TimePoint now, Effects& effects);
+  void Apply(const Effects& effects) const;
+
+  Hooks hooks;
+  base::Sharded<size_t, Shard> shards;
+};
+
+}  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/scheduling/target_state.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/resources.h"
+#include "base/target_kind.h"
+#include "base/time.h"
+#include "base/units.h"
+
+namespace sapphirecrank::scheduling {
+
+/// What the scheduler knows of a target from its announcements.
+struct TargetState {
+  base::TargetId id;
+  base::TargetKind kind = base::TargetKind::kWorker;
+  base::RackId rack;
+  /// All slots and resources of the target, used or not.
+  base::SlotCount slots;
+  base::Resources capacity;
+  /// Slots in use by work that this scheduler didn't start, for example of the previous owner.
+  base::SlotCount foreign_slots;
+  bool leaving = false;
+  /// No task starts on the target before this time (end of the previous owner's lease).
+  base::TimePoint usable_from;
+  /// No task starts on the target from this time on, unless an announcement renews the lease.
+  base::TimePoint lease_end;
+};
+
+}  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/scheduling/task_outcome.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "base/time.h"
+#include "base/verdict.h"
+
+namespace sapphirecrank::scheduling {
+
+/// How a started task ended, as far as scheduling cares.
+struct TaskOutcome {
+  base::Verdict verdict = base::Verdict::kRan;
+  /// The target answered that the task succeeded.
+  bool succeeded = false;
+  /// Time from the start decision to the answer.
+  base::Duration elapsed{0};
+};
+
+}  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/scheduling/task_spec.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/resources.h"
+#include "base/target_kind.h"
+#include "base/task_key.h"
+#include "base/time.h"
+#include "base/work_class.h"
+
+namespace sapphirecrank::scheduling {
+
+/// What the scheduler knows of a task; its payload stays with the dispatcher.
+struct TaskSpec {
+  base::TaskKey key;
+  base::TeamId team;
+  base::TaskKind kind;
+  base::WorkClass work_class = base::WorkClass::kOrdinary;
+  base::TargetKind target_kind = base::TargetKind::kWorker;
+  /// Declared by the caller; may be off by a factor of ten.
+  base::Resources declared;
+  /// Declared by the caller; zero if unknown; may be off by a factor of ten.
+  base::Duration declared_run_time{0};
+  base::TimePoint deadline;
+  bool idempotent = false;
+};
+
+}  // namespace sapphirecrank::scheduling
