protocol, peers: Add messages, CBOR codec and links between entry hosts

Entry hosts need exactly-once delivery between live processes over links that can go silent. Numbered messages are kept until acknowledged and sent again on a new link; a heartbeat unanswered for 600 ms replaces the link, 1 s without an answer reports the host as lost.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -16,6 +16,10 @@
 using SubmissionId = StrongId<struct SubmissionIdTag>;
 /// Chosen by the operator's client; a resend of a configuration change repeats it.
 using ChangeId = StrongId<struct ChangeIdTag>;
+/// One start of one task on one target; never used twice. Begins with the starting host's prefix.
+using AttemptId = StrongId<struct AttemptIdTag>;
+/// IP number and port, for example "127.0.0.1:8080".
+using NetworkAddress = StrongId<struct NetworkAddressTag>;
 
 /// Position of a task in its job, from 0.
 using TaskIndex = StrongNumber<struct TaskIndexTag, uint32_t>;
@@ -29,6 +33,9 @@
 using Version = StrongNumber<struct VersionTag, uint64_t>;
 /// Number of a message in a link; never used twice by one process.
 using Sequence = StrongNumber<struct SequenceTag, uint64_t>;
+/// Number of a placement of one task on an entry host; a task that came back "not run" gets the
+/// next.
+using PlacementNumber = StrongNumber<struct PlacementNumberTag, uint32_t>;
 /// Differs for each start of a process.
 using Incarnation = StrongNumber<struct IncarnationTag, uint64_t>;
 
--- /dev/null
+++ b/src/json/object_reader.cc
@@ -0,0 +1,137 @@
+#include "json/object_reader.h"
+
+#include <utility>
+
+namespace sapphirecrank::json {
+
+ObjectReader::ObjectReader(const Json& object, std::string path, std::optional<base::Error>& error)
+    : object(object), path(std::move(path)), error(error) {
+  if (!object.is_object()) {
+    this->SetFault("", "must be an object");
+  }
+}
+
+std::string ObjectReader::Text(const std::string& name, size_t longest) {
+  const Json* value = this->Find(name, true);
+  if (value == nullptr) {
+    return "";
+  }
+  if (!value->is_string()) {
+    this->SetFault(name, "must be a string");
+    return "";
+  }
+  auto text = value->get<std::string>();
+  if (text.empty() || text.size() > longest) {
+    this->SetFault(name, "must have 1 to " + std::to_string(longest) + " bytes");
+    return "";
+  }
+  return text;
+}
+
+std::string ObjectReader::Text(const std::string& name, size_t longest,
+                               const std::string& fallback) {
+  return this->Find(name, false) == nullptr ? fallback : this->Text(name, longest);
+}
+
+int64_t ObjectReader::Integer(const std::string& name, int64_t lowest, int64_t highest) {
+  const Json* value = this->Find(name, true);
+  if (value == nullptr) {
+    return lowest;
+  }
+  const std::string range =
+      "must be an integer from " + std::to_string(lowest) + " to " + std::to_string(highest);
+  const bool is_too_large =
+      value->is_number_unsigned() && value->get<uint64_t>() > static_cast<uint64_t>(INT64_MAX);
+  if (!value->is_number_integer() || is_too_large || value->get<int64_t>() < lowest ||
+      value->get<int64_t>() > highest) {
+    this->SetFault(name, range);
+    return lowest;
+  }
+  return value->get<int64_t>();
+}
+
+int64_t ObjectReader::Integer(const std::string& name, int64_t lowest, int64_t highest,
+                              int64_t fallback) {
+  return this->Find(name, false) == nullptr ? fallback : this->Integer(name, lowest, highest);
+}
+
+bool ObjectReader::Flag(const std::string& name, bool fallback) {
+  const Json* value = this->Find(name, false);
+  if (value == nullptr) {
+    return fallback;
+  }
+  if (!value->is_boolean()) {
+    this->SetFault(name, "must be true or false");
+    return fallback;
+  }
+  return value->get<bool>();
+}
+
+const ObjectReader::Json& ObjectReader::Any(const std::string& name) {
+  static const Json kNull;
+  const Json* value = this->Find(name, false);
+  return value == nullptr ? kNull : *value;
+}
+
+void ObjectReader::Array(const std::string& name, size_t fewest, size_t most,
+                         const std::function<void(const Json&, const std::string&)>& read) {
+  const Json* value = this->Find(name, fewest > 0);
+  if (value == nullptr) {
+    return;
+  }
+  if (!value->is_array() || value->size() < fewest || value->size() > most) {
+    this->SetFault(name, "must be an array of " + std::to_string(fewest) + " to " +
+                             std::to_string(most) + " elements");
+    return;
+  }
+  for (size_t i = 0; i < value->size() && !this->error; ++i) {
+    read((*value)[i], this->PathOf(name) + "[" + std::to_string(i) + "]");
+  }
+}
+
+void ObjectReader::Finish() {
+  if (!this->object.is_object()) {
+    return;
+  }
+  for (const auto& item : this->object.items()) {
+    if (this->known.count(item.key()) == 0) {
+      this->SetFault(item.key(), "unknown field");
+      return;
+    }
+  }
+}
+
+void ObjectReader::SetFault(const std::string& name, const std::string& message) {
+  if (this->error) {
+    return;
+  }
+  const std::string field = this->PathOf(name);
+  this->error =
+      base::Error{base::ErrorCode::kInvalidArgument, field,
+                  (field.empty() ? "the document" : "field '" + field + "'") + ": " + message,
+                  base::Verdict::kNotRun};
+}
+
+const ObjectReader::Json* ObjectReader::Find(const std::string& name, bool is_required) {
+  this->known.insert(name);
+  if (!this->object.is_object()) {
+    return nullptr;
+  }
+  auto found = this->object.find(name);
+  if (found == this->object.end()) {
+    if (is_required) {
+      this->SetFault(name, "is missing");
+    }
+    return nullptr;
+  }
+  return &*found;
+}
+
+std::string ObjectReader::PathOf(const std::string& name) const {
+  if (this->path.empty() || name.empty()) {
+    return this->path + name;
+  }
+  return this->path + "." + name;
+}
+
+}  // namespace sapphirecrank::json
--- /dev/null
+++ b/src/peers/peer_network.cc
@@ -0,0 +1,487 @@
+#include "peers/peer_network.h"
+
+#include <algorithm>
+#include <atomic>
+#include <future>
+#include <map>
+#include <set>
+#include <string>
+#include <thread>
+#include <utility>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include "base/thread_name.h"
+#include "peers/peer_session.h"
+#include "protocol/message_codec.h"
+
+namespace sapphirecrank::peers {
+
+using base::Duration;
+using base::HostId;
+using base::Sequence;
+using base::TimePoint;
+using protocol::Envelope;
+using protocol::Message;
+using websocketpp::connection_hdl;
+
+namespace {
+
+using Client = websocketpp::client<websocketpp::config::asio_client>;
+using Server = websocketpp::server<websocketpp::config::asio>;
+
+constexpr Duration kTick = std::chrono::milliseconds(50);
+// Longest silence of a connecting side before it has shown the secret.
+constexpr Duration kHelloTimeout = std::chrono::seconds(2);
+constexpr size_t kMaximumUnauthenticated = 64;
+constexpr auto kGoingAway = websocketpp::close::status::going_away;
+constexpr auto kPolicyViolation = websocketpp::close::status::policy_violation;
+
+bool EqualInConstantTime(const std::string& a, const std::string& b) {
+  unsigned difference = a.size() == b.size() ? 0 : 1;
+  for (size_t i = 0; i < a.size(); ++i) {
+    difference |= static_cast<unsigned char>(a[i]) ^
+                  static_cast<unsigned char>(b.empty() ? 0 : b[i % b.size()]);
+  }
+  return difference == 0;
+}
+
+}  // namespace
+
+class PeerNetwork::Impl {
+ public:
+  Impl(PeerSettings settings, Hooks hooks);
+  ~Impl() { this->Stop(); }
+
+  void Stop();
+
+  base::Result<void> Start();
+  bool Send(const HostId& host, Message message);
+  void SendUnnumbered(const HostId& host, Message message);
+  bool IsUp(const HostId& host) const;
+  void WaitUntilDelivered(Duration limit);
+
+ private:
+  struct Peer {
+    PeerAddress address;
+    PeerSession session;
+    Client::connection_ptr link;
+    bool is_open = false;
+    std::atomic<bool> is_up{false};
+    base::Incarnation incarnation;
+    Sequence next_heartbeat{1};
+    TimePoint link_started;
+    TimePoint last_answer;
+    TimePoint next_heartbeat_at;
+  };
+
+  struct Accepted {
+    HostId host;
+    TimePoint opened;
+  };
+
+  void Listen();
+  void Connect(Peer& peer);
+  void DropLink(Peer& peer);
+  void OnLinkOpened(Peer& peer, const void* id);
+  void OnLinkMessage(Peer& peer, const void* id, const std::string& bytes);
+  void OnLinkEnded(Peer& peer, const void* id, const std::string& reason);
+  void OnHelloAck(Peer& peer, const protocol::HelloAck& ack);
+  void OnAnswer(Peer& peer);
+  void OnAcceptedMessage(const connection_hdl& connection, const std::string& bytes);
+  void OnHello(const connection_hdl& connection, const protocol::Hello& hello);
+  void Refuse(const connection_hdl& connection, const HostId& host, const std::string& reason);
+  void Tick();
+  void TickPeer(Peer& peer, TimePoint now);
+  void CloseUnauthenticated(TimePoint now);
+  void MarkLost(Peer& peer);
+  void ScheduleTick();
+  void Write(Peer& peer, const Envelope& envelope);
+  void Reply(const connection_hdl& connection, Message message);
+  void Post(std::function<void()> function);
+
+  PeerSettings settings;
+  Hooks hooks;
+  websocketpp::lib::asio::io_service service;
+  Client client;
+  Server server;
+  websocketpp::lib::asio::steady_timer timer;
+  // The set of peers never changes after construction; the peers belong to the network thread,
+  // except `is_up`.
+  std::map<HostId, Peer> peers;
+  std::map<connection_hdl, Accepted, std::owner_less<connection_hdl>> accepted;
+  std::thread thread;
+};
+
+PeerNetwork::Impl::Impl(PeerSettings settings, Hooks hooks)
+    : settings(std::move(settings)), hooks(std::move(hooks)), timer(this->service) {
+  for (const PeerAddress& address : this->settings.peers) {
+    Peer& peer = this->peers[address.host];
+    peer.address = address;
+  }
+}
+
+void PeerNetwork::Impl::Stop() {
+  if (this->thread.joinable()) {
+    this->service.stop();
+    this->thread.join();
+  }
+}
+
+base::Result<void> PeerNetwork::Impl::Start() {
+  this->client.clear_access_channels(websocketpp::log::alevel::all);
+  this->client.clear_error_channels(websocketpp::log::elevel::all);
+  this->server.clear_access_channels(websocketpp::log::alevel::all);
+  this->server.clear_error_channels(websocketpp::log::elevel::all);
+  this->client.init_asio(&this->service);
+  this->server.init_asio(&this->service);
+  this->client.set_max_message_size(protocol::kMaximumMessageSize.value());
+  this->server.set_max_message_size(protocol::kMaximumMessageSize.value());
+  this->server.set_reuse_addr(true);
+  try {
+    this->Listen();
+  } catch (const std::exception& error) {
+    return base::Fail(base::ErrorCode::kUnavailable,
+                      "can't listen on " + this->settings.listen.value() + ": " + error.what(),
+                      "peer_listen");
+  }
+  this->ScheduleTick();
+  this->thread = std::thread([this] {
+    base::SetThreadName("peers");
+    this->service.run();
+  });
+  return {};
+}
+
+void PeerNetwork::Impl::Listen() {
+  const std::string& address = this->settings.listen.value();
+  const size_t colon = address.rfind(':');
+  const auto ip = websocketpp::lib::asio::ip::address::from_string(address.substr(0, colon));
+  const auto port = static_cast<uint16_t>(std::stoi(address.substr(colon + 1)));
+  this->server.set_open_handler([this](const connection_hdl& connection) {
+    this->accepted[connection] = {HostId(), this->hooks.now()};
+  });
+  this->server.set_close_handler(
+      [this](const connection_hdl& connection) { this->accepted.erase(connection); });
+  this->server.set_message_handler(
+      [this](const connection_hdl& connection, const Server::message_ptr& message) {
+        this->OnAcceptedMessage(connection, message->get_payload());
+      });
+  this->server.listen(websocketpp::lib::asio::ip::tcp::endpoint(ip, port));
+  this->server.start_accept();
+}
+
+bool PeerNetwork::Impl::Send(const HostId& host, Message message) {
+  auto found = this->peers.find(host);
+  if (found == this->peers.end() || !found->second.is_up) {
+    return false;
+  }
+  this->Post([this, &peer = found->second, message = std::move(message)]() mutable {
+    if (!peer.session.CanSend()) {
+      this->MarkLost(peer);
+      return;
+    }
+    this->Write(peer, peer.session.Send(std::move(message)));
+  });
+  return true;
+}
+
+void PeerNetwork::Impl::SendUnnumbered(const HostId& host, Message message) {
+  auto found = this->peers.find(host);
+  if (found == this->peers.end()) {
+    return;
+  }
+  this->Post([this, &peer = found->second, message = std::move(message)]() mutable {
+    this->Write(peer, peer.session.SendUnnumbered(std::move(message)));
+  });
+}
+
+bool PeerNetwork::Impl::IsUp(const HostId& host) const {
+  auto found = this->peers.find(host);
+  return found != this->peers.end() && found->second.is_up;
+}
+
+void PeerNetwork::Impl::WaitUntilDelivered(Duration limit) {
+  const TimePoint end = this->hooks.now() + limit;
+  bool is_delivered = false;
+  while (!is_delivered && this->hooks.now() < end) {
+    std::promise<bool> answer;
+    this->Post([this, &answer] {
+      answer.set_value(std::all_of(this->peers.begin(), this->peers.end(), [](const auto& entry) {
+        return !entry.second.is_up || entry.second.session.IsDelivered();
+      }));
+    });
+    is_delivered = answer.get_future().get();
+    if (!is_delivered) {
+      std::this_thread::sleep_for(kTick);
+    }
+  }
+}
+
+void PeerNetwork::Impl::Connect(Peer& peer) {
+  websocketpp::lib::error_code error;
+  Client::connection_ptr link =
+      this->client.get_connection("ws://" + peer.address.address.value() + "/", error);
+  if (error) {
+    this->hooks.on_fault(peer.address.host, error.message());
+    return;
+  }
+  // The handlers hold no reference to the connection, which would keep itself alive for ever.
+  const void* id = link.get();
+  link->set_open_handler(
+      [this, &peer, id](const connection_hdl&) { this->OnLinkOpened(peer, id); });
+  link->set_message_handler(
+      [this, &peer, id](const connection_hdl&, const Client::message_ptr& message) {
+        this->OnLinkMessage(peer, id, message->get_payload());
+      });
+  const auto ended = [this, &peer, id](const connection_hdl& connection) {
+    websocketpp::lib::error_code unknown;
+    const auto ending = this->client.get_con_from_hdl(connection, unknown);
+    this->OnLinkEnded(peer, id, ending ? ending->get_ec().message() : unknown.message());
+  };
+  link->set_fail_handler(ended);
+  link->set_close_handler(ended);
+  link->set_open_handshake_timeout(
+      std::chrono::duration_cast<std::chrono::milliseconds>(this->settings.link_timeout).count());
+  peer.link = link;
+  peer.link_started = this->hooks.now();
+  this->client.connect(link);
+}
+
+void PeerNetwork::Impl::DropLink(Peer& peer) {
+  if (peer.link == nullptr) {
+    return;
+  }
+  const Client::connection_ptr link = std::exchange(peer.link, nullptr);
+  peer.is_open = false;
+  websocketpp::lib::error_code ignored;
+  link->close(kGoingAway, "no answer", ignored);
+}
+
+void PeerNetwork::Impl::OnLinkOpened(Peer& peer, const void* id) {
+  if (peer.link.get() != id) {
+    return;
+  }
+  const protocol::Hello hello{protocol::kProtocolVersion, this->settings.host,
+                              this->settings.data_centre, this->settings.incarnation,
+                              this->settings.secret};
+  peer.is_open = true;
+  this->Write(peer, {Sequence(0), Sequence(0), hello});
+  peer.is_open = false;
+}
+
+void PeerNetwork::Impl::OnLinkMessage(Peer& peer, const void* id, const std::string& bytes) {
+  if (peer.link.get() != id) {
+    return;
+  }
+  const auto envelope = protocol::Decode(bytes);
+  if (!envelope) {
+    this->hooks.on_fault(peer.address.host, envelope.error().message);
+    this->DropLink(peer);
+    return;
+  }
+  if (const auto* ack = std::get_if<protocol::HelloAck>(&envelope->message)) {
+    this->OnHelloAck(peer, *ack);
+  } else if (std::holds_alternative<protocol::HeartbeatAck>(envelope->message)) {
+    peer.session.OnReceive(*envelope);
+    this->OnAnswer(peer);
+  }
+}
+
+void PeerNetwork::Impl::OnLinkEnded(Peer& peer, const void* id, const std::string& reason) {
+  if (peer.link.get() != id) {
+    return;
+  }
+  this->hooks.on_fault(peer.address.host, "link ended: " + reason);
+  peer.link = nullptr;
+  peer.is_open = false;
+}
+
+void PeerNetwork::Impl::OnHelloAck(Peer& peer, const protocol::HelloAck& ack) {
+  if (ack.host != peer.address.host) {
+    this->hooks.on_fault(peer.address.host, "the address belongs to host " + ack.host.value());
+    this->DropLink(peer);
+    return;
+  }
+  if (ack.incarnation != peer.incarnation) {
+    // What was sent to the earlier process is gone with it.
+    this->MarkLost(peer);
+    peer.incarnation = ack.incarnation;
+  }
+  peer.is_open = true;
+  for (const Envelope& envelope : peer.session.OnLinkOpen(ack.incarnation)) {
+    this->Write(peer, envelope);
+  }
+  this->OnAnswer(peer);
+}
+
+void PeerNetwork::Impl::OnAnswer(Peer& peer) {
+  peer.last_answer = this->hooks.now();
+  if (!peer.is_up.exchange(true)) {
+    this->hooks.on_up(peer.address.host);
+  }
+}
+
+void PeerNetwork::Impl::OnAcceptedMessage(const connection_hdl& connection,
+                                          const std::string& bytes) {
+  auto found = this->accepted.find(connection);
+  if (found == this->accepted.end()) {
+    return;
+  }
+  auto envelope = protocol::Decode(bytes);
+  if (!envelope) {
+    this->Refuse(connection, found->second.host, envelope.error().message);
+    return;
+  }
+  if (const auto* hello = std::get_if<protocol::Hello>(&envelope->message)) {
+    this->OnHello(connection, *hello);
+    return;
+  }
+  const HostId host = found->second.host;
+  if (host.empty()) {
+    this->Refuse(connection, host, "first message is not hello");
+    return;
+  }
+  if (!this->peers.at(host).session.OnReceive(*envelope)) {
+    return;
+  }
+  if (const auto* heartbeat = std::get_if<protocol::Heartbeat>(&envelope->message)) {
+    this->Reply(connection, protocol::HeartbeatAck{heartbeat->number});
+  }
+  this->hooks.on_message(host, std::move(envelope->message));
+}
+
+void PeerNetwork::Impl::OnHello(const connection_hdl& connection, const protocol::Hello& hello) {
+  auto peer = this->peers.find(hello.host);
+  if (hello.protocol_version != protocol::kProtocolVersion) {
+    this->Refuse(connection, hello.host, "other protocol version");
+    return;
+  }
+  if (!EqualInConstantTime(this->settings.secret, hello.secret)) {
+    this->Refuse(connection, hello.host, "wrong shared secret");
+    return;
+  }
+  if (peer == this->peers.end() || hello.data_centre != peer->second.address.data_centre) {
+    this->Refuse(connection, hello.host, "host is not in the settings");
+    return;
+  }
+  this->accepted[connection].host = hello.host;
+  peer->second.session.OnPeerHello(hello.incarnation);
+  this->Reply(connection, protocol::HelloAck{this->settings.host, this->settings.incarnation});
+}
+
+void PeerNetwork::Impl::Refuse(const connection_hdl& connection, const HostId& host,
+                               const std::string& reason) {
+  this->hooks.on_fault(host, "refused a connection: " + reason);
+  websocketpp::lib::error_code ignored;
+  this->server.close(connection, kPolicyViolation, reason, ignored);
+}
+
+void PeerNetwork::Impl::Tick() {
+  const TimePoint now = this->hooks.now();
+  for (auto& [host, peer] : this->peers) {
+    this->TickPeer(peer, now);
+  }
+  this->CloseUnauthenticated(now);
+}
+
+void PeerNetwork::Impl::TickPeer(Peer& peer, TimePoint now) {
+  if (peer.is_up && now - peer.last_answer >= this->settings.host_timeout) {
+    this->MarkLost(peer);
+  }
+  const TimePoint last_sign = std::max(peer.last_answer, peer.link_started);
+  if (peer.link != nullptr && now - last_sign >= this->settings.link_timeout) {
+    this->DropLink(peer);
+  }
+  if (peer.link == nullptr) {
+    this->Connect(peer);
+    return;
+  }
+  if (peer.is_open && now >= peer.next_heartbeat_at) {
+    peer.next_heartbeat_at = now + this->settings.heartbeat_interval;
+    protocol::Heartbeat heartbeat = this->hooks.heartbeat();
+    heartbeat.number = peer.next_heartbeat;
+    peer.next_heartbeat = peer.next_heartbeat.Next();
+    this->Write(peer, peer.session.SendUnnumbered(std::move(heartbeat)));
+  }
+}
+
+void PeerNetwork::Impl::CloseUnauthenticated(TimePoint now) {
+  size_t waiting = 0;
+  std::vector<connection_hdl> overdue;
+  for (const auto& [connection, state] : this->accepted) {
+    if (!state.host.empty()) {
+      continue;
+    }
+    ++waiting;
+    if (now - state.opened >= kHelloTimeout || waiting > kMaximumUnauthenticated) {
+      overdue.push_back(connection);
+    }
+  }
+  for (const connection_hdl& connection : overdue) {
+    this->Refuse(connection, HostId(), "no hello in time");
+    this->accepted.erase(connection);
+  }
+}
+
+void PeerNetwork::Impl::MarkLost(Peer& peer) {
+  peer.session.DropKept();
+  if (peer.is_up.exchange(false)) {
+    this->hooks.on_lost(peer.address.host);
+  }
+}
+
+void PeerNetwork::Impl::ScheduleTick() {
+  this->timer.expires_after(kTick);
+  this->timer.async_wait([this](const websocketpp::lib::asio::error_code& error) {
+    if (!error) {
+      this->Tick();
+      this->ScheduleTick();
+    }
+  });
+}
+
+void PeerNetwork::Impl::Write(Peer& peer, const Envelope& envelope) {
+  if (peer.link == nullptr || !peer.is_open) {
+    return;
+  }
+  // A failed write closes the link; numbered messages are sent again on the next one.
+  peer.link->send(protocol::Encode(envelope), websocketpp::frame::opcode::binary);
+}
+
+void PeerNetwork::Impl::Reply(const connection_hdl& connection, Message message) {
+  const HostId host = this->accepted[connection].host;
+  const Envelope envelope = this->peers.at(host).session.SendUnnumbered(std::move(message));
+  websocketpp::lib::error_code ignored;
+  this->server.send(connection, protocol::Encode(envelope), websocketpp::frame::opcode::binary,
+                    ignored);
+}
+
+void PeerNetwork::Impl::Post(std::function<void()> function) {
+  this->service.post(std::move(function));
+}
+
+PeerNetwork::PeerNetwork(PeerSettings settings, Hooks hooks)
+    : impl(std::make_unique<Impl>(std::move(settings), std::move(hooks))) {}
+
+PeerNetwork::~PeerNetwork() = default;
+
+void PeerNetwork::Stop() { this->impl->Stop(); }
+
+base::Result<void> PeerNetwork::Start() { return this->impl->Start(); }
+
+bool PeerNetwork::Send(const HostId& host, Message message) {
+  return this->impl->Send(host, std::move(message));
+}
+
+void PeerNetwork::SendUnnumbered(const HostId& host, Message message) {
+  this->impl->SendUnnumbered(host, std::move(message));
+}
+
+void PeerNetwork::WaitUntilDelivered(Duration limit) { this->impl->WaitUntilDelivered(limit); }
+
+bool PeerNetwork::IsUp(const HostId& host) const { return this->impl->IsUp(host); }
+
+}  // namespace sapphirecrank::peers
--- /dev/null
+++ b/src/peers/peer_network.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "base/time.h"
+#include "peers/peer_settings.h"
+#include "protocol/heartbeat.h"
+#include "protocol/message.h"
+
+namespace sapphirecrank::peers {
+
+/// Links to the other entry hosts: websockets that carry CBOR, with heartbeats.
+///
+/// Each host opens one link to each other one and sends on it; it receives on the links that others
+/// opened. Thread safety: all methods may be called from any thread. Hooks run on the network
+/// thread and must not wait.
+class PeerNetwork {
+ public:
+  /// Behaviour handed in; all members must be set.
+  struct Hooks {
+    base::Clock now;
+    /// A message has arrived, in order and once for each live sender.
+    std::function<void(const base::HostId&, protocol::Message)> on_message;
+    /// A host answers again, after start, loss or restart.
+    std::function<void(const base::HostId&)> on_up;
+    /// A host has answered nothing for the host timeout, or was restarted.
+    std::function<void(const base::HostId&)> on_lost;
+    /// Returns the next heartbeat; its number is filled in here.
+    std::function<protocol::Heartbeat()> heartbeat;
+    /// A connection was refused or failed; for the log.
+    std::function<void(const base::HostId&, const std::string&)> on_fault;
+  };
+
+  /// Nothing is opened before `Start`.
+  PeerNetwork(PeerSettings settings, Hooks hooks);
+
+  /// Stops as `Stop` does.
+  ~PeerNetwork();
+
+  /// Stops the thread; no hook runs after that. To be called by one thread, not by a hook.
+  void Stop();
+
+  /// Listens and starts to connect. Returns `kUnavailable` if the address can't be listened on.
+  /// Precondition: called once.
+  base::Result<void> Start();
+
+  /// Sends a message that arrives exactly once unless the other process ends or counts as lost.
+  /// False means that it was surely not sent.
+  bool Send(const base::HostId& host, protocol::Message message);
+
+  /// Sends a message that may be lost.
+  void SendUnnumbered(const base::HostId& host, protocol::Message message);
+
+  /// Waits until all hosts that answer have acknowledged what was sent to them, or until `limit`
+  /// has passed. To be called before the destructor in a graceful shutdown.
+  void WaitUntilDelivered(base::Duration limit);
+
+  /// Tells whether a host answers.
+  bool IsUp(const base::HostId& host) const;
+
+ private:
+  class Impl;
+
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace sapphirecrank::peers
--- /dev/null
+++ b/src/peers/peer_session.cc
@@ -0,0 +1,66 @@
+#include "peers/peer_session.h"
+
+#include <utility>
+
+namespace sapphirecrank::peers {
+
+using base::Incarnation;
+using base::Sequence;
+using protocol::Envelope;
+
+namespace {
+// With one acknowledgement every 200 ms this allows 500,000 messages a second.
+constexpr size_t kMaximumKept = 100000;
+}  // namespace
+
+Envelope PeerSession::Send(protocol::Message message) {
+  this->last_sent = this->last_sent.Next();
+  this->kept.push_back({this->last_sent, Sequence(0), std::move(message)});
+  Envelope envelope = this->kept.back();
+  envelope.acknowledged = this->last_received;
+  return envelope;
+}
+
+Envelope PeerSession::SendUnnumbered(protocol::Message message) const {
+  return {Sequence(0), this->last_received, std::move(message)};
+}
+
+bool PeerSession::CanSend() const { return this->kept.size() < kMaximumKept; }
+
+std::vector<Envelope> PeerSession::OnLinkOpen(Incarnation incarnation) {
+  if (incarnation != this->sending_to) {
+    this->sending_to = incarnation;
+    this->last_sent = Sequence(0);
+    this->kept.clear();
+  }
+  std::vector<Envelope> again(this->kept.begin(), this->kept.end());
+  for (Envelope& envelope : again) {
+    envelope.acknowledged = this->last_received;
+  }
+  return again;
+}
+
+void PeerSession::OnPeerHello(Incarnation incarnation) {
+  if (incarnation != this->receiving_from) {
+    this->receiving_from = incarnation;
+    this->last_received = Sequence(0);
+  }
+}
+
+bool PeerSession::OnReceive(const Envelope& envelope) {
+  while (!this->kept.empty() && this->kept.front().number <= envelope.acknowledged) {
+    this->kept.pop_front();
+  }
+  if (envelope.number == Sequence(0)) {
+    return true;
+  }
+  if (envelope.number <= this->last_received) {
+    return false;
+  }
+  this->last_received = envelope.number;
+  return true;
+}
+
+void PeerSession::DropKept() { this->kept.clear(); }
+
+}  // namespace sapphirecrank::peers
--- /dev/null
+++ b/src/peers/peer_settings.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "peers/peer_address.h"
+
+namespace sapphirecrank::peers {
+
+/// What a host needs to know to link with the other entry hosts.
+struct PeerSettings {
+  base::HostId host;
+  base::DataCentreId data_centre;
+  base::Incarnation incarnation;
+  /// Where to listen.
+  base::NetworkAddress listen;
+  std::string secret;
+  std::vector<PeerAddress> peers;
+  base::Duration heartbeat_interval = std::chrono::milliseconds(200);
+  /// An open link whose heartbeat is unanswered for this long is replaced by a new connection.
+  base::Duration link_timeout = std::chrono::milliseconds(600);
+  /// A host that has answered no heartbeat for this long counts as lost.
+  base::Duration host_timeout = std::chrono::seconds(1);
+};
+
+}  // namespace sapphirecrank::peers
--- /dev/null
+++ b/src/protocol/field_reader.cc
@@ -0,0 +1,106 @@
+#include "protocol/field_reader.h"
+
+namespace sapphirecrank::protocol {
+
+namespace {
+
+const nlohmann::json& EmptyArray() {
+  static const nlohmann::json kEmpty = nlohmann::json::array();
+  return kEmpty;
+}
+
+const nlohmann::json& EmptyMap() {
+  static const nlohmann::json kEmpty = nlohmann::json::object();
+  return kEmpty;
+}
+
+}  // namespace
+
+FieldReader::FieldReader(const Json& map) : map(map) {
+  if (!map.is_object()) {
+    this->fault_name = "message";
+  }
+}
+
+std::string FieldReader::Text(const char* name) {
+  const Json* value = this->Find(name);
+  if (value == nullptr || !value->is_string()) {
+    this->SetFault(name);
+    return "";
+  }
+  return value->get<std::string>();
+}
+
+std::string FieldReader::Bytes(const char* name) {
+  const Json* value = this->Find(name);
+  if (value == nullptr || !value->is_binary()) {
+    this->SetFault(name);
+    return "";
+  }
+  const auto& bytes = value->get_binary();
+  return std::string(bytes.begin(), bytes.end());
+}
+
+bool FieldReader::Flag(const char* name) {
+  const Json* value = this->Find(name);
+  if (value == nullptr || !value->is_boolean()) {
+    this->SetFault(name);
+    return false;
+  }
+  return value->get<bool>();
+}
+
+int64_t FieldReader::Integer(const char* name, int64_t lowest, int64_t highest) {
+  const Json* value = this->Find(name);
+  const bool too_large = value != nullptr && value->is_number_unsigned() &&
+                         value->get<uint64_t>() > static_cast<uint64_t>(INT64_MAX);
+  if (value == nullptr || !value->is_number_integer() || too_large ||
+      value->get<int64_t>() < lowest || value->get<int64_t>() > highest) {
+    this->SetFault(name);
+    return lowest > 0 ? lowest : 0;
+  }
+  return value->get<int64_t>();
+}
+
+uint64_t FieldReader::Unsigned(const char* name) {
+  const Json* value = this->Find(name);
+  if (value == nullptr || !value->is_number_unsigned()) {
+    this->SetFault(name);
+    return 0;
+  }
+  return value->get<uint64_t>();
+}
+
+const FieldReader::Json& FieldReader::Array(const char* name) {
+  const Json* value = this->Find(name);
+  if (value == nullptr || !value->is_array()) {
+    this->SetFault(name);
+    return EmptyArray();
+  }
+  return *value;
+}
+
+const FieldReader::Json& FieldReader::Map(const char* name) {
+  const Json* value = this->Find(name);
+  if (value == nullptr || !value->is_object()) {
+    this->SetFault(name);
+    return EmptyMap();
+  }
+  return *value;
+}
+
+void FieldReader::SetFault(const std::string& name) {
+  if (this->fault_name.empty()) {
+    this->fault_name = name;
+  }
+}
+
+const FieldReader::Json* FieldReader::Find(const char* name) {
+  if (!this->map.is_object()) {
+    return nullptr;
+  }
+  auto found = this->map.find(name);
+  return found == this->map.end() ? nullptr : &*found;
+}
+
+}  // namespace sapphirecrank::protocol
--- /dev/null
+++ b/src/protocol/heartbeat_ack.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/ids.h"
+
+namespace sapphirecrank::protocol {
+
+/// Answer to the heartbeat with the same number.
+struct HeartbeatAck {
+  base::Sequence number;
+};
+
+}  // namespace sapphirecrank::protocol
--- /dev/null
+++ b/src/protocol/message_codec.cc
@@ -0,0 +1,355 @@
+#include "protocol/message_codec.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "protocol/depth_limited_builder.h"
+#include "protocol/field_reader.h"
+
+namespace sapphirecrank::protocol {
+
+using base::Resources;
+using base::SlotCount;
+using base::TaskKey;
+using nlohmann::json;
+
+namespace {
+
+template <typename Tag>
+json Value(const base::StrongId<Tag>& id) {
+  return id.value();
+}
+
+template <typename Tag, typename Rep>
+json Value(base::StrongNumber<Tag, Rep> number) {
+  return number.value();
+}
+
+json Value(base::Duration duration) { return duration.count(); }
+
+json Bytes(const std::string& text) {
+  return json::binary(std::vector<uint8_t>(text.begin(), text.end()));
+}
+
+template <typename Enum>
+json Number(Enum value) {
+  return static_cast<int64_t>(value);
+}
+
+base::Duration ReadDuration(FieldReader& reader, const char* name) {
+  return base::Duration(reader.Integer(name, INT64_MIN / 2, INT64_MAX / 2));
+}
+
+json EncodeResources(const Resources& resources) {
+  return {{"processors", Value(resources.processors)},
+          {"memory", Value(resources.memory)},
+          {"accelerators", Value(resources.accelerators)}};
+}
+
+Resources DecodeResources(FieldReader& parent, const char* name) {
+  FieldReader reader(parent.Map(name));
+  Resources resources;
+  reader.Read("processors", resources.processors);
+  reader.Read("memory", resources.memory);
+  reader.Read("accelerators", resources.accelerators);
+  if (!reader.fault().empty()) {
+    parent.SetFault(std::string(name) + "." + reader.fault());
+  }
+  return resources;
+}
+
+void EncodeKey(const TaskKey& key, json& map) {
+  map["submission"] = Value(key.submission);
+  map["index"] = Value(key.index);
+}
+
+void DecodeKey(FieldReader& reader, TaskKey& key) {
+  reader.Read("submission", key.submission);
+  reader.Read("index", key.index);
+}
+
+/// Decodes each element of an array with `decode(FieldReader&)`.
+template <typename Element, typename Function>
+std::vector<Element> DecodeArray(FieldReader& parent, const char* name, Function decode) {
+  std::vector<Element> elements;
+  for (const json& item : parent.Array(name)) {
+    FieldReader reader(item);
+    elements.push_back(decode(reader));
+    if (!reader.fault().empty()) {
+      parent.SetFault(std::string(name) + "." + reader.fault());
+      break;
+    }
+  }
+  return elements;
+}
+
+// Each message has a name and a pair of functions. A field that is added needs a new protocol
+// version unless the reader treats it as optional.
+
+constexpr const char* kHello = "hello";
+json EncodeBody(const Hello& message) {
+  return {{"type", kHello},
+          {"version", message.protocol_version},
+          {"host", Value(message.host)},
+          {"data_centre", Value(message.data_centre)},
+          {"incarnation", Value(message.incarnation)},
+          {"secret", message.secret}};
+}
+Message DecodeHello(FieldReader& reader) {
+  Hello message;
+  message.protocol_version = static_cast<uint32_t>(reader.Integer("version", 0, UINT32_MAX));
+  reader.Read("host", message.host);
+  reader.Read("data_centre", message.data_centre);
+  reader.Read("incarnation", message.incarnation);
+  message.secret = reader.Text("secret");
+  return message;
+}
+
+constexpr const char* kHelloAck = "hello_ack";
+json EncodeBody(const HelloAck& message) {
+  return {{"type", kHelloAck},
+          {"host", Value(message.host)},
+          {"incarnation", Value(message.incarnation)}};
+}
+Message DecodeHelloAck(FieldReader& reader) {
+  HelloAck message;
+  reader.Read("host", message.host);
+  reader.Read("incarnation", message.incarnation);
+  return message;
+}
+
+constexpr const char* kHeartbeat = "heartbeat";
+json EncodeBody(const Heartbeat& message) {
+  json loads = json::array();
+  for (const KindLoad& load : message.loads) {
+    loads.push_back({{"kind", Number(load.kind)},
+                     {"free", Value(load.free_slots)},
+                     {"total", Value(load.total_slots)},
+                     {"queued", Value(load.queued)},
+                     {"largest", EncodeResources(load.largest)}});
+  }
+  return {{"type", kHeartbeat},
+          {"number", Value(message.number)},
+          {"leaving", message.leaving},
+          {"loads", std::move(loads)}};
+}
+Message DecodeHeartbeat(FieldReader& reader) {
+  Heartbeat message;
+  reader.Read("number", message.number);
+  message.leaving = reader.Flag("leaving");
+  message.loads = DecodeArray<KindLoad>(reader, "loads", [](FieldReader& item) {
+    KindLoad load;
+    load.kind = item.Choice("kind", base::TargetKind::kWorker);
+    item.Read("free", load.free_slots);
+    item.Read("total", load.total_slots);
+    item.Read("queued", load.queued);
+    load.largest = DecodeResources(item, "largest");
+    return load;
+  });
+  return message;
+}
+
+constexpr const char* kHeartbeatAck = "heartbeat_ack";
+json EncodeBody(const HeartbeatAck& message) {
+  return {{"type", kHeartbeatAck}, {"number", Value(message.number)}};
+}
+Message DecodeHeartbeatAck(FieldReader& reader) {
+  HeartbeatAck message;
+  reader.Read("number", message.number);
+  return message;
+}
+
+constexpr const char* kAssignTasks = "assign_tasks";
+json EncodeTask(const AssignedTask& task) {
+  json map = {{"placement", Value(task.placement)},
+              {"team", Value(task.team)},
+              {"kind", Value(task.kind)},
+              {"class", Number(task.work_class)},
+              {"target_kind", Number(task.target_kind)},
+              {"declared", EncodeResources(task.declared)},
+              {"run_time", Value(task.declared_run_time)},
+              {"deadline_left", Value(task.deadline_left)},
+              {"idempotent", task.idempotent},
+              {"payload", Bytes(task.payload)}};
+  EncodeKey(task.key, map);
+  return map;
+}
+AssignedTask DecodeTask(FieldReader& reader) {
+  AssignedTask task;
+  DecodeKey(reader, task.key);
+  reader.Read("placement", task.placement);
+  reader.Read("team", task.team);
+  reader.Read("kind", task.kind);
+  task.work_class = reader.Choice("class", base::WorkClass::kBulk);
+  task.target_kind = reader.Choice("target_kind", base::TargetKind::kWorker);
+  task.declared = DecodeResources(reader, "declared");
+  task.declared_run_time = ReadDuration(reader, "run_time");
+  task.deadline_left = ReadDuration(reader, "deadline_left");
+  task.idempotent = reader.Flag("idempotent");
+  task.payload = reader.Bytes("payload");
+  return task;
+}
+json EncodeBody(const AssignTasks& message) {
+  json tasks = json::array();
+  for (const AssignedTask& task : message.tasks) {
+    tasks.push_back(EncodeTask(task));
+  }
+  return {{"type", kAssignTasks}, {"epoch", Value(message.epoch)}, {"tasks", std::move(tasks)}};
+}
+Message DecodeAssignTasks(FieldReader& reader) {
+  AssignTasks message;
+  reader.Read("epoch", message.epoch);
+  message.tasks = DecodeArray<AssignedTask>(reader, "tasks", DecodeTask);
+  return message;
+}
+
+constexpr const char* kTaskResults = "task_results";
+json EncodeResult(const TaskResult& result) {
+  json map = {{"placement", Value(result.placement)}, {"succeeded", result.succeeded},
+              {"verdict", Number(result.verdict)},    {"body", Bytes(result.body)},
+              {"code", Number(result.error.code)},    {"field", result.error.field},
+              {"message", result.error.message}};
+  EncodeKey(result.key, map);
+  return map;
+}
+TaskResult DecodeResult(FieldReader& reader) {
+  TaskResult result;
+  DecodeKey(reader, result.key);
+  reader.Read("placement", result.placement);
+  result.succeeded = reader.Flag("succeeded");
+  result.verdict = reader.Choice("verdict", base::Verdict::kRan);
+  result.body = reader.Bytes("body");
+  result.error.code = reader.Choice("code", base::ErrorCode::kInternal);
+  result.error.field = reader.Text("field");
+  result.error.message = reader.Text("message");
+  result.error.verdict = result.verdict;
+  return result;
+}
+json EncodeBody(const TaskResults& message) {
+  json results = json::array();
+  for (const TaskResult& result : message.results) {
+    results.push_back(EncodeResult(result));
+  }
+  return {{"type", kTaskResults}, {"results", std::move(results)}};
+}
+Message DecodeTaskResults(FieldReader& reader) {
+  TaskResults message;
+  message.results = DecodeArray<TaskResult>(reader, "results", DecodeResult);
+  return message;
+}
+
+constexpr const char* kCancelTasks = "cancel_tasks";
+json EncodeBody(const CancelTasks& message) {
+  return {{"type", kCancelTasks}, {"submission", Value(message.submission)}};
+}
+Message DecodeCancelTasks(FieldReader& reader) {
+  CancelTasks message;
+  reader.Read("submission", message.submission);
+  return message;
+}
+
+constexpr const char* kForwardAnnouncement = "forward_announcement";
+json EncodeBody(const ForwardAnnouncement& message) {
+  json running = json::array();
+  for (const base::AttemptId& attempt : message.running) {
+    running.push_back(Value(attempt));
+  }
+  return {{"type", kForwardAnnouncement},
+          {"id", Value(message.id)},
+          {"kind", Number(message.kind)},
+          {"address", Value(message.address)},
+          {"data_centre", Value(message.data_centre)},
+          {"rack", Value(message.rack)},
+          {"slots", Value(message.slots)},
+          {"connections", Value(message.connections)},
+          {"capacity", EncodeResources(message.capacity)},
+          {"leaving", message.leaving},
+          {"running", std::move(running)}};
+}
+Message DecodeForwardAnnouncement(FieldReader& reader) {
+  ForwardAnnouncement message;
+  reader.Read("id", message.id);
+  message.kind = reader.Choice("kind", base::TargetKind::kWorker);
+  reader.Read("address", message.address);
+  reader.Read("data_centre", message.data_centre);
+  reader.Read("rack", message.rack);
+  reader.Read("slots", message.slots);
+  reader.Read("connections", message.connections);
+  message.capacity = DecodeResources(reader, "capacity");
+  message.leaving = reader.Flag("leaving");
+  for (const json& attempt : reader.Array("running")) {
+    if (!attempt.is_string()) {
+      reader.SetFault("running");
+      break;
+    }
+    message.running.emplace_back(attempt.get<std::string>());
+  }
+  return message;
+}
+
+struct Decoder {
+  const char* type;
+  Message (*decode)(FieldReader&);
+};
+
+constexpr Decoder kDecoders[] = {
+    {kHello, DecodeHello},
+    {kHelloAck, DecodeHelloAck},
+    {kHeartbeat, DecodeHeartbeat},
+    {kHeartbeatAck, DecodeHeartbeatAck},
+    {kAssignTasks, DecodeAssignTasks},
+    {kTaskResults, DecodeTaskResults},
+    {kCancelTasks, DecodeCancelTasks},
+    {kForwardAnnouncement, DecodeForwardAnnouncement},
+};
+
+const Decoder* FindDecoder(const std::string& type) {
+  for (const Decoder& decoder : kDecoders) {
+    if (type == decoder.type) {
+      return &decoder;
+    }
+  }
+  return nullptr;
+}
+
+tl::unexpected<base::Error> Malformed(const std::string& field) {
+  return base::Fail(base::ErrorCode::kInvalidArgument, "malformed message: field '" + field + "'",
+                    field);
+}
+
+}  // namespace
+
+std::string Encode(const Envelope& envelope) {
+  json map = std::visit([](const auto& message) { return EncodeBody(message); }, envelope.message);
+  map["number"] = Value(envelope.number);
+  map["acknowledged"] = Value(envelope.acknowledged);
+  std::string bytes;
+  json::to_cbor(map, bytes);
+  return bytes;
+}
+
+base::Result<Envelope> Decode(std::string_view bytes) {
+  if (static_cast<int64_t>(bytes.size()) > kMaximumMessageSize.value()) {
+    return base::Fail(base::ErrorCode::kTooLarge, "message exceeds the size limit", "message");
+  }
+  json map;
+  DepthLimitedBuilder builder(map);
+  if (!json::sax_parse(bytes, &builder, json::input_format_t::cbor)) {
+    return Malformed("message");
+  }
+  FieldReader reader(map);
+  const Decoder* decoder = FindDecoder(reader.Text("type"));
+  if (decoder == nullptr) {
+    return Malformed("type");
+  }
+  Envelope envelope;
+  reader.Read("number", envelope.number);
+  reader.Read("acknowledged", envelope.acknowledged);
+  envelope.message = decoder->decode(reader);
+  if (!reader.fault().empty()) {
+    return Malformed(reader.fault());
+  }
+  return envelope;
+}
+
+}  // namespace sapphirecrank::protocol
