dispatch, targets, outbound: Run assigned tasks on owned targets

The owner of a target counts its slots exactly, because targets start whatever they are given: an attempt without a certain end keeps its slot until a later announcement no longer lists it. libcurl sends a POST again when a reused connection dies unanswered; the body can't be rewound here, so that a task is never sent twice. Not measured yet.

--- /dev/null
+++ b/src/dispatch/dispatcher.cc
@@ -0,0 +1,147 @@
+#include "dispatch/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirecrank::dispatch {
+
+using base::AttemptId;
+using base::ErrorCode;
+using base::HostId;
+using base::TaskKey;
+using base::TimePoint;
+using base::Verdict;
+
+namespace {
+
+constexpr size_t kShardCount = 64;
+
+TargetAnswer Refused(base::Error error) {
+  error.verdict = Verdict::kNotRun;
+  return TargetAnswer{false, Verdict::kNotRun, "", std::move(error)};
+}
+
+}  // namespace
+
+Dispatcher::Dispatcher(const std::string& own_prefix, Hooks hooks)
+    : own_prefix(own_prefix),
+      hooks(std::move(hooks)),
+      pending(kShardCount),
+      registry(own_prefix, {this->hooks.now, this->hooks.usable_from,
+                            [this](const auto& state) { this->scheduler.UpdateTarget(state); },
+                            [this](const auto& id) { this->scheduler.RemoveTarget(id); }}),
+      scheduler(
+          {this->hooks.now, [this](const auto& decision) { this->Start(decision); },
+           [this](const auto& refusal) { this->Finish(refusal.task, Refused(refusal.error)); }}) {}
+
+void Dispatcher::Assign(const HostId& origin, std::vector<Assignment> assignments) {
+  for (Assignment& assignment : assignments) {
+    this->AssignOne(origin, std::move(assignment));
+  }
+}
+
+void Dispatcher::AssignOne(const HostId& origin, Assignment assignment) {
+  const scheduling::TaskSpec spec = assignment.spec;
+  const bool is_new = this->pending.With(spec.key, [&](Shard& shard) {
+    return shard.try_emplace(spec.key, Pending{origin, std::move(assignment)}).second;
+  });
+  if (!is_new) {
+    return;
+  }
+  ++this->in_flight;
+  const base::Result<void> queued = this->scheduler.Enqueue(spec);
+  if (!queued) {
+    this->Finish(spec.key, Refused(queued.error()));
+  }
+}
+
+void Dispatcher::Cancel(const base::SubmissionId& submission) {
+  for (const TaskKey& key : this->scheduler.Cancel(submission)) {
+    this->Finish(key, Refused({ErrorCode::kCancelled, "", "cancelled before it started"}));
+  }
+}
+
+void Dispatcher::Announce(const targets::TargetAnnouncement& announcement) {
+  this->registry.Announce(announcement);
+}
+
+void Dispatcher::RetainTargets(const std::function<bool(const base::TargetId&)>& is_owned) {
+  this->registry.Retain(is_owned);
+}
+
+void Dispatcher::Tick() {
+  this->registry.ExpireDue();
+  this->scheduler.ExpireDue();
+}
+
+scheduling::LoadSummary Dispatcher::Load(base::TargetKind kind) {
+  return this->scheduler.Load(kind);
+}
+
+std::vector<targets::TargetAnnouncement> Dispatcher::Targets() { return this->registry.Snapshot(); }
+
+base::TaskCount Dispatcher::InFlight() const { return base::TaskCount(this->in_flight.load()); }
+
+void Dispatcher::Start(const scheduling::StartDecision& decision) {
+  const TimePoint now = this->hooks.now();
+  TargetCall call;
+  call.attempt = this->NextAttempt();
+  this->pending.With(decision.task, [&](Shard& shard) {
+    Pending& found = shard.at(decision.task);
+    call.payload = std::move(found.assignment.payload);
+    call.timeout = found.assignment.spec.deadline - now;
+  });
+  const auto address = this->registry.Address(decision.target);
+  if (!address) {
+    this->OnAnswer(decision, call.attempt, now,
+                   Refused({ErrorCode::kUnavailable, "", "the target is no longer known"}));
+    return;
+  }
+  call.address = *address;
+  this->hooks.call_target(
+      call, [this, decision, attempt = call.attempt, now](const TargetAnswer& answer) {
+        this->OnAnswer(decision, attempt, now, answer);
+      });
+}
+
+void Dispatcher::OnAnswer(const scheduling::StartDecision& decision, const AttemptId& attempt,
+                          TimePoint started, const TargetAnswer& answer) {
+  // The slot goes to the uncertain attempts before the scheduler may give it away.
+  if (answer.verdict == Verdict::kMayHaveRun) {
+    this->registry.OnUncertainEnd(decision.target, attempt);
+  }
+  this->scheduler.OnTaskEnded(decision.task, decision.target,
+                              {answer.verdict, answer.succeeded, this->hooks.now() - started});
+  this->Finish(decision.task, answer);
+}
+
+void Dispatcher::Finish(const TaskKey& key, const TargetAnswer& answer) {
+  TaskReport report;
+  HostId origin;
+  const bool found = this->pending.With(key, [&](Shard& shard) {
+    auto it = shard.find(key);
+    if (it == shard.end()) {
+      return false;
+    }
+    origin = it->second.origin;
+    report.placement = it->second.assignment.placement;
+    shard.erase(it);
+    return true;
+  });
+  if (!found) {
+    return;
+  }
+  report.key = key;
+  report.succeeded = answer.succeeded;
+  report.verdict = answer.verdict;
+  report.body = answer.body;
+  report.error = answer.error;
+  this->hooks.report(origin, report);
+  --this->in_flight;
+}
+
+AttemptId Dispatcher::NextAttempt() {
+  return AttemptId(this->own_prefix + std::to_string(this->next_attempt++));
+}
+
+}  // namespace sapphirecrank::dispatch
--- /dev/null
+++ b/src/dispatch/dispatcher.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/sharded.h"
+#include "base/task_key.h"
+#include "base/time.h"
+#include "dispatch/assignment.h"
+#include "dispatch/target_answer.h"
+#include "dispatch/target_call.h"
+#include "dispatch/task_report.h"
+#include "scheduling/scheduler.h"
+#include "targets/target_registry.h"
+
+namespace sapphirecrank::dispatch {
+
+/// Runs assigned tasks on the targets that this entry host owns.
+///
+/// Each accepted placement is reported exactly once to its origin. Thread safety: all methods may
+/// be called from any thread; hooks run with no lock held.
+class Dispatcher {
+ public:
+  /// Behaviour handed in; all members must be set.
+  struct Hooks {
+    base::Clock now;
+    /// See `targets::TargetRegistry::Hooks::usable_from`.
+    std::function<base::TimePoint()> usable_from;
+    /// Calls a target; must call the second argument exactly once, on any thread.
+    std::function<void(const TargetCall&, std::function<void(const TargetAnswer&)>)> call_target;
+    /// Sends a report to the host that assigned the task.
+    std::function<void(const base::HostId&, const TaskReport&)> report;
+  };
+
+  /// `own_prefix` begins each attempt id and must differ for each start of a process.
+  Dispatcher(const std::string& own_prefix, Hooks hooks);
+
+  /// Queues the tasks for `origin`. A placement that is already known is ignored.
+  void Assign(const base::HostId& origin, std::vector<Assignment> assignments);
+
+  /// Refuses the queued tasks of a submission with "not run"; running ones go on.
+  void Cancel(const base::SubmissionId& submission);
+
+  /// Takes in an announcement of a target that this host owns.
+  void Announce(const targets::TargetAnnouncement& announcement);
+
+  /// Forgets the targets for which `is_owned` is false, after a change of owner. Their running
+  /// tasks are still reported.
+  void RetainTargets(const std::function<bool(const base::TargetId&)>& is_owned);
+
+  /// Expires deadlines and leases. Call it every few milliseconds.
+  void Tick();
+
+  /// Returns the load of one kind of targets.
+  scheduling::LoadSummary Load(base::TargetKind kind);
+
+  /// Returns the targets that this host owns.
+  std::vector<targets::TargetAnnouncement> Targets();
+
+  /// Returns how many assigned tasks have not been reported yet.
+  base::TaskCount InFlight() const;
+
+ private:
+  struct Pending {
+    base::HostId origin;
+    Assignment assignment;
+  };
+
+  using Shard = std::unordered_map<base::TaskKey, Pending>;
+
+  void AssignOne(const base::HostId& origin, Assignment assignment);
+  void Start(const scheduling::StartDecision& decision);
+  void OnAnswer(const scheduling::StartDecision& decision, const base::AttemptId& attempt,
+                base::TimePoint started, const TargetAnswer& answer);
+  void Finish(const base::TaskKey& key, const TargetAnswer& answer);
+  base::AttemptId NextAttempt();
+
+  std::string own_prefix;
+  Hooks hooks;
+  base::Sharded<base::TaskKey, Shard> pending;
+  std::atomic<uint64_t> next_attempt{1};
+  std::atomic<int64_t> in_flight{0};
+  targets::TargetRegistry registry;
+  scheduling::Scheduler scheduler;
+};
+
+}  // namespace sapphirecrank::dispatch
--- /dev/null
+++ b/src/dispatch/host_choice.cc
@@ -0,0 +1,51 @@
+#include "dispatch/host_choice.h"
+
+#include <utility>
+
+namespace sapphirecrank::dispatch {
+
+using base::SlotCount;
+using base::TaskCount;
+using scheduling::LoadSummary;
+
+namespace {
+
+bool CouldHold(const LoadSummary& load, const base::Resources& need) {
+  return load.total_slots > SlotCount(0) && need.processors <= load.largest_processors &&
+         need.memory <= load.largest_memory && need.accelerators <= load.largest_accelerators;
+}
+
+bool IsBetter(const LoadSummary& a, const LoadSummary& b) {
+  const bool any_free = a.free_slots > SlotCount(0) || b.free_slots > SlotCount(0);
+  if (any_free) {
+    return a.free_slots > b.free_slots;
+  }
+  return a.queued.value() * b.total_slots.value() < b.queued.value() * a.total_slots.value();
+}
+
+}  // namespace
+
+HostChoice::HostChoice(std::vector<HostLoad> loads) : loads(std::move(loads)) {}
+
+base::HostId HostChoice::Next(const base::Resources& need) {
+  HostLoad* best = nullptr;
+  for (HostLoad& candidate : this->loads) {
+    if (!CouldHold(candidate.load, need)) {
+      continue;
+    }
+    if (best == nullptr || IsBetter(candidate.load, best->load)) {
+      best = &candidate;
+    }
+  }
+  if (best == nullptr) {
+    return base::HostId();
+  }
+  if (best->load.free_slots > SlotCount(0)) {
+    best->load.free_slots -= SlotCount(1);
+  } else {
+    best->load.queued += TaskCount(1);
+  }
+  return best->host;
+}
+
+}  // namespace sapphirecrank::dispatch
--- /dev/null
+++ b/src/dispatch/load_table.cc
@@ -0,0 +1,34 @@
+#include "dispatch/load_table.h"
+
+#include "base/mutex_lock.h"
+
+namespace sapphirecrank::dispatch {
+
+void LoadTable::Update(const base::HostId& host, bool leaving,
+                       const std::map<base::TargetKind, scheduling::LoadSummary>& loads) {
+  base::MutexLock lock(this->mutex);
+  if (leaving) {
+    this->hosts.erase(host);
+    return;
+  }
+  this->hosts[host] = loads;
+}
+
+void LoadTable::Remove(const base::HostId& host) {
+  base::MutexLock lock(this->mutex);
+  this->hosts.erase(host);
+}
+
+std::vector<HostLoad> LoadTable::Loads(base::TargetKind kind) {
+  base::MutexLock lock(this->mutex);
+  std::vector<HostLoad> loads;
+  for (const auto& [host, kinds] : this->hosts) {
+    auto found = kinds.find(kind);
+    if (found != kinds.end()) {
+      loads.push_back({host, found->second});
+    }
+  }
+  return loads;
+}
+
+}  // namespace sapphirecrank::dispatch
--- /dev/null
+++ b/src/dispatch/load_table.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/mutex.h"
+#include "base/target_kind.h"
+#include "dispatch/host_load.h"
+
+namespace sapphirecrank::dispatch {
+
+/// Last known load of the other entry hosts.
+///
+/// Thread safety: all methods may be called from any thread.
+class LoadTable {
+ public:
+  /// Takes in what a host said of itself. A host that is leaving gets no new work.
+  void Update(const base::HostId& host, bool leaving,
+              const std::map<base::TargetKind, scheduling::LoadSummary>& loads);
+
+  /// Forgets a host that was lost.
+  void Remove(const base::HostId& host);
+
+  /// Returns the loads of the hosts that may get work for one kind of targets.
+  std::vector<HostLoad> Loads(base::TargetKind kind);
+
+ private:
+  base::Mutex mutex;
+  std::map<base::HostId, std::map<base::TargetKind, scheduling::LoadSummary>> hosts
+      GUARDED_BY(mutex);
+};
+
+}  // namespace sapphirecrank::dispatch
--- /dev/null
+++ b/src/dispatch/request_router.cc
@@ -0,0 +1,312 @@
+#include "dispatch/request_router.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "dispatch/host_choice.h"
+
+namespace sapphirecrank::dispatch {
+
+using base::Duration;
+using base::Error;
+using base::ErrorCode;
+using base::HostId;
+using base::PlacementNumber;
+using base::SubmissionId;
+using base::TargetKind;
+using base::TimePoint;
+using base::Verdict;
+
+namespace {
+
+constexpr size_t kShardCount = 64;
+constexpr PlacementNumber kMaximumPlacements{5};
+constexpr Duration kReplaceDelay = std::chrono::milliseconds(20);
+
+TaskReport FailedReport(const Assignment& assignment, Verdict verdict, Error error) {
+  error.verdict = verdict;
+  TaskReport report;
+  report.key = assignment.spec.key;
+  report.placement = assignment.placement;
+  report.verdict = verdict;
+  report.error = std::move(error);
+  return report;
+}
+
+bool IsWorthPlacingAgain(const TaskReport& report, const Assignment& assignment) {
+  switch (report.error.code) {
+    case ErrorCode::kUnsatisfiable:
+    case ErrorCode::kDeadlineExceeded:
+    case ErrorCode::kCancelled:
+    case ErrorCode::kInvalidArgument:
+      return false;
+    default:
+      break;
+  }
+  if (report.verdict == Verdict::kRan) {
+    return false;
+  }
+  return base::IsSafeToRetry(report.verdict, assignment.spec.idempotent) &&
+         assignment.placement < kMaximumPlacements;
+}
+
+}  // namespace
+
+/// Hosts that may get work, read before a shard is locked.
+struct RequestRouter::Choices {
+  HostChoice runners;
+  HostChoice workers;
+
+  HostChoice& For(TargetKind kind) {
+    return kind == TargetKind::kRunner ? this->runners : this->workers;
+  }
+};
+
+struct RequestRouter::Effects {
+  std::map<HostId, std::vector<Assignment>> assign;
+  std::set<std::pair<HostId, SubmissionId>> cancel;
+  std::vector<std::pair<OnDone, std::vector<TaskReport>>> done;
+};
+
+RequestRouter::RequestRouter(Hooks hooks) : hooks(std::move(hooks)), shards(kShardCount) {}
+
+bool RequestRouter::Submit(std::vector<Assignment> tasks, OnDone on_done) {
+  const SubmissionId submission = tasks.front().spec.key.submission;
+  const TimePoint now = this->hooks.now();
+  Work work;
+  work.open_tasks = tasks.size();
+  work.on_done = std::move(on_done);
+  work.tasks.reserve(tasks.size());
+  for (Assignment& assignment : tasks) {
+    Task task;
+    task.assignment = std::move(assignment);
+    task.place_at = now;
+    work.tasks.push_back(std::move(task));
+  }
+  const bool is_new = this->shards.With(submission, [&](Shard& shard) {
+    return shard.try_emplace(submission, std::move(work)).second;
+  });
+  if (!is_new) {
+    return false;
+  }
+  Choices choices = this->CurrentChoices();
+  this->Change(submission,
+               [&](Work& known, Effects& effects) { PlaceDue(known, now, choices, effects); });
+  return true;
+}
+
+bool RequestRouter::OnReport(const HostId& host, const TaskReport& report) {
+  const TimePoint now = this->hooks.now();
+  bool is_used = false;
+  this->Change(report.key.submission, [&](Work& work, Effects& effects) {
+    if (report.key.index.value() >= work.tasks.size()) {
+      return;
+    }
+    Task& task = work.tasks[report.key.index.value()];
+    const bool is_current =
+        !task.is_final && task.host == host && task.assignment.placement == report.placement;
+    if (is_current) {
+      is_used = true;
+      this->Settle(work, task, report, now, effects);
+    }
+  });
+  return is_used;
+}
+
+void RequestRouter::EndAll(const Error& error) {
+  const auto any = [](const Work&) { return true; };
+  this->ChangeAll(any, [&](Work& work, Effects& effects) {
+    for (Task& task : work.tasks) {
+      if (!task.is_final) {
+        this->EndTask(work, task, FailedReport(task.assignment, VerdictNow(task), error), effects);
+      }
+    }
+  });
+}
+
+void RequestRouter::OnHostLost(const HostId& host) {
+  const TimePoint now = this->hooks.now();
+  const auto any = [](const Work&) { return true; };
+  this->ChangeAll(any, [&](Work& work, Effects& effects) {
+    for (Task& task : work.tasks) {
+      if (!task.is_final && task.host == host) {
+        const Error error{ErrorCode::kUnavailable, "", "the entry host that ran the task was lost"};
+        this->Settle(work, task, FailedReport(task.assignment, Verdict::kMayHaveRun, error), now,
+                     effects);
+      }
+    }
+  });
+}
+
+bool RequestRouter::Cancel(const SubmissionId& submission) {
+  return this->Change(submission, [&](Work& work, Effects& effects) { this->Fail(work, effects); });
+}
+
+void RequestRouter::Tick() {
+  const TimePoint now = this->hooks.now();
+  Choices choices = this->CurrentChoices();
+  const auto is_due = [now](const Work& work) { return work.next_due <= now; };
+  this->ChangeAll(is_due, [&](Work& work, Effects& effects) {
+    this->ExpireWork(work, now, effects);
+    PlaceDue(work, now, choices, effects);
+  });
+}
+
+size_t RequestRouter::InFlight() {
+  size_t count = 0;
+  this->shards.ForEach([&](Shard& shard) { count += shard.size(); });
+  return count;
+}
+
+RequestRouter::Choices RequestRouter::CurrentChoices() const {
+  return {HostChoice(this->hooks.loads(TargetKind::kRunner)),
+          HostChoice(this->hooks.loads(TargetKind::kWorker))};
+}
+
+void RequestRouter::PlaceDue(Work& work, TimePoint now, Choices& choices, Effects& effects) {
+  work.next_due = work.tasks.front().assignment.spec.deadline;
+  for (Task& task : work.tasks) {
+    if (task.is_final || !task.host.empty()) {
+      continue;
+    }
+    if (task.place_at > now) {
+      work.next_due = std::min(work.next_due, task.place_at);
+      continue;
+    }
+    const scheduling::TaskSpec& spec = task.assignment.spec;
+    const HostId host = choices.For(spec.target_kind).Next(spec.declared);
+    if (host.empty()) {
+      task.place_at = now + kReplaceDelay;
+      work.next_due = std::min(work.next_due, task.place_at);
+      continue;
+    }
+    task.host = host;
+    task.assignment.placement = task.assignment.placement.Next();
+    effects.assign[host].push_back(task.assignment);
+  }
+}
+
+void RequestRouter::Settle(Work& work, Task& task, const TaskReport& report, TimePoint now,
+                           Effects& effects) {
+  const bool again = !work.is_failing && !report.succeeded &&
+                     task.assignment.spec.deadline > now + kReplaceDelay &&
+                     IsWorthPlacingAgain(report, task.assignment);
+  if (again) {
+    task.host = HostId();
+    task.place_at = now + kReplaceDelay;
+    work.next_due = std::min(work.next_due, task.place_at);
+    return;
+  }
+  this->EndTask(work, task, report, effects);
+}
+
+void RequestRouter::EndTask(Work& work, Task& task, const TaskReport& report, Effects& effects) {
+  task.is_final = true;
+  task.report = report;
+  task.assignment.payload.clear();
+  --work.open_tasks;
+  if (!report.succeeded) {
+    this->Fail(work, effects);
+  }
+}
+
+void RequestRouter::Fail(Work& work, Effects& effects) {
+  if (work.is_failing) {
+    return;
+  }
+  work.is_failing = true;
+  for (Task& task : work.tasks) {
+    if (task.is_final) {
+      continue;
+    }
+    if (!task.host.empty()) {
+      effects.cancel.emplace(task.host, task.assignment.spec.key.submission);
+      continue;
+    }
+    const Error error{ErrorCode::kCancelled, "", "not started because the job has failed"};
+    this->EndTask(work, task, FailedReport(task.assignment, VerdictNow(task), error), effects);
+  }
+}
+
+void RequestRouter::ExpireWork(Work& work, TimePoint now, Effects& effects) {
+  for (Task& task : work.tasks) {
+    if (task.is_final || task.assignment.spec.deadline > now) {
+      continue;
+    }
+    const Error error{ErrorCode::kDeadlineExceeded, "deadline_ms", "the deadline has passed"};
+    this->EndTask(work, task, FailedReport(task.assignment, VerdictNow(task), error), effects);
+  }
+}
+
+Verdict RequestRouter::VerdictNow(const Task& task) {
+  if (task.assignment.placement == PlacementNumber(0)) {
+    return Verdict::kNotRun;
+  }
+  // A task that waits for another placement came back "not run", unless it is idempotent.
+  const bool is_waiting = task.host.empty() && !task.assignment.spec.idempotent;
+  return is_waiting ? Verdict::kNotRun : Verdict::kMayHaveRun;
+}
+
+bool RequestRouter::Change(const SubmissionId& submission,
+                           const std::function<void(Work&, Effects&)>& change) {
+  Effects effects;
+  const bool is_known = this->shards.With(submission, [&](Shard& shard) {
+    auto found = shard.find(submission);
+    if (found == shard.end()) {
+      return false;
+    }
+    change(found->second, effects);
+    if (found->second.open_tasks == 0) {
+      std::vector<TaskReport> reports;
+      reports.reserve(found->second.tasks.size());
+      for (Task& task : found->second.tasks) {
+        reports.push_back(std::move(task.report));
+      }
+      effects.done.emplace_back(std::move(found->second.on_done), std::move(reports));
+      shard.erase(found);
+    }
+    return true;
+  });
+  this->Apply(effects);
+  return is_known;
+}
+
+void RequestRouter::ChangeAll(const std::function<bool(const Work&)>& condition,
+                              const std::function<void(Work&, Effects&)>& change) {
+  std::vector<SubmissionId> submissions;
+  this->shards.ForEach([&](Shard& shard) {
+    for (const auto& [submission, work] : shard) {
+      if (condition(work)) {
+        submissions.push_back(submission);
+      }
+    }
+  });
+  for (const SubmissionId& submission : submissions) {
+    this->Change(submission, change);
+  }
+}
+
+void RequestRouter::Apply(const Effects& effects) {
+  for (const auto& [host, tasks] : effects.assign) {
+    if (!this->hooks.assign(host, tasks)) {
+      this->OnNotHandedOver(host, tasks);
+    }
+  }
+  for (const auto& [host, submission] : effects.cancel) {
+    this->hooks.cancel(host, submission);
+  }
+  for (const auto& [on_done, reports] : effects.done) {
+    on_done(reports);
+  }
+}
+
+void RequestRouter::OnNotHandedOver(const HostId& host, const std::vector<Assignment>& tasks) {
+  const Error error{ErrorCode::kUnavailable, "", "no link to the entry host of the target"};
+  for (const Assignment& assignment : tasks) {
+    this->OnReport(host, FailedReport(assignment, Verdict::kNotRun, error));
+  }
+}
+
+}  // namespace sapphirecrank::dispatch
--- /dev/null
+++ b/src/dispatch/result_batcher.cc
@@ -0,0 +1,46 @@
+#include "dispatch/result_batcher.h"
+
+#include <utility>
+
+namespace sapphirecrank::dispatch {
+
+namespace {
+constexpr size_t kShardCount = 16;
+}  // namespace
+
+ResultBatcher::ResultBatcher(base::Duration window, Hooks hooks)
+    : window(window), hooks(std::move(hooks)), shards(kShardCount) {}
+
+void ResultBatcher::Add(const base::HostId& host, const TaskReport& report) {
+  const base::TimePoint now = this->hooks.now();
+  const bool send_now = this->shards.With(host, [&](Shard& shard) {
+    Buffer& buffer = shard[host];
+    if (buffer.reports.empty() && now >= buffer.window_end) {
+      buffer.window_end = now + this->window;
+      return true;
+    }
+    buffer.reports.push_back(report);
+    return false;
+  });
+  if (send_now) {
+    this->hooks.send(host, {report});
+  }
+}
+
+void ResultBatcher::Flush() {
+  const base::TimePoint now = this->hooks.now();
+  std::vector<std::pair<base::HostId, std::vector<TaskReport>>> due;
+  this->shards.ForEach([&](Shard& shard) {
+    for (auto& [host, buffer] : shard) {
+      if (!buffer.reports.empty() && now >= buffer.window_end) {
+        due.emplace_back(host, std::exchange(buffer.reports, {}));
+        buffer.window_end = now + this->window;
+      }
+    }
+  });
+  for (const auto& [host, reports] : due) {
+    this->hooks.send(host, reports);
+  }
+}
+
+}  // namespace sapphirecrank::dispatch
--- /dev/null
+++ b/src/dispatch/task_report.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string>
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "base/task_key.h"
+#include "base/verdict.h"
+
+namespace sapphirecrank::dispatch {
+
+/// How an assigned task ended; sent back to the host that assigned it, once for each placement.
+struct TaskReport {
+  base::TaskKey key;
+  base::PlacementNumber placement;
+  bool succeeded = false;
+  base::Verdict verdict = base::Verdict::kMayHaveRun;
+  /// The target's answer if the task ran.
+  std::string body;
+  /// Why the task didn't succeed; only meaningful if it didn't.
+  base::Error error;
+};
+
+}  // namespace sapphirecrank::dispatch
--- /dev/null
+++ b/src/outbound/target_client.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "dispatch/target_answer.h"
+#include "dispatch/target_call.h"
+#include "outbound/target_client_settings.h"
+
+namespace sapphirecrank::outbound {
+
+/// Starts tasks on targets over HTTP, with one thread that runs libcurl's multi interface.
+///
+/// A call is sent at most once: libcurl's own resend on a reused connection is made impossible.
+/// Thread safety: all methods may be called from any thread.
+class TargetClient {
+ public:
+  using OnDone = std::function<void(const dispatch::TargetAnswer&)>;
+
+  /// Starts the thread.
+  explicit TargetClient(const TargetClientSettings& settings);
+
+  /// Stops as `Stop` does.
+  ~TargetClient();
+
+  /// Ends open calls with "may have run" and waits for the thread. Later calls end with "not run".
+  /// To be called by one thread, not by the client's.
+  void Stop();
+
+  /// Calls a target. `on_done` runs exactly once on the client's thread and must not wait. The
+  /// verdict is "not run" only if no connection could be made.
+  void Start(dispatch::TargetCall call, OnDone on_done);
+
+ private:
+  class Impl;
+
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace sapphirecrank::outbound
--- /dev/null
+++ b/src/outbound/target_client_settings.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+
+#include "base/time.h"
+#include "base/units.h"
+
+namespace sapphirecrank::outbound {
+
+/// Bounds of the calls to targets.
+struct TargetClientSettings {
+  base::ConnectionCount connections_per_target{64};
+  base::Duration connect_timeout = std::chrono::seconds(1);
+  /// Larger answers end the call with an error.
+  base::ByteCount maximum_answer{4LL * 1024 * 1024};
+};
+
+}  // namespace sapphirecrank::outbound
--- /dev/null
+++ b/src/targets/target_registry.cc
@@ -0,0 +1,131 @@
+#include "targets/target_registry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirecrank::targets {
+
+using base::AttemptId;
+using base::Duration;
+using base::SlotCount;
+using base::TargetId;
+using base::TimePoint;
+
+namespace {
+
+constexpr size_t kShardCount = 16;
+constexpr Duration kLease = std::chrono::seconds(2);
+constexpr Duration kForgetAfter = std::chrono::seconds(10);
+// Announcements that were under way when an attempt ended don't yet show its end.
+constexpr Duration kReportLag = std::chrono::seconds(1);
+
+}  // namespace
+
+TargetRegistry::TargetRegistry(std::string own_prefix, Hooks hooks)
+    : own_prefix(std::move(own_prefix)), hooks(std::move(hooks)), shards(kShardCount) {}
+
+void TargetRegistry::Announce(const TargetAnnouncement& announcement) {
+  const TimePoint now = this->hooks.now();
+  const scheduling::TargetState state = this->shards.With(announcement.id, [&](Shard& shard) {
+    Target& target = shard[announcement.id];
+    target.announcement = announcement;
+    target.announced = now;
+    const auto& running = announcement.running;
+    for (auto it = target.uncertain.begin(); it != target.uncertain.end();) {
+      const bool listed = std::find(running.begin(), running.end(), it->first) != running.end();
+      const bool settled = it->second + kReportLag <= now;
+      it = !listed && settled ? target.uncertain.erase(it) : std::next(it);
+    }
+    return this->StateOf(target);
+  });
+  this->hooks.update(state);
+}
+
+std::optional<base::NetworkAddress> TargetRegistry::Address(const TargetId& target) {
+  return this->shards.With(target, [&](Shard& shard) -> std::optional<base::NetworkAddress> {
+    auto found = shard.find(target);
+    if (found == shard.end()) {
+      return std::nullopt;
+    }
+    return found->second.announcement.address;
+  });
+}
+
+void TargetRegistry::OnUncertainEnd(const TargetId& target, const AttemptId& attempt) {
+  const TimePoint now = this->hooks.now();
+  const auto state =
+      this->shards.With(target, [&](Shard& shard) -> std::optional<scheduling::TargetState> {
+        auto found = shard.find(target);
+        if (found == shard.end()) {
+          return std::nullopt;
+        }
+        found->second.uncertain[attempt] = now;
+        return this->StateOf(found->second);
+      });
+  if (state) {
+    this->hooks.update(*state);
+  }
+}
+
+void TargetRegistry::ExpireDue() {
+  const TimePoint now = this->hooks.now();
+  this->RemoveIf([now](const TargetId&, const Target& target) {
+    return target.announced + kForgetAfter <= now;
+  });
+}
+
+void TargetRegistry::Retain(const std::function<bool(const TargetId&)>& is_owned) {
+  this->RemoveIf([&](const TargetId& id, const Target&) { return !is_owned(id); });
+}
+
+std::vector<TargetAnnouncement> TargetRegistry::Snapshot() {
+  std::vector<TargetAnnouncement> all;
+  this->shards.ForEach([&](Shard& shard) {
+    for (const auto& [id, target] : shard) {
+      all.push_back(target.announcement);
+    }
+  });
+  return all;
+}
+
+bool TargetRegistry::IsOwn(const AttemptId& attempt) const {
+  return attempt.value().compare(0, this->own_prefix.size(), this->own_prefix) == 0;
+}
+
+scheduling::TargetState TargetRegistry::StateOf(const Target& target) const {
+  const TargetAnnouncement& announcement = target.announcement;
+  const auto foreign =
+      std::count_if(announcement.running.begin(), announcement.running.end(),
+                    [this](const AttemptId& attempt) { return !this->IsOwn(attempt); });
+  scheduling::TargetState state;
+  state.id = announcement.id;
+  state.kind = announcement.kind;
+  state.rack = announcement.rack;
+  state.slots = SlotCount(std::min(announcement.slots.value(), announcement.connections.value()));
+  state.capacity = announcement.capacity;
+  state.foreign_slots = SlotCount(static_cast<int32_t>(foreign + target.uncertain.size()));
+  state.leaving = announcement.leaving;
+  state.usable_from = this->hooks.usable_from();
+  state.lease_end = target.announced + kLease;
+  return state;
+}
+
+void TargetRegistry::RemoveIf(
+    const std::function<bool(const TargetId&, const Target&)>& condition) {
+  std::vector<TargetId> removed;
+  this->shards.ForEach([&](Shard& shard) {
+    for (auto it = shard.begin(); it != shard.end();) {
+      if (condition(it->first, it->second)) {
+        removed.push_back(it->first);
+        it = shard.erase(it);
+      } else {
+        ++it;
+      }
+    }
+  });
+  for (const TargetId& id : removed) {
+    this->hooks.remove(id);
+  }
+}
+
+}  // namespace sapphirecrank::targets
