--- /dev/null
+++ b/bench/fake_target/main.cc
@@ -0,0 +1,72 @@
+// Runs fake targets for demonstrations and measurements:
+// fake_target KIND COUNT SLOTS DATA_CENTRE ENTRY_HOST...
+
+#include <fmt/format.h>
+#include <signal.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/support/fake_target.h"
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr int kFixedArguments = 5;
+constexpr int64_t kProcessors = 16000;
+constexpr int64_t kMemory = 32LL * 1024 * 1024 * 1024;
+constexpr int kConnections = 64;
+constexpr int kTargetsInRack = 8;
+
+testing::FakeTargetSettings MakeSettings(int argc, char** argv, int index) {
+  testing::FakeTargetSettings settings;
+  targets::TargetAnnouncement& announcement = settings.announcement;
+  const std::string kind = argv[1];
+  announcement.id = base::TargetId(fmt::format("{}-{}", kind, index));
+  announcement.kind = kind == "runner" ? base::TargetKind::kRunner : base::TargetKind::kWorker;
+  announcement.slots = base::SlotCount(std::stoi(argv[3]));
+  announcement.data_centre = base::DataCentreId(argv[4]);
+  announcement.connections = base::ConnectionCount(kConnections);
+  announcement.rack = base::RackId(fmt::format("rack-{}", index / kTargetsInRack));
+  announcement.capacity = {base::MilliCores(kProcessors), base::ByteCount(kMemory),
+                           base::AcceleratorCount(0)};
+  for (int i = kFixedArguments; i < argc; ++i) {
+    settings.entry_hosts.emplace_back(argv[i]);
+  }
+  settings.choose = [](const std::string&, const std::string& payload) {
+    return testing::EchoAction(payload);
+  };
+  return settings;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc <= kFixedArguments) {
+    fmt::print(stderr, "usage: fake_target KIND COUNT SLOTS DATA_CENTRE ENTRY_HOST...\n");
+    return 2;
+  }
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::vector<std::unique_ptr<testing::FakeTarget>> targets;
+  const int count = std::stoi(argv[2]);
+  targets.reserve(static_cast<size_t>(count));
+  for (int i = 0; i < count; ++i) {
+    targets.push_back(std::make_unique<testing::FakeTarget>(MakeSettings(argc, argv, i)));
+  }
+  int signal = 0;
+  sigwait(&signals, &signal);
+  size_t started = 0;
+  for (const auto& target : targets) {
+    started += target->Started().size();
+    fmt::print("{} started {} tasks, at most {} at once\n", target->Address(),
+               target->Started().size(), target->MostAtOnce());
+  }
+  fmt::print("started {} tasks\n", started);
+  return 0;
+}
--- /dev/null
+++ b/src/configuration/settings.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "configuration/host_address.h"
+#include "configuration/team_settings.h"
+
+namespace sapphirecrank::configuration {
+
+/// What a process of the system learns from its settings file.
+struct Settings {
+  base::HostId host;
+  base::DataCentreId data_centre;
+  /// Where callers, targets and operators connect.
+  base::NetworkAddress http_listen;
+  /// Where other entry hosts connect.
+  base::NetworkAddress peer_listen;
+  /// File with the secret that all entry hosts share.
+  std::string secret_file;
+  std::vector<HostAddress> peers;
+  std::vector<TeamSettings> teams;
+};
+
+/// Reads settings from JSON text. Errors name the faulty field. Thread safety: pure.
+base::Result<Settings> ParseSettings(const std::string& text);
+
+/// Reads a whole file. Errors: `kNotFound` with the file's name.
+base::Result<std::string> ReadFile(const std::string& path);
+
+}  // namespace sapphirecrank::configuration
--- /dev/null
+++ b/src/configuration/team_settings.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/units.h"
+
+namespace sapphirecrank::configuration {
+
+/// A team as named in the settings.
+struct TeamSettings {
+  base::TeamId id;
+  base::Weight weight{1};
+};
+
+}  // namespace sapphirecrank::configuration
--- /dev/null
+++ b/src/entryhost/message_translation.cc
@@ -0,0 +1,88 @@
+#include "entryhost/message_translation.h"
+
+namespace sapphirecrank::entryhost {
+
+using dispatch::Assignment;
+using dispatch::TaskReport;
+using targets::TargetAnnouncement;
+
+protocol::AssignTasks ToMessage(const std::vector<Assignment>& tasks, base::TimePoint now) {
+  protocol::AssignTasks message;
+  message.tasks.reserve(tasks.size());
+  for (const Assignment& task : tasks) {
+    const scheduling::TaskSpec& spec = task.spec;
+    message.tasks.push_back({spec.key, task.placement, spec.team, spec.kind, spec.work_class,
+                             spec.target_kind, spec.declared, spec.declared_run_time,
+                             spec.deadline - now, spec.idempotent, task.payload});
+  }
+  return message;
+}
+
+std::vector<Assignment> FromMessage(const protocol::AssignTasks& message, base::TimePoint now) {
+  std::vector<Assignment> tasks;
+  tasks.reserve(message.tasks.size());
+  for (const protocol::AssignedTask& task : message.tasks) {
+    Assignment assignment;
+    assignment.spec.key = task.key;
+    assignment.spec.team = task.team;
+    assignment.spec.kind = task.kind;
+    assignment.spec.work_class = task.work_class;
+    assignment.spec.target_kind = task.target_kind;
+    assignment.spec.declared = task.declared;
+    assignment.spec.declared_run_time = task.declared_run_time;
+    assignment.spec.deadline = now + task.deadline_left;
+    assignment.spec.idempotent = task.idempotent;
+    assignment.placement = task.placement;
+    assignment.payload = task.payload;
+    tasks.push_back(std::move(assignment));
+  }
+  return tasks;
+}
+
+protocol::TaskResults ToMessage(const std::vector<TaskReport>& reports) {
+  protocol::TaskResults message;
+  message.results.reserve(reports.size());
+  for (const TaskReport& report : reports) {
+    message.results.push_back({report.key, report.placement, report.succeeded, report.verdict,
+                               report.body, report.error});
+  }
+  return message;
+}
+
+std::vector<TaskReport> FromMessage(const protocol::TaskResults& message) {
+  std::vector<TaskReport> reports;
+  reports.reserve(message.results.size());
+  for (const protocol::TaskResult& result : message.results) {
+    reports.push_back({result.key, result.placement, result.succeeded, result.verdict, result.body,
+                       result.error});
+  }
+  return reports;
+}
+
+protocol::ForwardAnnouncement ToMessage(const TargetAnnouncement& announcement) {
+  return {announcement.id,          announcement.kind,     announcement.address,
+          announcement.data_centre, announcement.rack,     announcement.slots,
+          announcement.connections, announcement.capacity, announcement.leaving,
+          announcement.running};
+}
+
+TargetAnnouncement FromMessage(const protocol::ForwardAnnouncement& message) {
+  return {message.id,      message.kind,   message.address,     message.data_centre,
+          message.rack,    message.slots,  message.connections, message.capacity,
+          message.leaving, message.running};
+}
+
+protocol::KindLoad ToMessage(base::TargetKind kind, const scheduling::LoadSummary& load) {
+  return {kind,
+          load.free_slots,
+          load.total_slots,
+          load.queued,
+          {load.largest_processors, load.largest_memory, load.largest_accelerators}};
+}
+
+scheduling::LoadSummary FromMessage(const protocol::KindLoad& load) {
+  return {load.free_slots,         load.total_slots,    load.queued,
+          load.largest.processors, load.largest.memory, load.largest.accelerators};
+}
+
+}  // namespace sapphirecrank::entryhost
--- /dev/null
+++ b/src/frontend/answer_writer.cc
@@ -0,0 +1,105 @@
+#include "frontend/answer_writer.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace sapphirecrank::frontend {
+
+using base::ErrorCode;
+using Json = nlohmann::json;
+
+namespace {
+
+int StatusOf(ErrorCode code) {
+  switch (code) {
+    case ErrorCode::kInvalidArgument:
+      return 400;
+    case ErrorCode::kUnauthenticated:
+      return 401;
+    case ErrorCode::kPermissionDenied:
+      return 403;
+    case ErrorCode::kNotFound:
+      return 404;
+    case ErrorCode::kConflict:
+    case ErrorCode::kCancelled:
+      return 409;
+    case ErrorCode::kExpired:
+      return 410;
+    case ErrorCode::kTooLarge:
+      return 413;
+    case ErrorCode::kUnsatisfiable:
+      return 422;
+    case ErrorCode::kOverloaded:
+      return 429;
+    case ErrorCode::kTargetFailed:
+      return 502;
+    case ErrorCode::kUnavailable:
+    case ErrorCode::kShuttingDown:
+    case ErrorCode::kFenced:
+      return 503;
+    case ErrorCode::kDeadlineExceeded:
+      return 504;
+    default:
+      return 500;
+  }
+}
+
+Json ErrorObject(const base::Error& error) {
+  return {{"code", base::ErrorCodeName(error.code)},
+          {"field", error.field},
+          {"message", error.message},
+          {"verdict", base::VerdictName(error.verdict)}};
+}
+
+std::string Dump(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+/// Returns a target's answer as JSON: as it is, or as a string if it isn't JSON.
+std::string AsJson(const std::string& body) { return Json::accept(body) ? body : Dump(Json(body)); }
+
+HttpResponse Response(int status, std::string body) {
+  HttpResponse response;
+  response.status = status;
+  response.body = std::move(body);
+  return response;
+}
+
+}  // namespace
+
+HttpResponse ErrorResponse(const base::Error& error) {
+  return Response(StatusOf(error.code), Dump({{"error", ErrorObject(error)}}));
+}
+
+HttpResponse JobResponse(const base::SubmissionId& submission, const WorkAnswer& answer) {
+  if (!answer.error) {
+    std::string body =
+        "{\"submission\":" + Dump(submission.value()) + ",\"state\":\"complete\",\"results\":[";
+    for (size_t i = 0; i < answer.tasks.size(); ++i) {
+      body += (i == 0 ? "" : ",") + AsJson(answer.tasks[i].body);
+    }
+    return Response(200, body + "]}");
+  }
+  Json tasks = Json::array();
+  for (size_t i = 0; i < answer.tasks.size(); ++i) {
+    const TaskAnswer& task = answer.tasks[i];
+    Json item = {{"index", i}, {"verdict", base::VerdictName(task.verdict)}};
+    if (!task.succeeded) {
+      item["error"] = ErrorObject(task.error);
+    }
+    tasks.push_back(std::move(item));
+  }
+  return Response(StatusOf(answer.error->code), Dump({{"submission", submission.value()},
+                                                      {"state", "failed"},
+                                                      {"error", ErrorObject(*answer.error)},
+                                                      {"tasks", std::move(tasks)}}));
+}
+
+HttpResponse RequestResponse(const WorkAnswer& answer) {
+  if (answer.error) {
+    return ErrorResponse(*answer.error);
+  }
+  return Response(200, answer.tasks.front().body);
+}
+
+}  // namespace sapphirecrank::frontend
--- /dev/null
+++ b/src/frontend/api_router.cc
@@ -0,0 +1,95 @@
+#include "frontend/api_router.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "frontend/answer_writer.h"
+#include "frontend/work_parser.h"
+
+namespace sapphirecrank::frontend {
+
+using base::ErrorCode;
+
+namespace {
+
+constexpr const char* kJobPrefix = "/v1/jobs/";
+
+bool StartsWith(const std::string& text, const std::string& prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+HttpResponse Ok(std::string body) {
+  HttpResponse response;
+  response.body = std::move(body);
+  return response;
+}
+
+}  // namespace
+
+ApiRouter::ApiRouter(Hooks hooks) : hooks(std::move(hooks)) {}
+
+void ApiRouter::Handle(const HttpRequest& request, const Respond& respond) const {
+  const std::string& path = request.path;
+  if (request.method == "POST" && path == "/v1/jobs") {
+    this->RunJob(request, respond);
+  } else if (request.method == "POST" && path == "/v1/requests") {
+    this->RunRequest(request, respond);
+  } else if (request.method == "DELETE" && StartsWith(path, kJobPrefix)) {
+    this->CancelJob(request, respond);
+  } else if (request.method == "POST" && path == "/v1/targets") {
+    this->Announce(request, respond);
+  } else if (request.method == "GET" && path == "/v1/status") {
+    respond(Ok(this->hooks.status()));
+  } else if (request.method == "GET" && path == "/metrics") {
+    HttpResponse response = Ok(this->hooks.metrics());
+    response.content_type = "text/plain; version=0.0.4";
+    respond(response);
+  } else {
+    respond(ErrorResponse(
+        {ErrorCode::kNotFound, "path", "no such resource: " + request.method + " " + path}));
+  }
+}
+
+void ApiRouter::RunJob(const HttpRequest& request, const Respond& respond) const {
+  auto work = ParseJob(request.body);
+  if (!work) {
+    respond(ErrorResponse(work.error()));
+    return;
+  }
+  const base::SubmissionId submission = work->submission;
+  this->hooks.run(std::move(*work), [submission, respond](const WorkAnswer& answer) {
+    respond(JobResponse(submission, answer));
+  });
+}
+
+void ApiRouter::RunRequest(const HttpRequest& request, const Respond& respond) const {
+  auto work = ParseRequest(request.body);
+  if (!work) {
+    respond(ErrorResponse(work.error()));
+    return;
+  }
+  this->hooks.run(std::move(*work),
+                  [respond](const WorkAnswer& answer) { respond(RequestResponse(answer)); });
+}
+
+void ApiRouter::CancelJob(const HttpRequest& request, const Respond& respond) const {
+  const base::SubmissionId submission(request.path.substr(std::string(kJobPrefix).size()));
+  const auto cancelled = this->hooks.cancel(submission);
+  respond(cancelled ? Ok(R"({"state":"cancelling"})") : ErrorResponse(cancelled.error()));
+}
+
+void ApiRouter::Announce(const HttpRequest& request, const Respond& respond) const {
+  const auto announcement = ParseAnnouncement(request.body);
+  if (!announcement) {
+    respond(ErrorResponse(announcement.error()));
+    return;
+  }
+  const auto owner = this->hooks.announce(*announcement);
+  if (!owner) {
+    respond(ErrorResponse(owner.error()));
+    return;
+  }
+  respond(Ok(nlohmann::json({{"owner", owner->value()}}).dump()));
+}
+
+}  // namespace sapphirecrank::frontend
--- /dev/null
+++ b/src/frontend/api_router.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "base/result.h"
+#include "frontend/caller_work.h"
+#include "frontend/http_request.h"
+#include "frontend/http_response.h"
+#include "frontend/work_answer.h"
+#include "targets/target_announcement.h"
+
+namespace sapphirecrank::frontend {
+
+/// Routes HTTP requests of callers, targets and operators to the decisions.
+///
+/// Thread safety: all methods may be called from any thread.
+class ApiRouter {
+ public:
+  using Respond = std::function<void(const HttpResponse&)>;
+  using OnAnswer = std::function<void(const WorkAnswer&)>;
+
+  /// Behaviour handed in; all members must be set.
+  struct Hooks {
+    /// Runs a request or job; the second argument is called exactly once.
+    std::function<void(CallerWork, OnAnswer)> run;
+    /// Drops what is queued of a job; `kNotFound` if it isn't known.
+    std::function<base::Result<void>(const base::SubmissionId&)> cancel;
+    /// Takes in an announcement and returns the host that owns the target.
+    std::function<base::Result<base::HostId>(const targets::TargetAnnouncement&)> announce;
+    /// Returns the status document as JSON text.
+    std::function<std::string()> status;
+    /// Returns the metrics in Prometheus' text format.
+    std::function<std::string()> metrics;
+  };
+
+  explicit ApiRouter(Hooks hooks);
+
+  /// Handles one request; `respond` is called exactly once, now or later.
+  void Handle(const HttpRequest& request, const Respond& respond) const;
+
+ private:
+  void RunJob(const HttpRequest& request, const Respond& respond) const;
+  void RunRequest(const HttpRequest& request, const Respond& respond) const;
+  void CancelJob(const HttpRequest& request, const Respond& respond) const;
+  void Announce(const HttpRequest& request, const Respond& respond) const;
+
+  Hooks hooks;
+};
+
+}  // namespace sapphirecrank::frontend
--- /dev/null
+++ b/src/frontend/caller_task.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+
+#include "base/ids.h"
+#include "base/resources.h"
+#include "base/time.h"
+
+namespace sapphirecrank::frontend {
+
+/// One task as the caller describes it.
+struct CallerTask {
+  base::TaskKind kind;
+  base::Resources declared;
+  base::Duration declared_run_time{0};
+  bool idempotent = false;
+  /// JSON text that is passed on to the target.
+  std::string payload;
+};
+
+}  // namespace sapphirecrank::frontend
--- /dev/null
+++ b/src/frontend/caller_work.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <vector>
+
+#include "base/ids.h"
+#include "base/target_kind.h"
+#include "base/time.h"
+#include "base/work_class.h"
+#include "frontend/caller_task.h"
+
+namespace sapphirecrank::frontend {
+
+/// A request (one task for a runner) or a job (1 to 200 tasks for workers) from a caller.
+struct CallerWork {
+  /// Empty for a request.
+  base::SubmissionId submission;
+  base::TeamId team;
+  base::WorkClass work_class = base::WorkClass::kOrdinary;
+  base::TargetKind target_kind = base::TargetKind::kWorker;
+  base::Duration deadline{0};
+  std::vector<CallerTask> tasks;
+};
+
+}  // namespace sapphirecrank::frontend
--- /dev/null
+++ b/src/frontend/http_request.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+namespace sapphirecrank::frontend {
+
+/// One HTTP request, read completely.
+struct HttpRequest {
+  std::string method;
+  std::string path;
+  std::map<std::string, std::string> query;
+  /// By name in lower case.
+  std::map<std::string, std::string> headers;
+  /// IP number of the other side.
+  std::string remote;
+  std::string body;
+};
+
+}  // namespace sapphirecrank::frontend
--- /dev/null
+++ b/src/frontend/http_server.cc
@@ -0,0 +1,278 @@
+#include "frontend/http_server.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <cstring>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+namespace sapphirecrank::frontend {
+
+using base::ErrorCode;
+
+namespace {
+
+constexpr const char* kBodyTooLarge =
+    R"({"error":{"code":"too_large","field":"body","message":"the body exceeds the limit",)"
+    R"("verdict":"not run"}})";
+
+/// One request between its first byte and its answer. Shared with the handler's answer function.
+struct Exchange {
+  HttpRequest request;
+  bool is_too_large = false;
+  bool is_handled = false;
+  std::mutex mutex;
+  MHD_Connection* connection = nullptr;
+  std::optional<HttpResponse> response;
+};
+
+MHD_Result AddQuery(void* user, MHD_ValueKind /*kind*/, const char* name, const char* value) {
+  auto* request = static_cast<HttpRequest*>(user);
+  request->query[name] = value == nullptr ? "" : value;
+  return MHD_YES;
+}
+
+MHD_Result AddHeader(void* user, MHD_ValueKind /*kind*/, const char* name, const char* value) {
+  auto* request = static_cast<HttpRequest*>(user);
+  std::string lower = name;
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  request->headers[lower] = value == nullptr ? "" : value;
+  return MHD_YES;
+}
+
+MHD_Result Queue(MHD_Connection* connection, const HttpResponse& response) {
+  MHD_Response* out = MHD_create_response_from_buffer(
+      response.body.size(), const_cast<char*>(response.body.data()), MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header(out, MHD_HTTP_HEADER_CONTENT_TYPE, response.content_type.c_str());
+  for (const auto& [name, value] : response.headers) {
+    MHD_add_response_header(out, name.c_str(), value.c_str());
+  }
+  const MHD_Result result =
+      MHD_queue_response(connection, static_cast<unsigned>(response.status), out);
+  MHD_destroy_response(out);
+  return result;
+}
+
+std::string RemoteAddress(MHD_Connection* connection) {
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  char text[INET_ADDRSTRLEN] = "";
+  if (info != nullptr && info->client_addr->sa_family == AF_INET) {
+    const auto* address = reinterpret_cast<const sockaddr_in*>(info->client_addr);
+    inet_ntop(AF_INET, &address->sin_addr, text, sizeof(text));
+  }
+  return text;
+}
+
+base::Result<sockaddr_in> ParseAddress(const std::string& text) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  const size_t colon = text.rfind(':');
+  if (colon == std::string::npos ||
+      inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) != 1) {
+    return base::Fail(ErrorCode::kInvalidArgument, "'" + text + "' is not an IP number and port",
+                      "listen");
+  }
+  address.sin_port = htons(static_cast<uint16_t>(std::atoi(text.c_str() + colon + 1)));
+  return address;
+}
+
+}  // namespace
+
+class HttpServer::Impl {
+ public:
+  Impl(const HttpServerSettings& settings, Handler handler)
+      : settings(settings), handler(std::move(handler)) {}
+  ~Impl() { this->Stop(); }
+
+  base::Result<void> Start();
+  base::NetworkAddress Address() const;
+  void StopListening();
+  void Stop();
+
+ private:
+  using ExchangePointer = std::shared_ptr<Exchange>;
+
+  static MHD_Result OnAccess(void* self, MHD_Connection* connection, const char* url,
+                             const char* method, const char* version, const char* data,
+                             size_t* size, void** context);
+  static void OnCompleted(void* self, MHD_Connection* connection, void** context,
+                          MHD_RequestTerminationCode code);
+  MHD_Result Begin(MHD_Connection* connection, const char* url, const char* method, void** context);
+  MHD_Result Receive(Exchange& exchange, const char* data, size_t* size) const;
+  MHD_Result Handle(MHD_Connection* connection, const ExchangePointer& exchange);
+  static void Answer(const ExchangePointer& exchange, const HttpResponse& response);
+
+  HttpServerSettings settings;
+  Handler handler;
+  MHD_Daemon* daemon = nullptr;
+  MHD_socket listening = MHD_INVALID_SOCKET;
+  std::mutex mutex;
+  std::condition_variable idle;
+  size_t open_exchanges = 0;
+};
+
+base::Result<void> HttpServer::Impl::Start() {
+  const auto address = ParseAddress(this->settings.listen.value());
+  if (!address) {
+    return tl::make_unexpected(address.error());
+  }
+  const auto idle_seconds =
+      std::chrono::duration_cast<std::chrono::seconds>(this->settings.idle_timeout).count();
+  this->daemon = MHD_start_daemon(
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0, nullptr, nullptr,
+      &Impl::OnAccess, this, MHD_OPTION_NOTIFY_COMPLETED, &Impl::OnCompleted, this,
+      MHD_OPTION_SOCK_ADDR, &*address, MHD_OPTION_THREAD_POOL_SIZE,
+      static_cast<unsigned>(this->settings.threads), MHD_OPTION_CONNECTION_LIMIT,
+      static_cast<unsigned>(this->settings.maximum_connections.value()),
+      MHD_OPTION_PER_IP_CONNECTION_LIMIT,
+      static_cast<unsigned>(this->settings.maximum_connections_per_address.value()),
+      MHD_OPTION_CONNECTION_TIMEOUT, static_cast<unsigned>(idle_seconds),
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+  if (this->daemon == nullptr) {
+    return base::Fail(
+        ErrorCode::kUnavailable,
+        "can't listen on " + this->settings.listen.value() + ": " + std::strerror(errno), "listen");
+  }
+  return {};
+}
+
+base::NetworkAddress HttpServer::Impl::Address() const {
+  const std::string& listen = this->settings.listen.value();
+  const MHD_DaemonInfo* info = MHD_get_daemon_info(this->daemon, MHD_DAEMON_INFO_BIND_PORT);
+  return base::NetworkAddress(listen.substr(0, listen.rfind(':') + 1) + std::to_string(info->port));
+}
+
+void HttpServer::Impl::StopListening() {
+  if (this->daemon != nullptr && this->listening == MHD_INVALID_SOCKET) {
+    this->listening = MHD_quiesce_daemon(this->daemon);
+  }
+}
+
+void HttpServer::Impl::Stop() {
+  if (this->daemon == nullptr) {
+    return;
+  }
+  this->StopListening();
+  {
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->idle.wait(lock, [this] { return this->open_exchanges == 0; });
+  }
+  MHD_stop_daemon(this->daemon);
+  this->daemon = nullptr;
+  if (this->listening != MHD_INVALID_SOCKET) {
+    close(this->listening);
+  }
+}
+
+MHD_Result HttpServer::Impl::OnAccess(void* self, MHD_Connection* connection, const char* url,
+                                      const char* method, const char* /*version*/, const char* data,
+                                      size_t* size, void** context) {
+  auto* server = static_cast<Impl*>(self);
+  if (*context == nullptr) {
+    return server->Begin(connection, url, method, context);
+  }
+  const ExchangePointer exchange = *static_cast<ExchangePointer*>(*context);
+  if (*size > 0) {
+    return server->Receive(*exchange, data, size);
+  }
+  if (exchange->is_too_large) {
+    HttpResponse response;
+    response.status = 413;
+    response.body = kBodyTooLarge;
+    return Queue(connection, response);
+  }
+  if (!exchange->is_handled) {
+    return server->Handle(connection, exchange);
+  }
+  std::lock_guard<std::mutex> lock(exchange->mutex);
+  return exchange->response ? Queue(connection, *exchange->response) : MHD_YES;
+}
+
+void HttpServer::Impl::OnCompleted(void* self, MHD_Connection* /*connection*/, void** context,
+                                   MHD_RequestTerminationCode /*code*/) {
+  auto* server = static_cast<Impl*>(self);
+  auto* pointer = static_cast<ExchangePointer*>(*context);
+  if (pointer == nullptr) {
+    return;
+  }
+  {
+    std::lock_guard<std::mutex> lock((*pointer)->mutex);
+    (*pointer)->connection = nullptr;
+  }
+  delete pointer;
+  *context = nullptr;
+  std::lock_guard<std::mutex> lock(server->mutex);
+  --server->open_exchanges;
+  server->idle.notify_all();
+}
+
+MHD_Result HttpServer::Impl::Begin(MHD_Connection* connection, const char* url, const char* method,
+                                   void** context) {
+  auto exchange = std::make_shared<Exchange>();
+  exchange->request.method = method;
+  exchange->request.path = url;
+  exchange->request.remote = RemoteAddress(connection);
+  MHD_get_connection_values(connection, MHD_HEADER_KIND, &AddHeader, &exchange->request);
+  MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &AddQuery, &exchange->request);
+  *context = new ExchangePointer(std::move(exchange));
+  std::lock_guard<std::mutex> lock(this->mutex);
+  ++this->open_exchanges;
+  return MHD_YES;
+}
+
+MHD_Result HttpServer::Impl::Receive(Exchange& exchange, const char* data, size_t* size) const {
+  const auto limit = static_cast<size_t>(this->settings.maximum_body.value());
+  if (exchange.request.body.size() + *size > limit) {
+    // The rest is read and dropped, so that the caller gets the answer and not a closed connection.
+    exchange.is_too_large = true;
+    exchange.request.body.clear();
+  }
+  if (!exchange.is_too_large) {
+    exchange.request.body.append(data, *size);
+  }
+  *size = 0;
+  return MHD_YES;
+}
+
+MHD_Result HttpServer::Impl::Handle(MHD_Connection* connection, const ExchangePointer& exchange) {
+  exchange->is_handled = true;
+  exchange->connection = connection;
+  MHD_suspend_connection(connection);
+  this->handler(exchange->request,
+                [exchange](const HttpResponse& response) { Answer(exchange, response); });
+  return MHD_YES;
+}
+
+void HttpServer::Impl::Answer(const ExchangePointer& exchange, const HttpResponse& response) {
+  std::lock_guard<std::mutex> lock(exchange->mutex);
+  if (exchange->response) {
+    return;
+  }
+  exchange->response = response;
+  if (exchange->connection != nullptr) {
+    MHD_resume_connection(exchange->connection);
+  }
+}
+
+HttpServer::HttpServer(const HttpServerSettings& settings, Handler handler)
+    : impl(std::make_unique<Impl>(settings, std::move(handler))) {}
+
+HttpServer::~HttpServer() = default;
+
+base::Result<void> HttpServer::Start() { return this->impl->Start(); }
+
+base::NetworkAddress HttpServer::Address() const { return this->impl->Address(); }
+
+void HttpServer::StopListening() { this->impl->StopListening(); }
+
+void HttpServer::Stop() { this->impl->Stop(); }
+
+}  // namespace sapphirecrank::frontend
--- /dev/null
+++ b/src/frontend/http_server.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "frontend/http_request.h"
+#include "frontend/http_response.h"
+#include "frontend/http_server_settings.h"
+
+namespace sapphirecrank::frontend {
+
+/// HTTP server on libmicrohttpd; answers may be given later from another thread.
+///
+/// Thread safety: all methods may be called from any thread, but `Stop` only once.
+class HttpServer {
+ public:
+  using Respond = std::function<void(const HttpResponse&)>;
+  /// Handles one request. Must call the second argument exactly once, now or later, from any
+  /// thread. Runs on a server thread and must not wait.
+  using Handler = std::function<void(const HttpRequest&, Respond)>;
+
+  HttpServer(const HttpServerSettings& settings, Handler handler);
+
+  /// Stops as `Stop` does.
+  ~HttpServer();
+
+  /// Starts to listen. Returns `kUnavailable` for the field "listen" if that fails. Precondition:
+  /// called once.
+  base::Result<void> Start();
+
+  /// Returns the address in use. Precondition: started.
+  base::NetworkAddress Address() const;
+
+  /// Closes the listening socket; open connections go on.
+  void StopListening();
+
+  /// Waits until each request has its answer, then closes all. Precondition: the handler's open
+  /// answers still come.
+  void Stop();
+
+ private:
+  class Impl;
+
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace sapphirecrank::frontend
--- /dev/null
+++ b/src/frontend/task_answer.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+
+#include "base/error.h"
+#include "base/verdict.h"
+
+namespace sapphirecrank::frontend {
+
+/// The end of one task as the caller gets it.
+struct TaskAnswer {
+  bool succeeded = false;
+  base::Verdict verdict = base::Verdict::kMayHaveRun;
+  std::string body;
+  base::Error error;
+};
+
+}  // namespace sapphirecrank::frontend
--- /dev/null
+++ b/src/frontend/work_answer.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "base/error.h"
+#include "frontend/task_answer.h"
+
+namespace sapphirecrank::frontend {
+
+/// The answer to a request or job: complete with all bodies, or failed.
+struct WorkAnswer {
+  /// Why it failed; nothing if it is complete.
+  std::optional<base::Error> error;
+  /// One for each task; empty if the work was refused as a whole.
+  std::vector<TaskAnswer> tasks;
+};
+
+}  // namespace sapphirecrank::frontend
--- /dev/null
+++ b/src/observability/log_level.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string_view>
+
+namespace sapphirecrank::observability {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+/// Returns the level's name in log lines.
+std::string_view LogLevelName(LogLevel level);
+
+}  // namespace sapphirecrank::observability
--- /dev/null
+++ b/src/observability/logger.cc
@@ -0,0 +1,101 @@
+#include "observability/logger.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+#include <chrono>
+#include <utility>
+
+#include "base/mutex_lock.h"
+
+namespace sapphirecrank::observability {
+
+namespace {
+
+constexpr base::Duration kRepeatInterval = std::chrono::seconds(1);
+
+std::string Quoted(const std::string& value) {
+  std::string quoted = "\"";
+  for (char c : value) {
+    if (c == '"' || c == '\\') {
+      quoted += '\\';
+    }
+    quoted += c == '\n' || c == '\r' ? ' ' : c;
+  }
+  return quoted + "\"";
+}
+
+bool NeedsQuotes(const std::string& value) {
+  return value.empty() || value.find_first_of(" \"=\\\n\r") != std::string::npos;
+}
+
+}  // namespace
+
+std::string_view LogLevelName(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "info";
+}
+
+Logger::Logger(LogLevel lowest, Hooks hooks) : lowest(lowest), hooks(std::move(hooks)) {}
+
+Logger::Hooks Logger::StandardError() {
+  return {base::SteadyClock(), [](const std::string& line) { fmt::print(stderr, "{}\n", line); }};
+}
+
+void Logger::Info(std::string_view message, std::initializer_list<LogField> fields) {
+  this->Write(LogLevel::kInfo, message, fields);
+}
+
+void Logger::Warning(std::string_view message, std::initializer_list<LogField> fields) {
+  this->Write(LogLevel::kWarning, message, fields);
+}
+
+void Logger::Error(std::string_view message, std::initializer_list<LogField> fields) {
+  this->Write(LogLevel::kError, message, fields);
+}
+
+void Logger::Write(LogLevel level, std::string_view message,
+                   std::initializer_list<LogField> fields) {
+  if (level < this->lowest) {
+    return;
+  }
+  const int left_out = level >= LogLevel::kWarning ? this->CheckRepeat(message) : 0;
+  if (left_out < 0) {
+    return;
+  }
+  const auto now =
+      std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+  std::string line = fmt::format("time={:%Y-%m-%dT%H:%M:%S}Z level={} message={}", fmt::gmtime(now),
+                                 LogLevelName(level), Quoted(std::string(message)));
+  for (const LogField& field : fields) {
+    line += fmt::format(" {}={}", field.name,
+                        NeedsQuotes(field.value) ? Quoted(field.value) : field.value);
+  }
+  if (left_out > 0) {
+    line += fmt::format(" left_out={}", left_out);
+  }
+  this->hooks.write(line);
+}
+
+int Logger::CheckRepeat(std::string_view message) {
+  const base::TimePoint now = this->hooks.now();
+  base::MutexLock lock(this->mutex);
+  Repeat& repeat = this->repeats[std::string(message)];
+  if (now < repeat.allowed_from) {
+    ++repeat.left_out;
+    return -1;
+  }
+  repeat.allowed_from = now + kRepeatInterval;
+  return std::exchange(repeat.left_out, 0);
+}
+
+}  // namespace sapphirecrank::observability
--- /dev/null
+++ b/tests/support/fake_target.cc
@@ -0,0 +1,222 @@
+#include "tests/support/fake_target.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <thread>
+#include <utility>
+
+#include "base/timer_queue.h"
+#include "frontend/http_server.h"
+
+namespace sapphirecrank::testing {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr auto kAnnounceInterval = std::chrono::milliseconds(500);
+constexpr long kAnnounceTimeoutMs = 1000;
+
+size_t Discard(char* /*data*/, size_t size, size_t count, void* /*user*/) { return size * count; }
+
+}  // namespace
+
+FakeAction EchoAction(const std::string& payload) {
+  FakeAction action;
+  const Json document = Json::parse(payload, nullptr, false);
+  if (document.is_object()) {
+    action.run_time = std::chrono::milliseconds(document.value("sleep_ms", 0));
+    action.body = document.contains("echo") ? document["echo"].dump() : "null";
+  }
+  return action;
+}
+
+class FakeTarget::Impl {
+ public:
+  explicit Impl(FakeTargetSettings settings);
+  ~Impl();
+
+  std::string Address() const { return this->address; }
+  std::vector<std::string> Started() const;
+  int MostAtOnce() const;
+  void Leave();
+
+ private:
+  void OnRequest(const frontend::HttpRequest& request,
+                 const frontend::HttpServer::Respond& respond);
+  void Finish(const std::string& attempt, const FakeAction& action,
+              const frontend::HttpServer::Respond& respond);
+  void AnnounceLoop();
+  std::string AnnouncementText();
+
+  FakeTargetSettings settings;
+  std::string address;
+  mutable std::mutex mutex;
+  std::condition_variable wake;
+  bool stopping = false;
+  std::set<std::string> running;
+  std::vector<std::string> started;
+  std::vector<frontend::HttpServer::Respond> silent;
+  int most_at_once = 0;
+  std::unique_ptr<base::TimerQueue> timers;
+  std::unique_ptr<frontend::HttpServer> http;
+  std::thread announcer;
+};
+
+FakeTarget::Impl::Impl(FakeTargetSettings settings)
+    : settings(std::move(settings)), timers(std::make_unique<base::TimerQueue>("fake-target")) {
+  frontend::HttpServerSettings http_settings;
+  http_settings.listen = base::NetworkAddress("127.0.0.1:0");
+  http_settings.threads = 2;
+  this->http = std::make_unique<frontend::HttpServer>(
+      http_settings,
+      [this](const auto& request, const auto& respond) { this->OnRequest(request, respond); });
+  if (!this->http->Start()) {
+    std::abort();
+  }
+  this->address = this->http->Address().value();
+  this->settings.announcement.address = base::NetworkAddress(this->address);
+  if (!this->settings.entry_hosts.empty()) {
+    this->announcer = std::thread([this] { this->AnnounceLoop(); });
+  }
+}
+
+FakeTarget::Impl::~Impl() {
+  std::vector<frontend::HttpServer::Respond> unanswered;
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->stopping = true;
+    unanswered.swap(this->silent);
+  }
+  this->wake.notify_all();
+  if (this->announcer.joinable()) {
+    this->announcer.join();
+  }
+  for (const auto& respond : unanswered) {
+    respond(frontend::HttpResponse());
+  }
+  this->http->Stop();
+  this->timers.reset();
+}
+
+std::vector<std::string> FakeTarget::Impl::Started() const {
+  std::lock_guard<std::mutex> lock(this->mutex);
+  return this->started;
+}
+
+int FakeTarget::Impl::MostAtOnce() const {
+  std::lock_guard<std::mutex> lock(this->mutex);
+  return this->most_at_once;
+}
+
+void FakeTarget::Impl::Leave() {
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->settings.announcement.leaving = true;
+  }
+  this->wake.notify_all();
+}
+
+void FakeTarget::Impl::OnRequest(const frontend::HttpRequest& request,
+                                 const frontend::HttpServer::Respond& respond) {
+  const auto header = request.headers.find("sapphirecrank-task");
+  const std::string attempt = header == request.headers.end() ? "" : header->second;
+  const FakeAction action = this->settings.choose(attempt, request.body);
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->started.push_back(request.body);
+    this->running.insert(attempt);
+    this->most_at_once = std::max(this->most_at_once, static_cast<int>(this->running.size()));
+    if (action.is_silent) {
+      this->silent.push_back(respond);
+      return;
+    }
+  }
+  if (action.run_time.count() == 0) {
+    this->Finish(attempt, action, respond);
+    return;
+  }
+  this->timers->RunAfter(action.run_time, [this, attempt, action, respond] {
+    this->Finish(attempt, action, respond);
+  });
+}
+
+void FakeTarget::Impl::Finish(const std::string& attempt, const FakeAction& action,
+                              const frontend::HttpServer::Respond& respond) {
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->running.erase(attempt);
+  }
+  frontend::HttpResponse response;
+  response.status = action.status;
+  response.body = action.body;
+  response.headers["Sapphirecrank-Task"] =
+      action.crossed_attempt.empty() ? attempt : action.crossed_attempt;
+  respond(response);
+}
+
+void FakeTarget::Impl::AnnounceLoop() {
+  CURL* handle = curl_easy_init();
+  curl_slist* headers = curl_slist_append(nullptr, "Expect:");
+  size_t turn = 0;
+  std::unique_lock<std::mutex> lock(this->mutex);
+  while (!this->stopping) {
+    lock.unlock();
+    const std::string text = this->AnnouncementText();
+    const auto& hosts = this->settings.entry_hosts;
+    const std::string url = "http://" + hosts[turn++ % hosts.size()] + "/v1/targets";
+    curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, kAnnounceTimeoutMs);
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
+    curl_easy_setopt(handle, CURLOPT_COPYPOSTFIELDS, text.c_str());
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, Discard);
+    const bool is_announced = curl_easy_perform(handle) == CURLE_OK;
+    lock.lock();
+    // A failed announcement goes to the next entry host soon, well within the lease.
+    this->wake.wait_for(lock, is_announced ? kAnnounceInterval : kAnnounceInterval / 10);
+  }
+  curl_slist_free_all(headers);
+  curl_easy_cleanup(handle);
+}
+
+std::string FakeTarget::Impl::AnnouncementText() {
+  std::lock_guard<std::mutex> lock(this->mutex);
+  const targets::TargetAnnouncement& announcement = this->settings.announcement;
+  constexpr int64_t kBytesOfMebibyte = 1024LL * 1024;
+  return Json({{"id", announcement.id.value()},
+               {"kind", base::TargetKindName(announcement.kind)},
+               {"address", announcement.address.value()},
+               {"data_centre", announcement.data_centre.value()},
+               {"rack", announcement.rack.value()},
+               {"slots", announcement.slots.value()},
+               {"connections", announcement.connections.value()},
+               {"milli_processors", announcement.capacity.processors.value()},
+               {"memory_mib", announcement.capacity.memory.value() / kBytesOfMebibyte},
+               {"accelerators", announcement.capacity.accelerators.value()},
+               {"leaving", announcement.leaving},
+               {"running", this->running}})
+      .dump();
+}
+
+FakeTarget::FakeTarget(FakeTargetSettings settings)
+    : impl(std::make_unique<Impl>(std::move(settings))) {}
+
+FakeTarget::~FakeTarget() = default;
+
+std::string FakeTarget::Address() const { return this->impl->Address(); }
+
+std::vector<std::string> FakeTarget::Started() const { return this->impl->Started(); }
+
+int FakeTarget::MostAtOnce() const { return this->impl->MostAtOnce(); }
+
+void FakeTarget::Leave() { this->impl->Leave(); }
+
+}  // namespace sapphirecrank::testing
