--- /dev/null
+++ b/tests/peers/peer_network_test.cc
@@ -0,0 +1,141 @@
+#include "peers/peer_network.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "tests/support/free_port.h"
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+using base::HostId;
+using peers::PeerNetwork;
+
+namespace {
+
+/// One end of a link, with what its hooks were told.
+class End {
+ public:
+  End(const std::string& name, uint64_t incarnation, const std::string& secret,
+      const std::string& listen, const std::string& other, const std::string& other_address) {
+    peers::PeerSettings settings;
+    settings.host = HostId(name);
+    settings.data_centre = base::DataCentreId("ba");
+    settings.incarnation = base::Incarnation(incarnation);
+    settings.listen = base::NetworkAddress(listen);
+    settings.secret = secret;
+    settings.peers = {{HostId(other), settings.data_centre, base::NetworkAddress(other_address)}};
+    PeerNetwork::Hooks hooks;
+    hooks.now = base::SteadyClock();
+    hooks.on_message = [this](const HostId&, const protocol::Message& message) {
+      if (const auto* cancel = std::get_if<protocol::CancelTasks>(&message)) {
+        this->Note([&] { this->received.push_back(cancel->submission.value()); });
+      }
+    };
+    hooks.on_up = [this](const HostId&) { this->Note([&] { ++this->ups; }); };
+    hooks.on_lost = [this](const HostId&) { this->Note([&] { ++this->losses; }); };
+    hooks.heartbeat = [] { return protocol::Heartbeat(); };
+    hooks.on_fault = [this](const HostId&, const std::string& reason) {
+      this->Note([&] { this->faults.push_back(reason); });
+    };
+    this->network = std::make_unique<PeerNetwork>(settings, hooks);
+    CHECK_TRUE(this->network->Start().has_value());
+  }
+
+  ~End() { this->network->Stop(); }
+
+  /// Waits until `condition` holds. The test runner's timeout bounds the wait.
+  template <typename Condition>
+  void WaitFor(Condition condition) {
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->changed.wait(lock, condition);
+  }
+
+  bool HasFault(const std::string& part) const {
+    for (const std::string& fault : this->faults) {
+      if (fault.find(part) != std::string::npos) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  std::unique_ptr<PeerNetwork> network;
+  std::vector<std::string> received;
+  std::vector<std::string> faults;
+  int ups = 0;
+  int losses = 0;
+
+ private:
+  template <typename Change>
+  void Note(Change change) {
+    {
+      std::lock_guard<std::mutex> lock(this->mutex);
+      change();
+    }
+    this->changed.notify_all();
+  }
+
+  std::mutex mutex;
+  std::condition_variable changed;
+};
+
+}  // namespace
+
+TEST_GROUP(PeerNetwork) {
+  std::string first_address = testing::FreeAddress();
+  std::string second_address = testing::FreeAddress();
+
+  std::unique_ptr<End> First(uint64_t incarnation = 1) {
+    return std::make_unique<End>("a", incarnation, "secret", this->first_address, "b",
+                                 this->second_address);
+  }
+  std::unique_ptr<End> Second(uint64_t incarnation, const std::string& secret = "secret") {
+    return std::make_unique<End>("b", incarnation, secret, this->second_address, "a",
+                                 this->first_address);
+  }
+};
+
+// Guards against messages that are lost or reordered between two live hosts.
+TEST(PeerNetwork, MessagesArriveInOrder) {
+  constexpr int kMessages = 500;
+  auto first = this->First();
+  auto second = this->Second(2);
+  first->WaitFor([&] { return first->ups == 1; });
+  for (int i = 0; i < kMessages; ++i) {
+    const protocol::CancelTasks message{base::SubmissionId(std::to_string(i))};
+    CHECK_TRUE(first->network->Send(HostId("b"), message));
+  }
+  second->WaitFor([&] { return second->received.size() == kMessages; });
+  for (int i = 0; i < kMessages; ++i) {
+    CHECK(second->received[i] == std::to_string(i));
+  }
+  first->network->WaitUntilDelivered(std::chrono::seconds(60));
+}
+
+// Guards against a restarted peer that isn't noticed: work placed on its old process would be
+// awaited until its deadline.
+TEST(PeerNetwork, LostAndRestartedPeerIsReported) {
+  auto first = this->First();
+  auto second = this->Second(2);
+  first->WaitFor([&] { return first->ups == 1; });
+  second.reset();
+  first->WaitFor([&] { return first->losses == 1; });
+  CHECK_FALSE(first->network->Send(HostId("b"), protocol::CancelTasks{}));
+  second = this->Second(3);
+  first->WaitFor([&] { return first->ups == 2; });
+  CHECK_TRUE(first->network->Send(HostId("b"), protocol::CancelTasks{}));
+  second->WaitFor([&] { return second->received.size() == 1; });
+}
+
+// Guards against a process without the shared secret that joins.
+TEST(PeerNetwork, WrongSecretIsRefused) {
+  auto first = this->First();
+  auto second = this->Second(2, "other");
+  first->WaitFor([&] { return first->HasFault("wrong shared secret"); });
+  LONGS_EQUAL(0, first->ups);
+}
--- /dev/null
+++ b/tests/peers/peer_session_test.cc
@@ -0,0 +1,82 @@
+#include "peers/peer_session.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <vector>
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+using base::Incarnation;
+using base::Sequence;
+using peers::PeerSession;
+using protocol::Envelope;
+
+namespace {
+
+protocol::Message Numbered(int number) {
+  return protocol::CancelTasks{base::SubmissionId(std::to_string(number))};
+}
+
+int NumberOf(const Envelope& envelope) {
+  return std::stoi(std::get<protocol::CancelTasks>(envelope.message).submission.value());
+}
+
+}  // namespace
+
+TEST_GROUP(PeerSession){};
+
+// Guards against lost, doubled or reordered messages when links break at any point: results would
+// be lost or tasks assigned twice.
+TEST(PeerSession, BrokenLinksLoseAndDoubleNothing) {
+  const bool holds = rc::check([] {
+    PeerSession sender;
+    PeerSession receiver;
+    std::deque<Envelope> link;
+    std::vector<int> received;
+    int sent = 0;
+    const auto open = [&] {
+      receiver.OnPeerHello(Incarnation(1));
+      const auto again = sender.OnLinkOpen(Incarnation(2));
+      link.assign(again.begin(), again.end());
+    };
+    const auto deliver = [&] {
+      const Envelope envelope = link.front();
+      link.pop_front();
+      if (receiver.OnReceive(envelope)) {
+        received.push_back(NumberOf(envelope));
+      }
+    };
+    open();
+    const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4));
+    for (const int step : steps) {
+      if (step == 0) {
+        link.push_back(sender.Send(Numbered(sent++)));
+      } else if (step == 1 && !link.empty()) {
+        deliver();
+      } else if (step == 2) {
+        open();  // What was under way on the old link is lost.
+      } else if (step == 3) {
+        sender.OnReceive(receiver.SendUnnumbered(protocol::HeartbeatAck{}));
+      }
+    }
+    open();
+    while (!link.empty()) {
+      deliver();
+    }
+    RC_ASSERT(received.size() == static_cast<size_t>(sent));
+    for (int i = 0; i < sent; ++i) {
+      RC_ASSERT(received[i] == i);
+    }
+  });
+  CHECK_TRUE(holds);
+}
+
+// Guards against messages for an ended process that reach the one started after it.
+TEST(PeerSession, RestartedPeerGetsNothingMeantForTheOldProcess) {
+  PeerSession sender;
+  sender.OnLinkOpen(Incarnation(2));
+  sender.Send(Numbered(1));
+  CHECK_TRUE(sender.OnLinkOpen(Incarnation(3)).empty());
+  LONGS_EQUAL(1, sender.Send(Numbered(2)).number.value());
+}
--- /dev/null
+++ b/tests/support/free_port.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <string>
+
+namespace sapphirecrank::testing {
+
+/// Returns a loopback address with a port that is free now.
+std::string FreeAddress();
+
+}  // namespace sapphirecrank::testing
--- /dev/null
+++ b/tests/targets/target_registry_test.cc
@@ -0,0 +1,75 @@
+#include "targets/target_registry.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <vector>
+
+#include "base/manual_clock.h"
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+using base::AttemptId;
+using base::SlotCount;
+using base::TargetId;
+using std::chrono::milliseconds;
+using targets::TargetAnnouncement;
+using targets::TargetRegistry;
+
+namespace {
+
+TargetAnnouncement Announcement(const std::vector<std::string>& running) {
+  TargetAnnouncement announcement;
+  announcement.id = TargetId("w");
+  announcement.slots = SlotCount(8);
+  announcement.connections = base::ConnectionCount(64);
+  for (const std::string& attempt : running) {
+    announcement.running.emplace_back(attempt);
+  }
+  return announcement;
+}
+
+}  // namespace
+
+TEST_GROUP(TargetRegistry) {
+  base::ManualClock clock;
+  std::vector<scheduling::TargetState> updates;
+  int removals = 0;
+  TargetRegistry registry{"a/1/",
+                          {this->clock.Hook(), [this] { return this->clock.Now(); },
+                           [this](const auto& state) { this->updates.push_back(state); },
+                           [this](const auto&) { ++this->removals; }}};
+};
+
+// Guards against slots given away twice after a change of owner: attempts of the previous owner
+// count.
+TEST(TargetRegistry, AttemptsOfOtherHostsOccupySlots) {
+  this->registry.Announce(Announcement({"a/1/5", "b/9/1", "a/0/7"}));
+  CHECK(this->updates.back().foreign_slots == SlotCount(2));
+}
+
+// Guards against an overcommitted target: an attempt that timed out may still run on it.
+TEST(TargetRegistry, UncertainAttemptKeepsItsSlotUntilNoLongerListed) {
+  this->registry.Announce(Announcement({"a/1/5"}));
+  this->registry.OnUncertainEnd(TargetId("w"), AttemptId("a/1/5"));
+  CHECK(this->updates.back().foreign_slots == SlotCount(1));
+  this->clock.Advance(milliseconds(500));
+  // This announcement may have been under way before the attempt began.
+  this->registry.Announce(Announcement({}));
+  CHECK(this->updates.back().foreign_slots == SlotCount(1));
+  this->clock.Advance(milliseconds(1000));
+  this->registry.Announce(Announcement({"a/1/5"}));
+  CHECK(this->updates.back().foreign_slots == SlotCount(1));
+  this->clock.Advance(milliseconds(500));
+  this->registry.Announce(Announcement({}));
+  CHECK(this->updates.back().foreign_slots == SlotCount(0));
+}
+
+// Guards against targets that died and are kept for ever.
+TEST(TargetRegistry, SilentTargetIsForgotten) {
+  this->registry.Announce(Announcement({}));
+  this->clock.Advance(std::chrono::seconds(9));
+  this->registry.ExpireDue();
+  LONGS_EQUAL(0, this->removals);
+  this->clock.Advance(std::chrono::seconds(1));
+  this->registry.ExpireDue();
+  LONGS_EQUAL(1, this->removals);
+}
