limits: Add per-team quotas on unfinished tasks and task starts

A team's burst must not take the places of other teams, and a refused caller needs to know how long to wait. TeamQuota bounds accepted-and-unfinished tasks and, by a token bucket, task starts a second for each team. Refusals carry "not run", the field and a wait: exact for starts, estimated from past ends for unfinished tasks, and none for what can never be admitted. Limits are replaced by configuration version and keep counts in use, also of a team that leaves the configuration and comes back.

The property tests found a division by zero for an end of no tasks, which is now ignored.

--- /dev/null
+++ b/src/limits/drain_estimate.cc
@@ -0,0 +1,32 @@
+#include "limits/drain_estimate.h"
+
+#include <algorithm>
+
+namespace sapphirecrank::limits {
+
+using base::Duration;
+using base::TaskCount;
+using base::TimePoint;
+
+namespace {
+constexpr Duration kShortestWait = std::chrono::milliseconds(5);
+constexpr Duration kLongestWait = std::chrono::seconds(2);
+constexpr int kSmoothing = 8;
+}  // namespace
+
+void DrainEstimate::OnEnded(TimePoint now, TaskCount count) {
+  if (count <= TaskCount(0)) {
+    return;
+  }
+  if (this->last_end) {
+    const Duration since_last = std::clamp(now - *this->last_end, Duration(0), kLongestWait);
+    this->mean_interval += (since_last / count.value() - this->mean_interval) / kSmoothing;
+  }
+  this->last_end = now;
+}
+
+Duration DrainEstimate::TimeFor(TaskCount count) const {
+  return std::clamp(this->mean_interval * count.value(), kShortestWait, kLongestWait);
+}
+
+}  // namespace sapphirecrank::limits
--- /dev/null
+++ b/src/limits/refusal.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include "base/error.h"
+#include "base/result.h"
+#include "base/time.h"
+
+namespace sapphirecrank::limits {
+
+/// Why work was not admitted; the verdict of the error is always "not run".
+struct Refusal {
+  base::Error error;
+  /// Time after which another attempt is likely to be admitted; zero if waiting doesn't help.
+  base::Duration retry_after{0};
+};
+
+/// Admitted, or the reason why not.
+using Admission = tl::expected<void, Refusal>;
+
+/// Returns a refusal with the verdict "not run". `field` names the field of the input that the
+/// refusal is about, or is empty.
+inline tl::unexpected<Refusal> Refuse(base::ErrorCode code, std::string message, std::string field,
+                                      base::Duration retry_after = base::Duration(0)) {
+  return tl::make_unexpected(
+      Refusal{{code, std::move(field), std::move(message), base::Verdict::kNotRun}, retry_after});
+}
+
+}  // namespace sapphirecrank::limits
--- /dev/null
+++ b/src/limits/team_quota.cc
@@ -0,0 +1,157 @@
+#include "limits/team_quota.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/mutex_lock.h"
+
+namespace sapphirecrank::limits {
+
+using base::ErrorCode;
+using base::TaskCount;
+using base::TeamId;
+using base::TimePoint;
+using base::Version;
+using base::Weight;
+
+namespace {
+
+constexpr size_t kShardCount = 16;
+
+tl::unexpected<Refusal> RefuseUnknown(const TeamId& team) {
+  return Refuse(ErrorCode::kNotFound, "unknown team '" + team.value() + "'", "team");
+}
+
+}  // namespace
+
+TeamQuota::TeamQuota(Hooks hooks) : hooks(std::move(hooks)), shards(kShardCount) {}
+
+bool TeamQuota::Replace(Version new_version, const Limits& limits) {
+  const TimePoint now = this->hooks.now();
+  base::MutexLock lock(this->replacing);
+  if (new_version <= this->version) {
+    return false;
+  }
+  this->version = new_version;
+  for (const auto& [team, team_limits] : limits) {
+    this->shards.With(team, [&, &team = team, &team_limits = team_limits](Shard& shard) {
+      SetLimits(shard, team, team_limits, now);
+    });
+  }
+  this->shards.ForEach([&limits](Shard& shard) { Forget(shard, limits); });
+  return true;
+}
+
+Admission TeamQuota::Admit(const TeamId& team, TaskCount tasks) {
+  if (tasks <= TaskCount(0)) {
+    return Refuse(ErrorCode::kInvalidArgument, "at least one task is needed", "tasks");
+  }
+  return this->shards.With(team, [&](Shard& shard) -> Admission {
+    Team* found = FindKnown(shard, team);
+    if (found == nullptr) {
+      return RefuseUnknown(team);
+    }
+    if (tasks > found->limits.unfinished) {
+      return Refuse(ErrorCode::kTooLarge, "more tasks than the team may have unfinished", "tasks");
+    }
+    const TaskCount excess = found->unfinished + tasks - found->limits.unfinished;
+    if (excess > TaskCount(0)) {
+      return Refuse(ErrorCode::kOverloaded, "the team's limit of unfinished tasks is reached",
+                    "team", found->drain.TimeFor(excess));
+    }
+    found->unfinished += tasks;
+    return {};
+  });
+}
+
+void TeamQuota::Withdraw(const TeamId& team, TaskCount tasks) {
+  this->shards.With(team, [&](Shard& shard) { TakeOff(shard, team, tasks, std::nullopt); });
+}
+
+void TeamQuota::Release(const TeamId& team, TaskCount tasks) {
+  const TimePoint now = this->hooks.now();
+  this->shards.With(team, [&](Shard& shard) { TakeOff(shard, team, tasks, now); });
+}
+
+Admission TeamQuota::TryStart(const TeamId& team, EventCount tasks) {
+  if (tasks <= EventCount(0)) {
+    return Refuse(ErrorCode::kInvalidArgument, "at least one task is needed", "tasks");
+  }
+  const TimePoint now = this->hooks.now();
+  return this->shards.With(team, [&](Shard& shard) -> Admission {
+    Team* found = FindKnown(shard, team);
+    if (found == nullptr) {
+      return RefuseUnknown(team);
+    }
+    if (tasks > found->starts.Burst()) {
+      return Refuse(ErrorCode::kTooLarge, "more tasks than the team may start at once", "tasks");
+    }
+    if (!found->starts.TryTake(now, tasks)) {
+      return Refuse(ErrorCode::kOverloaded, "the team's limit of task starts is reached", "team",
+                    found->starts.TimeUntil(now, tasks));
+    }
+    return {};
+  });
+}
+
+TaskCount TeamQuota::Unfinished(const TeamId& team) {
+  return this->shards.With(team, [&](Shard& shard) {
+    auto found = shard.find(team);
+    return found == shard.end() ? TaskCount(0) : found->second.unfinished;
+  });
+}
+
+base::Result<Weight> TeamQuota::WeightOf(const TeamId& team) {
+  return this->shards.With(team, [&](Shard& shard) -> base::Result<Weight> {
+    const Team* found = FindKnown(shard, team);
+    if (found == nullptr) {
+      return tl::make_unexpected(RefuseUnknown(team).value().error);
+    }
+    return found->limits.weight;
+  });
+}
+
+TeamQuota::Team* TeamQuota::FindKnown(Shard& shard, const TeamId& team) {
+  auto found = shard.find(team);
+  return found == shard.end() || !found->second.known ? nullptr : &found->second;
+}
+
+void TeamQuota::TakeOff(Shard& shard, const TeamId& team, TaskCount tasks,
+                        std::optional<TimePoint> ended_at) {
+  auto found = shard.find(team);
+  if (found == shard.end() || tasks <= TaskCount(0)) {
+    return;
+  }
+  Team& state = found->second;
+  state.unfinished -= std::min(tasks, state.unfinished);
+  if (ended_at) {
+    state.drain.OnEnded(*ended_at, tasks);
+  }
+  if (!state.known && state.unfinished == TaskCount(0)) {
+    shard.erase(found);
+  }
+}
+
+void TeamQuota::SetLimits(Shard& shard, const TeamId& team, const TeamLimits& limits,
+                          TimePoint now) {
+  auto found = shard.find(team);
+  if (found == shard.end()) {
+    TokenBucket starts(limits.start_rate, limits.start_burst, now);
+    shard.emplace(team, Team{limits, true, TaskCount(0), starts, DrainEstimate()});
+    return;
+  }
+  found->second.limits = limits;
+  found->second.known = true;
+  found->second.starts.SetLimits(limits.start_rate, limits.start_burst, now);
+}
+
+void TeamQuota::Forget(Shard& shard, const Limits& limits) {
+  for (auto team = shard.begin(); team != shard.end();) {
+    const bool missing = limits.count(team->first) == 0;
+    team->second.known = !missing;
+    const bool unused = team->second.unfinished == TaskCount(0);
+    team = missing && unused ? shard.erase(team) : std::next(team);
+  }
+}
+
+}  // namespace sapphirecrank::limits
--- /dev/null
+++ b/src/limits/units.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/strong_number.h"
+
+namespace sapphirecrank::limits {
+
+/// Requests, task starts or messages, depending on what is limited.
+using EventCount = base::StrongNumber<struct EventCountTag>;
+using EventsPerSecond = base::StrongNumber<struct EventsPerSecondTag>;
+using Percent = base::StrongNumber<struct PercentTag>;
+
+}  // namespace sapphirecrank::limits
--- /dev/null
+++ b/tests/limits/team_quota_test.cc
@@ -0,0 +1,148 @@
+#include "limits/team_quota.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include <atomic>
+#include <string>
+
+#include "base/manual_clock.h"
+#include "tests/limits/run_on_threads.h"
+
+namespace sapphirecrank::limits {
+
+using base::Duration;
+using base::ErrorCode;
+using base::ManualClock;
+using base::TaskCount;
+using base::TeamId;
+using base::Verdict;
+using base::Version;
+using base::Weight;
+using std::chrono::milliseconds;
+
+namespace {
+
+TeamLimits LimitsOf(int64_t unfinished, int64_t rate = 10, int64_t burst = 5) {
+  return {TaskCount(unfinished), EventsPerSecond(rate), EventCount(burst), Weight(3)};
+}
+
+}  // namespace
+
+TEST_GROUP(TeamQuota) {
+  const TeamId team{"tags"};
+  ManualClock clock;
+  TeamQuota quota{{clock.Hook()}};
+
+  void setup() override { quota.Replace(Version(1), {{team, LimitsOf(10)}}); }
+};
+
+// Guards against an unknown team being admitted, or refused without the field or with a false
+// verdict.
+TEST(TeamQuota, UnknownTeamIsRefused) {
+  const Admission admission = quota.Admit(TeamId("nobody"), TaskCount(1));
+  CHECK(!admission);
+  CHECK(admission.error().error.code == ErrorCode::kNotFound);
+  STRCMP_EQUAL("team", admission.error().error.field.c_str());
+  CHECK(admission.error().error.verdict == Verdict::kNotRun);
+  CHECK(!quota.TryStart(TeamId("nobody"), EventCount(1)));
+  CHECK(!quota.WeightOf(TeamId("nobody")));
+  LONGS_EQUAL(3, quota.WeightOf(team)->value());
+}
+
+// Guards against a wait that is too short to be admitted after, or longer than needed.
+TEST(TeamQuota, StartsAreAdmittedAfterTheStatedWait) {
+  CHECK(quota.TryStart(team, EventCount(5)).has_value());
+  const Admission refused = quota.TryStart(team, EventCount(1));
+  CHECK(!refused);
+  CHECK(refused.error().retry_after == milliseconds(100));
+  clock.Advance(refused.error().retry_after - Duration(1));
+  CHECK(!quota.TryStart(team, EventCount(1)));
+  clock.Advance(Duration(1));
+  CHECK(quota.TryStart(team, EventCount(1)).has_value());
+}
+
+// Guards against a caller that retries for ever what can never be admitted.
+TEST(TeamQuota, WorkThatNeverFitsIsRefusedWithoutAWait) {
+  const Admission too_many = quota.Admit(team, TaskCount(11));
+  CHECK(too_many.error().error.code == ErrorCode::kTooLarge);
+  CHECK(too_many.error().retry_after == Duration(0));
+  CHECK(quota.TryStart(team, EventCount(6)).error().error.code == ErrorCode::kTooLarge);
+  CHECK(quota.Admit(team, TaskCount(-1)).error().error.code == ErrorCode::kInvalidArgument);
+}
+
+// Guards against counts that are lost when a configuration drops a team and brings it back, and
+// against an older configuration that overwrites a newer one.
+TEST(TeamQuota, CountsSurviveConfigurationChanges) {
+  CHECK(quota.Admit(team, TaskCount(8)).has_value());
+  CHECK(quota.TryStart(team, EventCount(5)).has_value());
+  CHECK(quota.Replace(Version(2), {}));
+  CHECK(!quota.Admit(team, TaskCount(1)));
+  CHECK(!quota.Replace(Version(1), {{team, LimitsOf(10)}}));
+  CHECK(!quota.Admit(team, TaskCount(1)));
+  CHECK(quota.Replace(Version(3), {{team, LimitsOf(9)}}));
+  LONGS_EQUAL(8, quota.Unfinished(team).value());
+  CHECK(!quota.Admit(team, TaskCount(2)));
+  CHECK(!quota.TryStart(team, EventCount(1)));
+  CHECK(quota.Admit(team, TaskCount(1)).has_value());
+}
+
+// Guards against counts that leave the range from 0 to the limit, a refusal that changes a count,
+// and more starts than rate and burst allow.
+TEST(TeamQuota, CountsStayWithinLimits) {
+  CHECK(rc::check([this] {
+    ManualClock time;
+    TeamQuota limited{{time.Hook()}};
+    limited.Replace(Version(1), {{team, LimitsOf(20, 1000, 7)}});
+    const auto begin = time.Now();
+    int64_t unfinished = 0;
+    int64_t started = 0;
+    const int steps = *rc::gen::inRange(1, 60);
+    for (int step = 0; step < steps; ++step) {
+      time.Advance(Duration(*rc::gen::inRange(0, 3'000'000)));
+      const auto count = *rc::gen::inRange<int64_t>(1, 10);
+      if (*rc::gen::arbitrary<bool>()) {
+        const bool fits = unfinished + count <= 20;
+        RC_ASSERT(limited.Admit(team, TaskCount(count)).has_value() == fits);
+        unfinished += fits ? count : 0;
+      } else {
+        limited.Release(team, TaskCount(count));
+        unfinished = std::max<int64_t>(0, unfinished - count);
+      }
+      started += limited.TryStart(team, EventCount(count)).has_value() ? count : 0;
+      RC_ASSERT(limited.Unfinished(team) == TaskCount(unfinished));
+      RC_ASSERT(started * 1'000'000 <= 7'000'000 + (time.Now() - begin).count());
+    }
+  }));
+}
+
+// Guards against data races between admissions and a configuration change (thread sanitizer), and
+// against two threads that both take the last place.
+TEST(TeamQuota, ConcurrentAdmissionsKeepTheLimit) {
+  constexpr int kTeams = 20;
+  TeamQuota::Limits limits;
+  for (int i = 0; i < kTeams; ++i) {
+    limits[TeamId(std::to_string(i))] = LimitsOf(3, 1'000'000, 1'000'000);
+  }
+  quota.Replace(Version(2), limits);
+  std::atomic<int> above{0};
+  RunOnThreads([&](int thread) {
+    for (int i = 0; i < 2000; ++i) {
+      const TeamId team(std::to_string(i % kTeams));
+      if (thread == 0 && i % 100 == 0) {
+        quota.Replace(Version(3 + i), limits);
+      }
+      if (quota.Admit(team, TaskCount(1))) {
+        above += quota.Unfinished(team) > TaskCount(3) ? 1 : 0;
+        quota.TryStart(team, EventCount(1));
+        quota.Release(team, TaskCount(1));
+      }
+    }
+  });
+  LONGS_EQUAL(0, above.load());
+  for (const auto& [team, team_limits] : limits) {
+    LONGS_EQUAL(0, quota.Unfinished(team).value());
+  }
+}
+
+}  // namespace sapphirecrank::limits
