limits: Add retry budget, backoff and the retry decision

Retries without a bound multiply an overload. RetryBudget allows retries up to 10 % of the real work of a sliding 10 s window plus 3, for each team or for all; BackoffPolicy spreads them by full jitter; RetryPolicy allows one only if it is safe, ends before the deadline, is switched on and is within the budget, and counts each outcome including "would have retried".

--- /dev/null
+++ b/src/limits/backoff_policy.cc
@@ -0,0 +1,23 @@
+#include "limits/backoff_policy.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+namespace sapphirecrank::limits {
+
+using base::Duration;
+
+BackoffPolicy::BackoffPolicy(const Settings& settings, Hooks hooks)
+    : settings(settings), hooks(std::move(hooks)) {}
+
+Duration BackoffPolicy::Delay(int failed_attempts) const {
+  Duration bound = this->settings.first;
+  for (int attempt = 1; attempt < failed_attempts && bound < this->settings.longest; ++attempt) {
+    bound *= 2;
+  }
+  bound = std::min(bound, this->settings.longest);
+  return Duration(static_cast<int64_t>(static_cast<double>(bound.count()) * this->hooks.random()));
+}
+
+}  // namespace sapphirecrank::limits
--- /dev/null
+++ b/src/limits/retry_budget.cc
@@ -0,0 +1,42 @@
+#include "limits/retry_budget.h"
+
+#include <utility>
+
+namespace sapphirecrank::limits {
+
+using base::TeamId;
+using base::TimePoint;
+
+namespace {
+constexpr size_t kShardCount = 16;
+}  // namespace
+
+template <typename Function>
+auto RetryBudget::WithBudget(const TeamId& team, Function&& function) {
+  static const TeamId kAllTeams;
+  const TeamId& key = this->settings.scope == Scope::kAllTeams ? kAllTeams : team;
+  return this->shards.With(key, [&](Shard& shard) {
+    auto found = shard.try_emplace(key, this->settings.budget).first;
+    return function(found->second);
+  });
+}
+
+RetryBudget::RetryBudget(const Settings& settings, Hooks hooks)
+    : settings(settings), hooks(std::move(hooks)), shards(kShardCount) {}
+
+void RetryBudget::OnWork(const TeamId& team, EventCount count) {
+  const TimePoint now = this->hooks.now();
+  this->WithBudget(team, [&](ShareBudget& budget) { budget.OnWork(now, count); });
+}
+
+bool RetryBudget::Allows(const TeamId& team) {
+  const TimePoint now = this->hooks.now();
+  return this->WithBudget(team, [&](ShareBudget& budget) { return budget.Allows(now); });
+}
+
+bool RetryBudget::TryTake(const TeamId& team) {
+  const TimePoint now = this->hooks.now();
+  return this->WithBudget(team, [&](ShareBudget& budget) { return budget.TryTake(now); });
+}
+
+}  // namespace sapphirecrank::limits
--- /dev/null
+++ b/src/limits/retry_budget.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <unordered_map>
+
+#include "base/ids.h"
+#include "base/sharded.h"
+#include "base/time.h"
+#include "limits/share_budget.h"
+#include "limits/units.h"
+
+namespace sapphirecrank::limits {
+
+/// Bounds retries to a share of real work, for each team by itself or for all teams together.
+///
+/// Sharded by team. Thread safety: all methods may be called from any thread.
+class RetryBudget {
+ public:
+  enum class Scope { kEachTeam, kAllTeams };
+
+  struct Settings {
+    Scope scope = Scope::kEachTeam;
+    ShareBudget::Settings budget{Percent(10), EventCount(3)};
+  };
+
+  /// Behaviour handed in; all members must be set.
+  struct Hooks {
+    /// Current time.
+    base::Clock now;
+  };
+
+  /// Creates a budget that has seen no work.
+  RetryBudget(const Settings& settings, Hooks hooks);
+
+  /// Records first attempts of a team. Precondition: the team is known, because each team seen
+  /// takes memory.
+  void OnWork(const base::TeamId& team, EventCount count);
+
+  /// Tells whether one more retry of the team is within the budget.
+  bool Allows(const base::TeamId& team);
+
+  /// Counts one retry if it is within the budget, and tells whether it is.
+  bool TryTake(const base::TeamId& team);
+
+ private:
+  using Shard = std::unordered_map<base::TeamId, ShareBudget>;
+
+  template <typename Function>
+  auto WithBudget(const base::TeamId& team, Function&& function);
+
+  Settings settings;
+  Hooks hooks;
+  base::Sharded<base::TeamId, Shard> shards;
+};
+
+}  // namespace sapphirecrank::limits
--- /dev/null
+++ b/src/limits/retry_policy.cc
@@ -0,0 +1,66 @@
+#include "limits/retry_policy.h"
+
+#include <utility>
+
+#include "base/mutex_lock.h"
+#include "base/verdict.h"
+
+namespace sapphirecrank::limits {
+
+using base::Duration;
+
+RetryPolicy::RetryPolicy(RetryBudget& budget, BackoffPolicy backoff, Hooks hooks)
+    : budget(budget), backoff(std::move(backoff)), hooks(std::move(hooks)) {}
+
+tl::expected<Duration, RetryDenial> RetryPolicy::Decide(const RetryRequest& request) {
+  const auto decision = this->Evaluate(request);
+  base::MutexLock lock(this->mutex);
+  if (decision) {
+    ++this->counters.made;
+  } else {
+    this->CountDenial(decision.error());
+  }
+  return decision;
+}
+
+RetryCounters RetryPolicy::Counters() {
+  base::MutexLock lock(this->mutex);
+  return this->counters;
+}
+
+tl::expected<Duration, RetryDenial> RetryPolicy::Evaluate(const RetryRequest& request) {
+  if (!base::IsSafeToRetry(request.verdict, request.idempotent)) {
+    return tl::make_unexpected(RetryDenial::kUnsafe);
+  }
+  const Duration delay = this->backoff.Delay(request.failed_attempts);
+  if (this->hooks.now() + delay + request.expected_run_time >= request.deadline) {
+    return tl::make_unexpected(RetryDenial::kDeadline);
+  }
+  if (!this->hooks.actions().retry) {
+    const bool allowed = this->budget.Allows(request.team);
+    return tl::make_unexpected(allowed ? RetryDenial::kSwitchedOff : RetryDenial::kBudget);
+  }
+  if (!this->budget.TryTake(request.team)) {
+    return tl::make_unexpected(RetryDenial::kBudget);
+  }
+  return delay;
+}
+
+void RetryPolicy::CountDenial(RetryDenial denial) {
+  switch (denial) {
+    case RetryDenial::kUnsafe:
+      ++this->counters.denied_unsafe;
+      break;
+    case RetryDenial::kDeadline:
+      ++this->counters.denied_deadline;
+      break;
+    case RetryDenial::kBudget:
+      ++this->counters.denied_budget;
+      break;
+    case RetryDenial::kSwitchedOff:
+      ++this->counters.would_have_retried;
+      break;
+  }
+}
+
+}  // namespace sapphirecrank::limits
--- /dev/null
+++ b/src/limits/retry_policy.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <functional>
+
+#include "base/mutex.h"
+#include "base/result.h"
+#include "base/time.h"
+#include "limits/automatic_actions.h"
+#include "limits/backoff_policy.h"
+#include "limits/retry_budget.h"
+#include "limits/retry_counters.h"
+#include "limits/retry_denial.h"
+#include "limits/retry_request.h"
+
+namespace sapphirecrank::limits {
+
+/// Decides whether and when a failed attempt is tried again.
+///
+/// Thread safety: all methods may be called from any thread.
+class RetryPolicy {
+ public:
+  /// Behaviour handed in; all members must be set.
+  struct Hooks {
+    /// Current time.
+    base::Clock now;
+    /// Returns the switches of the preset in force.
+    std::function<AutomaticActions()> actions;
+  };
+
+  /// Precondition: `budget` outlives this object.
+  RetryPolicy(RetryBudget& budget, BackoffPolicy backoff, Hooks hooks);
+
+  /// Returns the delay after which to try again, which takes one retry from the budget, or the
+  /// reason why not, which takes nothing.
+  tl::expected<base::Duration, RetryDenial> Decide(const RetryRequest& request) EXCLUDES(mutex);
+
+  /// Returns the counts since the start.
+  RetryCounters Counters() EXCLUDES(mutex);
+
+ private:
+  tl::expected<base::Duration, RetryDenial> Evaluate(const RetryRequest& request);
+  void CountDenial(RetryDenial denial) REQUIRES(mutex);
+
+  RetryBudget& budget;
+  BackoffPolicy backoff;
+  Hooks hooks;
+  base::Mutex mutex;
+  RetryCounters counters GUARDED_BY(mutex);
+};
+
+}  // namespace sapphirecrank::limits
--- /dev/null
+++ b/src/limits/share_budget.cc
@@ -0,0 +1,32 @@
+#include "limits/share_budget.h"
+
+#include <cstdint>
+
+namespace sapphirecrank::limits {
+
+using base::TimePoint;
+
+namespace {
+constexpr int64_t kWhole = 100;
+}  // namespace
+
+ShareBudget::ShareBudget(const Settings& settings)
+    : settings(settings), work(settings.window), extra(settings.window) {}
+
+void ShareBudget::OnWork(TimePoint now, EventCount count) { this->work.Add(now, count); }
+
+bool ShareBudget::Allows(TimePoint now) {
+  const int64_t wanted = this->extra.Sum(now).Next().value();
+  const int64_t from_work = this->work.Sum(now).value() * this->settings.share.value();
+  return wanted * kWhole <= from_work + this->settings.minimum.value() * kWhole;
+}
+
+bool ShareBudget::TryTake(TimePoint now) {
+  if (!this->Allows(now)) {
+    return false;
+  }
+  this->extra.Add(now, EventCount(1));
+  return true;
+}
+
+}  // namespace sapphirecrank::limits
