limits: Add an adaptive concurrency limit for each target

Calls beyond what a target handles at once slow all of them down. TargetLimiter bounds calls in flight by slots and connections always, and by a learned limit while the preset allows throttling. The learned limit follows the gradient of the average stretch (response time over the kind's learned run time) against its learned minimum, because plain response times of mixed kinds look like a slow target. One straggler doesn't shrink it. Each event takes constant time.

Each rule was taken out once and its test seen to fail: the bound (SlotsAndConnectionsBindAlways), the learned limit and the cap on stragglers (LimitFollowsTheResponseTime), the switch (SwitchedOffThrottlingIsOnlyCounted).

--- /dev/null
+++ b/src/limits/adaptive_limit.cc
@@ -0,0 +1,89 @@
+#include "limits/adaptive_limit.h"
+
+#include <algorithm>
+
+namespace sapphirecrank::limits {
+
+using base::Duration;
+using base::SlotCount;
+
+namespace {
+
+constexpr double kLowestLimit = 1;
+// A straggler takes 30 times its run time; capped and averaged, one of them stays below the
+// tolerance, because it says nothing about the target's concurrency.
+constexpr double kLargestStretch = 4;
+constexpr double kAverageWeight = 1.0 / 16;
+// Average stretch, relative to the baseline, up to which the limit doesn't shrink.
+constexpr double kTolerance = 1.5;
+// Lets the baseline follow a target that has become slower for good.
+constexpr double kBaselineDrift = 1.0 / 1024;
+constexpr double kSmallestGradient = 0.5;
+constexpr double kLimitWeight = 1.0 / 8;
+// Calls by which the limit probes beyond what has been seen to work.
+constexpr double kHeadroom = 1;
+constexpr double kOverloadFactor = 0.8;
+
+}  // namespace
+
+AdaptiveLimit::AdaptiveLimit(SlotCount bound)
+    : bound(std::max(kLowestLimit, static_cast<double>(bound.value()))), limit(this->bound) {}
+
+void AdaptiveLimit::SetBound(SlotCount new_bound) {
+  const bool at_bound = this->limit >= this->bound;
+  this->bound = std::max(kLowestLimit, static_cast<double>(new_bound.value()));
+  this->SetLimit(at_bound ? this->bound : this->limit);
+}
+
+void AdaptiveLimit::OnSample(const ResponseSample& sample, SlotCount in_flight) {
+  if (sample.overloaded) {
+    this->SetLimit(this->limit * kOverloadFactor);
+    return;
+  }
+  if (sample.expected <= Duration(0)) {
+    return;
+  }
+  this->LearnStretch(static_cast<double>(sample.elapsed.count()) /
+                     static_cast<double>(sample.expected.count()));
+  const double wanted = this->limit * this->Gradient() + kHeadroom;
+  // An unused limit has not been tried out, so it may shrink but not grow.
+  const bool in_use = in_flight.value() * 2 >= this->limit;
+  if (wanted < this->limit || in_use) {
+    this->SetLimit(this->limit + kLimitWeight * (wanted - this->limit));
+  }
+}
+
+SlotCount AdaptiveLimit::Limit() const {
+  return SlotCount(static_cast<SlotCount::Representation>(this->limit));
+}
+
+SlotCount AdaptiveLimit::Bound() const {
+  return SlotCount(static_cast<SlotCount::Representation>(this->bound));
+}
+
+void AdaptiveLimit::LearnStretch(double stretch) {
+  const double capped = std::clamp(stretch, 0.0, kLargestStretch);
+  if (this->average_stretch == 0) {
+    // If this one is a straggler, average and baseline fall together with the next samples.
+    this->average_stretch = capped;
+    this->baseline_stretch = capped;
+    return;
+  }
+  this->average_stretch += kAverageWeight * (capped - this->average_stretch);
+  this->baseline_stretch += kBaselineDrift * (this->average_stretch - this->baseline_stretch);
+  this->baseline_stretch = std::min(this->baseline_stretch, this->average_stretch);
+}
+
+double AdaptiveLimit::Gradient() const {
+  if (this->average_stretch <= 0) {
+    return 1;
+  }
+  return std::clamp(kTolerance * this->baseline_stretch / this->average_stretch, kSmallestGradient,
+                    1.0);
+}
+
+void AdaptiveLimit::SetLimit(double wanted) {
+  this->limit = std::clamp(wanted, kLowestLimit, this->bound);
+}
+
+}  // namespace sapphirecrank::limits
--- /dev/null
+++ b/src/limits/target_limiter.cc
@@ -0,0 +1,115 @@
+#include "limits/target_limiter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirecrank::limits {
+
+using base::ConnectionCount;
+using base::SlotCount;
+using base::TargetId;
+
+namespace {
+constexpr size_t kShardCount = 16;
+constexpr SlotCount kOneCall{1};
+}  // namespace
+
+TargetLimiter::TargetLimiter(Hooks hooks) : hooks(std::move(hooks)), shards(kShardCount) {}
+
+void TargetLimiter::Update(const TargetId& target, SlotCount slots, ConnectionCount connections) {
+  const SlotCount bound = std::min(slots, SlotCount(connections.value()));
+  this->shards.With(target, [&](Shard& shard) {
+    auto [found, added] = shard.targets.try_emplace(target, Target{AdaptiveLimit(bound), {}});
+    found->second.removed = bound < kOneCall;
+    if (!added) {
+      found->second.learned.SetBound(bound);
+    }
+  });
+}
+
+void TargetLimiter::Remove(const TargetId& target) {
+  this->shards.With(target, [&](Shard& shard) {
+    auto found = shard.targets.find(target);
+    if (found == shard.targets.end()) {
+      return;
+    }
+    found->second.removed = true;
+    if (found->second.in_flight == SlotCount(0)) {
+      shard.targets.erase(found);
+    }
+  });
+}
+
+bool TargetLimiter::TryAcquire(const TargetId& target) {
+  const bool throttling = this->hooks.actions().throttling;
+  return this->shards.With(target, [&](Shard& shard) {
+    auto found = shard.targets.find(target);
+    if (found == shard.targets.end() || found->second.removed) {
+      return false;
+    }
+    return Acquire(shard, found->second, throttling);
+  });
+}
+
+void TargetLimiter::Release(const TargetId& target, const ResponseSample& sample) {
+  this->shards.With(target, [&](Shard& shard) {
+    auto found = shard.targets.find(target);
+    if (found == shard.targets.end() || found->second.in_flight == SlotCount(0)) {
+      return;
+    }
+    Target& state = found->second;
+    state.learned.OnSample(sample, state.in_flight);
+    state.in_flight -= kOneCall;
+    if (state.removed && state.in_flight == SlotCount(0)) {
+      shard.targets.erase(found);
+    }
+  });
+}
+
+SlotCount TargetLimiter::Limit(const TargetId& target) {
+  const bool throttling = this->hooks.actions().throttling;
+  return this->shards.With(target, [&](Shard& shard) {
+    auto found = shard.targets.find(target);
+    if (found == shard.targets.end() || found->second.removed) {
+      return SlotCount(0);
+    }
+    const AdaptiveLimit& learned = found->second.learned;
+    return throttling ? learned.Limit() : learned.Bound();
+  });
+}
+
+SlotCount TargetLimiter::InFlight(const TargetId& target) {
+  return this->shards.With(target, [&](Shard& shard) {
+    auto found = shard.targets.find(target);
+    return found == shard.targets.end() ? SlotCount(0) : found->second.in_flight;
+  });
+}
+
+ThrottleCounters TargetLimiter::Counters() {
+  ThrottleCounters sum;
+  this->shards.ForEach([&sum](const Shard& shard) {
+    sum.full += shard.counters.full;
+    sum.throttled += shard.counters.throttled;
+    sum.would_have_throttled += shard.counters.would_have_throttled;
+  });
+  return sum;
+}
+
+bool TargetLimiter::Acquire(Shard& shard, Target& target, bool throttling) {
+  if (target.in_flight >= target.learned.Bound()) {
+    ++shard.counters.full;
+    return false;
+  }
+  const bool above_learned = target.in_flight >= target.learned.Limit();
+  if (above_learned && throttling) {
+    ++shard.counters.throttled;
+    return false;
+  }
+  if (above_learned) {
+    ++shard.counters.would_have_throttled;
+  }
+  target.in_flight += kOneCall;
+  return true;
+}
+
+}  // namespace sapphirecrank::limits
