limits: Add a request rate limit for each caller's address

One caller that floods the host must not starve others. TransferLimiter keeps a token bucket for each address and at most a stated number of addresses. Only idle addresses are evicted, because eviction of others would give a new burst; while none is idle, new addresses share one bucket.

Each rule was taken out once and its test seen to fail: eviction of idle addresses only (OnlyIdleAddressesAreEvicted), the bound on addresses (RateAndMemoryStayBounded).

--- /dev/null
+++ b/src/limits/transfer_limiter.cc
@@ -0,0 +1,57 @@
+#include "limits/transfer_limiter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirecrank::limits {
+
+using base::ErrorCode;
+using base::TimePoint;
+
+namespace {
+constexpr size_t kShardCount = 16;
+constexpr EventCount kOneRequest{1};
+}  // namespace
+
+TransferLimiter::TransferLimiter(const Settings& settings, Hooks hooks)
+    : settings(settings), hooks(std::move(hooks)), shards(kShardCount) {
+  const size_t addresses_per_shard = std::max<size_t>(1, settings.address_count / kShardCount);
+  const TimePoint now = this->hooks.now();
+  this->shards.ForEach([&](Shard& shard) {
+    shard.callers.emplace(addresses_per_shard);
+    shard.overflow.emplace(settings.rate, settings.burst, now);
+  });
+}
+
+Admission TransferLimiter::Admit(const CallerAddress& caller) {
+  const TimePoint now = this->hooks.now();
+  return this->shards.With(caller, [&](Shard& shard) -> Admission {
+    TokenBucket& bucket = this->BucketOf(shard, caller, now);
+    if (!bucket.TryTake(now, kOneRequest)) {
+      return Refuse(ErrorCode::kOverloaded, "the caller's limit of requests a second is reached",
+                    "", bucket.TimeUntil(now, kOneRequest));
+    }
+    return {};
+  });
+}
+
+size_t TransferLimiter::AddressCount() {
+  size_t count = 0;
+  this->shards.ForEach([&count](Shard& shard) { count += shard.callers->size(); });
+  return count;
+}
+
+TokenBucket& TransferLimiter::BucketOf(Shard& shard, const CallerAddress& caller,
+                                       TimePoint now) const {
+  TokenBucket* known = shard.callers->Find(caller);
+  if (known != nullptr) {
+    return *known;
+  }
+  if (shard.callers->IsFull() && !shard.callers->Oldest().IsFull(now)) {
+    return *shard.overflow;
+  }
+  return *shard.callers->Insert(caller,
+                                TokenBucket(this->settings.rate, this->settings.burst, now));
+}
+
+}  // namespace sapphirecrank::limits
