limits: Add the admission controller

AdmissionController answers in one call whether this host accepts work: not while shutting down, not after the deadline, within the team's quota, and within the queue bound of team and class. A refusal changes no count and carries "not run", the field and a wait if waiting helps. On shutdown it reports once when nothing admitted is left.

Each rule was taken out once and its test seen to fail: the queue bound and the return of the quota (CountsStayWithinBounds), the second look at the shutdown state (ShutdownDuringAdmissionRefuses, ConcurrentShutdownIsReportedOnce), the single report (ShutdownWaitsForWorkInFlight).

--- /dev/null
+++ b/src/limits/admission_controller.cc
@@ -0,0 +1,163 @@
+#include "limits/admission_controller.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "base/mutex_lock.h"
+
+namespace sapphirecrank::limits {
+
+using base::ErrorCode;
+using base::TaskCount;
+using base::TeamId;
+using base::TimePoint;
+using base::WorkClass;
+
+namespace {
+
+constexpr size_t kShardCount = 16;
+
+size_t Index(WorkClass work_class) { return static_cast<size_t>(work_class); }
+
+tl::unexpected<Refusal> RefuseShuttingDown() {
+  return Refuse(ErrorCode::kShuttingDown, "this entry host is shutting down", "");
+}
+
+}  // namespace
+
+AdmissionController::AdmissionController(TeamQuota& quota, const QueueBounds& bounds, Hooks hooks)
+    : quota(quota), hooks(std::move(hooks)), shards(kShardCount) {
+  this->SetQueueBounds(bounds);
+}
+
+Admission AdmissionController::Admit(const AdmissionRequest& request) {
+  Admission open = this->CheckOpen(request);
+  if (!open) {
+    return open;
+  }
+  // The quota comes first, because it refuses unknown teams, which must not take memory here.
+  Admission within_quota = this->quota.Admit(request.team, request.tasks);
+  if (!within_quota) {
+    return within_quota;
+  }
+  Admission admission =
+      this->shards.With(request.team, [&](Shard& shard) { return Enqueue(shard, request); });
+  if (!admission) {
+    this->quota.Withdraw(request.team, request.tasks);
+  }
+  return admission;
+}
+
+void AdmissionController::OnStarted(const TeamId& team, WorkClass work_class, TaskCount tasks) {
+  const TimePoint now = this->hooks.now();
+  this->shards.With(team, [&](Shard& shard) {
+    Queue& queue = shard.queues[team][Index(work_class)];
+    queue.length -= std::min(tasks, queue.length);
+    queue.drain.OnEnded(now, tasks);
+  });
+}
+
+void AdmissionController::OnRequeued(const TeamId& team, WorkClass work_class, TaskCount tasks) {
+  this->shards.With(team,
+                    [&](Shard& shard) { shard.queues[team][Index(work_class)].length += tasks; });
+}
+
+void AdmissionController::OnEnded(const TeamId& team, TaskCount tasks) {
+  this->Leave(team, tasks, std::nullopt);
+}
+
+void AdmissionController::OnDropped(const TeamId& team, WorkClass work_class, TaskCount tasks) {
+  this->Leave(team, tasks, work_class);
+}
+
+void AdmissionController::SetQueueBounds(const QueueBounds& new_bounds) {
+  this->shards.ForEach([&](Shard& shard) { shard.bounds = new_bounds; });
+}
+
+void AdmissionController::ShutDown() {
+  this->shards.ForEach([](Shard& shard) { shard.shutting_down = true; });
+  this->ReportIfDrained();
+}
+
+TaskCount AdmissionController::Queued(const TeamId& team, WorkClass work_class) {
+  return this->shards.With(team, [&](Shard& shard) {
+    auto found = shard.queues.find(team);
+    return found == shard.queues.end() ? TaskCount(0) : found->second[Index(work_class)].length;
+  });
+}
+
+TaskCount AdmissionController::InFlight() {
+  TaskCount sum;
+  this->shards.ForEach([&sum](const Shard& shard) { sum += shard.in_flight; });
+  return sum;
+}
+
+Admission AdmissionController::CheckOpen(const AdmissionRequest& request) {
+  const bool shutting_down =
+      this->shards.With(request.team, [](const Shard& shard) { return shard.shutting_down; });
+  if (shutting_down) {
+    return RefuseShuttingDown();
+  }
+  if (request.deadline <= this->hooks.now()) {
+    return Refuse(ErrorCode::kDeadlineExceeded, "the deadline has passed", "deadline_ms");
+  }
+  return {};
+}
+
+Admission AdmissionController::Enqueue(Shard& shard, const AdmissionRequest& request) {
+  // Asked again, because a shutdown may have begun since `CheckOpen`.
+  if (shard.shutting_down) {
+    return RefuseShuttingDown();
+  }
+  const TaskCount bound = shard.bounds[Index(request.work_class)];
+  if (request.tasks > bound) {
+    return Refuse(ErrorCode::kTooLarge, "more tasks than the team's queue holds", "tasks");
+  }
+  Queue& queue = shard.queues[request.team][Index(request.work_class)];
+  const TaskCount excess = queue.length + request.tasks - bound;
+  if (excess > TaskCount(0)) {
+    const std::string name(base::WorkClassName(request.work_class));
+    return Refuse(ErrorCode::kOverloaded, "the team's queue of class " + name + " is full", "class",
+                  queue.drain.TimeFor(excess));
+  }
+  queue.length += request.tasks;
+  shard.in_flight += request.tasks;
+  return {};
+}
+
+void AdmissionController::Leave(const TeamId& team, TaskCount tasks,
+                                std::optional<WorkClass> from_queue) {
+  this->quota.Release(team, tasks);
+  const bool maybe_drained = this->shards.With(team, [&](Shard& shard) {
+    if (from_queue) {
+      Queue& queue = shard.queues[team][Index(*from_queue)];
+      queue.length -= std::min(tasks, queue.length);
+    }
+    shard.in_flight -= std::min(tasks, shard.in_flight);
+    return shard.shutting_down && shard.in_flight == TaskCount(0);
+  });
+  if (maybe_drained) {
+    this->ReportIfDrained();
+  }
+}
+
+void AdmissionController::ReportIfDrained() {
+  bool all_drained = true;
+  // Once every shard refuses new work the counts only fall, so they may be read one by one.
+  this->shards.ForEach([&all_drained](const Shard& shard) {
+    all_drained = all_drained && shard.shutting_down && shard.in_flight == TaskCount(0);
+  });
+  if (!all_drained) {
+    return;
+  }
+  {
+    base::MutexLock lock(this->mutex);
+    if (std::exchange(this->drained, true)) {
+      return;
+    }
+  }
+  this->hooks.drained();
+}
+
+}  // namespace sapphirecrank::limits
--- /dev/null
+++ b/src/limits/admission_request.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "base/units.h"
+#include "base/work_class.h"
+
+namespace sapphirecrank::limits {
+
+/// Work that asks for admission: a request (one task) or a job.
+struct AdmissionRequest {
+  base::TeamId team;
+  base::WorkClass work_class = base::WorkClass::kOrdinary;
+  base::TaskCount tasks{1};
+  base::TimePoint deadline;
+};
+
+}  // namespace sapphirecrank::limits
