--- /dev/null
+++ b/bench/limits/main.cc
@@ -0,0 +1,153 @@
+#include <ctime>
+#include <functional>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "base/units.h"
+#include "limits/admission_controller.h"
+#include "limits/hedge_policy.h"
+#include "limits/retry_policy.h"
+#include "limits/target_limiter.h"
+#include "limits/team_quota.h"
+#include "limits/transfer_limiter.h"
+
+// Measures the processor time of one call of each limit at growing numbers of teams and targets.
+namespace sapphirecrank::limits {
+namespace {
+
+using base::ConnectionCount;
+using base::SlotCount;
+using base::TargetId;
+using base::TaskCount;
+using base::TaskKind;
+using base::TeamId;
+using base::Version;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kCalls = 500'000;
+// Relatively prime to the numbers of teams and targets, so that calls visit all of them.
+constexpr size_t kStride = 7919;
+constexpr TaskCount kOneTask{1};
+constexpr AdmissionController::QueueBounds kBounds{TaskCount(1000), TaskCount(1000),
+                                                   TaskCount(1000)};
+
+double ProcessorNanoseconds() {
+  timespec time{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) * 1e9 + static_cast<double>(time.tv_nsec);
+}
+
+void Measure(const std::string& name, size_t scale, const std::function<void(size_t)>& call) {
+  for (size_t i = 0; i < scale * 2; ++i) {
+    call(i);
+  }
+  const double begin = ProcessorNanoseconds();
+  for (size_t i = 0; i < kCalls; ++i) {
+    call(i * kStride);
+  }
+  const double nanoseconds = (ProcessorNanoseconds() - begin) / kCalls;
+  std::cout << name << " at " << scale << ": " << static_cast<int>(nanoseconds) << " ns\n";
+}
+
+template <typename Id>
+std::vector<Id> Names(const std::string& prefix, size_t count) {
+  std::vector<Id> names;
+  names.reserve(count);
+  for (size_t i = 0; i < count; ++i) {
+    names.push_back(Id(prefix + std::to_string(i)));
+  }
+  return names;
+}
+
+TeamQuota::Limits LimitsOf(const std::vector<TeamId>& teams) {
+  TeamQuota::Limits limits;
+  for (const TeamId& team : teams) {
+    limits[team] = {TaskCount(1000), EventsPerSecond(1'000'000'000), EventCount(1'000'000'000), {}};
+  }
+  return limits;
+}
+
+void MeasureAdmission(const std::vector<TeamId>& teams, const base::Clock& now) {
+  const size_t count = teams.size();
+  TeamQuota quota({now});
+  quota.Replace(Version(1), LimitsOf(teams));
+  AdmissionController controller(quota, kBounds, {now, [] {}});
+  Measure("teams, admit+start+end", count, [&](size_t i) {
+    const TeamId& team = teams[i % count];
+    controller.Admit({team, base::WorkClass::kUrgent, kOneTask, now() + seconds(1)});
+    controller.OnStarted(team, base::WorkClass::kUrgent, kOneTask);
+    controller.OnEnded(team, kOneTask);
+  });
+  Measure("teams, admission refused", count, [&](size_t i) {
+    controller.Admit({teams[i % count], base::WorkClass::kUrgent, TaskCount(1001), {}});
+  });
+  Measure("teams, TryStart", count,
+          [&](size_t i) { quota.TryStart(teams[i % count], EventCount(1)); });
+}
+
+void MeasureExtraMessages(const std::vector<TeamId>& teams, const base::Clock& now) {
+  const size_t count = teams.size();
+  const auto actions = [] { return AutomaticActions(); };
+  RetryBudget budget({}, {now});
+  RetryPolicy retries(budget, BackoffPolicy({}, {[] { return 0.5; }}), {now, actions});
+  Measure("teams, retry work+decide", count, [&](size_t i) {
+    RetryRequest request;
+    request.team = teams[i % count];
+    request.verdict = base::Verdict::kNotRun;
+    request.deadline = now() + seconds(1);
+    budget.OnWork(request.team, EventCount(1));
+    retries.Decide(request);
+  });
+  HedgePolicy hedges({}, {now, actions});
+  const TaskKind kind("lookup");
+  Measure("teams, hedge work+answer+send", count, [&](size_t i) {
+    const HedgeRequest request{teams[i % count], kind, true, now() + seconds(1)};
+    hedges.OnWork(request);
+    hedges.OnAnswered(request.team, kind, milliseconds(50 + i % 50));
+    hedges.TrySend(request);
+  });
+}
+
+void MeasureTargets(const std::vector<TargetId>& targets) {
+  const size_t count = targets.size();
+  TargetLimiter limiter({[] { return AutomaticActions(); }});
+  for (const TargetId& target : targets) {
+    limiter.Update(target, SlotCount(8), ConnectionCount(64));
+  }
+  Measure("targets, acquire+release", count, [&](size_t i) {
+    const TargetId& target = targets[i % count];
+    limiter.TryAcquire(target);
+    limiter.Release(target, {milliseconds(50 + i % 50), milliseconds(50)});
+  });
+}
+
+void MeasureCallers(const std::vector<CallerAddress>& callers, const base::Clock& now) {
+  const size_t count = callers.size();
+  TransferLimiter limiter({EventsPerSecond(1'000'000), EventCount(1'000'000)}, {now});
+  Measure("callers, admit", count, [&](size_t i) { limiter.Admit(callers[i % count]); });
+}
+
+void MeasureAll() {
+  const base::Clock now = base::SteadyClock();
+  for (const size_t count : {1, 55, 550}) {
+    const auto teams = Names<TeamId>("team-", count);
+    MeasureAdmission(teams, now);
+    MeasureExtraMessages(teams, now);
+  }
+  for (const size_t count : {50, 500, 5000}) {
+    MeasureTargets(Names<TargetId>("target-", count));
+    MeasureCallers(Names<CallerAddress>("10.0.0.", count), now);
+  }
+}
+
+}  // namespace
+}  // namespace sapphirecrank::limits
+
+int main() {
+  sapphirecrank::limits::MeasureAll();
+  return 0;
+}
