--- /dev/null
+++ b/src/jobs/job_record.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "base/time.h"
+#include "jobs/member_view.h"
+#include "jobs/task_result.h"
+
+namespace sapphirecrank::jobs {
+
+struct Submission;
+
+/// What the owner of a job has its backup or its disk keep. Records of one job only add to each
+/// other, so that they may arrive repeatedly and in any order after the first full one.
+struct JobRecord {
+  base::Epoch epoch;
+  MemberView::Member owner;
+  /// Repeated by the acknowledgement.
+  base::Sequence sequence;
+  base::SubmissionId id;
+  /// Set in a full record, which holds everything known of the job; otherwise null.
+  std::shared_ptr<const Submission> submission;
+  /// Time left until the job's deadline at the time of sending.
+  base::Duration time_left{0};
+  /// Tasks that may be started once this record is acknowledged.
+  std::vector<base::TaskIndex> starts;
+  std::vector<TaskResult> results;
+  /// The job ended; then `results` or earlier records name each task.
+  bool ended = false;
+  bool complete = false;
+  /// Why the job failed, if it ended and is not complete.
+  base::Error error;
+};
+
+}  // namespace sapphirecrank::jobs
--- /dev/null
+++ b/src/jobs/job_status.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/units.h"
+
+namespace sapphirecrank::jobs {
+
+/// Progress of a job as seen by one entry host.
+struct JobStatus {
+  enum class State {
+    /// The id is not known here; that doesn't mean that it never ran.
+    kUnknown,
+    /// Not yet recorded on a second host or a disk.
+    kAccepting,
+    kRunning,
+    /// The outcome is decided and is being recorded.
+    kEnding,
+    kComplete,
+    kFailed,
+  };
+
+  State state = State::kUnknown;
+  /// The host that owns the job, as far as this host knows.
+  base::HostId owner;
+  base::TaskCount tasks;
+  /// Tasks with a start record and no result.
+  base::TaskCount started;
+  base::TaskCount ended;
+};
+
+}  // namespace sapphirecrank::jobs
--- /dev/null
+++ b/src/jobs/record_ack.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "base/ids.h"
+
+namespace sapphirecrank::jobs {
+
+/// A backup's answer to a `JobRecord`.
+struct RecordAck {
+  enum class Outcome {
+    kStored,
+    /// The backup has no current copy of the job and needs a full record.
+    kUnknownJob,
+    /// The record is of another epoch than the backup's, or the backup may not act.
+    kFenced,
+  };
+
+  /// The backup's epoch.
+  base::Epoch epoch;
+  base::Incarnation owner_incarnation;
+  base::Sequence sequence;
+  base::SubmissionId id;
+  Outcome outcome = Outcome::kFenced;
+};
+
+}  // namespace sapphirecrank::jobs
--- /dev/null
+++ b/src/jobs/submission.cc
@@ -0,0 +1,41 @@
+#include "jobs/submission.h"
+
+#include <xxhash.h>
+
+#include <string_view>
+
+namespace sapphirecrank::jobs {
+
+namespace {
+
+void Mix(uint64_t& hash, int64_t value) { hash = XXH64(&value, sizeof(value), hash); }
+
+void Mix(uint64_t& hash, std::string_view text) {
+  Mix(hash, static_cast<int64_t>(text.size()));
+  hash = XXH64(text.data(), text.size(), hash);
+}
+
+void Mix(uint64_t& hash, const Submission::Task& task) {
+  Mix(hash, task.kind.value());
+  Mix(hash, task.payload);
+  Mix(hash, task.declared.processors.value());
+  Mix(hash, task.declared.memory.value());
+  Mix(hash, static_cast<int64_t>(task.declared.accelerators.value()));
+  Mix(hash, task.declared_run_time.count());
+  Mix(hash, static_cast<int64_t>(task.idempotent));
+}
+
+}  // namespace
+
+uint64_t ContentHash(const Submission& submission) {
+  uint64_t hash = 0;
+  Mix(hash, submission.team.value());
+  Mix(hash, static_cast<int64_t>(submission.work_class));
+  Mix(hash, static_cast<int64_t>(submission.tasks.size()));
+  for (const Submission::Task& task : submission.tasks) {
+    Mix(hash, task);
+  }
+  return hash;
+}
+
+}  // namespace sapphirecrank::jobs
--- /dev/null
+++ b/src/jobs/submission_ledger.cc
@@ -0,0 +1,925 @@
+#include "jobs/submission_ledger.h"
+
+#include <algorithm>
+#include <string>
+
+#include "jobs/submission.h"
+
+namespace sapphirecrank::jobs {
+
+namespace {
+
+constexpr uint32_t kMaxDelayDoublings = 3;
+
+JobAnswer Refusal(const Submission& submission, base::Error error) {
+  JobAnswer answer;
+  for (size_t position = 0; position < submission.tasks.size(); ++position) {
+    TaskResult result;
+    result.index = base::TaskIndex(static_cast<base::TaskIndex::Representation>(position));
+    result.verdict = error.verdict;
+    answer.tasks.push_back(std::move(result));
+  }
+  answer.error = std::move(error);
+  return answer;
+}
+
+base::Error FailureOf(const TaskReport& report) {
+  base::Error error;
+  error.code = report.code;
+  error.message = "task " + std::to_string(report.key.index.value()) + " failed";
+  if (!report.body.empty()) {
+    error.message += ": " + report.body;
+  }
+  return error;
+}
+
+base::Error MakeError(base::ErrorCode code, std::string message) {
+  base::Error error;
+  error.code = code;
+  error.message = std::move(message);
+  return error;
+}
+
+}  // namespace
+
+SubmissionLedger::SubmissionLedger(MemberView::Member self, LedgerSettings settings, Hooks hooks)
+    : self(std::move(self)),
+      settings(settings),
+      hooks(std::move(hooks)),
+      latest_view(std::make_shared<ViewHistory>(this->self, this->hooks.holders,
+                                                settings.view_settle_time)),
+      shards(settings.shards) {
+  this->shards.ForEach([this](Shard& shard) { shard.view = this->latest_view; });
+}
+
+void SubmissionLedger::SetView(const MemberView& view) {
+  if (view.epoch <= this->latest_view->epoch()) {
+    return;
+  }
+  Moment moment = this->TakeMoment();
+  auto history = std::make_shared<ViewHistory>(*this->latest_view);
+  history->Add(view, moment.now,
+               this->settings.max_new_age + this->settings.view_settle_time +
+                   2 * this->settings.clock_tolerance);
+  this->latest_view = history;
+  for (size_t i = 0; i < this->shards.size(); ++i) {
+    Effects effects;
+    this->shards.WithIndex(
+        i, [&](Shard& shard) { this->ChangeView(shard, this->latest_view, moment, effects); });
+    this->Apply(effects);
+  }
+}
+
+void SubmissionLedger::Submit(std::shared_ptr<const Submission> submission, OnAnswer on_answer,
+                              OnAccepted on_accepted) {
+  const base::SubmissionId id = submission->id;
+  NewSubmission request;
+  request.content_hash = ContentHash(*submission);
+  request.age = this->hooks.id_age(id);
+  request.may_run_unreplicated =
+      this->hooks.may_run_unreplicated && this->hooks.may_run_unreplicated(*submission);
+  request.submission = std::move(submission);
+  request.on_answer = std::move(on_answer);
+  request.on_accepted = std::move(on_accepted);
+  Moment moment = this->TakeMoment();
+  Effects effects;
+  this->shards.With(id, [&](Shard& shard) { this->AddOrJoin(shard, request, moment, effects); });
+  this->Apply(effects);
+}
+
+void SubmissionLedger::OnRecord(const base::HostId& from, const JobRecord& record) {
+  IncomingRecord incoming{record, 0, std::nullopt};
+  if (record.submission) {
+    incoming.content_hash = ContentHash(*record.submission);
+    incoming.age = this->hooks.id_age(record.id);
+  }
+  Moment moment = this->TakeMoment();
+  RecordAck ack;
+  ack.owner_incarnation = record.owner.incarnation;
+  ack.sequence = record.sequence;
+  ack.id = record.id;
+  this->shards.With(record.id, [&](Shard& shard) {
+    ack.epoch = shard.view->epoch();
+    ack.outcome = this->Store(shard, incoming, moment);
+  });
+  this->hooks.send_ack(from, ack);
+}
+
+void SubmissionLedger::OnRecordAck(const base::HostId& from, const RecordAck& ack) {
+  Moment moment = this->TakeMoment();
+  Effects effects;
+  this->shards.With(ack.id, [&](Shard& shard) {
+    auto found = shard.jobs.find(ack.id);
+    // Without a view lease the acknowledgement counts as lost; the record is sent again.
+    if (found == shard.jobs.end() || !moment.may_act) {
+      return;
+    }
+    Job& job = *found->second;
+    bool current = this->IsOwn(job) && job.outstanding && ack.epoch == shard.view->epoch() &&
+                   ack.owner_incarnation == this->self.incarnation && from == job.backup.host &&
+                   ack.sequence == job.outstanding->record->sequence;
+    if (!current) {
+      return;
+    }
+    if (ack.outcome == RecordAck::Outcome::kStored) {
+      this->OnRecorded(shard, job, moment, effects);
+    } else if (ack.outcome == RecordAck::Outcome::kUnknownJob) {
+      Supersede(job, moment.now);
+      job.copied = false;
+      job.tasks.ReturnAllResults();
+      this->Advance(shard, job, moment, effects);
+    }
+    this->Schedule(shard, job);
+  });
+  this->Apply(effects);
+}
+
+bool SubmissionLedger::OnTaskReport(const TaskReport& report) {
+  Moment moment = this->TakeMoment();
+  Effects effects;
+  bool taken = this->shards.With(report.key.submission, [&](Shard& shard) {
+    auto found = shard.jobs.find(report.key.submission);
+    if (found == shard.jobs.end()) {
+      return false;
+    }
+    Job& job = *found->second;
+    if (!this->IsOwn(job) || !IsRunning(job)) {
+      return false;
+    }
+    TaskTable::ReportOutcome outcome =
+        job.tasks.Report(report, job.takeover_epoch, this->settings.max_placements);
+    if (outcome == TaskTable::ReportOutcome::kIgnored) {
+      return false;
+    }
+    this->OnReportTaken(shard, job, report, outcome, moment, effects);
+    this->Schedule(shard, job);
+    return true;
+  });
+  this->Apply(effects);
+  return taken;
+}
+
+bool SubmissionLedger::Cancel(const base::SubmissionId& id) {
+  Moment moment = this->TakeMoment();
+  Effects effects;
+  bool cancelled = this->shards.With(id, [&](Shard& shard) {
+    auto found = shard.jobs.find(id);
+    if (found == shard.jobs.end() || !this->IsOwn(*found->second) || !IsRunning(*found->second)) {
+      return false;
+    }
+    this->DecideEnd(shard, *found->second,
+                    MakeError(base::ErrorCode::kCancelled, "the job was cancelled"), moment,
+                    effects);
+    return true;
+  });
+  this->Apply(effects);
+  return cancelled;
+}
+
+size_t SubmissionLedger::CancelTeam(const base::TeamId& team) {
+  Moment moment = this->TakeMoment();
+  size_t cancelled = 0;
+  for (size_t i = 0; i < this->shards.size(); ++i) {
+    Effects effects;
+    this->shards.WithIndex(i, [&](Shard& shard) {
+      auto found = shard.running.find(team);
+      if (found == shard.running.end()) {
+        return;
+      }
+      // `DecideEnd` removes each job from the set.
+      std::unordered_set<Job*> jobs;
+      jobs.swap(found->second);
+      for (Job* job : jobs) {
+        this->DecideEnd(
+            shard, *job,
+            MakeError(base::ErrorCode::kCancelled, "all jobs of the team were cancelled"), moment,
+            effects);
+      }
+      cancelled += jobs.size();
+    });
+    this->Apply(effects);
+  }
+  return cancelled;
+}
+
+JobStatus SubmissionLedger::Status(const base::SubmissionId& id) {
+  return this->shards.With(id, [&](Shard& shard) {
+    JobStatus status;
+    auto found = shard.jobs.find(id);
+    if (found == shard.jobs.end()) {
+      return status;
+    }
+    const Job& job = *found->second;
+    switch (job.phase) {
+      case Phase::kAccepting:
+        status.state = JobStatus::State::kAccepting;
+        break;
+      case Phase::kRunning:
+        status.state = JobStatus::State::kRunning;
+        break;
+      case Phase::kEnding:
+        status.state = JobStatus::State::kEnding;
+        break;
+      case Phase::kEnded:
+        status.state = job.complete ? JobStatus::State::kComplete : JobStatus::State::kFailed;
+        break;
+    }
+    status.owner = job.owner.host;
+    status.tasks = base::TaskCount(static_cast<int64_t>(job.tasks.size()));
+    status.started = base::TaskCount(static_cast<int64_t>(job.tasks.started()));
+    status.ended = base::TaskCount(static_cast<int64_t>(job.tasks.ended()));
+    return status;
+  });
+}
+
+base::HostId SubmissionLedger::OwnerOf(const base::SubmissionId& id) {
+  return this->shards.With(id, [&](Shard& shard) {
+    auto found = shard.jobs.find(id);
+    if (found == shard.jobs.end()) {
+      return shard.view->HoldersOf(id).owner;
+    }
+    const Job& job = *found->second;
+    return job.phase == Phase::kEnded ? this->self.host : job.owner.host;
+  });
+}
+
+void SubmissionLedger::Tick() {
+  Moment moment = this->TakeMoment();
+  for (size_t i = 0; i < this->shards.size(); ++i) {
+    Effects effects;
+    this->shards.WithIndex(i, [&](Shard& shard) {
+      std::vector<Job*> due;
+      for (auto it = shard.timers.begin(); it != shard.timers.end() && it->first <= moment.now;
+           ++it) {
+        due.push_back(it->second);
+      }
+      for (Job* job : due) {
+        this->OnDue(shard, *job, moment, effects);
+      }
+      this->ForgetEnded(shard, moment.now);
+    });
+    this->Apply(effects);
+  }
+}
+
+SubmissionLedger::Moment SubmissionLedger::TakeMoment() const {
+  Moment moment;
+  moment.now = this->hooks.now();
+  moment.may_act = this->hooks.may_act();
+  return moment;
+}
+
+base::TimePoint SubmissionLedger::CreationTime(std::optional<base::Duration> age,
+                                               base::TimePoint now) const {
+  return now - age.value_or(base::Duration(0)) - this->settings.clock_tolerance;
+}
+
+bool SubmissionLedger::IsRunning(const Job& job) {
+  return job.phase == Phase::kAccepting || job.phase == Phase::kRunning;
+}
+
+bool SubmissionLedger::IsOwn(const Job& job) const { return job.owner == this->self; }
+
+void SubmissionLedger::AddOrJoin(Shard& shard, NewSubmission& request, const Moment& moment,
+                                 Effects& effects) {
+  auto found = shard.jobs.find(request.submission->id);
+  if (found != shard.jobs.end()) {
+    this->Join(*found->second, request, effects);
+    return;
+  }
+  base::Result<void> check = this->CheckNew(shard, request, moment);
+  if (check) {
+    this->AddNew(shard, request, moment, effects);
+    return;
+  }
+  Answers refusal;
+  refusal.answer = std::make_shared<JobAnswer>(Refusal(*request.submission, check.error()));
+  refusal.waiters.push_back(std::move(request.on_answer));
+  effects.answers.push_back(std::move(refusal));
+}
+
+void SubmissionLedger::Join(Job& job, NewSubmission& request, Effects& effects) const {
+  std::optional<JobAnswer> answer;
+  if (job.phase != Phase::kEnded && !this->IsOwn(job)) {
+    base::Error error = MakeError(base::ErrorCode::kFenced,
+                                  "the job belongs to entry host " + job.owner.host.value());
+    error.verdict = base::Verdict::kMayHaveRun;
+    answer = Refusal(*request.submission, std::move(error));
+  } else if (job.content_hash != request.content_hash) {
+    base::Error error = MakeError(base::ErrorCode::kConflict,
+                                  "the id was used before for a submission with other content");
+    error.field = "id";
+    answer = Refusal(*request.submission, std::move(error));
+  } else if (job.phase == Phase::kEnded || job.answered_uncertain) {
+    answer = AnswerOf(job, job.phase == Phase::kEnded);
+  }
+  if (answer) {
+    Answers answers;
+    answers.answer = std::make_shared<JobAnswer>(std::move(*answer));
+    answers.waiters.push_back(std::move(request.on_answer));
+    effects.answers.push_back(std::move(answers));
+    return;
+  }
+  job.answer_waiters.push_back(std::move(request.on_answer));
+  if (!request.on_accepted) {
+    return;
+  }
+  if (job.phase == Phase::kRunning) {
+    effects.accepted.push_back(std::move(request.on_accepted));
+  } else {
+    job.accept_waiters.push_back(std::move(request.on_accepted));
+  }
+}
+
+void SubmissionLedger::AddNew(Shard& shard, NewSubmission& request, const Moment& moment,
+                              Effects& effects) {
+  const Submission& submission = *request.submission;
+  std::unique_ptr<Job>& entry = shard.jobs[submission.id];
+  entry = std::make_unique<Job>(submission.tasks.size());
+  Job& job = *entry;
+  job.id = submission.id;
+  job.team = submission.team;
+  job.content_hash = request.content_hash;
+  job.owner = this->self;
+  job.backup = shard.view->BackupOf(job.id, this->self.host);
+  job.created = this->CreationTime(request.age, moment.now);
+  job.deadline = moment.now + submission.time_left;
+  job.takeover_epoch = shard.view->epoch();
+  job.answer_waiters.push_back(std::move(request.on_answer));
+  if (request.on_accepted) {
+    job.accept_waiters.push_back(std::move(request.on_accepted));
+  }
+  job.submission = std::move(request.submission);
+  AddRunning(shard, job);
+  this->Advance(shard, job, moment, effects);
+  this->Schedule(shard, job);
+}
+
+base::Result<void> SubmissionLedger::CheckNew(const Shard& shard, const NewSubmission& request,
+                                              const Moment& moment) const {
+  if (!request.age) {
+    return base::Fail(base::ErrorCode::kInvalidArgument, "the id carries no creation time", "id");
+  }
+  base::Result<void> unknown = this->CheckUnknown(shard, request, moment.now);
+  if (!unknown) {
+    return unknown;
+  }
+  if (!moment.may_act) {
+    return base::Fail(base::ErrorCode::kUnavailable, "the view lease of this entry host has ended",
+                      "", base::Verdict::kMayHaveRun);
+  }
+  if (shard.view->HoldersOf(request.submission->id).owner != this->self.host) {
+    return base::Fail(base::ErrorCode::kFenced, "the id belongs to another entry host", "id",
+                      base::Verdict::kMayHaveRun);
+  }
+  base::Result<void> content = this->CheckContent(*request.submission);
+  if (!content) {
+    return content;
+  }
+  if (shard.view->size() == 1 && !this->hooks.write_disk && !request.may_run_unreplicated) {
+    return base::Fail(base::ErrorCode::kUnavailable,
+                      "no second entry host or disk can hold a copy of the job");
+  }
+  return {};
+}
+
+base::Result<void> SubmissionLedger::CheckUnknown(const Shard& shard, const NewSubmission& request,
+                                                  base::TimePoint now) const {
+  const base::Verdict may_have_run = base::Verdict::kMayHaveRun;
+  if (*request.age < -this->settings.clock_tolerance) {
+    return base::Fail(base::ErrorCode::kInvalidArgument,
+                      "the creation time of the id is in the future", "id", may_have_run);
+  }
+  base::TimePoint created = this->CreationTime(request.age, now);
+  if (*request.age > this->settings.max_new_age || created <= shard.forgotten_until) {
+    return base::Fail(base::ErrorCode::kExpired, "the id has expired", "id", may_have_run);
+  }
+  if (!shard.view->HeldSince(request.submission->id, created)) {
+    return base::Fail(base::ErrorCode::kUnavailable,
+                      "the id may have been accepted by an entry host that was lost or replaced",
+                      "id", may_have_run);
+  }
+  return {};
+}
+
+base::Result<void> SubmissionLedger::CheckContent(const Submission& submission) const {
+  if (submission.tasks.empty()) {
+    return base::Fail(base::ErrorCode::kInvalidArgument, "a job has at least one task", "tasks");
+  }
+  if (submission.tasks.size() > this->settings.max_tasks) {
+    return base::Fail(base::ErrorCode::kTooLarge,
+                      "a job has at most " + std::to_string(this->settings.max_tasks) + " tasks",
+                      "tasks");
+  }
+  if (submission.time_left <= base::Duration(0)) {
+    return base::Fail(base::ErrorCode::kDeadlineExceeded, "the deadline has passed");
+  }
+  return {};
+}
+
+bool SubmissionLedger::IsForThisBackup(const ViewHistory& view, const JobRecord& record) const {
+  return record.epoch == view.epoch() && view.ContainsSelf() && view.Contains(record.owner) &&
+         view.BackupOf(record.id, record.owner.host) == this->self;
+}
+
+RecordAck::Outcome SubmissionLedger::Store(Shard& shard, const IncomingRecord& incoming,
+                                           const Moment& moment) {
+  const JobRecord& record = incoming.record;
+  if (!moment.may_act || !this->IsForThisBackup(*shard.view, record)) {
+    return RecordAck::Outcome::kFenced;
+  }
+  auto found = shard.jobs.find(record.id);
+  if (found == shard.jobs.end()) {
+    if (!record.submission) {
+      return RecordAck::Outcome::kUnknownJob;
+    }
+    this->MergeIntoCopy(shard, this->AddCopy(shard, incoming, moment.now), record, moment.now);
+    return RecordAck::Outcome::kStored;
+  }
+  Job& job = *found->second;
+  if (job.phase == Phase::kEnded) {
+    return record.ended ? RecordAck::Outcome::kStored : RecordAck::Outcome::kFenced;
+  }
+  if (job.owner != record.owner) {
+    return RecordAck::Outcome::kFenced;
+  }
+  this->MergeIntoCopy(shard, job, record, moment.now);
+  return RecordAck::Outcome::kStored;
+}
+
+SubmissionLedger::Job& SubmissionLedger::AddCopy(Shard& shard, const IncomingRecord& incoming,
+                                                 base::TimePoint now) const {
+  const JobRecord& record = incoming.record;
+  std::unique_ptr<Job>& entry = shard.jobs[record.id];
+  entry = std::make_unique<Job>(record.submission->tasks.size());
+  Job& job = *entry;
+  job.id = record.id;
+  job.team = record.submission->team;
+  job.content_hash = incoming.content_hash;
+  job.owner = record.owner;
+  job.phase = Phase::kRunning;
+  job.created = this->CreationTime(incoming.age, now);
+  job.deadline = now + record.time_left;
+  job.submission = record.submission;
+  return job;
+}
+
+void SubmissionLedger::MergeIntoCopy(Shard& shard, Job& job, const JobRecord& record,
+                                     base::TimePoint now) {
+  job.tasks.Merge(record.starts, record.results);
+  if (record.ended) {
+    job.complete = record.complete;
+    job.error = record.error;
+    this->RememberEnded(shard, job, now);
+  }
+  this->Schedule(shard, job);
+}
+
+void SubmissionLedger::ChangeView(Shard& shard, const std::shared_ptr<const ViewHistory>& view,
+                                  const Moment& moment, Effects& effects) {
+  bool contiguous = view->IsNextAfter(shard.view->epoch());
+  shard.view = view;
+  std::vector<Job*> jobs;
+  for (auto& [id, job] : shard.jobs) {
+    if (job->phase != Phase::kEnded) {
+      jobs.push_back(job.get());
+    }
+  }
+  for (Job* job : jobs) {
+    if (!contiguous || !this->SurvivesView(*view, *job)) {
+      Drop(shard, *job, effects);
+    } else if (this->IsOwn(*job)) {
+      this->KeepOwned(shard, *job, moment, effects);
+    } else if (!view->Contains(job->owner)) {
+      this->TakeOver(shard, *job, moment, effects);
+    }
+  }
+}
+
+bool SubmissionLedger::SurvivesView(const ViewHistory& view, const Job& job) const {
+  if (!view.ContainsSelf()) {
+    return false;
+  }
+  return this->IsOwn(job) || !view.Contains(job.owner) ||
+         view.BackupOf(job.id, job.owner.host) == this->self;
+}
+
+void SubmissionLedger::KeepOwned(Shard& shard, Job& job, const Moment& moment, Effects& effects) {
+  Supersede(job, moment.now);
+  MemberView::Member backup = shard.view->BackupOf(job.id, this->self.host);
+  if (backup != job.backup) {
+    job.backup = backup;
+    job.copied = false;
+    job.tasks.ReturnAllResults();
+  }
+  this->Advance(shard, job, moment, effects);
+  this->Schedule(shard, job);
+}
+
+void SubmissionLedger::TakeOver(Shard& shard, Job& job, const Moment& moment, Effects& effects) {
+  job.owner = this->self;
+  job.backup = shard.view->BackupOf(job.id, this->self.host);
+  job.copied = false;
+  job.takeover_epoch = shard.view->epoch();
+  job.tasks.ReturnAllResults();
+  AddRunning(shard, job);
+  if (job.tasks.has_failure()) {
+    this->DecideEnd(shard, job,
+                    MakeError(base::ErrorCode::kTargetFailed,
+                              "a task failed before the job's entry host was lost"),
+                    moment, effects);
+    return;
+  }
+  if (job.tasks.succeeded()) {
+    this->DecideEnd(shard, job, std::nullopt, moment, effects);
+    return;
+  }
+  if (job.tasks.has_inherited()) {
+    job.takeover_until = moment.now + this->settings.takeover_wait;
+  }
+  this->Advance(shard, job, moment, effects);
+  this->Schedule(shard, job);
+}
+
+void SubmissionLedger::Advance(Shard& shard, Job& job, const Moment& moment, Effects& effects) {
+  if (job.phase == Phase::kEnded || job.outstanding) {
+    return;
+  }
+  if (job.phase == Phase::kEnding && job.backup.host.empty()) {
+    // No other host has a copy that counts, so none can start anything.
+    if (this->hooks.write_disk) {
+      effects.disk_writes.push_back(this->BuildRecord(shard, job, {}, moment.now));
+    }
+    this->FinishEnd(shard, job, moment.now, effects);
+    return;
+  }
+  job.advance_at = base::TimePoint::max();
+  std::vector<base::TaskIndex> starts;
+  if (IsRunning(job) && moment.may_act) {
+    starts = job.tasks.TakeStarts(this->settings.start_window);
+  } else if (IsRunning(job) && job.tasks.has_waiting()) {
+    job.advance_at = moment.now + this->settings.resend_delay;
+  }
+  if (!starts.empty() || NeedsRecord(job, moment.now)) {
+    this->SendRecord(shard, job, std::move(starts), moment, effects);
+  }
+}
+
+bool SubmissionLedger::NeedsRecord(const Job& job, base::TimePoint now) {
+  bool results_due = job.tasks.has_unrecorded() && job.results_due <= now;
+  return !job.copied || job.phase == Phase::kEnding || results_due;
+}
+
+std::shared_ptr<const JobRecord> SubmissionLedger::BuildRecord(const Shard& shard, Job& job,
+                                                               std::vector<base::TaskIndex> starts,
+                                                               base::TimePoint now) {
+  auto record = std::make_shared<JobRecord>();
+  record->epoch = shard.view->epoch();
+  record->owner = this->self;
+  record->sequence = base::Sequence(this->next_sequence++);
+  record->id = job.id;
+  record->time_left = job.deadline - now;
+  record->starts = std::move(starts);
+  if (!job.copied) {
+    record->submission = job.submission;
+    record->starts = job.tasks.StartedTasks();
+  }
+  record->results = job.tasks.TakeUnrecorded();
+  job.results_due = base::TimePoint::max();
+  record->ended = job.phase == Phase::kEnding;
+  record->complete = job.complete;
+  record->error = job.error;
+  return record;
+}
+
+void SubmissionLedger::SendRecord(Shard& shard, Job& job, std::vector<base::TaskIndex> starts,
+                                  const Moment& moment, Effects& effects) {
+  Outstanding outstanding;
+  outstanding.record = this->BuildRecord(shard, job, std::move(starts), moment.now);
+  job.outstanding = std::move(outstanding);
+  if (!job.backup.host.empty()) {
+    this->Resend(job, moment.now, effects);
+  } else if (this->hooks.write_disk) {
+    job.outstanding->resend_at = base::TimePoint::max();
+    effects.disk_writes.push_back(job.outstanding->record);
+  } else {
+    this->OnRecorded(shard, job, moment, effects);
+  }
+}
+
+void SubmissionLedger::Resend(Job& job, base::TimePoint now, Effects& effects) const {
+  Outstanding& outstanding = *job.outstanding;
+  uint32_t doublings = std::min(outstanding.sends, kMaxDelayDoublings);
+  outstanding.resend_at = now + this->settings.resend_delay * (1 << doublings);
+  ++outstanding.sends;
+  effects.records.emplace_back(job.backup.host, outstanding.record);
+}
+
+void SubmissionLedger::Supersede(Job& job, base::TimePoint now) {
+  if (!job.outstanding) {
+    return;
+  }
+  const JobRecord& record = *job.outstanding->record;
+  job.tasks.ReturnStarts(record.starts);
+  job.tasks.ReturnUnrecorded(record.results);
+  job.results_due = now;
+  job.outstanding.reset();
+}
+
+void SubmissionLedger::OnRecorded(Shard& shard, Job& job, const Moment& moment, Effects& effects) {
+  std::shared_ptr<const JobRecord> record = job.outstanding->record;
+  job.outstanding.reset();
+  job.copied = true;
+  if (record->ended) {
+    this->FinishEnd(shard, job, moment.now, effects);
+    return;
+  }
+  if (job.phase == Phase::kAccepting) {
+    job.phase = Phase::kRunning;
+  }
+  for (OnAccepted& on_accepted : job.accept_waiters) {
+    effects.accepted.push_back(std::move(on_accepted));
+  }
+  job.accept_waiters.clear();
+  for (base::TaskIndex index : record->starts) {
+    if (job.tasks.Place(index, shard.view->epoch())) {
+      effects.starts.push_back(StartOf(job, index));
+    }
+  }
+  this->Advance(shard, job, moment, effects);
+}
+
+void SubmissionLedger::OnDiskWritten(const JobRecord& record, bool ok) {
+  Moment moment = this->TakeMoment();
+  Effects effects;
+  this->shards.With(record.id, [&](Shard& shard) {
+    auto found = shard.jobs.find(record.id);
+    if (found == shard.jobs.end()) {
+      return;
+    }
+    Job& job = *found->second;
+    bool current = this->IsOwn(job) && job.outstanding &&
+                   job.outstanding->record->sequence == record.sequence &&
+                   record.epoch == shard.view->epoch();
+    if (!current) {
+      return;
+    }
+    if (ok && moment.may_act) {
+      this->OnRecorded(shard, job, moment, effects);
+    } else if (job.phase == Phase::kAccepting) {
+      this->DecideEnd(
+          shard, job,
+          MakeError(base::ErrorCode::kStorageFailed, "the job could not be written to disk"),
+          moment, effects);
+    } else {
+      Supersede(job, moment.now);
+      job.advance_at = moment.now + this->settings.resend_delay;
+    }
+    this->Schedule(shard, job);
+  });
+  this->Apply(effects);
+}
+
+void SubmissionLedger::OnReportTaken(Shard& shard, Job& job, const TaskReport& report,
+                                     TaskTable::ReportOutcome outcome, const Moment& moment,
+                                     Effects& effects) {
+  if (outcome == TaskTable::ReportOutcome::kPlaceAgain) {
+    uint32_t doublings = std::min(report.placement.value() - 1, kMaxDelayDoublings);
+    base::TimePoint time = moment.now + this->settings.place_again_delay * (1 << doublings);
+    job.place_again_at = std::min(job.place_again_at, time);
+    return;
+  }
+  if (outcome == TaskTable::ReportOutcome::kFailed) {
+    this->DecideEnd(shard, job, FailureOf(report), moment, effects);
+    return;
+  }
+  if (job.tasks.succeeded()) {
+    this->DecideEnd(shard, job, std::nullopt, moment, effects);
+    return;
+  }
+  base::TimePoint record_by = moment.now + this->settings.result_record_delay;
+  job.results_due = std::min(job.results_due, record_by);
+  this->Advance(shard, job, moment, effects);
+}
+
+void SubmissionLedger::PlaceAgain(const Shard& shard, Job& job, const Moment& moment,
+                                  Effects& effects) const {
+  if (!moment.may_act || !job.copied) {
+    job.place_again_at = moment.now + this->settings.place_again_delay;
+    return;
+  }
+  job.place_again_at = base::TimePoint::max();
+  for (base::TaskIndex index : job.tasks.PlaceAgain(shard.view->epoch())) {
+    effects.starts.push_back(StartOf(job, index));
+  }
+}
+
+void SubmissionLedger::OnDue(Shard& shard, Job& job, const Moment& moment, Effects& effects) {
+  if (!this->IsOwn(job)) {
+    // The owner records the end soon after the deadline; this copy was left behind.
+    Erase(shard, job);
+    return;
+  }
+  this->OnOwnedDue(shard, job, moment, effects);
+  this->Schedule(shard, job);
+}
+
+void SubmissionLedger::OnOwnedDue(Shard& shard, Job& job, const Moment& moment, Effects& effects) {
+  if (IsRunning(job) && job.deadline <= moment.now) {
+    this->DecideEnd(shard, job,
+                    MakeError(base::ErrorCode::kDeadlineExceeded, "the deadline has passed"),
+                    moment, effects);
+    return;
+  }
+  if (IsRunning(job) && job.takeover_until <= moment.now) {
+    job.takeover_until = base::TimePoint::max();
+    if (job.tasks.has_inherited()) {
+      this->DecideEnd(shard, job,
+                      MakeError(base::ErrorCode::kUnavailable,
+                                "the job's entry host was lost while tasks may have been running"),
+                      moment, effects);
+      return;
+    }
+  }
+  if (IsRunning(job) && job.place_again_at <= moment.now) {
+    this->PlaceAgain(shard, job, moment, effects);
+  }
+  if (job.phase == Phase::kEnding && job.answer_by <= moment.now) {
+    job.answer_by = base::TimePoint::max();
+    job.answered_uncertain = true;
+    AnswerWaiters(job, false, effects);
+  }
+  if (job.outstanding && job.outstanding->resend_at <= moment.now) {
+    this->Resend(job, moment.now, effects);
+  }
+  this->Advance(shard, job, moment, effects);
+}
+
+void SubmissionLedger::DecideEnd(Shard& shard, Job& job, std::optional<base::Error> error,
+                                 const Moment& moment, Effects& effects) {
+  Supersede(job, moment.now);
+  RemoveRunning(shard, job);
+  for (base::TaskIndex index : job.tasks.EndAll()) {
+    effects.cancels.push_back(StartOf(job, index));
+  }
+  job.complete = !error;
+  job.error = error.value_or(base::Error());
+  job.phase = Phase::kEnding;
+  job.answer_by = moment.now + (job.complete ? this->settings.complete_record_wait
+                                             : this->settings.failed_record_wait);
+  this->Advance(shard, job, moment, effects);
+  this->Schedule(shard, job);
+}
+
+void SubmissionLedger::FinishEnd(Shard& shard, Job& job, base::TimePoint now, Effects& effects) {
+  this->RememberEnded(shard, job, now);
+  AnswerWaiters(job, true, effects);
+}
+
+void SubmissionLedger::RememberEnded(Shard& shard, Job& job, base::TimePoint now) {
+  job.phase = Phase::kEnded;
+  job.ended_at = now;
+  job.submission.reset();
+  job.outstanding.reset();
+  job.accept_waiters.clear();
+  shard.ended.emplace_back(now, job.id);
+}
+
+void SubmissionLedger::ForgetEnded(Shard& shard, base::TimePoint now) {
+  size_t limit = this->settings.max_ended / this->settings.shards;
+  while (!shard.ended.empty()) {
+    bool old = shard.ended.front().first + this->settings.retention <= now;
+    bool too_many = shard.ended.size() > limit;
+    if (!old && !too_many) {
+      return;
+    }
+    auto found = shard.jobs.find(shard.ended.front().second);
+    if (!old) {
+      // The creation time of a resubmission is measured again, with another error.
+      base::TimePoint bound = found->second->created + 2 * this->settings.clock_tolerance;
+      shard.forgotten_until = std::max(shard.forgotten_until, bound);
+    }
+    shard.jobs.erase(found);
+    shard.ended.pop_front();
+  }
+}
+
+void SubmissionLedger::Schedule(Shard& shard, Job& job) const {
+  base::TimePoint due = this->NextDue(job);
+  if (due == job.due) {
+    return;
+  }
+  if (job.due != base::TimePoint::max()) {
+    shard.timers.erase({job.due, &job});
+  }
+  job.due = due;
+  if (due != base::TimePoint::max()) {
+    shard.timers.insert({due, &job});
+  }
+}
+
+base::TimePoint SubmissionLedger::NextDue(const Job& job) const {
+  if (job.phase == Phase::kEnded) {
+    return base::TimePoint::max();
+  }
+  if (!this->IsOwn(job)) {
+    return job.deadline + this->settings.retention;
+  }
+  base::TimePoint due = job.advance_at;
+  if (job.outstanding) {
+    due = std::min(due, job.outstanding->resend_at);
+  } else if (job.tasks.has_unrecorded()) {
+    due = std::min(due, job.results_due);
+  }
+  if (job.phase == Phase::kEnding) {
+    return std::min(due, job.answer_by);
+  }
+  return std::min({due, job.deadline, job.takeover_until, job.place_again_at});
+}
+
+void SubmissionLedger::Drop(Shard& shard, Job& job, Effects& effects) {
+  if (!job.answer_waiters.empty()) {
+    job.tasks.EndAll();
+    job.error = MakeError(base::ErrorCode::kFenced, "the job went to another entry host");
+    AnswerWaiters(job, false, effects);
+  }
+  Erase(shard, job);
+}
+
+void SubmissionLedger::Erase(Shard& shard, Job& job) {
+  RemoveRunning(shard, job);
+  shard.timers.erase({job.due, &job});
+  const base::SubmissionId id = job.id;
+  shard.jobs.erase(id);
+}
+
+void SubmissionLedger::AddRunning(Shard& shard, Job& job) { shard.running[job.team].insert(&job); }
+
+void SubmissionLedger::RemoveRunning(Shard& shard, Job& job) {
+  auto found = shard.running.find(job.team);
+  if (found == shard.running.end()) {
+    return;
+  }
+  found->second.erase(&job);
+  if (found->second.empty()) {
+    shard.running.erase(found);
+  }
+}
+
+void SubmissionLedger::AnswerWaiters(Job& job, bool certain, Effects& effects) {
+  if (job.answer_waiters.empty()) {
+    return;
+  }
+  Answers answers;
+  answers.answer = std::make_shared<JobAnswer>(AnswerOf(job, certain));
+  answers.waiters.swap(job.answer_waiters);
+  effects.answers.push_back(std::move(answers));
+}
+
+JobAnswer SubmissionLedger::AnswerOf(const Job& job, bool certain) {
+  JobAnswer answer;
+  answer.complete = job.complete;
+  answer.error = job.error;
+  answer.tasks = job.tasks.Results(certain);
+  answer.error.verdict = answer.tasks.front().verdict;
+  for (const TaskResult& result : answer.tasks) {
+    answer.error.verdict = base::CombineParts(answer.error.verdict, result.verdict);
+  }
+  return answer;
+}
+
+TaskStart SubmissionLedger::StartOf(const Job& job, base::TaskIndex index) {
+  TaskStart start;
+  start.epoch = job.tasks.StartEpochOf(index);
+  start.key.submission = job.id;
+  start.key.index = index;
+  start.placement = job.tasks.PlacementOf(index);
+  start.submission = job.submission;
+  start.deadline = job.deadline;
+  return start;
+}
+
+void SubmissionLedger::Apply(const Effects& effects) {
+  for (const auto& [host, record] : effects.records) {
+    this->hooks.send_record(host, *record);
+  }
+  for (const std::shared_ptr<const JobRecord>& record : effects.disk_writes) {
+    this->hooks.write_disk(*record, [this, record](bool ok) { this->OnDiskWritten(*record, ok); });
+  }
+  if (!effects.starts.empty()) {
+    this->hooks.start_tasks(effects.starts);
+  }
+  if (!effects.cancels.empty()) {
+    this->hooks.cancel_tasks(effects.cancels);
+  }
+  for (const OnAccepted& on_accepted : effects.accepted) {
+    on_accepted();
+  }
+  for (const Answers& answers : effects.answers) {
+    for (const OnAnswer& on_answer : answers.waiters) {
+      on_answer(*answers.answer);
+    }
+  }
+}
+
+}  // namespace sapphirecrank::jobs
--- /dev/null
+++ b/src/jobs/submission_ledger.h
@@ -0,0 +1,312 @@
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "base/result.h"
+#include "base/sharded.h"
+#include "base/time.h"
+#include "jobs/holders.h"
+#include "jobs/job_answer.h"
+#include "jobs/job_record.h"
+#include "jobs/job_status.h"
+#include "jobs/ledger_settings.h"
+#include "jobs/member_view.h"
+#include "jobs/record_ack.h"
+#include "jobs/task_report.h"
+#include "jobs/task_start.h"
+#include "jobs/task_table.h"
+#include "jobs/view_history.h"
+
+namespace sapphirecrank::jobs {
+
+struct Submission;
+
+/// Accepts submissions, decides which of their tasks may start, and answers them, on one entry host
+/// of a data centre; also keeps copies of jobs that other hosts own.
+///
+/// Ownership. The first host in an id's order of preference accepts it as new. From then on the
+/// job stays with this owner while the owner is in the view, also if a host joins that comes first
+/// in the order; the backup is the first host of the order that is not the owner. So the first host
+/// of the order is always owner or backup. If the owner is not in a view, the host that was its
+/// backup in the view before owns the job. A copy counts only if its host was the job's backup in
+/// each view since the copy was made; any other copy is dropped, because tasks may have been
+/// started that it doesn't know of. A host that misses a view therefore drops all jobs that have
+/// not ended, and so does a host that is not in the view. All hosts must be given the same views.
+///
+/// Starts. A task is given to `start_tasks` only after the backup has acknowledged its start
+/// record in the epoch in force, or, in a view of one host, after a disk has. A backup refuses
+/// records of other epochs than its own. Once the backup has learned of the next view it
+/// acknowledges nothing of the old one, so a new owner knows each task that the old one can ever
+/// start, and never starts it again.
+///
+/// Unknown ids. An id carries the time of its creation. A host accepts an unknown id as new only if
+/// that host was owner or backup of the id in each view in which it can have been accepted: the
+/// views in force since its creation, each counted until `view_settle_time` after the next one,
+/// when the last lease under it has ended. An acceptance needs both owner and backup, so such a
+/// host would know the id. Any other unknown id is refused with "may have run"; this covers the
+/// loss of both copies and a host that has just joined. An unknown id older than `max_new_age` is
+/// refused as expired with "may have run". Ended jobs are remembered for longer than that, so the
+/// answer stays true after everything about an id was forgotten. When more than `max_ended` jobs
+/// have ended, the oldest are forgotten early, and unknown ids created before a forgotten one are
+/// refused as expired.
+///
+/// Answers. A job is complete once each task ran with success. It fails with the first task that
+/// can't succeed, by its deadline, or by cancellation; then no further task starts. Callers are
+/// answered once the end is recorded, so that a new owner can neither start a task that was called
+/// "not run" nor give another answer. If the record isn't acknowledged in time, the answer is given
+/// without it, with "may have run" in place of "not run".
+///
+/// State is sharded by submission id, each shard under its own lock. Hooks run after the lock is
+/// released, on the thread that made the change, except where noted. Thread safety: all methods may
+/// be called from any thread, also from a hook.
+class SubmissionLedger {
+ public:
+  using OnAnswer = std::function<void(const JobAnswer&)>;
+  using OnAccepted = std::function<void()>;
+
+  /// Behaviour handed in. Hooks not marked optional must be set.
+  struct Hooks {
+    /// Current time.
+    base::Clock now;
+    /// Tells whether this host's view lease runs. Without it nothing is started or accepted.
+    std::function<bool()> may_act;
+    /// Returns an id's first two hosts in the order of preference. Must be pure, and a member's
+    /// place before another must not depend on the other members; called under a lock.
+    ViewHistory::HoldersFunction holders;
+    /// Returns the time since an id was created, by the clock of the day, or nothing if the id
+    /// carries no time. Must be pure but for the clock.
+    std::function<std::optional<base::Duration>(const base::SubmissionId&)> id_age;
+    /// Sends a record to a backup, which hands it to `OnRecord`. May lose, repeat or delay it.
+    std::function<void(const base::HostId&, const JobRecord&)> send_record;
+    /// Sends an acknowledgement to an owner, which hands it to `OnRecordAck`.
+    std::function<void(const base::HostId&, const RecordAck&)> send_ack;
+    /// Starts tasks, each at most once, and later calls `OnTaskReport` for each. Tasks whose start
+    /// is lost without a trace end with the job's deadline.
+    std::function<void(const std::vector<TaskStart>&)> start_tasks;
+    /// Stops tasks of an ended job as far as possible. May run before `start_tasks` for the same
+    /// tasks returned.
+    std::function<void(const std::vector<TaskStart>&)> cancel_tasks;
+    /// Optional. Writes a record to a synced disk and then calls the function with the success.
+    /// Used only in a view of one host.
+    std::function<void(const JobRecord&, std::function<void(bool)>)> write_disk;
+    /// Optional. Tells whether a new submission may be accepted without any copy, in a view of one
+    /// host without disk. Without this hook it is refused.
+    std::function<bool(const Submission&)> may_run_unreplicated;
+  };
+
+  /// Creates a ledger without a view, which refuses all submissions. `self` is this process.
+  SubmissionLedger(MemberView::Member self, LedgerSettings settings, Hooks hooks);
+
+  /// Puts the next view in force. Views of an epoch that is not above the last one are ignored.
+  /// Must be called by one thread at a time, with each view in turn. Cost: linear in known jobs.
+  void SetView(const MemberView& view);
+
+  /// Accepts a submission or joins the job with the same id and content. `on_answer` is called
+  /// exactly once, also for a refusal; `on_accepted` (optional) at most once, before it, when the
+  /// job is recorded. Other content under a known id is refused with `kConflict`, "not run"; at a
+  /// host that doesn't own the id (see `OwnerOf`) the refusal is `kFenced`.
+  void Submit(std::shared_ptr<const Submission> submission, OnAnswer on_answer,
+              OnAccepted on_accepted = nullptr);
+
+  /// Takes an owner's record for this host as backup, and acknowledges it to `from`.
+  void OnRecord(const base::HostId& from, const JobRecord& record);
+
+  /// Takes the answer of a backup to a record.
+  void OnRecordAck(const base::HostId& from, const RecordAck& ack);
+
+  /// Takes the end of a placement. Returns false if the report told nothing new: the job or the
+  /// placement isn't known here as running.
+  bool OnTaskReport(const TaskReport& report);
+
+  /// Ends a job of this host that runs. Returns false if it doesn't run here, because it is
+  /// unknown, ended or of another owner.
+  bool Cancel(const base::SubmissionId& id);
+
+  /// Ends all running jobs of a team that this host owns, and returns their number. Cost: linear
+  /// in the jobs that it ends and their tasks; holds one shard's lock at a time.
+  size_t CancelTeam(const base::TeamId& team);
+
+  /// Returns the progress of a job.
+  JobStatus Status(const base::SubmissionId& id);
+
+  /// Returns the host to which requests about an id go: the job's owner if the job is known here,
+  /// otherwise the host that accepts the id as new; empty without a view.
+  base::HostId OwnerOf(const base::SubmissionId& id);
+
+  /// Sends due records again, places tasks again, and ends jobs whose time is over. To be called
+  /// every few milliseconds. Cost: linear in the jobs that are due.
+  void Tick();
+
+ private:
+  enum class Phase { kAccepting, kRunning, kEnding, kEnded };
+
+  struct Outstanding {
+    std::shared_ptr<const JobRecord> record;
+    base::TimePoint resend_at;
+    uint32_t sends = 0;
+  };
+
+  struct Job {
+    explicit Job(size_t size) : tasks(size) {}
+
+    TaskTable tasks;
+    std::shared_ptr<const Submission> submission;
+    base::SubmissionId id;
+    base::TeamId team;
+    uint64_t content_hash = 0;
+    MemberView::Member owner;
+    // Of an owned job: the host that has or gets the copy, and whether it acknowledged a full one.
+    MemberView::Member backup;
+    bool copied = false;
+    Phase phase = Phase::kAccepting;
+    bool complete = false;
+    base::Error error;
+    base::TimePoint created;
+    base::TimePoint deadline;
+    base::Epoch takeover_epoch;
+    base::TimePoint takeover_until = base::TimePoint::max();
+    base::TimePoint place_again_at = base::TimePoint::max();
+    base::TimePoint results_due = base::TimePoint::max();
+    base::TimePoint answer_by = base::TimePoint::max();
+    // Next look at a job whose starts wait for the view lease.
+    base::TimePoint advance_at = base::TimePoint::max();
+    base::TimePoint ended_at;
+    // Key of the job in the shard's timer set.
+    base::TimePoint due = base::TimePoint::max();
+    bool answered_uncertain = false;
+    std::optional<Outstanding> outstanding;
+    std::vector<OnAnswer> answer_waiters;
+    std::vector<OnAccepted> accept_waiters;
+  };
+
+  struct Shard {
+    std::shared_ptr<const ViewHistory> view;
+    std::unordered_map<base::SubmissionId, std::unique_ptr<Job>> jobs;
+    std::set<std::pair<base::TimePoint, Job*>> timers;
+    std::unordered_map<base::TeamId, std::unordered_set<Job*>> running;
+    // Ended jobs in the order of their ends; an entry whose job is gone is skipped.
+    std::deque<std::pair<base::TimePoint, base::SubmissionId>> ended;
+    // Unknown ids created up to this time may have been forgotten early.
+    base::TimePoint forgotten_until = base::TimePoint::min();
+  };
+
+  struct Answers {
+    std::shared_ptr<const JobAnswer> answer;
+    std::vector<OnAnswer> waiters;
+  };
+
+  struct Effects {
+    std::vector<std::pair<base::HostId, std::shared_ptr<const JobRecord>>> records;
+    std::vector<std::shared_ptr<const JobRecord>> disk_writes;
+    std::vector<TaskStart> starts;
+    std::vector<TaskStart> cancels;
+    std::vector<OnAccepted> accepted;
+    std::vector<Answers> answers;
+  };
+
+  /// What a call has asked the hooks before it took the lock.
+  struct Moment {
+    base::TimePoint now;
+    bool may_act = false;
+  };
+
+  struct NewSubmission {
+    std::shared_ptr<const Submission> submission;
+    uint64_t content_hash = 0;
+    std::optional<base::Duration> age;
+    bool may_run_unreplicated = false;
+    OnAnswer on_answer;
+    OnAccepted on_accepted;
+  };
+
+  /// What a call knows of a record before it takes the lock.
+  struct IncomingRecord {
+    const JobRecord& record;
+    uint64_t content_hash = 0;
+    std::optional<base::Duration> age;
+  };
+
+  Moment TakeMoment() const;
+  base::TimePoint CreationTime(std::optional<base::Duration> age, base::TimePoint now) const;
+  static bool IsRunning(const Job& job);
+  bool IsOwn(const Job& job) const;
+
+  void AddOrJoin(Shard& shard, NewSubmission& request, const Moment& moment, Effects& effects);
+  void Join(Job& job, NewSubmission& request, Effects& effects) const;
+  void AddNew(Shard& shard, NewSubmission& request, const Moment& moment, Effects& effects);
+  base::Result<void> CheckNew(const Shard& shard, const NewSubmission& request,
+                              const Moment& moment) const;
+  base::Result<void> CheckUnknown(const Shard& shard, const NewSubmission& request,
+                                  base::TimePoint now) const;
+  base::Result<void> CheckContent(const Submission& submission) const;
+
+  bool IsForThisBackup(const ViewHistory& view, const JobRecord& record) const;
+  RecordAck::Outcome Store(Shard& shard, const IncomingRecord& incoming, const Moment& moment);
+  Job& AddCopy(Shard& shard, const IncomingRecord& incoming, base::TimePoint now) const;
+  void MergeIntoCopy(Shard& shard, Job& job, const JobRecord& record, base::TimePoint now);
+
+  void ChangeView(Shard& shard, const std::shared_ptr<const ViewHistory>& view,
+                  const Moment& moment, Effects& effects);
+  bool SurvivesView(const ViewHistory& view, const Job& job) const;
+  void KeepOwned(Shard& shard, Job& job, const Moment& moment, Effects& effects);
+  void TakeOver(Shard& shard, Job& job, const Moment& moment, Effects& effects);
+
+  void Advance(Shard& shard, Job& job, const Moment& moment, Effects& effects);
+  static bool NeedsRecord(const Job& job, base::TimePoint now);
+  std::shared_ptr<const JobRecord> BuildRecord(const Shard& shard, Job& job,
+                                               std::vector<base::TaskIndex> starts,
+                                               base::TimePoint now);
+  void SendRecord(Shard& shard, Job& job, std::vector<base::TaskIndex> starts, const Moment& moment,
+                  Effects& effects);
+  void Resend(Job& job, base::TimePoint now, Effects& effects) const;
+  static void Supersede(Job& job, base::TimePoint now);
+  void OnRecorded(Shard& shard, Job& job, const Moment& moment, Effects& effects);
+  void OnDiskWritten(const JobRecord& record, bool ok);
+
+  void OnReportTaken(Shard& shard, Job& job, const TaskReport& report,
+                     TaskTable::ReportOutcome outcome, const Moment& moment, Effects& effects);
+  void PlaceAgain(const Shard& shard, Job& job, const Moment& moment, Effects& effects) const;
+  void OnDue(Shard& shard, Job& job, const Moment& moment, Effects& effects);
+  void OnOwnedDue(Shard& shard, Job& job, const Moment& moment, Effects& effects);
+
+  void DecideEnd(Shard& shard, Job& job, std::optional<base::Error> error, const Moment& moment,
+                 Effects& effects);
+  void FinishEnd(Shard& shard, Job& job, base::TimePoint now, Effects& effects);
+  void RememberEnded(Shard& shard, Job& job, base::TimePoint now);
+  void ForgetEnded(Shard& shard, base::TimePoint now);
+
+  void Schedule(Shard& shard, Job& job) const;
+  base::TimePoint NextDue(const Job& job) const;
+  static void Drop(Shard& shard, Job& job, Effects& effects);
+  static void Erase(Shard& shard, Job& job);
+  static void AddRunning(Shard& shard, Job& job);
+  static void RemoveRunning(Shard& shard, Job& job);
+  static void AnswerWaiters(Job& job, bool certain, Effects& effects);
+  static JobAnswer AnswerOf(const Job& job, bool certain);
+  static TaskStart StartOf(const Job& job, base::TaskIndex index);
+  void Apply(const Effects& effects);
+
+  MemberView::Member self;
+  LedgerSettings settings;
+  Hooks hooks;
+  std::atomic<uint64_t> next_sequence{1};
+  // Touched only by the thread in `SetView`.
+  std::shared_ptr<const ViewHistory> latest_view;
+  base::Sharded<base::SubmissionId, Shard> shards;
+};
+
+}  // namespace sapphirecrank::jobs
--- /dev/null
+++ b/src/jobs/task_result.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+
+#include "base/ids.h"
+#include "base/verdict.h"
+
+namespace sapphirecrank::jobs {
+
+/// How one task of a job ended.
+struct TaskResult {
+  base::TaskIndex index;
+  base::Verdict verdict = base::Verdict::kNotRun;
+  /// The task ran and its target answered with success.
+  bool ok = false;
+  /// The target's answer, or its error text.
+  std::string body;
+};
+
+}  // namespace sapphirecrank::jobs
--- /dev/null
+++ b/src/jobs/task_table.cc
@@ -0,0 +1,246 @@
+#include "jobs/task_table.h"
+
+#include <algorithm>
+
+namespace sapphirecrank::jobs {
+
+namespace {
+
+constexpr PlacementNumber kFirstPlacement(1);
+
+bool AllowsAnotherPlacement(const TaskReport& report, uint32_t max_placements) {
+  bool useless = report.code == base::ErrorCode::kUnsatisfiable ||
+                 report.code == base::ErrorCode::kInvalidArgument ||
+                 report.code == base::ErrorCode::kDeadlineExceeded;
+  return !useless && report.placement.value() < max_placements;
+}
+
+base::TaskIndex IndexOf(size_t position) {
+  return base::TaskIndex(static_cast<base::TaskIndex::Representation>(position));
+}
+
+}  // namespace
+
+TaskTable::TaskTable(size_t size) : tasks(size), waiting(size) {}
+
+void TaskTable::Merge(const std::vector<base::TaskIndex>& starts,
+                      const std::vector<TaskResult>& results) {
+  for (base::TaskIndex index : starts) {
+    if (index.value() < this->tasks.size() && this->At(index).phase == Phase::kWaiting) {
+      this->Leave(Phase::kWaiting);
+      this->At(index).phase = Phase::kInherited;
+      ++this->inherited;
+      ++this->in_flight;
+    }
+  }
+  for (const TaskResult& result : results) {
+    if (result.index.value() < this->tasks.size() && this->At(result.index).phase != Phase::kDone) {
+      this->Finish(result.index, result.verdict, result.ok, result.body);
+    }
+  }
+}
+
+std::vector<base::TaskIndex> TaskTable::TakeStarts(size_t window) {
+  std::vector<base::TaskIndex> starts;
+  while (this->waiting > 0 && this->in_flight < window) {
+    Task& task = this->tasks[this->first_waiting];
+    if (task.phase == Phase::kWaiting) {
+      this->Leave(Phase::kWaiting);
+      task.phase = Phase::kRecording;
+      ++this->in_flight;
+      starts.push_back(IndexOf(this->first_waiting));
+    }
+    ++this->first_waiting;
+  }
+  return starts;
+}
+
+void TaskTable::ReturnStarts(const std::vector<base::TaskIndex>& starts) {
+  for (base::TaskIndex index : starts) {
+    if (this->At(index).phase == Phase::kRecording) {
+      this->Leave(Phase::kRecording);
+      this->At(index).phase = Phase::kWaiting;
+      ++this->waiting;
+      this->first_waiting = std::min<size_t>(this->first_waiting, index.value());
+    }
+  }
+}
+
+bool TaskTable::Place(base::TaskIndex index, base::Epoch epoch) {
+  Task& task = this->At(index);
+  if (task.phase != Phase::kRecording) {
+    return false;
+  }
+  task.phase = Phase::kPlaced;
+  task.placement = kFirstPlacement;
+  task.start_epoch = epoch;
+  return true;
+}
+
+std::vector<base::TaskIndex> TaskTable::PlaceAgain(base::Epoch epoch) {
+  std::vector<base::TaskIndex> placed;
+  placed.swap(this->again);
+  for (base::TaskIndex index : placed) {
+    Task& task = this->At(index);
+    task.phase = Phase::kPlaced;
+    task.placement = task.placement.Next();
+    task.start_epoch = epoch;
+  }
+  return placed;
+}
+
+TaskTable::ReportOutcome TaskTable::Report(const TaskReport& report, base::Epoch takeover_epoch,
+                                           uint32_t max_placements) {
+  base::TaskIndex index = report.key.index;
+  if (index.value() >= this->tasks.size()) {
+    return ReportOutcome::kIgnored;
+  }
+  const Task& task = this->At(index);
+  if (task.phase == Phase::kPlaced && task.start_epoch == report.epoch &&
+      task.placement == report.placement) {
+    return this->ReportPlaced(report, max_placements);
+  }
+  if (task.phase == Phase::kInherited && report.epoch < takeover_epoch &&
+      report.verdict == base::Verdict::kRan) {
+    return this->ReportRan(report);
+  }
+  return ReportOutcome::kIgnored;
+}
+
+std::vector<base::TaskIndex> TaskTable::EndAll() {
+  std::vector<base::TaskIndex> running;
+  for (size_t position = 0; position < this->tasks.size(); ++position) {
+    base::TaskIndex index = IndexOf(position);
+    Phase phase = this->tasks[position].phase;
+    if (phase == Phase::kDone) {
+      continue;
+    }
+    bool may_run = phase == Phase::kPlaced || phase == Phase::kInherited;
+    if (phase == Phase::kPlaced) {
+      running.push_back(index);
+    }
+    this->Finish(index, may_run ? base::Verdict::kMayHaveRun : base::Verdict::kNotRun, false, "");
+  }
+  this->again.clear();
+  return running;
+}
+
+std::vector<base::TaskIndex> TaskTable::StartedTasks() const {
+  std::vector<base::TaskIndex> started;
+  for (size_t position = 0; position < this->tasks.size(); ++position) {
+    Phase phase = this->tasks[position].phase;
+    if (phase != Phase::kWaiting && phase != Phase::kDone) {
+      started.push_back(IndexOf(position));
+    }
+  }
+  return started;
+}
+
+std::vector<TaskResult> TaskTable::TakeUnrecorded() {
+  std::vector<TaskResult> results;
+  results.reserve(this->unrecorded.size());
+  for (base::TaskIndex index : this->unrecorded) {
+    results.push_back(this->ResultOf(index));
+  }
+  this->unrecorded.clear();
+  return results;
+}
+
+void TaskTable::ReturnUnrecorded(const std::vector<TaskResult>& results) {
+  for (const TaskResult& result : results) {
+    this->unrecorded.push_back(result.index);
+  }
+}
+
+void TaskTable::ReturnAllResults() {
+  this->unrecorded.clear();
+  for (size_t position = 0; position < this->tasks.size(); ++position) {
+    if (this->tasks[position].phase == Phase::kDone) {
+      this->unrecorded.push_back(IndexOf(position));
+    }
+  }
+}
+
+std::vector<TaskResult> TaskTable::Results(bool certain) const {
+  std::vector<TaskResult> results;
+  results.reserve(this->tasks.size());
+  for (size_t position = 0; position < this->tasks.size(); ++position) {
+    results.push_back(this->ResultOf(IndexOf(position)));
+    if (!certain && results.back().verdict == base::Verdict::kNotRun) {
+      results.back().verdict = base::Verdict::kMayHaveRun;
+    }
+  }
+  return results;
+}
+
+PlacementNumber TaskTable::PlacementOf(base::TaskIndex index) const {
+  return this->At(index).placement;
+}
+
+base::Epoch TaskTable::StartEpochOf(base::TaskIndex index) const {
+  return this->At(index).start_epoch;
+}
+
+void TaskTable::Leave(Phase phase) {
+  switch (phase) {
+    case Phase::kWaiting:
+      --this->waiting;
+      break;
+    case Phase::kInherited:
+      --this->inherited;
+      --this->in_flight;
+      break;
+    case Phase::kRecording:
+    case Phase::kPlaced:
+    case Phase::kPlaceAgain:
+      --this->in_flight;
+      break;
+    case Phase::kDone:
+      break;
+  }
+}
+
+void TaskTable::Finish(base::TaskIndex index, base::Verdict verdict, bool ok,
+                       const std::string& body) {
+  Task& task = this->At(index);
+  this->Leave(task.phase);
+  task.phase = Phase::kDone;
+  task.verdict = verdict;
+  task.ok = ok;
+  task.body = body;
+  ++this->done;
+  this->failed = this->failed || !ok;
+  this->unrecorded.push_back(index);
+}
+
+TaskTable::ReportOutcome TaskTable::ReportPlaced(const TaskReport& report,
+                                                 uint32_t max_placements) {
+  base::TaskIndex index = report.key.index;
+  if (report.verdict == base::Verdict::kRan) {
+    return this->ReportRan(report);
+  }
+  if (report.verdict == base::Verdict::kNotRun && AllowsAnotherPlacement(report, max_placements)) {
+    this->At(index).phase = Phase::kPlaceAgain;
+    this->again.push_back(index);
+    return ReportOutcome::kPlaceAgain;
+  }
+  this->Finish(index, report.verdict, false, report.body);
+  return ReportOutcome::kFailed;
+}
+
+TaskTable::ReportOutcome TaskTable::ReportRan(const TaskReport& report) {
+  this->Finish(report.key.index, base::Verdict::kRan, report.ok, report.body);
+  return report.ok ? ReportOutcome::kDone : ReportOutcome::kFailed;
+}
+
+TaskResult TaskTable::ResultOf(base::TaskIndex index) const {
+  const Task& task = this->At(index);
+  TaskResult result;
+  result.index = index;
+  result.verdict = task.verdict;
+  result.ok = task.ok;
+  result.body = task.body;
+  return result;
+}
+
+}  // namespace sapphirecrank::jobs
--- /dev/null
+++ b/src/jobs/task_table.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/verdict.h"
+#include "jobs/placement_number.h"
+#include "jobs/task_report.h"
+#include "jobs/task_result.h"
+
+namespace sapphirecrank::jobs {
+
+/// State of the tasks of one job at its owner or its backup.
+///
+/// A task waits, then its start is being recorded, then it is placed, perhaps several times one
+/// after the other, then it is done. Knows no views, timers or hooks. Thread safety: none; the
+/// ledger's shard lock guards it.
+class TaskTable {
+ public:
+  enum class ReportOutcome {
+    /// The report is not about the latest placement, or tells nothing new.
+    kIgnored,
+    /// The task ran with success.
+    kDone,
+    /// The task has not run and can be placed again.
+    kPlaceAgain,
+    /// The task will not succeed any more.
+    kFailed,
+  };
+
+  /// Creates `size` waiting tasks.
+  explicit TaskTable(size_t size);
+
+  /// Takes what another host's record says: recorded starts without a result become inherited
+  /// starts, which this host never places.
+  void Merge(const std::vector<base::TaskIndex>& starts, const std::vector<TaskResult>& results);
+
+  /// Moves waiting tasks to recording until `window` tasks are in flight, and returns them.
+  std::vector<base::TaskIndex> TakeStarts(size_t window);
+
+  /// Moves those of `starts` that are still recording back to waiting.
+  void ReturnStarts(const std::vector<base::TaskIndex>& starts);
+
+  /// Gives a recording task its first placement. Returns false if the task is not recording.
+  bool Place(base::TaskIndex index, base::Epoch epoch);
+
+  /// Gives each task that can be placed again its next placement, and returns these tasks.
+  std::vector<base::TaskIndex> PlaceAgain(base::Epoch epoch);
+
+  /// Takes a report. One on an older placement is ignored, because that placement is known not to
+  /// run. For a task that an earlier owner started, only "ran" of an epoch before
+  /// `takeover_epoch` counts: after "not run" that owner may have placed the task again.
+  ReportOutcome Report(const TaskReport& report, base::Epoch takeover_epoch,
+                       uint32_t max_placements);
+
+  /// Ends all tasks that are not done, each with a true verdict, and returns those that may be
+  /// running under a placement of this host.
+  std::vector<base::TaskIndex> EndAll();
+
+  /// Returns the tasks that have a start record or placement and no result.
+  std::vector<base::TaskIndex> StartedTasks() const;
+
+  /// Returns the results that were neither taken before nor known to the backup, and takes them.
+  std::vector<TaskResult> TakeUnrecorded();
+
+  /// Puts results back that were taken and may not have reached the backup.
+  void ReturnUnrecorded(const std::vector<TaskResult>& results);
+
+  /// Puts all results back, for a backup that has none.
+  void ReturnAllResults();
+
+  /// Returns one entry for each task. If `certain` is false, "not run" becomes "may have run".
+  std::vector<TaskResult> Results(bool certain) const;
+
+  /// Returns the placement that the task is in, or 0.
+  PlacementNumber PlacementOf(base::TaskIndex index) const;
+
+  /// Returns the epoch in which the task's latest placement was made.
+  base::Epoch StartEpochOf(base::TaskIndex index) const;
+
+  size_t size() const { return this->tasks.size(); }
+  size_t started() const { return this->in_flight; }
+  size_t ended() const { return this->done; }
+  bool has_waiting() const { return this->waiting > 0; }
+  bool has_inherited() const { return this->inherited > 0; }
+  bool has_unrecorded() const { return !this->unrecorded.empty(); }
+  bool has_failure() const { return this->failed; }
+  bool succeeded() const { return this->done == this->tasks.size() && !this->failed; }
+
+ private:
+  enum class Phase : uint8_t {
+    kWaiting,
+    /// The start record is in flight.
+    kRecording,
+    /// A placement is alive.
+    kPlaced,
+    /// The latest placement has not run.
+    kPlaceAgain,
+    /// A start was recorded for another owner.
+    kInherited,
+    kDone,
+  };
+
+  struct Task {
+    Phase phase = Phase::kWaiting;
+    base::Verdict verdict = base::Verdict::kNotRun;
+    bool ok = false;
+    PlacementNumber placement;
+    base::Epoch start_epoch;
+    std::string body;
+  };
+
+  Task& At(base::TaskIndex index) { return this->tasks[index.value()]; }
+  const Task& At(base::TaskIndex index) const { return this->tasks[index.value()]; }
+  void Leave(Phase phase);
+  void Finish(base::TaskIndex index, base::Verdict verdict, bool ok, const std::string& body);
+  ReportOutcome ReportPlaced(const TaskReport& report, uint32_t max_placements);
+  ReportOutcome ReportRan(const TaskReport& report);
+  TaskResult ResultOf(base::TaskIndex index) const;
+
+  std::vector<Task> tasks;
+  std::vector<base::TaskIndex> unrecorded;
+  std::vector<base::TaskIndex> again;
+  // No task below this index is waiting.
+  size_t first_waiting = 0;
+  size_t waiting = 0;
+  size_t in_flight = 0;
+  size_t inherited = 0;
+  size_t done = 0;
+  bool failed = false;
+};
+
+}  // namespace sapphirecrank::jobs
--- /dev/null
+++ b/src/jobs/view_history.cc
@@ -0,0 +1,95 @@
+#include "jobs/view_history.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirecrank::jobs {
+
+namespace {
+
+constexpr base::Epoch kFirstEpoch(1);
+
+}  // namespace
+
+ViewHistory::ViewHistory(MemberView::Member self, HoldersFunction holders,
+                         base::Duration settle_time)
+    : self(std::move(self)), holders(std::move(holders)), settle_time(settle_time) {}
+
+void ViewHistory::Add(const MemberView& view, base::TimePoint now, base::Duration keep) {
+  if (!this->entries.empty() && this->epoch().Next() != view.epoch) {
+    this->entries.clear();
+  }
+  // An entry is needed until its successor has been in force for long enough.
+  while (this->entries.size() > 1 && this->entries[1].learned + keep < now) {
+    this->entries.erase(this->entries.begin());
+  }
+  Entry entry;
+  entry.epoch = view.epoch;
+  entry.members = view.members;
+  entry.learned = now;
+  for (const MemberView::Member& member : view.members) {
+    entry.hosts.push_back(member.host);
+    entry.has_self = entry.has_self || member == this->self;
+  }
+  this->entries.push_back(std::move(entry));
+}
+
+base::Epoch ViewHistory::epoch() const {
+  return this->entries.empty() ? base::Epoch() : this->entries.back().epoch;
+}
+
+size_t ViewHistory::size() const {
+  return this->entries.empty() ? 0 : this->entries.back().hosts.size();
+}
+
+bool ViewHistory::IsNextAfter(base::Epoch earlier) const { return earlier.Next() == this->epoch(); }
+
+bool ViewHistory::Contains(const MemberView::Member& member) const {
+  if (this->entries.empty()) {
+    return false;
+  }
+  const std::vector<MemberView::Member>& members = this->entries.back().members;
+  return std::find(members.begin(), members.end(), member) != members.end();
+}
+
+Holders ViewHistory::HoldersOf(const base::SubmissionId& id) const {
+  return this->entries.empty() ? Holders() : this->holders(id, this->entries.back().hosts);
+}
+
+MemberView::Member ViewHistory::BackupOf(const base::SubmissionId& id,
+                                         const base::HostId& owner) const {
+  Holders preferred = this->HoldersOf(id);
+  const base::HostId& backup = preferred.owner == owner ? preferred.backup : preferred.owner;
+  if (!backup.empty()) {
+    for (const MemberView::Member& member : this->entries.back().members) {
+      if (member.host == backup) {
+        return member;
+      }
+    }
+  }
+  return MemberView::Member();
+}
+
+bool ViewHistory::HeldSince(const base::SubmissionId& id, base::TimePoint created) const {
+  for (size_t i = this->entries.size(); i > 0; --i) {
+    const Entry& entry = this->entries[i - 1];
+    if (!this->Holds(entry, id)) {
+      return false;
+    }
+    // Under an earlier view the id can have been accepted until its leases had ended.
+    if (entry.epoch == kFirstEpoch || created > entry.learned + this->settle_time) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool ViewHistory::Holds(const Entry& entry, const base::SubmissionId& id) const {
+  if (!entry.has_self) {
+    return false;
+  }
+  Holders preferred = this->holders(id, entry.hosts);
+  return preferred.owner == this->self.host || preferred.backup == this->self.host;
+}
+
+}  // namespace sapphirecrank::jobs
--- /dev/null
+++ b/src/jobs/view_history.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "jobs/holders.h"
+#include "jobs/member_view.h"
+
+namespace sapphirecrank::jobs {
+
+/// The views that one entry host has been told, without gaps, up to the one in force.
+///
+/// Immutable but for `Add`. Thread safety: const methods may be called from any thread as long as
+/// no thread calls `Add`.
+class ViewHistory {
+ public:
+  /// Returns the first two hosts for an id among the given ones. Must be pure.
+  using HoldersFunction =
+      std::function<Holders(const base::SubmissionId&, const std::vector<base::HostId>&)>;
+
+  /// Creates an empty history for the process `self`.
+  ViewHistory(MemberView::Member self, HoldersFunction holders, base::Duration settle_time);
+
+  /// Appends a view learned at `now` and forgets views replaced more than `keep` ago. If views are
+  /// missing before it, the history starts anew with it. Precondition: its epoch is above
+  /// `epoch()`.
+  void Add(const MemberView& view, base::TimePoint now, base::Duration keep);
+
+  /// Returns the epoch in force, or 0 if there is no view yet.
+  base::Epoch epoch() const;
+
+  /// Returns the number of hosts in the view in force.
+  size_t size() const;
+
+  /// Tells whether the view in force follows directly on the one of `earlier`.
+  bool IsNextAfter(base::Epoch earlier) const;
+
+  /// Tells whether `member` is in the view in force.
+  bool Contains(const MemberView::Member& member) const;
+
+  /// Tells whether this process is in the view in force.
+  bool ContainsSelf() const { return this->Contains(this->self); }
+
+  /// Returns owner and backup of new submissions with this id in the view in force.
+  Holders HoldersOf(const base::SubmissionId& id) const;
+
+  /// Returns the member that backs up a job owned by `owner`: the first in the id's order of
+  /// preference that is not the owner; its host is empty if there is none.
+  MemberView::Member BackupOf(const base::SubmissionId& id, const base::HostId& owner) const;
+
+  /// Tells whether this process was owner or backup of the id in each view under which it can have
+  /// been accepted, if it was created at `created` or later. Then a job that this process doesn't
+  /// know has never been accepted under an earlier view and never will be.
+  bool HeldSince(const base::SubmissionId& id, base::TimePoint created) const;
+
+ private:
+  struct Entry {
+    base::Epoch epoch;
+    bool has_self = false;
+    std::vector<MemberView::Member> members;
+    std::vector<base::HostId> hosts;
+    base::TimePoint learned;
+  };
+
+  bool Holds(const Entry& entry, const base::SubmissionId& id) const;
+
+  MemberView::Member self;
+  HoldersFunction holders;
+  base::Duration settle_time;
+  std::vector<Entry> entries;
+};
+
+}  // namespace sapphirecrank::jobs
--- /dev/null
+++ b/tests/jobs/ledger_cluster.cc
@@ -0,0 +1,395 @@
+#include "tests/jobs/ledger_cluster.h"
+
+#include <algorithm>
+
+#include "base/rendezvous_hash.h"
+
+namespace sapphirecrank::jobs {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kViewLease(1500);
+
+base::HostId NameOf(size_t host) {
+  return base::HostId(std::string(1, static_cast<char>('a' + host)));
+}
+
+size_t IndexOf(const base::HostId& host) { return static_cast<size_t>(host.value()[0] - 'a'); }
+
+Holders Preferred(const base::SubmissionId& id, const std::vector<base::HostId>& hosts) {
+  std::vector<std::pair<uint64_t, base::HostId>> order;
+  order.reserve(hosts.size());
+  for (const base::HostId& host : hosts) {
+    order.emplace_back(base::RendezvousScore(host.value(), id.value()), host);
+  }
+  std::sort(order.rbegin(), order.rend());
+  Holders holders;
+  holders.owner = order[0].second;
+  holders.backup = order.size() > 1 ? order[1].second : base::HostId();
+  return holders;
+}
+
+std::string BodyOf(const base::TaskKey& key) {
+  return key.submission.value() + "/" + std::to_string(key.index.value());
+}
+
+}  // namespace
+
+LedgerCluster::LedgerCluster(size_t host_count, LedgerSettings settings) : settings(settings) {
+  this->hosts.resize(host_count);
+  for (size_t host = 0; host < host_count; ++host) {
+    this->Restart(host);
+  }
+  this->DecideView();
+  this->LearnAll();
+}
+
+LedgerSettings LedgerCluster::Settings() {
+  LedgerSettings settings;
+  settings.shards = 2;
+  settings.clock_tolerance = milliseconds(10);
+  return settings;
+}
+
+base::SubmissionId LedgerCluster::NewId() {
+  return base::SubmissionId(std::to_string(this->clock.Now().time_since_epoch().count()) + "-" +
+                            std::to_string(this->next_id++));
+}
+
+LedgerCluster::Call& LedgerCluster::Submit(size_t host, const base::SubmissionId& id, size_t tasks,
+                                           const std::string& payload) {
+  auto submission = std::make_shared<Submission>();
+  submission->id = id;
+  submission->team = base::TeamId(id.value().back() % 2 == 0 ? "even" : "odd");
+  submission->time_left = std::chrono::seconds(5);
+  submission->tasks.resize(tasks);
+  submission->tasks[0].payload = payload;
+  Call& call = this->calls.emplace_back();
+  call.id = id;
+  call.host = host;
+  call.incarnation = this->hosts[host].incarnation;
+  call.own_content = payload == "p";
+  for (size_t i = 0; call.own_content && i < tasks; ++i) {
+    this->called_not_run.erase({id, base::TaskIndex(static_cast<uint32_t>(i))});
+  }
+  this->hosts[host].ledger->Submit(
+      submission, [this, &call](const JobAnswer& answer) { this->OnAnswer(call, answer); },
+      [&call] { call.accepted = true; });
+  return call;
+}
+
+LedgerCluster::Call& LedgerCluster::SubmitToOwner(const base::SubmissionId& id, size_t tasks) {
+  return this->Submit(this->OwnerOf(id), id, tasks);
+}
+
+size_t LedgerCluster::OwnerOf(const base::SubmissionId& id) {
+  base::HostId owner;
+  for (size_t host = 0; host < this->hosts.size(); ++host) {
+    if (!this->IsMember(host)) {
+      continue;
+    }
+    if (this->hosts[host].ledger->Status(id).state != JobStatus::State::kUnknown) {
+      return IndexOf(this->hosts[host].ledger->OwnerOf(id));
+    }
+    owner = this->hosts[host].ledger->OwnerOf(id);
+  }
+  return IndexOf(owner);
+}
+
+size_t LedgerCluster::OwnerOfOr(const base::SubmissionId& id, size_t fallback) {
+  for (size_t host = 0; host < this->hosts.size(); ++host) {
+    if (this->IsMember(host)) {
+      size_t owner = this->OwnerOf(id);
+      return this->hosts[owner].ledger ? owner : fallback;
+    }
+  }
+  return fallback;
+}
+
+size_t LedgerCluster::BackupOf(const base::SubmissionId& id) {
+  std::vector<base::HostId> others;
+  for (const MemberView::Member& member : this->views.back().members) {
+    if (IndexOf(member.host) != this->OwnerOf(id)) {
+      others.push_back(member.host);
+    }
+  }
+  return IndexOf(Preferred(id, others).owner);
+}
+
+void LedgerCluster::Deliver(size_t position) {
+  Message message = std::move(this->messages[position]);
+  this->messages.erase(this->messages.begin() + static_cast<ptrdiff_t>(position));
+  Host& to = this->hosts[message.to];
+  bool cut = to.isolated != this->hosts[message.from].isolated;
+  if (to.ledger && !cut) {
+    message.deliver(*to.ledger);
+  }
+}
+
+void LedgerCluster::Drop(size_t position) {
+  this->messages.erase(this->messages.begin() + static_cast<ptrdiff_t>(position));
+}
+
+void LedgerCluster::DeliverAll() {
+  while (!this->messages.empty()) {
+    this->Deliver(0);
+  }
+}
+
+void LedgerCluster::Run(size_t position, bool ok) {
+  size_t host = 0;
+  TaskStart start = this->TakePending(position, host);
+  if (++this->runs[start.key] > 1) {
+    this->Violate("second run", start.key);
+  }
+  TaskReport report;
+  report.epoch = start.epoch;
+  report.key = start.key;
+  report.placement = start.placement;
+  report.verdict = base::Verdict::kRan;
+  report.ok = ok;
+  report.body = BodyOf(start.key);
+  this->Report(report, host);
+}
+
+void LedgerCluster::Refuse(size_t position) {
+  size_t host = 0;
+  TaskStart start = this->TakePending(position, host);
+  --this->alive[start.key];
+  TaskReport report;
+  report.epoch = start.epoch;
+  report.key = start.key;
+  report.placement = start.placement;
+  report.verdict = base::Verdict::kNotRun;
+  this->Report(report, host);
+}
+
+void LedgerCluster::Lose(size_t position, bool run) {
+  size_t host = 0;
+  TaskStart start = this->TakePending(position, host);
+  this->runs[start.key] += run ? 1 : 0;
+  TaskReport report;
+  report.epoch = start.epoch;
+  report.key = start.key;
+  report.placement = start.placement;
+  this->Report(report, host);
+}
+
+void LedgerCluster::Report(TaskReport report, size_t host) {
+  this->reports.push_back(report);
+  Message message;
+  message.from = message.to = host;
+  message.deliver = [report = std::move(report)](SubmissionLedger& ledger) {
+    ledger.OnTaskReport(report);
+  };
+  this->messages.push_back(std::move(message));
+}
+
+void LedgerCluster::Kill(size_t host) { this->hosts[host].ledger.reset(); }
+
+void LedgerCluster::Restart(size_t host) {
+  Host& restarted = this->hosts[host];
+  restarted.incarnation = restarted.incarnation.Next();
+  restarted.known_views = this->views.size();
+  MemberView::Member self{NameOf(host), restarted.incarnation};
+  restarted.ledger = std::make_unique<SubmissionLedger>(self, this->settings, this->HooksOf(host));
+}
+
+void LedgerCluster::DecideView() {
+  MemberView view;
+  view.epoch = base::Epoch(this->views.size() + 1);
+  for (size_t host = 0; host < this->hosts.size(); ++host) {
+    if (this->hosts[host].ledger && !this->hosts[host].isolated) {
+      view.members.push_back({NameOf(host), this->hosts[host].incarnation});
+    }
+  }
+  if (!view.members.empty()) {
+    this->views.push_back(std::move(view));
+    this->view_times.push_back(this->clock.Now());
+  }
+}
+
+void LedgerCluster::Learn(size_t host) {
+  Host& learner = this->hosts[host];
+  if (learner.ledger && !learner.isolated && learner.known_views < this->views.size()) {
+    learner.ledger->SetView(this->views[learner.known_views++]);
+  }
+}
+
+void LedgerCluster::LearnAll() {
+  for (size_t host = 0; host < this->hosts.size(); ++host) {
+    while (this->hosts[host].ledger && !this->hosts[host].isolated &&
+           this->hosts[host].known_views < this->views.size()) {
+      this->Learn(host);
+    }
+  }
+}
+
+void LedgerCluster::Advance(base::Duration step) {
+  this->clock.Advance(step);
+  for (Host& host : this->hosts) {
+    if (host.ledger) {
+      host.ledger->Tick();
+    }
+  }
+}
+
+void LedgerCluster::Settle() {
+  for (size_t host = 0; host < this->hosts.size(); ++host) {
+    this->Heal(host);
+  }
+  this->DecideView();
+  this->LearnAll();
+  constexpr int kRounds = 60;
+  for (int round = 0; round < kRounds; ++round) {
+    this->DeliverAll();
+    while (!this->pending.empty()) {
+      this->Run(0);
+    }
+    this->DeliverAll();
+    this->Advance(milliseconds(200));
+  }
+}
+
+void LedgerCluster::Repair() {
+  constexpr int kRounds = 4;
+  for (int round = 0; round < kRounds; ++round) {
+    this->DeliverAll();
+    this->Advance(milliseconds(400));
+  }
+  this->DeliverAll();
+}
+
+bool LedgerCluster::IsKnown(const base::SubmissionId& id) {
+  return std::any_of(this->hosts.begin(), this->hosts.end(), [&](const Host& host) {
+    return host.ledger && host.ledger->Status(id).state != JobStatus::State::kUnknown;
+  });
+}
+
+bool LedgerCluster::IsEnded(const base::SubmissionId& id) {
+  return std::any_of(this->hosts.begin(), this->hosts.end(), [&](const Host& host) {
+    JobStatus status = host.ledger ? host.ledger->Status(id) : JobStatus();
+    return status.state == JobStatus::State::kComplete || status.state == JobStatus::State::kFailed;
+  });
+}
+
+bool LedgerCluster::IsMember(size_t host) const {
+  const Host& asked = this->hosts[host];
+  if (!asked.ledger || asked.known_views < this->views.size()) {
+    return false;
+  }
+  const std::vector<MemberView::Member>& members = this->views.back().members;
+  MemberView::Member member{NameOf(host), asked.incarnation};
+  return std::find(members.begin(), members.end(), member) != members.end();
+}
+
+size_t LedgerCluster::alive_count() const {
+  return static_cast<size_t>(
+      std::count_if(this->hosts.begin(), this->hosts.end(),
+                    [](const Host& host) { return host.ledger != nullptr; }));
+}
+
+SubmissionLedger::Hooks LedgerCluster::HooksOf(size_t host) {
+  SubmissionLedger::Hooks hooks;
+  hooks.now = this->clock.Hook();
+  hooks.may_act = [this, host] { return this->MayAct(host); };
+  hooks.holders = Preferred;
+  hooks.id_age = [this](const base::SubmissionId& id) {
+    base::Duration created(std::stoll(id.value()));
+    return std::optional<base::Duration>(this->clock.Now().time_since_epoch() - created);
+  };
+  hooks.send_record = [this, host](const base::HostId& to, const JobRecord& record) {
+    this->Send(host, to,
+               [host, record](SubmissionLedger& ledger) { ledger.OnRecord(NameOf(host), record); });
+  };
+  hooks.send_ack = [this, host](const base::HostId& to, const RecordAck& ack) {
+    this->Send(host, to,
+               [host, ack](SubmissionLedger& ledger) { ledger.OnRecordAck(NameOf(host), ack); });
+  };
+  hooks.start_tasks = [this, host](const std::vector<TaskStart>& starts) {
+    this->OnStarts(host, starts);
+  };
+  hooks.cancel_tasks = [this](const std::vector<TaskStart>& starts) {
+    this->cancels += starts.size();
+  };
+  hooks.write_disk = this->write_disk;
+  return hooks;
+}
+
+bool LedgerCluster::MayAct(size_t host) const {
+  // The lease of a view ends at the latest some time after the next one was decided.
+  size_t known = this->hosts[host].known_views;
+  return known == this->views.size() ||
+         (known > 0 && this->clock.Now() < this->view_times[known] + kViewLease);
+}
+
+void LedgerCluster::Send(size_t from, const base::HostId& to,
+                         std::function<void(SubmissionLedger&)> deliver) {
+  Message message;
+  message.from = from;
+  message.to = IndexOf(to);
+  message.deliver = std::move(deliver);
+  this->messages.push_back(std::move(message));
+}
+
+void LedgerCluster::OnStarts(size_t host, const std::vector<TaskStart>& starts) {
+  for (const TaskStart& start : starts) {
+    if (this->alive[start.key]++ > 0) {
+      this->Violate("second start", start.key);
+    }
+    if (this->called_not_run.count(start.key) > 0) {
+      this->Violate("start after \"not run\"", start.key);
+    }
+    this->pending.push_back(start);
+    this->pending_hosts.push_back(host);
+  }
+}
+
+void LedgerCluster::OnAnswer(Call& call, const JobAnswer& answer) {
+  call.answer = answer;
+  if (++call.answers > 1) {
+    this->Violate("second answer", {call.id, base::TaskIndex()});
+  }
+  // The verdict of a conflict is about the content of this call, which isn't the job's.
+  if (!call.own_content || answer.error.code == base::ErrorCode::kConflict) {
+    return;
+  }
+  for (size_t i = 0; i < answer.tasks.size(); ++i) {
+    const TaskResult& result = answer.tasks[i];
+    base::TaskKey key{call.id, result.index};
+    bool crossed = result.index.value() != i || (result.ok && result.body != BodyOf(key));
+    if (crossed || (answer.complete && !result.ok)) {
+      this->Violate("partial or crossed answer", key);
+    }
+    if (result.verdict == base::Verdict::kRan && this->runs[key] != 1) {
+      this->Violate("untrue \"ran\"", key);
+    }
+    if (result.verdict == base::Verdict::kNotRun) {
+      this->CheckNotRun(call, result.index);
+    }
+  }
+}
+
+void LedgerCluster::CheckNotRun(const Call& call, base::TaskIndex index) {
+  base::TaskKey key{call.id, index};
+  if (this->alive[key] > 0) {
+    this->Violate("untrue \"not run\"", key);
+  }
+  this->called_not_run.insert(key);
+}
+
+TaskStart LedgerCluster::TakePending(size_t position, size_t& host) {
+  TaskStart start = this->pending[position];
+  host = this->pending_hosts[position];
+  this->pending.erase(this->pending.begin() + static_cast<ptrdiff_t>(position));
+  this->pending_hosts.erase(this->pending_hosts.begin() + static_cast<ptrdiff_t>(position));
+  return start;
+}
+
+void LedgerCluster::Violate(const std::string& what, const base::TaskKey& key) {
+  this->violations.push_back(what + " of " + BodyOf(key));
+}
+
+}  // namespace sapphirecrank::jobs
--- /dev/null
+++ b/tests/jobs/submission_ledger_test.cc
@@ -0,0 +1,376 @@
+#include "jobs/submission_ledger.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "tests/jobs/ledger_cluster.h"
+
+using sapphirecrank::base::Epoch;
+using sapphirecrank::base::ErrorCode;
+using sapphirecrank::base::SubmissionId;
+using sapphirecrank::base::TeamId;
+using sapphirecrank::base::Verdict;
+using sapphirecrank::jobs::JobStatus;
+using sapphirecrank::jobs::LedgerCluster;
+using sapphirecrank::jobs::LedgerSettings;
+using sapphirecrank::jobs::TaskReport;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+TEST_GROUP(SubmissionLedger) {
+  LedgerCluster cluster{3};
+
+  void teardown() override {
+    for (const std::string& violation : this->cluster.violations) {
+      FAIL(violation.c_str());
+    }
+  }
+
+  void FailOver(size_t host) {
+    this->cluster.Kill(host);
+    this->cluster.DecideView();
+    this->cluster.LearnAll();
+  }
+};
+
+// Guards against a start without a start record at the backup, and against an answer before the
+// end is recorded.
+TEST(SubmissionLedger, RunsJobWithTwoRecords) {
+  LedgerCluster::Call& call = this->cluster.SubmitToOwner(this->cluster.NewId());
+  CHECK_FALSE(call.accepted);
+  LONGS_EQUAL(1, this->cluster.messages.size());
+  LONGS_EQUAL(0, this->cluster.pending.size());
+  this->cluster.DeliverAll();
+  CHECK(call.accepted);
+  LONGS_EQUAL(2, this->cluster.pending.size());
+  this->cluster.Run(0);
+  this->cluster.Run(0);
+  this->cluster.Deliver(0);
+  this->cluster.Deliver(0);
+  LONGS_EQUAL(0, call.answers);
+  this->cluster.DeliverAll();
+  LONGS_EQUAL(1, call.answers);
+  CHECK(call.answer.complete);
+}
+
+// Guards against a lost record that stops a job, and a repeated acknowledgement that starts twice.
+TEST(SubmissionLedger, SendsLostRecordAgain) {
+  LedgerCluster::Call& call = this->cluster.SubmitToOwner(this->cluster.NewId());
+  this->cluster.Drop(0);
+  this->cluster.Advance(milliseconds(60));
+  this->cluster.Duplicate(0);
+  this->cluster.Deliver(0);
+  this->cluster.Deliver(0);
+  this->cluster.DeliverAll();
+  CHECK(call.accepted);
+  LONGS_EQUAL(2, this->cluster.pending.size());
+}
+
+// Guards against a job that stops with its owner's death although a copy lives, and against a
+// second start of a task with a start record.
+TEST(SubmissionLedger, BackupFinishesJobOfDeadOwner) {
+  SubmissionId id = this->cluster.NewId();
+  size_t owner = this->cluster.OwnerOf(id);
+  this->cluster.SubmitToOwner(id);
+  this->cluster.DeliverAll();
+  this->FailOver(owner);
+  LedgerCluster::Call& again = this->cluster.SubmitToOwner(id);
+  LONGS_EQUAL(2, this->cluster.pending.size());
+  this->cluster.Run(0);
+  this->cluster.Run(0);
+  this->cluster.messages.clear();
+  size_t successor = this->cluster.OwnerOf(id);
+  this->cluster.Report(this->cluster.reports[0], successor);
+  this->cluster.Report(this->cluster.reports[1], successor);
+  this->cluster.Advance(seconds(1));
+  this->cluster.DeliverAll();
+  CHECK(again.answer.complete);
+}
+
+// Guards against a wait without end for results that died with the old owner.
+TEST(SubmissionLedger, FailsInheritedStartsWithoutResultAsMayHaveRun) {
+  SubmissionId id = this->cluster.NewId();
+  size_t owner = this->cluster.OwnerOf(id);
+  this->cluster.SubmitToOwner(id);
+  this->cluster.DeliverAll();
+  this->FailOver(owner);
+  LedgerCluster::Call& again = this->cluster.SubmitToOwner(id);
+  this->cluster.Settle();
+  LONGS_EQUAL(1, again.answers);
+  CHECK(again.answer.error.verdict == Verdict::kMayHaveRun);
+}
+
+// Guards against a second start when the start record reaches the backup only after it took over.
+TEST(SubmissionLedger, BackupRefusesRecordOfOldEpoch) {
+  SubmissionId id = this->cluster.NewId();
+  size_t owner = this->cluster.OwnerOf(id);
+  LedgerCluster::Call& call = this->cluster.SubmitToOwner(id);
+  this->cluster.Isolate(owner);
+  this->cluster.DecideView();
+  this->cluster.LearnAll();
+  this->cluster.Heal(owner);
+  LedgerCluster::Call& again = this->cluster.SubmitToOwner(id);
+  this->cluster.DeliverAll();
+  CHECK(again.accepted);
+  CHECK_FALSE(call.accepted);
+  LONGS_EQUAL(2, this->cluster.pending.size());
+}
+
+// Guards against starts of a host whose view lease has ended.
+TEST(SubmissionLedger, HostWithoutLeaseStartsAndAcceptsNothing) {
+  SubmissionId id = this->cluster.NewId();
+  size_t owner = this->cluster.OwnerOf(id);
+  this->cluster.SubmitToOwner(id);
+  this->cluster.Deliver(0);
+  this->cluster.DecideView();
+  this->cluster.Advance(seconds(2));
+  this->cluster.Deliver(0);
+  LONGS_EQUAL(0, this->cluster.pending.size());
+  SubmissionId late = this->cluster.NewId();
+  LedgerCluster::Call& refused = this->cluster.Submit(owner, late);
+  CHECK(refused.answer.error.code == ErrorCode::kUnavailable ||
+        refused.answer.error.code == ErrorCode::kFenced);
+  CHECK(refused.answer.error.verdict == Verdict::kMayHaveRun);
+}
+
+// Guards against a repeated "not run" that leads to a further placement while one is alive.
+TEST(SubmissionLedger, RepeatedNotRunPlacesOnce) {
+  SubmissionId id = this->cluster.NewId();
+  this->cluster.SubmitToOwner(id, 1);
+  this->cluster.DeliverAll();
+  this->cluster.Refuse(0);
+  this->cluster.Duplicate(0);
+  this->cluster.Deliver(0);
+  this->cluster.Advance(milliseconds(20));
+  LONGS_EQUAL(1, this->cluster.pending.size());
+  LONGS_EQUAL(2, this->cluster.pending[0].placement.value());
+  this->cluster.Deliver(0);
+  this->cluster.Advance(milliseconds(20));
+  LONGS_EQUAL(1, this->cluster.pending.size());
+}
+
+// Guards against placing for ever, and against another verdict than "not run" when nothing ran.
+TEST(SubmissionLedger, FailsTaskThatIsNeverTaken) {
+  LedgerCluster::Call& call = this->cluster.SubmitToOwner(this->cluster.NewId(), 1);
+  this->cluster.DeliverAll();
+  while (!this->cluster.pending.empty()) {
+    this->cluster.Refuse(0);
+    this->cluster.DeliverAll();
+    this->cluster.Advance(milliseconds(100));
+    this->cluster.DeliverAll();
+  }
+  LONGS_EQUAL(1, call.answers);
+  CHECK(call.answer.error.verdict == Verdict::kNotRun);
+  LONGS_EQUAL(5, this->cluster.reports.size());
+}
+
+// Guards against a failed task that leaves the answer partial or the other tasks running.
+TEST(SubmissionLedger, FailedTaskFailsJobWithTrueVerdicts) {
+  LedgerSettings settings = LedgerCluster::Settings();
+  settings.start_window = 2;
+  LedgerCluster narrow(3, settings);
+  LedgerCluster::Call& call = narrow.SubmitToOwner(narrow.NewId(), 3);
+  narrow.DeliverAll();
+  LONGS_EQUAL(2, narrow.pending.size());
+  narrow.Run(0, false);
+  narrow.DeliverAll();
+  LONGS_EQUAL(1, call.answers);
+  CHECK(call.answer.tasks[0].verdict == Verdict::kRan);
+  CHECK(call.answer.tasks[1].verdict == Verdict::kMayHaveRun);
+  CHECK(call.answer.tasks[2].verdict == Verdict::kNotRun);
+  LONGS_EQUAL(1, narrow.cancels);
+  LONGS_EQUAL(0, narrow.violations.size());
+}
+
+// Guards against running other content under a known id, and against a second run of the same.
+TEST(SubmissionLedger, ResubmissionJoinsAndOtherContentConflicts) {
+  SubmissionId id = this->cluster.NewId();
+  size_t owner = this->cluster.OwnerOf(id);
+  this->cluster.SubmitToOwner(id);
+  LedgerCluster::Call& joined = this->cluster.Submit(owner, id);
+  LedgerCluster::Call& other = this->cluster.Submit(owner, id, 2, "other");
+  CHECK(other.answer.error.code == ErrorCode::kConflict);
+  CHECK(other.answer.error.verdict == Verdict::kNotRun);
+  this->cluster.Settle();
+  CHECK(joined.answer.complete);
+  LedgerCluster::Call& late = this->cluster.Submit(owner, id);
+  CHECK(late.answer.complete);
+}
+
+// Guards against a second run by a resubmission after everything about the id was forgotten.
+TEST(SubmissionLedger, ForgottenIdIsExpired) {
+  SubmissionId id = this->cluster.NewId();
+  this->cluster.SubmitToOwner(id);
+  this->cluster.Settle();
+  this->cluster.Advance(minutes(11));
+  CHECK(this->cluster.hosts[0].ledger->Status(id).state == JobStatus::State::kUnknown);
+  LedgerCluster::Call& late = this->cluster.SubmitToOwner(id);
+  CHECK(late.answer.error.code == ErrorCode::kExpired);
+  CHECK(late.answer.error.verdict == Verdict::kMayHaveRun);
+}
+
+// Guards against a second run of an id that was forgotten early because of the bound.
+TEST(SubmissionLedger, IdForgottenEarlyIsExpired) {
+  LedgerSettings settings = LedgerCluster::Settings();
+  settings.max_ended = 2;
+  LedgerCluster small(3, settings);
+  SubmissionId id = small.NewId();
+  size_t owner = small.OwnerOf(id);
+  small.Submit(owner, id);
+  small.Settle();
+  for (int i = 0; i < 20; ++i) {
+    small.SubmitToOwner(small.NewId());
+    small.Settle();
+  }
+  LedgerCluster::Call& late = small.Submit(owner, id);
+  CHECK(late.answer.error.code == ErrorCode::kExpired);
+  LONGS_EQUAL(0, small.violations.size());
+}
+
+// Guards against a new run of an id whose two copies were lost.
+TEST(SubmissionLedger, IdOfTwoLostCopiesMayHaveRun) {
+  LedgerCluster four(4);
+  SubmissionId id = four.NewId();
+  size_t owner = four.OwnerOf(id);
+  size_t backup = four.BackupOf(id);
+  four.SubmitToOwner(id);
+  four.DeliverAll();
+  four.Kill(owner);
+  four.Kill(backup);
+  four.DecideView();
+  four.LearnAll();
+  LedgerCluster::Call& again = four.SubmitToOwner(id);
+  CHECK(again.answer.error.code == ErrorCode::kUnavailable);
+  CHECK(again.answer.error.verdict == Verdict::kMayHaveRun);
+  four.Advance(seconds(3));
+  LedgerCluster::Call& fresh = four.SubmitToOwner(four.NewId());
+  four.DeliverAll();
+  CHECK(fresh.accepted);
+}
+
+// Guards against a second acceptance of an id that was accepted under the old view, whose leases
+// run on for a while after the new view.
+TEST(SubmissionLedger, IdAcceptedUnderOldViewMayHaveRun) {
+  LedgerCluster four(4);
+  SubmissionId probe = four.NewId();
+  size_t owner = four.OwnerOf(probe);
+  size_t backup = four.BackupOf(probe);
+  four.Isolate(owner);
+  four.Isolate(backup);
+  four.DecideView();
+  four.LearnAll();
+  four.Advance(milliseconds(100));
+  LedgerCluster::Call* old = nullptr;
+  while (four.messages.empty() || four.messages[0].to != backup) {
+    four.messages.clear();
+    old = &four.Submit(owner, four.NewId());
+  }
+  four.DeliverAll();
+  CHECK(old->accepted);
+  four.SubmitToOwner(old->id);
+  four.DeliverAll();
+  LONGS_EQUAL(0, four.violations.size());
+}
+
+// Guards against a job lost to a second host's death after the repair of the first one.
+TEST(SubmissionLedger, SurvivesSecondLossAfterRepair) {
+  LedgerSettings settings = LedgerCluster::Settings();
+  settings.start_window = 1;
+  LedgerCluster four(4, settings);
+  SubmissionId id = four.NewId();
+  four.SubmitToOwner(id, 2);
+  four.DeliverAll();
+  four.Run(0);
+  four.DeliverAll();
+  four.pending.clear();
+  for (int loss = 0; loss < 2; ++loss) {
+    four.Kill(four.OwnerOf(id));
+    four.DecideView();
+    four.LearnAll();
+    four.DeliverAll();
+    CHECK(four.hosts[four.OwnerOf(id)].ledger->Status(id).state == JobStatus::State::kRunning);
+  }
+}
+
+// Guards against a job that is lost or started anew when a host that comes first in the id's order
+// joins.
+TEST(SubmissionLedger, JoiningHostLeavesJobWithItsOwner) {
+  SubmissionId id = this->cluster.NewId();
+  size_t first = this->cluster.OwnerOf(id);
+  this->FailOver(first);
+  this->cluster.Advance(seconds(3));
+  LedgerCluster::Call& call = this->cluster.SubmitToOwner(id);
+  this->cluster.DeliverAll();
+  this->cluster.Restart(first);
+  this->cluster.DecideView();
+  this->cluster.LearnAll();
+  LedgerCluster::Call& early = this->cluster.Submit(first, id);
+  CHECK(early.answer.error.verdict == Verdict::kMayHaveRun);
+  this->cluster.Settle();
+  CHECK(call.answer.complete);
+}
+
+// Guards against acceptance without any copy, and against a refusal although a disk holds one.
+TEST(SubmissionLedger, LastHostNeedsDisk) {
+  this->cluster.Kill(1);
+  this->FailOver(2);
+  LedgerCluster::Call& refused = this->cluster.Submit(0, this->cluster.NewId());
+  CHECK(refused.answers == 1);
+  std::vector<std::function<void(bool)>> writes;
+  this->cluster.write_disk = [&](const auto&, std::function<void(bool)> done) {
+    writes.push_back(std::move(done));
+  };
+  this->cluster.Restart(0);
+  this->cluster.DecideView();
+  this->cluster.LearnAll();
+  this->cluster.Advance(seconds(3));
+  LedgerCluster::Call& call = this->cluster.Submit(0, this->cluster.NewId());
+  LONGS_EQUAL(0, this->cluster.pending.size());
+  writes[0](true);
+  LONGS_EQUAL(2, this->cluster.pending.size());
+  LedgerCluster::Call& failed = this->cluster.Submit(0, this->cluster.NewId());
+  writes[1](false);
+  CHECK(failed.answer.error.code == ErrorCode::kStorageFailed);
+  CHECK(failed.answer.error.verdict == Verdict::kNotRun);
+  CHECK(call.accepted);
+}
+
+// Guards against "not run" for tasks that the backup may still start.
+TEST(SubmissionLedger, CancelWithoutRecordedEndMayHaveRun) {
+  SubmissionId id = this->cluster.NewId();
+  LedgerCluster::Call& call = this->cluster.SubmitToOwner(id);
+  CHECK(this->cluster.hosts[call.host].ledger->Cancel(id));
+  CHECK_FALSE(this->cluster.hosts[call.host].ledger->Cancel(id));
+  this->cluster.messages.clear();
+  LONGS_EQUAL(0, call.answers);
+  this->cluster.Advance(seconds(3));
+  LONGS_EQUAL(1, call.answers);
+  CHECK(call.answer.error.verdict == Verdict::kMayHaveRun);
+}
+
+// Guards against cancelling another team's jobs.
+TEST(SubmissionLedger, CancelTeamEndsOnlyItsJobs) {
+  for (int i = 0; i < 20; ++i) {
+    this->cluster.SubmitToOwner(this->cluster.NewId());
+  }
+  this->cluster.DeliverAll();
+  size_t cancelled = 0;
+  for (LedgerCluster::Host& host : this->cluster.hosts) {
+    cancelled += host.ledger->CancelTeam(TeamId("even"));
+  }
+  this->cluster.DeliverAll();
+  LONGS_EQUAL(10, cancelled);
+  for (const LedgerCluster::Call& call : this->cluster.calls) {
+    LONGS_EQUAL(call.id.value().back() % 2 == 0 ? 1 : 0, call.answers);
+  }
+}
+
+// Guards against a job that outlives its deadline.
+TEST(SubmissionLedger, DeadlineEndsJob) {
+  LedgerCluster::Call& call = this->cluster.SubmitToOwner(this->cluster.NewId());
+  this->cluster.DeliverAll();
+  this->cluster.Advance(seconds(6));
+  this->cluster.DeliverAll();
+  CHECK(call.answer.error.code == ErrorCode::kDeadlineExceeded);
+  CHECK(call.answer.error.verdict == Verdict::kMayHaveRun);
+}
