jobs: Let a joined host accept new ids through its backup

A host that has just joined refused all ids that it had not held before, for the settle time after each change of view. It now sends its first record marked as unproven; the backup stores it only if the backup has held the id since its creation. Records carry an acceptance number, so that a record is not merged into the copy of an earlier job that its owner has dropped.

Each rule was taken out once on a scratch copy, and tests failed: epoch and membership fence of records and acknowledgements (unit and property), start record before start (unit and property), placement numbers (unit and property), ages of ids (unit and property), unproven records (unit and property), acceptance number (property), settle time (unit; property at 100,000 sequences), dropping stale copies (property), "not run" only with a recorded end (unit and property), ignoring "not run" about an earlier owner's start (property), view lease (unit only). The epoch comparison alone, without the membership check of the record's owner, is redundant: no test fails when only one of the two is taken out.

--- a/src/jobs/job_record.h
+++ b/src/jobs/job_record.h
@@ -18,11 +18,17 @@
 struct JobRecord {
   base::Epoch epoch;
   MemberView::Member owner;
+  /// Number of the owner's acceptance or takeover of the job, never used twice by one process.
+  /// Tells a job from an earlier one with the same id that its owner has dropped.
+  base::Sequence acceptance;
   /// Repeated by the acknowledgement.
   base::Sequence sequence;
   base::SubmissionId id;
   /// Set in a full record, which holds everything known of the job; otherwise null.
   std::shared_ptr<const Submission> submission;
+  /// The owner can't tell alone whether the id is new. The backup stores this full record only if
+  /// the backup can: it was owner or backup of the id since its creation and doesn't know it.
+  bool unproven = false;
   /// Time left until the job's deadline at the time of sending.
   base::Duration time_left{0};
   /// Tasks that may be started once this record is acknowledged.
--- a/src/jobs/record_ack.h
+++ b/src/jobs/record_ack.h
@@ -10,6 +10,8 @@
     kStored,
     /// The backup has no current copy of the job and needs a full record.
     kUnknownJob,
+    /// The record is `unproven`, and the id may have been accepted before.
+    kNotNew,
     /// The record is of another epoch than the backup's, or the backup may not act.
     kFenced,
   };
--- /dev/null
+++ b/src/jobs/rendezvous_holders.cc
@@ -0,0 +1,35 @@
+#include "jobs/rendezvous_holders.h"
+
+#include <algorithm>
+#include <cstdint>
+
+#include "base/rendezvous_hash.h"
+
+namespace sapphirecrank::jobs {
+
+Holders RendezvousHolders(const base::SubmissionId& id, const std::vector<base::HostId>& hosts) {
+  const base::HostId* first = nullptr;
+  const base::HostId* second = nullptr;
+  uint64_t first_score = 0;
+  uint64_t second_score = 0;
+  for (const base::HostId& host : hosts) {
+    uint64_t score = base::RendezvousScore(host.value(), id.value());
+    // Equal scores are ordered by name, so that the order doesn't depend on the order of `hosts`.
+    if (first == nullptr || score > first_score || (score == first_score && host < *first)) {
+      second = first;
+      second_score = first_score;
+      first = &host;
+      first_score = score;
+    } else if (second == nullptr || score > second_score ||
+               (score == second_score && host < *second)) {
+      second = &host;
+      second_score = score;
+    }
+  }
+  Holders holders;
+  holders.owner = *first;
+  holders.backup = second == nullptr ? base::HostId() : *second;
+  return holders;
+}
+
+}  // namespace sapphirecrank::jobs
--- /dev/null
+++ b/src/jobs/rendezvous_holders.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <vector>
+
+#include "base/ids.h"
+#include "jobs/holders.h"
+
+namespace sapphirecrank::jobs {
+
+/// Returns the two hosts with the highest rendezvous scores for an id. Precondition: `hosts` isn't
+/// empty. Thread safety: pure.
+Holders RendezvousHolders(const base::SubmissionId& id, const std::vector<base::HostId>& hosts);
+
+}  // namespace sapphirecrank::jobs
--- a/src/jobs/submission_ledger.cc
+++ b/src/jobs/submission_ledger.cc
@@ -11,6 +11,16 @@
 
 constexpr uint32_t kMaxDelayDoublings = 3;
 
+base::Error MayBeKnownElsewhere() {
+  base::Error error;
+  error.code = base::ErrorCode::kUnavailable;
+  error.field = "id";
+  error.message =
+      "the id may have been accepted before, by an entry host that was lost or replaced";
+  error.verdict = base::Verdict::kMayHaveRun;
+  return error;
+}
+
 JobAnswer Refusal(const Submission& submission, base::Error error) {
   JobAnswer answer;
   for (size_t position = 0; position < submission.tasks.size(); ++position) {
@@ -128,6 +138,9 @@
       job.copied = false;
       job.tasks.ReturnAllResults();
       this->Advance(shard, job, moment, effects);
+    } else if (ack.outcome == RecordAck::Outcome::kNotNew) {
+      RefuseKnown(shard, job, effects);
+      return;
     }
     this->Schedule(shard, job);
   });
@@ -341,8 +354,10 @@
   job.team = submission.team;
   job.content_hash = request.content_hash;
   job.owner = this->self;
+  job.acceptance = base::Sequence(this->next_sequence++);
   job.backup = shard.view->BackupOf(job.id, this->self.host);
   job.created = this->CreationTime(request.age, moment.now);
+  job.unproven = !shard.view->HeldSince(job.id, job.created);
   job.deadline = moment.now + submission.time_left;
   job.takeover_epoch = shard.view->epoch();
   job.answer_waiters.push_back(std::move(request.on_answer));
@@ -394,10 +409,9 @@
   if (*request.age > this->settings.max_new_age || created <= shard.forgotten_until) {
     return base::Fail(base::ErrorCode::kExpired, "the id has expired", "id", may_have_run);
   }
-  if (!shard.view->HeldSince(request.submission->id, created)) {
-    return base::Fail(base::ErrorCode::kUnavailable,
-                      "the id may have been accepted by an entry host that was lost or replaced",
-                      "id", may_have_run);
+  bool has_backup = shard.view->size() > 1;
+  if (!has_backup && !shard.view->HeldSince(request.submission->id, created)) {
+    return tl::make_unexpected(MayBeKnownElsewhere());
   }
   return {};
 }
@@ -433,16 +447,21 @@
     if (!record.submission) {
       return RecordAck::Outcome::kUnknownJob;
     }
+    base::TimePoint created = this->CreationTime(incoming.age, moment.now);
+    bool is_new = created > shard.forgotten_until && shard.view->HeldSince(record.id, created);
+    if (record.unproven && !is_new) {
+      return RecordAck::Outcome::kNotNew;
+    }
     this->MergeIntoCopy(shard, this->AddCopy(shard, incoming, moment.now), record, moment.now);
     return RecordAck::Outcome::kStored;
   }
   Job& job = *found->second;
+  if (job.owner != record.owner || job.acceptance != record.acceptance) {
+    return record.unproven ? RecordAck::Outcome::kNotNew : RecordAck::Outcome::kFenced;
+  }
   if (job.phase == Phase::kEnded) {
     return record.ended ? RecordAck::Outcome::kStored : RecordAck::Outcome::kFenced;
   }
-  if (job.owner != record.owner) {
-    return RecordAck::Outcome::kFenced;
-  }
   this->MergeIntoCopy(shard, job, record, moment.now);
   return RecordAck::Outcome::kStored;
 }
@@ -457,6 +476,7 @@
   job.team = record.submission->team;
   job.content_hash = incoming.content_hash;
   job.owner = record.owner;
+  job.acceptance = record.acceptance;
   job.phase = Phase::kRunning;
   job.created = this->CreationTime(incoming.age, now);
   job.deadline = now + record.time_left;
@@ -500,6 +520,9 @@
   if (!view.ContainsSelf()) {
     return false;
   }
+  if (job.unproven && view.size() == 1) {
+    return false;
+  }
   return this->IsOwn(job) || !view.Contains(job.owner) ||
          view.BackupOf(job.id, job.owner.host) == this->self;
 }
@@ -518,6 +541,7 @@
 
 void SubmissionLedger::TakeOver(Shard& shard, Job& job, const Moment& moment, Effects& effects) {
   job.owner = this->self;
+  job.acceptance = base::Sequence(this->next_sequence++);
   job.backup = shard.view->BackupOf(job.id, this->self.host);
   job.copied = false;
   job.takeover_epoch = shard.view->epoch();
@@ -577,7 +601,9 @@
   record->epoch = shard.view->epoch();
   record->owner = this->self;
   record->sequence = base::Sequence(this->next_sequence++);
+  record->acceptance = job.acceptance;
   record->id = job.id;
+  record->unproven = job.unproven;
   record->time_left = job.deadline - now;
   record->starts = std::move(starts);
   if (!job.copied) {
@@ -626,10 +652,19 @@
   job.outstanding.reset();
 }
 
+void SubmissionLedger::RefuseKnown(Shard& shard, Job& job, Effects& effects) {
+  job.tasks.EndAll();
+  job.complete = false;
+  job.error = MayBeKnownElsewhere();
+  AnswerWaiters(job, false, effects);
+  Erase(shard, job);
+}
+
 void SubmissionLedger::OnRecorded(Shard& shard, Job& job, const Moment& moment, Effects& effects) {
   std::shared_ptr<const JobRecord> record = job.outstanding->record;
   job.outstanding.reset();
   job.copied = true;
+  job.unproven = false;
   if (record->ended) {
     this->FinishEnd(shard, job, moment.now, effects);
     return;
--- a/src/jobs/submission_ledger.h
+++ b/src/jobs/submission_ledger.h
@@ -53,16 +53,16 @@
 /// acknowledges nothing of the old one, so a new owner knows each task that the old one can ever
 /// start, and never starts it again.
 ///
-/// Unknown ids. An id carries the time of its creation. A host accepts an unknown id as new only if
-/// that host was owner or backup of the id in each view in which it can have been accepted: the
-/// views in force since its creation, each counted until `view_settle_time` after the next one,
-/// when the last lease under it has ended. An acceptance needs both owner and backup, so such a
-/// host would know the id. Any other unknown id is refused with "may have run"; this covers the
-/// loss of both copies and a host that has just joined. An unknown id older than `max_new_age` is
-/// refused as expired with "may have run". Ended jobs are remembered for longer than that, so the
-/// answer stays true after everything about an id was forgotten. When more than `max_ended` jobs
-/// have ended, the oldest are forgotten early, and unknown ids created before a forgotten one are
-/// refused as expired.
+/// Unknown ids. An id carries the time of its creation. An unknown id is accepted as new only if
+/// the accepting host or its backup was owner or backup of the id in each view in which it can have
+/// been accepted: the views in force since its creation, each counted until `view_settle_time`
+/// after the next one, when the last lease under it has ended. An acceptance needs both owner and
+/// backup, so such a host would know the id. A host that has just joined thus asks its backup, with
+/// the first record. Any other unknown id is refused with "may have run"; this covers the loss of
+/// both copies. An unknown id older than `max_new_age` is refused as expired with "may have run".
+/// Ended jobs are remembered for longer than that, so the answer stays true after everything about
+/// an id was forgotten. When more than `max_ended` jobs have ended, the oldest are forgotten early,
+/// and unknown ids created before a forgotten one are refused as expired.
 ///
 /// Answers. A job is complete once each task ran with success. It fails with the first task that
 /// can't succeed, by its deadline, or by cancellation; then no further task starts. Callers are
@@ -172,6 +172,9 @@
     // Of an owned job: the host that has or gets the copy, and whether it acknowledged a full one.
     MemberView::Member backup;
     bool copied = false;
+    base::Sequence acceptance;
+    // The backup has yet to confirm that the id is new.
+    bool unproven = false;
     Phase phase = Phase::kAccepting;
     bool complete = false;
     base::Error error;
@@ -274,6 +277,7 @@
                   Effects& effects);
   void Resend(Job& job, base::TimePoint now, Effects& effects) const;
   static void Supersede(Job& job, base::TimePoint now);
+  static void RefuseKnown(Shard& shard, Job& job, Effects& effects);
   void OnRecorded(Shard& shard, Job& job, const Moment& moment, Effects& effects);
   void OnDiskWritten(const JobRecord& record, bool ok);
 
--- a/tests/jobs/ledger_cluster.cc
+++ b/tests/jobs/ledger_cluster.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "base/rendezvous_hash.h"
+#include "jobs/rendezvous_holders.h"
 
 namespace sapphirecrank::jobs {
 
@@ -18,19 +18,6 @@
 
 size_t IndexOf(const base::HostId& host) { return static_cast<size_t>(host.value()[0] - 'a'); }
 
-Holders Preferred(const base::SubmissionId& id, const std::vector<base::HostId>& hosts) {
-  std::vector<std::pair<uint64_t, base::HostId>> order;
-  order.reserve(hosts.size());
-  for (const base::HostId& host : hosts) {
-    order.emplace_back(base::RendezvousScore(host.value(), id.value()), host);
-  }
-  std::sort(order.rbegin(), order.rend());
-  Holders holders;
-  holders.owner = order[0].second;
-  holders.backup = order.size() > 1 ? order[1].second : base::HostId();
-  return holders;
-}
-
 std::string BodyOf(const base::TaskKey& key) {
   return key.submission.value() + "/" + std::to_string(key.index.value());
 }
@@ -115,7 +102,7 @@
       others.push_back(member.host);
     }
   }
-  return IndexOf(Preferred(id, others).owner);
+  return IndexOf(RendezvousHolders(id, others).owner);
 }
 
 void LedgerCluster::Deliver(size_t position) {
@@ -295,7 +282,7 @@
   SubmissionLedger::Hooks hooks;
   hooks.now = this->clock.Hook();
   hooks.may_act = [this, host] { return this->MayAct(host); };
-  hooks.holders = Preferred;
+  hooks.holders = RendezvousHolders;
   hooks.id_age = [this](const base::SubmissionId& id) {
     base::Duration created(std::stoll(id.value()));
     return std::optional<base::Duration>(this->clock.Now().time_since_epoch() - created);
--- a/tests/jobs/submission_ledger_test.cc
+++ b/tests/jobs/submission_ledger_test.cc
@@ -240,6 +240,7 @@
   four.DecideView();
   four.LearnAll();
   LedgerCluster::Call& again = four.SubmitToOwner(id);
+  four.DeliverAll();
   CHECK(again.answer.error.code == ErrorCode::kUnavailable);
   CHECK(again.answer.error.verdict == Verdict::kMayHaveRun);
   four.Advance(seconds(3));
@@ -293,7 +294,7 @@
 }
 
 // Guards against a job that is lost or started anew when a host that comes first in the id's order
-// joins.
+// joins, and against a joined host that refuses new ids.
 TEST(SubmissionLedger, JoiningHostLeavesJobWithItsOwner) {
   SubmissionId id = this->cluster.NewId();
   size_t first = this->cluster.OwnerOf(id);
@@ -305,7 +306,12 @@
   this->cluster.DecideView();
   this->cluster.LearnAll();
   LedgerCluster::Call& early = this->cluster.Submit(first, id);
+  LedgerCluster::Call& fresh = this->cluster.SubmitToOwner(this->cluster.NewId());
+  this->cluster.DeliverAll();
+  CHECK(early.answer.error.code == ErrorCode::kUnavailable ||
+        early.answer.error.code == ErrorCode::kFenced);
   CHECK(early.answer.error.verdict == Verdict::kMayHaveRun);
+  CHECK(fresh.accepted);
   this->cluster.Settle();
   CHECK(call.answer.complete);
 }
