jobs: Keep a job's backup while it is in the view

When a host joined that came first in an id's order, the old backup dropped its copy before the joined host had one, so that the owner's death in that moment lost the job. A backup now stays until it leaves the view. A joined host learns the owner of a known id with the answer to its first record, and the refusal names it.

--- a/src/jobs/record_ack.h
+++ b/src/jobs/record_ack.h
@@ -21,6 +21,8 @@
   base::Incarnation owner_incarnation;
   base::Sequence sequence;
   base::SubmissionId id;
+  /// After `kNotNew`: the host that owns the job or has its outcome, or empty if it isn't known.
+  base::HostId known_owner;
   Outcome outcome = Outcome::kFenced;
 };
 
--- a/src/jobs/submission_ledger.cc
+++ b/src/jobs/submission_ledger.cc
@@ -111,6 +111,9 @@
   this->shards.With(record.id, [&](Shard& shard) {
     ack.epoch = shard.view->epoch();
     ack.outcome = this->Store(shard, incoming, moment);
+    if (ack.outcome == RecordAck::Outcome::kNotNew) {
+      ack.known_owner = this->KnownOwner(shard, record.id);
+    }
   });
   this->hooks.send_ack(from, ack);
 }
@@ -139,7 +142,7 @@
       job.tasks.ReturnAllResults();
       this->Advance(shard, job, moment, effects);
     } else if (ack.outcome == RecordAck::Outcome::kNotNew) {
-      RefuseKnown(shard, job, effects);
+      RefuseKnown(shard, job, ack.known_owner, effects);
       return;
     }
     this->Schedule(shard, job);
@@ -247,12 +250,8 @@
 
 base::HostId SubmissionLedger::OwnerOf(const base::SubmissionId& id) {
   return this->shards.With(id, [&](Shard& shard) {
-    auto found = shard.jobs.find(id);
-    if (found == shard.jobs.end()) {
-      return shard.view->HoldersOf(id).owner;
-    }
-    const Job& job = *found->second;
-    return job.phase == Phase::kEnded ? this->self.host : job.owner.host;
+    base::HostId owner = this->KnownOwner(shard, id);
+    return owner.empty() ? shard.view->HoldersOf(id).owner : owner;
   });
 }
 
@@ -305,8 +304,12 @@
     this->AddNew(shard, request, moment, effects);
     return;
   }
+  JobAnswer answer = Refusal(*request.submission, check.error());
+  if (answer.error.code == base::ErrorCode::kFenced) {
+    answer.owner = shard.view->HoldersOf(request.submission->id).owner;
+  }
   Answers refusal;
-  refusal.answer = std::make_shared<JobAnswer>(Refusal(*request.submission, check.error()));
+  refusal.answer = std::make_shared<JobAnswer>(std::move(answer));
   refusal.waiters.push_back(std::move(request.on_answer));
   effects.answers.push_back(std::move(refusal));
 }
@@ -318,6 +321,7 @@
                                   "the job belongs to entry host " + job.owner.host.value());
     error.verdict = base::Verdict::kMayHaveRun;
     answer = Refusal(*request.submission, std::move(error));
+    answer->owner = job.owner.host;
   } else if (job.content_hash != request.content_hash) {
     base::Error error = MakeError(base::ErrorCode::kConflict,
                                   "the id was used before for a submission with other content");
@@ -433,7 +437,16 @@
 
 bool SubmissionLedger::IsForThisBackup(const ViewHistory& view, const JobRecord& record) const {
   return record.epoch == view.epoch() && view.ContainsSelf() && view.Contains(record.owner) &&
-         view.BackupOf(record.id, record.owner.host) == this->self;
+         record.owner != this->self;
+}
+
+base::HostId SubmissionLedger::KnownOwner(const Shard& shard, const base::SubmissionId& id) const {
+  auto found = shard.jobs.find(id);
+  if (found == shard.jobs.end()) {
+    return base::HostId();
+  }
+  const Job& job = *found->second;
+  return job.phase == Phase::kEnded ? this->self.host : job.owner.host;
 }
 
 RecordAck::Outcome SubmissionLedger::Store(Shard& shard, const IncomingRecord& incoming,
@@ -520,18 +533,13 @@
   if (!view.ContainsSelf()) {
     return false;
   }
-  if (job.unproven && view.size() == 1) {
-    return false;
-  }
-  return this->IsOwn(job) || !view.Contains(job.owner) ||
-         view.BackupOf(job.id, job.owner.host) == this->self;
+  return !(job.unproven && view.size() == 1);
 }
 
 void SubmissionLedger::KeepOwned(Shard& shard, Job& job, const Moment& moment, Effects& effects) {
   Supersede(job, moment.now);
-  MemberView::Member backup = shard.view->BackupOf(job.id, this->self.host);
-  if (backup != job.backup) {
-    job.backup = backup;
+  if (!shard.view->Contains(job.backup)) {
+    job.backup = shard.view->BackupOf(job.id, this->self.host);
     job.copied = false;
     job.tasks.ReturnAllResults();
   }
@@ -652,10 +660,15 @@
   job.outstanding.reset();
 }
 
-void SubmissionLedger::RefuseKnown(Shard& shard, Job& job, Effects& effects) {
+void SubmissionLedger::RefuseKnown(Shard& shard, Job& job, const base::HostId& known_owner,
+                                   Effects& effects) {
   job.tasks.EndAll();
   job.complete = false;
   job.error = MayBeKnownElsewhere();
+  if (!known_owner.empty()) {
+    job.error.code = base::ErrorCode::kFenced;
+    job.owner.host = known_owner;
+  }
   AnswerWaiters(job, false, effects);
   Erase(shard, job);
 }
@@ -876,6 +889,7 @@
   if (!job.answer_waiters.empty()) {
     job.tasks.EndAll();
     job.error = MakeError(base::ErrorCode::kFenced, "the job went to another entry host");
+    job.owner = MemberView::Member();
     AnswerWaiters(job, false, effects);
   }
   Erase(shard, job);
@@ -915,6 +929,9 @@
   JobAnswer answer;
   answer.complete = job.complete;
   answer.error = job.error;
+  if (answer.error.code == base::ErrorCode::kFenced) {
+    answer.owner = job.owner.host;
+  }
   answer.tasks = job.tasks.Results(certain);
   answer.error.verdict = answer.tasks.front().verdict;
   for (const TaskResult& result : answer.tasks) {
--- a/src/jobs/submission_ledger.h
+++ b/src/jobs/submission_ledger.h
@@ -38,14 +38,15 @@
 /// Accepts submissions, decides which of their tasks may start, and answers them, on one entry host
 /// of a data centre; also keeps copies of jobs that other hosts own.
 ///
-/// Ownership. The first host in an id's order of preference accepts it as new. From then on the
-/// job stays with this owner while the owner is in the view, also if a host joins that comes first
-/// in the order; the backup is the first host of the order that is not the owner. So the first host
-/// of the order is always owner or backup. If the owner is not in a view, the host that was its
-/// backup in the view before owns the job. A copy counts only if its host was the job's backup in
-/// each view since the copy was made; any other copy is dropped, because tasks may have been
-/// started that it doesn't know of. A host that misses a view therefore drops all jobs that have
-/// not ended, and so does a host that is not in the view. All hosts must be given the same views.
+/// Ownership. The first host in an id's order of preference accepts it as new, with the second one
+/// as its backup. From then on the job stays with this owner and this backup while they are in the
+/// view, also if hosts join that come first in the order, so that no copy is without a successor
+/// while another host joins. If the backup is not in a view, the owner copies the job to the first
+/// other host of the order. If the owner is not in a view, its backup owns the job. A copy counts
+/// only while its host is in each view; otherwise it is dropped, because another backup may have
+/// been told of starts since. A host that misses a view therefore drops all jobs that have not
+/// ended, and so does a host that is not in the view. All hosts must be given the same views.
+/// Copies of ended jobs are not renewed.
 ///
 /// Starts. A task is given to `start_tasks` only after the backup has acknowledged its start
 /// record in the epoch in force, or, in a view of one host, after a disk has. A backup refuses
@@ -58,7 +59,8 @@
 /// been accepted: the views in force since its creation, each counted until `view_settle_time`
 /// after the next one, when the last lease under it has ended. An acceptance needs both owner and
 /// backup, so such a host would know the id. A host that has just joined thus asks its backup, with
-/// the first record. Any other unknown id is refused with "may have run"; this covers the loss of
+/// the first record; if the backup knows the job, the refusal names the owner. Any other unknown id
+/// is refused with "may have run"; this covers the loss of
 /// both copies. An unknown id older than `max_new_age` is refused as expired with "may have run".
 /// Ended jobs are remembered for longer than that, so the answer stays true after everything about
 /// an id was forgotten. When more than `max_ended` jobs have ended, the oldest are forgotten early,
@@ -117,8 +119,9 @@
 
   /// Accepts a submission or joins the job with the same id and content. `on_answer` is called
   /// exactly once, also for a refusal; `on_accepted` (optional) at most once, before it, when the
-  /// job is recorded. Other content under a known id is refused with `kConflict`, "not run"; at a
-  /// host that doesn't own the id (see `OwnerOf`) the refusal is `kFenced`.
+  /// job is recorded. Other content under a known id is refused with `kConflict`, "not run". If
+  /// another host owns the id, the refusal is `kFenced` and the answer names the owner, to which
+  /// the submission can be forwarded.
   void Submit(std::shared_ptr<const Submission> submission, OnAnswer on_answer,
               OnAccepted on_accepted = nullptr);
 
@@ -258,6 +261,7 @@
   base::Result<void> CheckContent(const Submission& submission) const;
 
   bool IsForThisBackup(const ViewHistory& view, const JobRecord& record) const;
+  base::HostId KnownOwner(const Shard& shard, const base::SubmissionId& id) const;
   RecordAck::Outcome Store(Shard& shard, const IncomingRecord& incoming, const Moment& moment);
   Job& AddCopy(Shard& shard, const IncomingRecord& incoming, base::TimePoint now) const;
   void MergeIntoCopy(Shard& shard, Job& job, const JobRecord& record, base::TimePoint now);
@@ -277,7 +281,8 @@
                   Effects& effects);
   void Resend(Job& job, base::TimePoint now, Effects& effects) const;
   static void Supersede(Job& job, base::TimePoint now);
-  static void RefuseKnown(Shard& shard, Job& job, Effects& effects);
+  static void RefuseKnown(Shard& shard, Job& job, const base::HostId& known_owner,
+                          Effects& effects);
   void OnRecorded(Shard& shard, Job& job, const Moment& moment, Effects& effects);
   void OnDiskWritten(const JobRecord& record, bool ok);
 
--- a/src/jobs/view_history.h
+++ b/src/jobs/view_history.h
@@ -46,7 +46,7 @@
   /// Returns owner and backup of new submissions with this id in the view in force.
   Holders HoldersOf(const base::SubmissionId& id) const;
 
-  /// Returns the member that backs up a job owned by `owner`: the first in the id's order of
+  /// Returns the member to back up a job owned by `owner`: the first in the id's order of
   /// preference that is not the owner; its host is empty if there is none.
   MemberView::Member BackupOf(const base::SubmissionId& id, const base::HostId& owner) const;
 
--- a/tests/jobs/ledger_cluster.h
+++ b/tests/jobs/ledger_cluster.h
@@ -85,6 +85,8 @@
   bool IsEnded(const base::SubmissionId& id);
   bool IsMember(size_t host) const;
   size_t alive_count() const;
+  /// The number of members of the latest view.
+  size_t member_count() const { return this->views.back().members.size(); }
 
   base::ManualClock clock;
   std::deque<Message> messages;
--- a/tests/jobs/submission_ledger_property_test.cc
+++ b/tests/jobs/submission_ledger_property_test.cc
@@ -14,6 +14,8 @@
 using std::chrono::milliseconds;
 
 constexpr size_t kHosts = 4;
+// After the loss of a member two are left, so that each job has two holders again.
+constexpr size_t kMembersForRepair = 3;
 constexpr int kCases = 5000;
 constexpr int kMaxEvents = 200;
 
@@ -200,11 +202,6 @@
   return event.kind == EventKind::kKill || event.kind == EventKind::kIsolate;
 }
 
-bool ChangesMembers(const Event& event) {
-  return IsLoss(event) || event.kind == EventKind::kRestart || event.kind == EventKind::kHeal ||
-         event.kind == EventKind::kDecideView;
-}
-
 void AddEnded(LedgerCluster& cluster, std::set<base::SubmissionId>& ended) {
   for (const LedgerCluster::Call& call : cluster.calls) {
     if (cluster.IsEnded(call.id)) {
@@ -217,13 +214,6 @@
   player.cluster.DecideView();
   player.cluster.LearnAll();
   player.cluster.Repair();
-  for (uint32_t host = 0; host < kHosts; ++host) {
-    player.cluster.Heal(host);
-    player.Play({EventKind::kRestart, host, 0});
-  }
-  player.cluster.DecideView();
-  player.cluster.LearnAll();
-  player.cluster.Repair();
 }
 
 bool CheckSequences(const std::string& name, int cases, const std::function<void()>& property) {
@@ -258,18 +248,22 @@
 }
 
 // Guards against an accepted job that is lost although one copy of it lived at any time: hosts die
-// or are cut off one at a time, with a repair in between. Copies of ended jobs are not renewed.
+// or are cut off one at a time, with a repair in between, and join at any time. Copies of ended
+// jobs are not renewed.
 TEST(SubmissionLedgerProperty, SingleLossesLoseNoAcceptedJob) {
   CHECK(CheckSequences("single losses", kCases, [] {
     EventPlayer player(SettingsFor(*rc::gen::inRange<size_t>(1, 3)));
     LedgerCluster& cluster = player.cluster;
     std::set<base::SubmissionId> ended;
     for (const Event& event : *rc::gen::container<std::vector<Event>>(AnyEvent())) {
+      if (IsLoss(event) && cluster.member_count() < kMembersForRepair) {
+        continue;
+      }
       if (IsLoss(event)) {
         AddEnded(cluster, ended);
         player.Play(event);
         RepairAfterLoss(player);
-      } else if (!ChangesMembers(event)) {
+      } else {
         player.Play(event);
       }
     }
--- a/tests/jobs/submission_ledger_test.cc
+++ b/tests/jobs/submission_ledger_test.cc
@@ -308,14 +308,28 @@
   LedgerCluster::Call& early = this->cluster.Submit(first, id);
   LedgerCluster::Call& fresh = this->cluster.SubmitToOwner(this->cluster.NewId());
   this->cluster.DeliverAll();
-  CHECK(early.answer.error.code == ErrorCode::kUnavailable ||
-        early.answer.error.code == ErrorCode::kFenced);
+  CHECK(early.answer.error.code == ErrorCode::kFenced);
   CHECK(early.answer.error.verdict == Verdict::kMayHaveRun);
+  LONGS_EQUAL('a' + call.host, early.answer.owner.value()[0]);
   CHECK(fresh.accepted);
   this->cluster.Settle();
   CHECK(call.answer.complete);
 }
 
+// Guards against a job lost with its owner just after another host joined.
+TEST(SubmissionLedger, SurvivesOwnerLossAfterJoin) {
+  SubmissionId id = this->cluster.NewId();
+  size_t first = this->cluster.OwnerOf(id);
+  this->FailOver(first);
+  this->cluster.SubmitToOwner(id);
+  this->cluster.DeliverAll();
+  this->cluster.Restart(first);
+  this->cluster.DecideView();
+  this->cluster.LearnAll();
+  this->FailOver(this->cluster.OwnerOf(id));
+  CHECK(this->cluster.IsKnown(id));
+}
+
 // Guards against acceptance without any copy, and against a refusal although a disk holds one.
 TEST(SubmissionLedger, LastHostNeedsDisk) {
   this->cluster.Kill(1);
