--- /dev/null
+++ b/src/storage/byte_reader.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace sapphirecrank::storage {
+
+/// Reads what `ByteWriter` wrote. A read past the end returns zero or an empty string and makes
+/// `ok()` false for good.
+///
+/// Thread safety: none. The bytes must outlive the reader.
+class ByteReader {
+ public:
+  explicit ByteReader(std::string_view bytes) : rest(bytes) {}
+
+  /// Takes 4 bytes.
+  uint32_t TakeU32() { return static_cast<uint32_t>(this->TakeNumber(sizeof(uint32_t))); }
+
+  /// Takes 8 bytes.
+  uint64_t TakeU64() { return this->TakeNumber(sizeof(uint64_t)); }
+
+  /// Takes a length-prefixed string.
+  std::string TakeString() {
+    uint32_t size = this->TakeU32();
+    return std::string(this->TakeRaw(size));
+  }
+
+  /// Takes `size` bytes.
+  std::string_view TakeRaw(size_t size) {
+    if (size > this->rest.size()) {
+      this->complete = false;
+      this->rest = {};
+      return {};
+    }
+    std::string_view taken = this->rest.substr(0, size);
+    this->rest.remove_prefix(size);
+    return taken;
+  }
+
+  /// Tells whether every read so far found its bytes.
+  bool ok() const { return this->complete; }
+
+  /// Returns the number of bytes left.
+  size_t remaining() const { return this->rest.size(); }
+
+ private:
+  uint64_t TakeNumber(size_t size) {
+    constexpr int kBitsPerByte = 8;
+    uint64_t value = 0;
+    std::string_view taken = this->TakeRaw(size);
+    for (size_t i = 0; i < taken.size(); ++i) {
+      value |= static_cast<uint64_t>(static_cast<unsigned char>(taken[i])) << (kBitsPerByte * i);
+    }
+    return value;
+  }
+
+  std::string_view rest;
+  bool complete = true;
+};
+
+}  // namespace sapphirecrank::storage
--- /dev/null
+++ b/src/storage/byte_writer.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace sapphirecrank::storage {
+
+/// Builds a byte string from numbers in little-endian order and length-prefixed strings.
+///
+/// Thread safety: none.
+class ByteWriter {
+ public:
+  /// Appends 4 bytes.
+  void PutU32(uint32_t value) { this->PutNumber(value, sizeof(value)); }
+
+  /// Appends 8 bytes.
+  void PutU64(uint64_t value) { this->PutNumber(value, sizeof(value)); }
+
+  /// Appends the length as 4 bytes, then the text. Precondition: shorter than 4 GiB.
+  void PutString(std::string_view text) {
+    this->PutU32(static_cast<uint32_t>(text.size()));
+    this->bytes.append(text);
+  }
+
+  /// Appends bytes without a length.
+  void PutRaw(std::string_view raw) { this->bytes.append(raw); }
+
+  /// Returns what was written so far.
+  const std::string& written() const { return this->bytes; }
+
+  /// Moves what was written out of the writer.
+  std::string Take() { return std::move(this->bytes); }
+
+ private:
+  void PutNumber(uint64_t value, size_t size) {
+    constexpr int kBitsPerByte = 8;
+    for (size_t i = 0; i < size; ++i) {
+      this->bytes.push_back(static_cast<char>(value >> (kBitsPerByte * i)));
+    }
+  }
+
+  std::string bytes;
+};
+
+}  // namespace sapphirecrank::storage
--- /dev/null
+++ b/src/storage/group_commit.cc
@@ -0,0 +1,57 @@
+#include "storage/group_commit.h"
+
+#include <utility>
+
+#include "base/thread_name.h"
+
+namespace sapphirecrank::storage {
+
+GroupCommit::GroupCommit(const std::string& name, std::unique_ptr<Journal> journal)
+    : journal(std::move(journal)) {
+  this->thread = std::thread([this, name] {
+    base::SetThreadName(name);
+    this->Run();
+  });
+}
+
+GroupCommit::~GroupCommit() {
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->stopping = true;
+  }
+  this->changed.notify_one();
+  this->thread.join();
+}
+
+void GroupCommit::Append(JournalRecord record, OnDurable on_durable) {
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->waiters.push_back({std::move(record), std::move(on_durable)});
+  }
+  this->changed.notify_one();
+}
+
+void GroupCommit::Run() {
+  for (;;) {
+    std::vector<Waiter> batch;
+    {
+      std::unique_lock<std::mutex> lock(this->mutex);
+      this->changed.wait(lock, [this] { return this->stopping || !this->waiters.empty(); });
+      if (this->waiters.empty()) {
+        return;
+      }
+      batch.swap(this->waiters);
+    }
+    std::vector<JournalRecord> records;
+    records.reserve(batch.size());
+    for (Waiter& waiter : batch) {
+      records.push_back(std::move(waiter.record));
+    }
+    base::Result<void> outcome = this->journal->Append(records);
+    for (Waiter& waiter : batch) {
+      waiter.on_durable(outcome);
+    }
+  }
+}
+
+}  // namespace sapphirecrank::storage
--- /dev/null
+++ b/src/storage/group_commit.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "base/result.h"
+#include "storage/journal.h"
+
+namespace sapphirecrank::storage {
+
+/// Shares one journal among threads: records that arrive during a sync are written and synced
+/// together by the next one, on one thread of its own.
+///
+/// Thread safety: `Append` may be called from any thread. The destructor must not run on the
+/// journal's thread.
+class GroupCommit {
+ public:
+  using OnDurable = std::function<void(const base::Result<void>&)>;
+
+  /// Takes over the journal and starts the thread called `name`.
+  GroupCommit(const std::string& name, std::unique_ptr<Journal> journal);
+
+  /// Writes what is queued, then joins the thread.
+  ~GroupCommit();
+
+  GroupCommit(const GroupCommit&) = delete;
+  GroupCommit& operator=(const GroupCommit&) = delete;
+
+  /// Queues a record. `on_durable` runs once on the journal's thread, with success when the record
+  /// is durable, or with the journal's error. It must be short and must not wait.
+  void Append(JournalRecord record, OnDurable on_durable);
+
+ private:
+  struct Waiter {
+    JournalRecord record;
+    OnDurable on_durable;
+  };
+
+  void Run();
+
+  std::unique_ptr<Journal> journal;
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::vector<Waiter> waiters;
+  bool stopping = false;
+  std::thread thread;
+};
+
+}  // namespace sapphirecrank::storage
--- /dev/null
+++ b/src/storage/journal.cc
@@ -0,0 +1,269 @@
+#include "storage/journal.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "storage/byte_reader.h"
+#include "storage/byte_writer.h"
+#include "storage/journal_frame.h"
+
+namespace sapphirecrank::storage {
+namespace {
+
+using base::ErrorCode;
+using base::Result;
+
+constexpr std::string_view kPrefix = "journal-";
+constexpr std::string_view kSuffix = ".log";
+constexpr std::string_view kMagic = "SPHCJRNL";
+constexpr uint32_t kFormatVersion = 1;
+constexpr size_t kNumberDigits = 20;
+// Magic, format version, segment number, checksum.
+constexpr size_t kSegmentHeaderBytes = 8 + 4 + 8 + 8;
+
+std::string SegmentHeader(uint64_t segment) {
+  ByteWriter header;
+  header.PutRaw(kMagic);
+  header.PutU32(kFormatVersion);
+  header.PutU64(segment);
+  header.PutU64(XXH64(header.written().data(), header.written().size(), 0));
+  return header.Take();
+}
+
+auto Corrupted(const std::string& path, size_t offset, std::string_view reason) {
+  return base::Fail(ErrorCode::kCorrupted,
+                    fmt::format("{}: {} at offset {}", path, reason, offset));
+}
+
+bool HasValidFrameAfter(std::string_view content, uint64_t segment, size_t offset) {
+  for (size_t i = offset + 1; i + JournalFrame::kHeaderBytes <= content.size(); ++i) {
+    if (JournalFrame::Decode(content, segment, i).state == JournalFrame::State::kValid) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Every batch is synced before the next one is written, so that only the last frame can be torn.
+bool IsTornTail(const JournalFrame& frame, std::string_view content, uint64_t segment,
+                size_t offset) {
+  switch (frame.state) {
+    case JournalFrame::State::kIncomplete:
+      return true;
+    case JournalFrame::State::kBadPayload:
+      return frame.end == content.size();
+    case JournalFrame::State::kBadHeader:
+      return !HasValidFrameAfter(content, segment, offset);
+    case JournalFrame::State::kValid:
+      break;
+  }
+  return false;
+}
+
+bool ParseSegmentName(std::string_view name, uint64_t* number) {
+  if (name.size() != kPrefix.size() + kNumberDigits + kSuffix.size() ||
+      name.substr(0, kPrefix.size()) != kPrefix ||
+      name.substr(name.size() - kSuffix.size()) != kSuffix) {
+    return false;
+  }
+  const char* first = name.data() + kPrefix.size();
+  const char* last = first + kNumberDigits;
+  auto parsed = std::from_chars(first, last, *number);
+  return parsed.ec == std::errc() && parsed.ptr == last;
+}
+
+}  // namespace
+
+Journal::Journal(const FileSystem& files, const Options& options)
+    : files(files), options(options) {}
+
+Journal::~Journal() {
+  if (this->open) {
+    this->files.close(this->file);
+  }
+}
+
+Result<std::unique_ptr<Journal>> Journal::Open(const FileSystem& files, const Options& options,
+                                               const Visit& visit) {
+  std::unique_ptr<Journal> journal(new Journal(files, options));
+  auto segments = journal->ListSegments();
+  if (!segments) {
+    return tl::make_unexpected(segments.error());
+  }
+  for (size_t i = 0; i < segments->size(); ++i) {
+    uint64_t segment = (*segments)[i];
+    if (i > 0 && segment != (*segments)[i - 1] + 1) {
+      return Corrupted(journal->PathOf(segment), 0, "the segment before this one is missing");
+    }
+    auto read = journal->ReadSegment(segment, i + 1 == segments->size(), visit);
+    if (!read) {
+      return tl::make_unexpected(read.error());
+    }
+  }
+  if (!journal->open) {
+    auto started = journal->StartSegment(journal->current + 1);
+    if (!started) {
+      return tl::make_unexpected(started.error());
+    }
+  }
+  return journal;
+}
+
+Result<void> Journal::Append(const std::vector<JournalRecord>& records) {
+  if (this->broken) {
+    return base::Fail(ErrorCode::kStorageFailed, "the journal failed earlier");
+  }
+  if (this->current_size >= static_cast<size_t>(this->options.segment_bytes.value())) {
+    auto started = this->Record(this->StartSegment(this->current + 1));
+    if (!started) {
+      return started;
+    }
+  }
+  return this->Record(this->WriteBatch(records));
+}
+
+Result<void> Journal::StartOver(const std::vector<JournalRecord>& records) {
+  if (this->broken) {
+    return base::Fail(ErrorCode::kStorageFailed, "the journal failed earlier");
+  }
+  auto started = this->Record(this->StartSegment(this->current + 1));
+  if (!started) {
+    return started;
+  }
+  auto written = this->Record(this->WriteBatch(records));
+  if (!written) {
+    return written;
+  }
+  return this->Record(this->RemoveSegmentsBefore(this->current));
+}
+
+std::string Journal::PathOf(uint64_t segment) const {
+  return fmt::format("{}/{}{:020}{}", this->options.directory, kPrefix, segment, kSuffix);
+}
+
+Result<std::vector<uint64_t>> Journal::ListSegments() const {
+  auto names = this->files.list(this->options.directory);
+  if (!names) {
+    return tl::make_unexpected(names.error());
+  }
+  std::vector<uint64_t> segments;
+  for (const std::string& name : *names) {
+    uint64_t number = 0;
+    if (ParseSegmentName(name, &number)) {
+      segments.push_back(number);
+    }
+  }
+  std::sort(segments.begin(), segments.end());
+  return segments;
+}
+
+Result<void> Journal::ReadSegment(uint64_t segment, bool last, const Visit& visit) {
+  std::string path = this->PathOf(segment);
+  auto content = this->files.read(path);
+  if (!content) {
+    return tl::make_unexpected(content.error());
+  }
+  std::string_view header = *content;
+  if (header.substr(0, kSegmentHeaderBytes) != SegmentHeader(segment)) {
+    // The header is synced before the first frame, so that a torn one is followed by nothing.
+    if (last && content->size() <= kSegmentHeaderBytes) {
+      return this->CutTail(segment, 0);
+    }
+    return Corrupted(path, 0, "bad header or unknown format version");
+  }
+  size_t offset = kSegmentHeaderBytes;
+  while (offset < content->size()) {
+    JournalFrame frame = JournalFrame::Decode(*content, segment, offset);
+    if (frame.state != JournalFrame::State::kValid) {
+      if (last && IsTornTail(frame, *content, segment, offset)) {
+        return this->CutTail(segment, offset);
+      }
+      return Corrupted(path, offset, "damaged record");
+    }
+    for (const JournalRecord& record : frame.records) {
+      visit(record);
+    }
+    offset = frame.end;
+  }
+  this->current = segment;
+  return last ? this->OpenSegment(segment, offset) : Result<void>();
+}
+
+Result<void> Journal::CutTail(uint64_t segment, size_t offset) {
+  std::string path = this->PathOf(segment);
+  if (offset == 0) {
+    this->current = segment - 1;
+    auto removed = this->files.remove(path);
+    return removed ? this->files.sync_directory(this->options.directory) : removed;
+  }
+  auto cut = this->files.truncate(path, base::ByteCount(static_cast<int64_t>(offset)));
+  return cut ? this->OpenSegment(segment, offset) : cut;
+}
+
+Result<void> Journal::OpenSegment(uint64_t segment, size_t size) {
+  auto opened = this->files.open(this->PathOf(segment));
+  if (!opened) {
+    return tl::make_unexpected(opened.error());
+  }
+  if (this->open) {
+    this->files.close(this->file);
+  }
+  this->file = *opened;
+  this->open = true;
+  this->current = segment;
+  this->current_size = size;
+  return {};
+}
+
+Result<void> Journal::StartSegment(uint64_t segment) {
+  auto opened = this->OpenSegment(segment, kSegmentHeaderBytes);
+  if (!opened) {
+    return opened;
+  }
+  auto written = this->files.write(this->file, SegmentHeader(segment));
+  if (!written) {
+    return written;
+  }
+  auto synced = this->files.sync(this->file);
+  return synced ? this->files.sync_directory(this->options.directory) : synced;
+}
+
+Result<void> Journal::WriteBatch(const std::vector<JournalRecord>& records) {
+  std::string frame = JournalFrame::Encode(records, this->current, this->current_size);
+  this->current_size += frame.size();
+  auto written = this->files.write(this->file, frame);
+  return written ? this->files.sync(this->file) : written;
+}
+
+Result<void> Journal::RemoveSegmentsBefore(uint64_t segment) {
+  auto segments = this->ListSegments();
+  if (!segments) {
+    return tl::make_unexpected(segments.error());
+  }
+  for (uint64_t old : *segments) {
+    if (old >= segment) {
+      break;
+    }
+    auto removed = this->files.remove(this->PathOf(old));
+    if (!removed) {
+      return removed;
+    }
+    // Removals that become durable out of order would look like a missing segment.
+    auto synced = this->files.sync_directory(this->options.directory);
+    if (!synced) {
+      return synced;
+    }
+  }
+  return {};
+}
+
+Result<void> Journal::Record(Result<void> outcome) {
+  this->broken = this->broken || !outcome;
+  return outcome;
+}
+
+}  // namespace sapphirecrank::storage
--- /dev/null
+++ b/src/storage/journal_frame.cc
@@ -0,0 +1,75 @@
+#include "storage/journal_frame.h"
+
+#include <xxhash.h>
+
+#include <utility>
+
+#include "storage/byte_reader.h"
+#include "storage/byte_writer.h"
+
+namespace sapphirecrank::storage {
+namespace {
+
+constexpr size_t kChecksummedHeaderBytes = 16;
+
+uint64_t Checksum(std::string_view bytes, uint64_t segment, size_t offset) {
+  constexpr uint64_t kMultiplier = 0x9e3779b97f4a7c15;
+  return XXH64(bytes.data(), bytes.size(), segment * kMultiplier + offset + 1);
+}
+
+}  // namespace
+
+std::string JournalFrame::Encode(const std::vector<JournalRecord>& records, uint64_t segment,
+                                 size_t offset) {
+  ByteWriter payload;
+  for (const JournalRecord& record : records) {
+    payload.PutU32(record.type);
+    payload.PutString(record.payload);
+  }
+  ByteWriter frame;
+  frame.PutU32(static_cast<uint32_t>(payload.written().size()));
+  frame.PutU32(static_cast<uint32_t>(records.size()));
+  frame.PutU64(Checksum(payload.written(), segment, offset));
+  frame.PutU64(Checksum(frame.written(), segment, offset));
+  frame.PutRaw(payload.written());
+  return frame.Take();
+}
+
+JournalFrame JournalFrame::Decode(std::string_view content, uint64_t segment, size_t offset) {
+  JournalFrame frame;
+  std::string_view bytes = content.substr(offset);
+  if (bytes.size() < kHeaderBytes) {
+    return frame;
+  }
+  ByteReader reader(bytes);
+  uint32_t length = reader.TakeU32();
+  uint32_t count = reader.TakeU32();
+  uint64_t payload_checksum = reader.TakeU64();
+  uint64_t header_checksum = reader.TakeU64();
+  if (header_checksum != Checksum(bytes.substr(0, kChecksummedHeaderBytes), segment, offset)) {
+    frame.state = State::kBadHeader;
+    return frame;
+  }
+  frame.end = offset + kHeaderBytes + length;
+  if (frame.end > content.size()) {
+    return frame;
+  }
+  std::string_view payload = reader.TakeRaw(length);
+  frame.state = State::kBadPayload;
+  if (payload_checksum != Checksum(payload, segment, offset)) {
+    return frame;
+  }
+  ByteReader records(payload);
+  for (uint32_t i = 0; i < count && records.ok(); ++i) {
+    JournalRecord record;
+    record.type = records.TakeU32();
+    record.payload = records.TakeString();
+    frame.records.push_back(std::move(record));
+  }
+  if (records.ok() && records.remaining() == 0) {
+    frame.state = State::kValid;
+  }
+  return frame;
+}
+
+}  // namespace sapphirecrank::storage
--- /dev/null
+++ b/src/storage/journal_frame.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "storage/journal_record.h"
+
+namespace sapphirecrank::storage {
+
+/// The records of one write, with checksums. A frame is read whole or not at all.
+///
+/// Layout: payload length (4 bytes), record count (4), checksum of the payload (8), checksum of the
+/// first 16 bytes (8), payload. A record in the payload is type (4), length (4), bytes. The
+/// checksums are seeded with segment and offset, so that a frame is valid only in its own place.
+struct JournalFrame {
+  enum class State { kValid, kBadHeader, kBadPayload, kIncomplete };
+
+  static constexpr size_t kHeaderBytes = 24;
+
+  State state = State::kIncomplete;
+  /// Offset of the first byte after the frame, if the header is valid.
+  size_t end = 0;
+  std::vector<JournalRecord> records;
+
+  /// Returns the bytes of a frame that starts at `offset` of segment `segment`.
+  static std::string Encode(const std::vector<JournalRecord>& records, uint64_t segment,
+                            size_t offset);
+
+  /// Reads the frame at `offset` of the whole content of segment `segment`. Thread safety: pure.
+  static JournalFrame Decode(std::string_view content, uint64_t segment, size_t offset);
+};
+
+}  // namespace sapphirecrank::storage
--- /dev/null
+++ b/src/storage/journal_record.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace sapphirecrank::storage {
+
+/// One record of a journal. The journal doesn't interpret type and payload.
+struct JournalRecord {
+  uint32_t type = 0;
+  std::string payload;
+};
+
+}  // namespace sapphirecrank::storage
--- /dev/null
+++ b/src/storage/posix_file_system.cc
@@ -0,0 +1,149 @@
+#include "storage/posix_file_system.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <system_error>
+
+namespace sapphirecrank::storage {
+namespace {
+
+using base::ErrorCode;
+using base::Result;
+
+constexpr mode_t kFileMode = 0640;
+constexpr mode_t kDirectoryMode = 0750;
+
+auto SystemFailure(std::string_view operation, const std::string& subject) {
+  return base::Fail(ErrorCode::kStorageFailed, fmt::format("{} {}: {}", operation, subject,
+                                                           std::generic_category().message(errno)));
+}
+
+Result<FileHandle> Open(const std::string& path) {
+  int file = ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode);
+  if (file < 0) {
+    return SystemFailure("open", path);
+  }
+  return FileHandle(file);
+}
+
+Result<void> Write(FileHandle file, std::string_view data) {
+  while (!data.empty()) {
+    ssize_t written = ::write(file.value(), data.data(), data.size());
+    if (written < 0 && errno == EINTR) {
+      continue;
+    }
+    if (written < 0) {
+      return SystemFailure("write", fmt::format("file {}", file.value()));
+    }
+    data.remove_prefix(static_cast<size_t>(written));
+  }
+  return {};
+}
+
+Result<void> Sync(FileHandle file) {
+  if (::fdatasync(file.value()) != 0) {
+    return SystemFailure("sync", fmt::format("file {}", file.value()));
+  }
+  return {};
+}
+
+Result<void> SyncPath(const std::string& path, int flags) {
+  int file = ::open(path.c_str(), flags | O_CLOEXEC);
+  if (file < 0) {
+    return SystemFailure("open", path);
+  }
+  int outcome = ::fsync(file);
+  auto failure = SystemFailure("sync", path);
+  ::close(file);
+  if (outcome != 0) {
+    return failure;
+  }
+  return {};
+}
+
+Result<void> Truncate(const std::string& path, base::ByteCount size) {
+  if (::truncate(path.c_str(), size.value()) != 0) {
+    return SystemFailure("truncate", path);
+  }
+  return SyncPath(path, O_WRONLY);
+}
+
+Result<void> Rename(const std::string& from, const std::string& to) {
+  if (::rename(from.c_str(), to.c_str()) != 0) {
+    return SystemFailure("rename", from);
+  }
+  return {};
+}
+
+Result<void> Remove(const std::string& path) {
+  if (::unlink(path.c_str()) != 0) {
+    return SystemFailure("remove", path);
+  }
+  return {};
+}
+
+Result<std::vector<std::string>> List(const std::string& directory) {
+  std::error_code error;
+  std::vector<std::string> names;
+  for (std::filesystem::directory_iterator entry(directory, error), end; !error && entry != end;
+       entry.increment(error)) {
+    names.push_back(entry->path().filename().string());
+  }
+  if (error) {
+    return base::Fail(ErrorCode::kStorageFailed,
+                      fmt::format("list {}: {}", directory, error.message()));
+  }
+  return names;
+}
+
+Result<std::string> Read(const std::string& path) {
+  std::ifstream input(path, std::ios::binary);
+  std::ostringstream content;
+  if (!input) {
+    return SystemFailure("read", path);
+  }
+  if (input.peek() != std::ifstream::traits_type::eof()) {
+    content << input.rdbuf();
+  }
+  if (input.bad() || content.bad()) {
+    return SystemFailure("read", path);
+  }
+  return content.str();
+}
+
+Result<void> CreateDirectory(const std::string& path) {
+  if (::mkdir(path.c_str(), kDirectoryMode) != 0 && errno != EEXIST) {
+    return SystemFailure("create directory", path);
+  }
+  return {};
+}
+
+}  // namespace
+
+FileSystem PosixFileSystem() {
+  FileSystem files;
+  files.open = Open;
+  files.write = Write;
+  files.sync = Sync;
+  files.close = [](FileHandle file) { ::close(file.value()); };
+  files.truncate = Truncate;
+  files.sync_directory = [](const std::string& path) {
+    return SyncPath(path, O_RDONLY | O_DIRECTORY);
+  };
+  files.rename = Rename;
+  files.remove = Remove;
+  files.list = List;
+  files.read = Read;
+  files.create_directory = CreateDirectory;
+  return files;
+}
+
+}  // namespace sapphirecrank::storage
--- /dev/null
+++ b/src/storage/snapshot_file.cc
@@ -0,0 +1,114 @@
+#include "storage/snapshot_file.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "storage/byte_reader.h"
+#include "storage/byte_writer.h"
+
+namespace sapphirecrank::storage {
+namespace {
+
+using base::ErrorCode;
+using base::Result;
+
+constexpr std::string_view kMagic = "SPHCSNAP";
+constexpr uint32_t kFormatVersion = 1;
+// Magic, format version, length, checksum of all but the checksum.
+constexpr size_t kHeaderBytes = 8 + 4 + 8 + 8;
+constexpr size_t kChecksumOffset = 8 + 4 + 8;
+
+uint64_t Checksum(std::string_view header, std::string_view value) {
+  return XXH64(value.data(), value.size(), XXH64(header.data(), header.size(), 0));
+}
+
+}  // namespace
+
+SnapshotFile::SnapshotFile(const FileSystem& files, const std::string& directory,
+                           const std::string& name)
+    : files(files), directory(directory), name(name) {}
+
+Result<void> SnapshotFile::Save(std::string_view value) {
+  if (this->broken) {
+    return base::Fail(ErrorCode::kStorageFailed, "the snapshot file failed earlier");
+  }
+  auto saved = this->Replace(value);
+  this->broken = !saved;
+  return saved;
+}
+
+Result<std::optional<std::string>> SnapshotFile::Load() const {
+  auto names = this->files.list(this->directory);
+  if (!names) {
+    return tl::make_unexpected(names.error());
+  }
+  if (std::find(names->begin(), names->end(), this->name) == names->end()) {
+    return std::optional<std::string>();
+  }
+  std::string path = this->directory + "/" + this->name;
+  auto content = this->files.read(path);
+  if (!content) {
+    return tl::make_unexpected(content.error());
+  }
+  ByteReader reader(*content);
+  std::string_view magic = reader.TakeRaw(kMagic.size());
+  uint32_t version = reader.TakeU32();
+  uint64_t length = reader.TakeU64();
+  uint64_t checksum = reader.TakeU64();
+  std::string_view header = *content;
+  header = header.substr(0, kChecksumOffset);
+  if (!reader.ok() || magic != kMagic || version != kFormatVersion ||
+      length != reader.remaining()) {
+    return base::Fail(ErrorCode::kCorrupted,
+                      fmt::format("{}: bad header or unknown format version at offset 0", path));
+  }
+  std::string_view value = reader.TakeRaw(length);
+  if (checksum != Checksum(header, value)) {
+    return base::Fail(ErrorCode::kCorrupted,
+                      fmt::format("{}: damaged value at offset {}", path, kHeaderBytes));
+  }
+  return std::optional<std::string>(value);
+}
+
+Result<void> SnapshotFile::Replace(std::string_view value) {
+  std::string path = this->directory + "/" + this->name;
+  auto written = this->WriteTemporary(value);
+  if (!written) {
+    return written;
+  }
+  auto renamed = this->files.rename(path + ".tmp", path);
+  return renamed ? this->files.sync_directory(this->directory) : renamed;
+}
+
+Result<void> SnapshotFile::WriteTemporary(std::string_view value) {
+  std::string temporary = this->directory + "/" + this->name + ".tmp";
+  auto names = this->files.list(this->directory);
+  if (!names) {
+    return tl::make_unexpected(names.error());
+  }
+  // An older attempt may have left a part, and files are opened for appending.
+  if (std::find(names->begin(), names->end(), this->name + ".tmp") != names->end()) {
+    auto removed = this->files.remove(temporary);
+    if (!removed) {
+      return removed;
+    }
+  }
+  auto file = this->files.open(temporary);
+  if (!file) {
+    return tl::make_unexpected(file.error());
+  }
+  ByteWriter content;
+  content.PutRaw(kMagic);
+  content.PutU32(kFormatVersion);
+  content.PutU64(value.size());
+  content.PutU64(Checksum(content.written(), value));
+  content.PutRaw(value);
+  auto written = this->files.write(*file, content.written());
+  auto synced = written ? this->files.sync(*file) : written;
+  this->files.close(*file);
+  return synced;
+}
+
+}  // namespace sapphirecrank::storage
