consensus: Add RaftNode with its safety tests

The replicated log is one object without threads: calls change its state in memory, and Flush lets the effects out after what they depend on is durable. A caller that passes in several messages before one Flush pays one sync for all. A host without a disk, or with a failed one, replicates and never votes; its acknowledgements say "not durable" and count for no quorum.

A follower is current as of the time of its own question, which the leader returns once a quorum has confirmed it; a delayed message can only make a host look older. A restarted host waits an election timeout before it votes, because it has forgotten whose lease it confirmed. After a transfer was asked for, the lease doesn't hold again in that term, because the request may arrive late.

--- /dev/null
+++ b/src/consensus/append_answer.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "base/ids.h"
+#include "consensus/probe_token.h"
+
+namespace sapphirecrank::consensus {
+
+/// Answer to `AppendRequest`.
+struct AppendAnswer {
+  bool accepted = false;
+  /// If accepted: the log equals the leader's up to here. Otherwise: where the leader may retry.
+  base::LogIndex index;
+  /// The log up to `index` is on synced storage.
+  bool durable = false;
+  base::Sequence round;
+  ProbeToken probe;
+};
+
+}  // namespace sapphirecrank::consensus
--- /dev/null
+++ b/src/consensus/append_request.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <vector>
+
+#include "base/ids.h"
+#include "consensus/log_entry.h"
+#include "consensus/probe_token.h"
+
+namespace sapphirecrank::consensus {
+
+/// The leader sends entries, or none as a heartbeat.
+struct AppendRequest {
+  base::LogIndex previous_index;
+  base::Term previous_term;
+  std::vector<LogEntry> entries;
+  base::LogIndex commit;
+  /// Number of the leader's latest round of heartbeats; the answer repeats it.
+  base::Sequence round;
+  /// Latest token of the receiver after which a quorum has confirmed the leader: what was committed
+  /// when the receiver asked is at most `commit`.
+  ProbeToken confirmed;
+};
+
+}  // namespace sapphirecrank::consensus
--- /dev/null
+++ b/src/consensus/currency_probe.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <optional>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "consensus/probe_token.h"
+
+namespace sapphirecrank::consensus {
+
+/// Since when a follower is known to have everything that was committed.
+///
+/// The follower marks its answers with the time when it asks. The leader returns the mark after a
+/// quorum has confirmed it, with the commit position. A message that was delayed on the way can
+/// therefore only make the follower look older than it is. Thread safety: none.
+class CurrencyProbe {
+ public:
+  explicit CurrencyProbe(base::Incarnation incarnation) : incarnation(incarnation) {}
+
+  /// Returns the mark for an answer sent now.
+  ProbeToken Ask(base::TimePoint now) const { return {this->incarnation, now}; }
+
+  /// Takes a returned mark: all that was committed when it was made is at most `commit`.
+  void Confirm(const ProbeToken& token, base::LogIndex commit) {
+    if (token.incarnation != this->incarnation || token.asked <= this->current) {
+      return;
+    }
+    if (!this->pending) {
+      this->pending = token.asked;
+      this->needed = commit;
+    }
+  }
+
+  /// Records that the state machine has applied the entries up to `applied`.
+  void Apply(base::LogIndex applied) {
+    if (this->pending && applied >= this->needed) {
+      this->current = *this->pending;
+      this->pending.reset();
+    }
+  }
+
+  /// Returns the time whose committed entries are all applied, or the epoch if none is known.
+  base::TimePoint current_as_of() const { return this->current; }
+
+ private:
+  base::Incarnation incarnation;
+  std::optional<base::TimePoint> pending;
+  base::LogIndex needed;
+  base::TimePoint current;
+};
+
+}  // namespace sapphirecrank::consensus
--- /dev/null
+++ b/src/consensus/election.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <set>
+
+#include "base/ids.h"
+#include "consensus/raft_membership.h"
+
+namespace sapphirecrank::consensus {
+
+/// Counts the answers to one candidate's request for votes. Thread safety: none.
+class Election {
+ public:
+  /// Forgets all answers.
+  void Clear() { this->granted.clear(); }
+
+  /// Records that `voter` granted its vote; repeated answers count once.
+  void Grant(const base::HostId& voter) { this->granted.insert(voter); }
+
+  /// Tells whether a quorum of the voters granted their votes. Votes of other hosts don't count.
+  bool IsWon(const RaftMembership& membership) const {
+    size_t votes = 0;
+    for (const base::HostId& voter : membership.voters) {
+      votes += this->granted.count(voter);
+    }
+    return votes >= membership.Quorum();
+  }
+
+ private:
+  std::set<base::HostId> granted;
+};
+
+}  // namespace sapphirecrank::consensus
--- /dev/null
+++ b/src/consensus/probe_token.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace sapphirecrank::consensus {
+
+/// A question "what is committed now?" of a follower, marked with the time when it asked.
+///
+/// Only the process that made a token reads its time; other processes send it back unchanged.
+struct ProbeToken {
+  base::Incarnation incarnation;
+  base::TimePoint asked;
+
+  friend bool operator==(const ProbeToken& a, const ProbeToken& b) {
+    return a.incarnation == b.incarnation && a.asked == b.asked;
+  }
+};
+
+}  // namespace sapphirecrank::consensus
--- /dev/null
+++ b/src/consensus/quorum_rounds.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <map>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace sapphirecrank::consensus {
+
+/// The leader's numbered rounds of heartbeats, and since when it is known to be still the leader.
+///
+/// An answer to a round proves that the host followed this leader after the round's start.
+/// Thread safety: none.
+class QuorumRounds {
+ public:
+  /// Forgets everything but the numbers already used.
+  void Clear();
+
+  /// Starts a round and returns its number.
+  base::Sequence Start(base::TimePoint now);
+
+  /// Records that a quorum has answered the rounds up to `round`.
+  void Confirm(base::Sequence round);
+
+  /// Returns the latest round that was started.
+  base::Sequence current() const { return this->latest; }
+
+  /// Returns the latest round that a quorum has answered.
+  base::Sequence confirmed() const { return this->confirmed_round; }
+
+  /// Returns when the latest confirmed round started, or the epoch if there is none.
+  base::TimePoint confirmed_at() const { return this->confirmed_time; }
+
+ private:
+  std::map<base::Sequence, base::TimePoint> open;
+  base::Sequence latest;
+  base::Sequence confirmed_round;
+  base::TimePoint confirmed_time;
+};
+
+}  // namespace sapphirecrank::consensus
--- /dev/null
+++ b/src/consensus/raft_disk.cc
@@ -0,0 +1,219 @@
+#include "consensus/raft_disk.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+#include "consensus/raft_encoding.h"
+#include "storage/byte_reader.h"
+#include "storage/byte_writer.h"
+#include "storage/journal_record.h"
+
+namespace sapphirecrank::consensus {
+namespace {
+
+using base::ErrorCode;
+using base::LogIndex;
+using base::Result;
+using storage::ByteReader;
+using storage::ByteWriter;
+using storage::JournalRecord;
+
+constexpr char kSnapshotName[] = "snapshot";
+
+// Numbers of record types are part of the file format.
+enum RecordType : uint32_t {
+  /// First membership of the group.
+  kInitialRecord = 1,
+  kHardStateRecord = 2,
+  kEntryRecord = 3,
+  /// Index of the snapshot that the records from here on rely on; drops all entries before.
+  kBaseRecord = 4,
+};
+
+JournalRecord HardStateRecord(const HardState& state) {
+  ByteWriter writer;
+  RaftEncoding::Put(writer, state);
+  return {kHardStateRecord, writer.Take()};
+}
+
+std::vector<JournalRecord> Records(const HardState& state, const std::vector<LogEntry>& entries) {
+  std::vector<JournalRecord> records;
+  records.reserve(entries.size() + 1);
+  records.push_back(HardStateRecord(state));
+  for (const LogEntry& entry : entries) {
+    ByteWriter writer;
+    RaftEncoding::Put(writer, entry);
+    records.push_back({kEntryRecord, writer.Take()});
+  }
+  return records;
+}
+
+}  // namespace
+
+RaftDisk::RaftDisk(const storage::FileSystem& files, const std::string& directory)
+    : directory(directory), snapshot_file(files, directory, kSnapshotName) {}
+
+Result<std::unique_ptr<RaftDisk>> RaftDisk::Open(const storage::FileSystem& files,
+                                                 const std::string& directory,
+                                                 const RaftMembership& initial) {
+  std::unique_ptr<RaftDisk> disk(new RaftDisk(files, directory));
+  auto loaded = disk->Load(files, initial);
+  if (!loaded) {
+    return tl::make_unexpected(loaded.error());
+  }
+  return disk;
+}
+
+RaftStorage RaftDisk::Storage() {
+  RaftStorage hooks;
+  hooks.append = [this](const HardState& hard_state, const std::vector<LogEntry>& entries) {
+    return this->Append(hard_state, entries);
+  };
+  hooks.save_snapshot = [this](const RaftSnapshot& snapshot, const HardState& hard_state,
+                               const std::vector<LogEntry>& entries) {
+    return this->SaveSnapshot(snapshot, hard_state, entries);
+  };
+  return hooks;
+}
+
+Result<void> RaftDisk::Load(const storage::FileSystem& files, const RaftMembership& initial) {
+  auto created = files.create_directory(this->directory);
+  if (!created) {
+    return created;
+  }
+  auto snapshot = this->LoadSnapshot(initial);
+  if (!snapshot) {
+    return snapshot;
+  }
+  storage::Journal::Options options;
+  options.directory = this->directory;
+  bool empty = true;
+  auto opened = storage::Journal::Open(files, options, [&](const JournalRecord& record) {
+    empty = false;
+    this->Replay(record);
+  });
+  if (!opened) {
+    return tl::make_unexpected(opened.error());
+  }
+  this->journal = std::move(*opened);
+  if (!empty) {
+    return this->CheckEntries();
+  }
+  if (this->state.snapshot.index > LogIndex()) {
+    return base::Fail(ErrorCode::kCorrupted,
+                      fmt::format("{}: the snapshot has no journal", this->directory));
+  }
+  ByteWriter membership;
+  RaftEncoding::Put(membership, initial);
+  return this->journal->Append({{kInitialRecord, membership.Take()}});
+}
+
+Result<void> RaftDisk::LoadSnapshot(const RaftMembership& initial) {
+  this->state.snapshot.membership = initial;
+  auto content = this->snapshot_file.Load();
+  if (!content) {
+    return tl::make_unexpected(content.error());
+  }
+  if (!*content) {
+    return {};
+  }
+  ByteReader reader(**content);
+  this->state.snapshot = RaftEncoding::TakeSnapshot(reader);
+  if (!reader.ok()) {
+    return base::Fail(ErrorCode::kCorrupted,
+                      fmt::format("{}/{}: undecodable snapshot", this->directory, kSnapshotName));
+  }
+  return {};
+}
+
+void RaftDisk::Replay(const JournalRecord& record) {
+  ByteReader reader(record.payload);
+  std::vector<LogEntry>& entries = this->state.entries;
+  switch (record.type) {
+    case kInitialRecord: {
+      RaftMembership membership = RaftEncoding::TakeMembership(reader);
+      if (this->state.snapshot.index == LogIndex()) {
+        this->state.snapshot.membership = std::move(membership);
+      }
+      break;
+    }
+    case kHardStateRecord:
+      this->state.hard_state = RaftEncoding::TakeHardState(reader);
+      break;
+    case kEntryRecord: {
+      LogEntry entry = RaftEncoding::TakeEntry(reader);
+      while (!entries.empty() && entries.back().index >= entry.index) {
+        entries.pop_back();
+      }
+      entries.push_back(std::move(entry));
+      break;
+    }
+    case kBaseRecord:
+      this->needed_snapshot = LogIndex(reader.TakeU64());
+      entries.clear();
+      break;
+    default:
+      this->undecodable = true;
+  }
+  this->undecodable = this->undecodable || !reader.ok();
+}
+
+Result<void> RaftDisk::CheckEntries() {
+  if (this->undecodable) {
+    return base::Fail(ErrorCode::kCorrupted,
+                      fmt::format("{}: undecodable journal record", this->directory));
+  }
+  const RaftSnapshot& snapshot = this->state.snapshot;
+  if (snapshot.index < this->needed_snapshot) {
+    return base::Fail(ErrorCode::kCorrupted,
+                      fmt::format("{}: the snapshot at {} is missing", this->directory,
+                                  this->needed_snapshot.value()));
+  }
+  // After a crash between snapshot and journal, the journal still has entries that the snapshot
+  // covers; what follows counts only if it follows the same entry.
+  std::vector<LogEntry> following;
+  bool same_history = this->needed_snapshot == snapshot.index;
+  for (LogEntry& entry : this->state.entries) {
+    same_history = same_history || (entry.index == snapshot.index && entry.term == snapshot.term);
+    if (entry.index > snapshot.index && same_history) {
+      following.push_back(std::move(entry));
+    }
+  }
+  LogIndex expected = snapshot.index;
+  for (const LogEntry& entry : following) {
+    expected = expected.Next();
+    if (entry.index != expected) {
+      return base::Fail(ErrorCode::kCorrupted,
+                        fmt::format("{}: entry {} is missing", this->directory, expected.value()));
+    }
+  }
+  this->state.entries = std::move(following);
+  // The term of a received snapshot may have reached the disk without the hard state; this host
+  // has answered nothing in that term.
+  if (this->state.hard_state.term < snapshot.term) {
+    this->state.hard_state = HardState{snapshot.term, base::HostId()};
+  }
+  return {};
+}
+
+Result<void> RaftDisk::Append(const HardState& hard_state, const std::vector<LogEntry>& entries) {
+  return this->journal->Append(Records(hard_state, entries));
+}
+
+Result<void> RaftDisk::SaveSnapshot(const RaftSnapshot& snapshot, const HardState& hard_state,
+                                    const std::vector<LogEntry>& entries) {
+  ByteWriter writer;
+  RaftEncoding::Put(writer, snapshot);
+  auto saved = this->snapshot_file.Save(writer.written());
+  if (!saved) {
+    return saved;
+  }
+  ByteWriter index;
+  index.PutU64(snapshot.index.value());
+  std::vector<JournalRecord> records = Records(hard_state, entries);
+  records.insert(records.begin(), JournalRecord{kBaseRecord, index.Take()});
+  return this->journal->StartOver(records);
+}
+
+}  // namespace sapphirecrank::consensus
--- /dev/null
+++ b/src/consensus/raft_encoding.cc
@@ -0,0 +1,92 @@
+#include "consensus/raft_encoding.h"
+
+#include <set>
+
+namespace sapphirecrank::consensus {
+namespace {
+
+using base::HostId;
+using storage::ByteReader;
+using storage::ByteWriter;
+
+void PutHosts(ByteWriter& writer, const std::set<HostId>& hosts) {
+  writer.PutU32(static_cast<uint32_t>(hosts.size()));
+  for (const HostId& host : hosts) {
+    writer.PutString(host.value());
+  }
+}
+
+std::set<HostId> TakeHosts(ByteReader& reader) {
+  std::set<HostId> hosts;
+  uint32_t count = reader.TakeU32();
+  for (uint32_t i = 0; i < count && reader.ok(); ++i) {
+    hosts.insert(HostId(reader.TakeString()));
+  }
+  return hosts;
+}
+
+}  // namespace
+
+void RaftEncoding::Put(ByteWriter& writer, const RaftMembership& membership) {
+  PutHosts(writer, membership.voters);
+  PutHosts(writer, membership.learners);
+}
+
+void RaftEncoding::Put(ByteWriter& writer, const LogEntry& entry) {
+  writer.PutU64(entry.index.value());
+  writer.PutU64(entry.term.value());
+  writer.PutU32(static_cast<uint32_t>(entry.kind));
+  writer.PutString(entry.command);
+  if (entry.kind == LogEntry::Kind::kMembership) {
+    Put(writer, entry.membership);
+  }
+}
+
+void RaftEncoding::Put(ByteWriter& writer, const HardState& state) {
+  writer.PutU64(state.term.value());
+  writer.PutString(state.vote.value());
+}
+
+void RaftEncoding::Put(ByteWriter& writer, const RaftSnapshot& snapshot) {
+  writer.PutU64(snapshot.index.value());
+  writer.PutU64(snapshot.term.value());
+  Put(writer, snapshot.membership);
+  writer.PutString(snapshot.state);
+}
+
+RaftMembership RaftEncoding::TakeMembership(ByteReader& reader) {
+  RaftMembership membership;
+  membership.voters = TakeHosts(reader);
+  membership.learners = TakeHosts(reader);
+  return membership;
+}
+
+LogEntry RaftEncoding::TakeEntry(ByteReader& reader) {
+  LogEntry entry;
+  entry.index = base::LogIndex(reader.TakeU64());
+  entry.term = base::Term(reader.TakeU64());
+  entry.kind = static_cast<LogEntry::Kind>(reader.TakeU32());
+  entry.command = reader.TakeString();
+  if (entry.kind == LogEntry::Kind::kMembership) {
+    entry.membership = TakeMembership(reader);
+  }
+  return entry;
+}
+
+HardState RaftEncoding::TakeHardState(ByteReader& reader) {
+  HardState state;
+  state.term = base::Term(reader.TakeU64());
+  state.vote = HostId(reader.TakeString());
+  return state;
+}
+
+RaftSnapshot RaftEncoding::TakeSnapshot(ByteReader& reader) {
+  RaftSnapshot snapshot;
+  snapshot.index = base::LogIndex(reader.TakeU64());
+  snapshot.term = base::Term(reader.TakeU64());
+  snapshot.membership = TakeMembership(reader);
+  snapshot.state = reader.TakeString();
+  return snapshot;
+}
+
+}  // namespace sapphirecrank::consensus
--- /dev/null
+++ b/src/consensus/raft_encoding.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "consensus/hard_state.h"
+#include "consensus/log_entry.h"
+#include "consensus/raft_membership.h"
+#include "consensus/raft_snapshot.h"
+#include "storage/byte_reader.h"
+#include "storage/byte_writer.h"
+
+namespace sapphirecrank::consensus {
+
+/// Binary form of a group's state in the files of `RaftDisk`. A `Take` function leaves the reader's
+/// `ok()` false if the bytes end too early. Thread safety: pure.
+struct RaftEncoding {
+  static void Put(storage::ByteWriter& writer, const RaftMembership& membership);
+  static void Put(storage::ByteWriter& writer, const LogEntry& entry);
+  static void Put(storage::ByteWriter& writer, const HardState& state);
+  static void Put(storage::ByteWriter& writer, const RaftSnapshot& snapshot);
+
+  static RaftMembership TakeMembership(storage::ByteReader& reader);
+  static LogEntry TakeEntry(storage::ByteReader& reader);
+  static HardState TakeHardState(storage::ByteReader& reader);
+  static RaftSnapshot TakeSnapshot(storage::ByteReader& reader);
+};
+
+}  // namespace sapphirecrank::consensus
--- /dev/null
+++ b/src/consensus/raft_log.cc
@@ -0,0 +1,100 @@
+#include "consensus/raft_log.h"
+
+#include <cassert>
+#include <iterator>
+#include <utility>
+
+namespace sapphirecrank::consensus {
+
+using base::LogIndex;
+using base::Term;
+
+RaftLog::RaftLog(LogIndex index, Term term, const RaftMembership& membership)
+    : base(index), base_term(term) {
+  this->memberships[index] = membership;
+}
+
+LogIndex RaftLog::last_index() const { return this->base + LogIndex(this->entries.size()); }
+
+Term RaftLog::last_term() const {
+  return this->entries.empty() ? this->base_term : this->entries.back().term;
+}
+
+std::optional<Term> RaftLog::TermAt(LogIndex index) const {
+  if (index == this->base) {
+    return this->base_term;
+  }
+  if (index < this->base || index > this->last_index()) {
+    return std::nullopt;
+  }
+  return this->At(index).term;
+}
+
+const LogEntry& RaftLog::At(LogIndex index) const {
+  assert(index > this->base && index <= this->last_index());
+  return this->entries[this->PositionOf(index)];
+}
+
+void RaftLog::Append(LogEntry entry) {
+  assert(entry.index == this->last_index().Next());
+  if (entry.kind == LogEntry::Kind::kMembership) {
+    this->memberships[entry.index] = entry.membership;
+  }
+  this->entries.push_back(std::move(entry));
+}
+
+void RaftLog::TruncateFrom(LogIndex index) {
+  assert(index > this->base);
+  if (index > this->last_index()) {
+    return;
+  }
+  this->entries.resize(this->PositionOf(index));
+  this->memberships.erase(this->memberships.lower_bound(index), this->memberships.end());
+}
+
+std::vector<LogEntry> RaftLog::Slice(LogIndex index, base::ByteCount limit) const {
+  // Counts what an entry costs besides its command.
+  constexpr size_t kEntryOverheadBytes = 32;
+  std::vector<LogEntry> slice;
+  size_t bytes = 0;
+  for (size_t i = this->PositionOf(index); i < this->entries.size(); ++i) {
+    bytes += kEntryOverheadBytes + this->entries[i].command.size();
+    if (!slice.empty() && bytes > static_cast<size_t>(limit.value())) {
+      break;
+    }
+    slice.push_back(this->entries[i]);
+  }
+  return slice;
+}
+
+std::vector<LogEntry> RaftLog::From(LogIndex index) const {
+  if (index > this->last_index()) {
+    return {};
+  }
+  auto first = this->entries.begin() + static_cast<std::ptrdiff_t>(this->PositionOf(index));
+  return std::vector<LogEntry>(first, this->entries.end());
+}
+
+void RaftLog::CompactTo(LogIndex index) {
+  assert(index <= this->last_index());
+  if (index <= this->base) {
+    return;
+  }
+  RaftMembership membership = this->MembershipAt(index);
+  this->base_term = this->At(index).term;
+  auto last = this->entries.begin() + static_cast<std::ptrdiff_t>(this->PositionOf(index)) + 1;
+  this->entries.erase(this->entries.begin(), last);
+  this->base = index;
+  this->memberships.erase(this->memberships.begin(), this->memberships.upper_bound(index));
+  this->memberships[index] = std::move(membership);
+}
+
+const RaftMembership& RaftLog::MembershipAt(LogIndex index) const {
+  return std::prev(this->memberships.upper_bound(index))->second;
+}
+
+size_t RaftLog::PositionOf(LogIndex index) const {
+  return static_cast<size_t>(index.value() - this->base.value() - 1);
+}
+
+}  // namespace sapphirecrank::consensus
--- /dev/null
+++ b/src/consensus/raft_membership.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <set>
+
+#include "base/ids.h"
+
+namespace sapphirecrank::consensus {
+
+/// The hosts of a group. Voters have durable storage and form the quorum; learners only replicate.
+struct RaftMembership {
+  std::set<base::HostId> voters;
+  std::set<base::HostId> learners;
+
+  /// Returns the number of voters that decides. Thread safety: pure.
+  size_t Quorum() const { return this->voters.size() / 2 + 1; }
+
+  friend bool operator==(const RaftMembership& a, const RaftMembership& b) {
+    return a.voters == b.voters && a.learners == b.learners;
+  }
+  friend bool operator!=(const RaftMembership& a, const RaftMembership& b) { return !(a == b); }
+};
+
+}  // namespace sapphirecrank::consensus
--- /dev/null
+++ b/src/consensus/raft_message.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <variant>
+
+#include "base/ids.h"
+#include "consensus/append_answer.h"
+#include "consensus/append_request.h"
+#include "consensus/snapshot_answer.h"
+#include "consensus/snapshot_chunk.h"
+#include "consensus/timeout_now.h"
+#include "consensus/vote_answer.h"
+#include "consensus/vote_request.h"
+
+namespace sapphirecrank::consensus {
+
+/// A message between two hosts of a group. Messages may be lost, repeated, delayed and reordered.
+struct RaftMessage {
+  using Body = std::variant<VoteRequest, VoteAnswer, AppendRequest, AppendAnswer, SnapshotChunk,
+                            SnapshotAnswer, TimeoutNow>;
+
+  base::HostId from;
+  base::HostId to;
+  base::Term term;
+  Body body;
+};
+
+}  // namespace sapphirecrank::consensus
--- /dev/null
+++ b/src/consensus/raft_storage.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include "base/result.h"
+#include "consensus/hard_state.h"
+#include "consensus/log_entry.h"
+#include "consensus/raft_snapshot.h"
+
+namespace sapphirecrank::consensus {
+
+/// Durable storage of one group on one host. Both hooks are empty on a host without a disk.
+///
+/// When a hook returns success, its data is durable. A failure is final for the process.
+struct RaftStorage {
+  /// Stores the hard state and `entries`, which replace all stored entries from the first one's
+  /// index on.
+  std::function<base::Result<void>(const HardState& state, const std::vector<LogEntry>& entries)>
+      append;
+  /// Stores the snapshot in place of the log, and `entries`, which are all that follow it.
+  std::function<base::Result<void>(const RaftSnapshot& snapshot, const HardState& state,
+                                   const std::vector<LogEntry>& entries)>
+      save_snapshot;
+};
+
+}  // namespace sapphirecrank::consensus
--- /dev/null
+++ b/src/consensus/replication.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "consensus/progress.h"
+#include "consensus/quorum_rounds.h"
+#include "consensus/raft_log.h"
+#include "consensus/raft_membership.h"
+#include "consensus/raft_message.h"
+#include "consensus/raft_settings.h"
+#include "consensus/raft_snapshot.h"
+
+namespace sapphirecrank::consensus {
+
+/// The leader's part of replication: what to send to whom, and what a quorum has.
+///
+/// Thread safety: none. The log outlives this object.
+class Replication {
+ public:
+  using Messages = std::vector<std::pair<base::HostId, RaftMessage::Body>>;
+
+  Replication(const base::HostId& self, const RaftSettings& settings, const RaftLog& log);
+
+  /// Starts a leadership: nothing is known about the other hosts.
+  void Start(base::TimePoint now);
+
+  /// Adds and drops hosts so that they match the log's latest membership.
+  void UpdateMembers(base::TimePoint now);
+
+  /// Starts a round of heartbeats; `Collect` sends them.
+  void Heartbeat(base::TimePoint now);
+
+  /// Returns the messages that are due: heartbeats, entries, commit positions and snapshot chunks.
+  Messages Collect(base::LogIndex commit, const RaftSnapshot& snapshot);
+
+  /// Takes an answer of the current term.
+  void OnAnswer(const base::HostId& from, const AppendAnswer& answer, base::TimePoint now);
+
+  /// Takes an answer of the current term.
+  void OnAnswer(const base::HostId& from, const SnapshotAnswer& answer, base::TimePoint now);
+
+  /// Returns the last entry that is on the synced storage of a quorum of the voters.
+  base::LogIndex QuorumIndex(base::LogIndex own_durable) const;
+
+  /// Updates which rounds a quorum has answered. `answer_probes` tells whether the commit position
+  /// includes everything committed by earlier leaders, so that tokens may be confirmed.
+  void ConfirmRounds(bool answer_probes);
+
+  /// Tells whether a quorum of the voters, with this host, answered at `since` or later.
+  bool HasContact(base::TimePoint since) const;
+
+  /// Returns what is known about a host, or null.
+  const Progress* Find(const base::HostId& host) const;
+
+  const QuorumRounds& rounds() const { return this->quorum_rounds; }
+  const std::map<base::HostId, Progress>& peers() const { return this->progress; }
+
+ private:
+  bool IsVoter() const;
+  void CollectFor(const base::HostId& host, Progress& peer, base::LogIndex commit,
+                  const RaftSnapshot& snapshot, Messages& messages);
+  void CollectChunk(const base::HostId& host, Progress& peer, const RaftSnapshot& snapshot,
+                    Messages& messages);
+  AppendRequest MakeAppend(Progress& peer, base::LogIndex commit);
+
+  base::HostId self;
+  const RaftSettings& settings;
+  const RaftLog& log;
+  std::map<base::HostId, Progress> progress;
+  QuorumRounds quorum_rounds;
+};
+
+}  // namespace sapphirecrank::consensus
--- /dev/null
+++ b/src/consensus/snapshot_answer.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/units.h"
+
+namespace sapphirecrank::consensus {
+
+/// Answer to `SnapshotChunk`.
+struct SnapshotAnswer {
+  base::LogIndex index;
+  /// Bytes of the snapshot received so far without gaps.
+  base::ByteCount received;
+  /// The snapshot, or a longer log, is in use; it is on synced storage if `durable`.
+  bool installed = false;
+  bool durable = false;
+  base::Sequence round;
+};
+
+}  // namespace sapphirecrank::consensus
--- /dev/null
+++ b/src/consensus/snapshot_receiver.cc
@@ -0,0 +1,23 @@
+#include "consensus/snapshot_receiver.h"
+
+#include <utility>
+
+namespace sapphirecrank::consensus {
+
+std::optional<RaftSnapshot> SnapshotReceiver::Receive(base::Term term, const SnapshotChunk& chunk) {
+  if (term != this->sender_term || chunk.index != this->partial.index) {
+    this->sender_term = term;
+    this->partial = RaftSnapshot{chunk.index, chunk.term, chunk.membership, ""};
+  }
+  if (chunk.offset != this->received()) {
+    return std::nullopt;
+  }
+  this->partial.state += chunk.bytes;
+  if (!chunk.last) {
+    return std::nullopt;
+  }
+  this->sender_term = base::Term();
+  return std::exchange(this->partial, RaftSnapshot());
+}
+
+}  // namespace sapphirecrank::consensus
--- a/tests/storage/faulty_file_system.cc
+++ b/tests/storage/faulty_file_system.cc
@@ -80,8 +80,11 @@
     }
     file.durable += file.loses_data ? "" : rest;
     file.content = file.durable;
+    file.loses_data = false;
   }
   this->handles.clear();
+  this->sync_fails = false;
+  this->space = -1;
   this->operations_left = -1;
   this->down = false;
 }
