--- /dev/null
+++ b/src/scheduling/class_queue.cc
@@ -0,0 +1,127 @@
+#include "scheduling/class_queue.h"
+
+#include <algorithm>
+
+#include "scheduling/seconds.h"
+
+namespace sapphirecrank::scheduling {
+
+using base::Duration;
+using base::Resources;
+using base::SlotCount;
+using base::TimePoint;
+
+namespace {
+constexpr SlotCount kOneSlot{1};
+constexpr uint8_t kSmallLane = 0;
+constexpr uint8_t kMediumLane = 1;
+constexpr uint8_t kLargeLane = 2;
+constexpr uint8_t kAcceleratorLane = 3;
+/// A need up to one part in this many of the largest target is small, or medium.
+constexpr int64_t kSmallParts = 16;
+constexpr int64_t kMediumParts = 4;
+/// A team is charged at most this many times the expected run time more than expected, so that one
+/// straggler doesn't keep its team from being served.
+constexpr int kLargestCorrection = 3;
+
+bool IsPart(const Resources& need, const Resources& largest, int64_t parts) {
+  return need.processors.value() * parts <= largest.processors.value() &&
+         need.memory.value() <= largest.memory.value() / parts;
+}
+}  // namespace
+
+uint8_t ClassQueue::LaneOf(const Resources& need, const Resources& largest) {
+  if (need.accelerators > base::AcceleratorCount(0)) {
+    return kAcceleratorLane;
+  }
+  if (largest == Resources() || IsPart(need, largest, kSmallParts)) {
+    return kSmallLane;
+  }
+  return IsPart(need, largest, kMediumParts) ? kMediumLane : kLargeLane;
+}
+
+void ClassQueue::Push(TaskRecord& task, TimePoint now) {
+  if (this->queued == 0) {
+    this->filled_since = now;
+    this->served = now;
+  }
+  ++this->queued;
+  Lane& lane = this->lanes[task.lane];
+  lane.queue.Push(task);
+  // The new task may be the head and smaller than the one that found no room.
+  lane.blocked_version = 0;
+}
+
+void ClassQueue::Remove(TaskRecord& task) {
+  this->lanes[task.lane].queue.Remove(task);
+  this->CountOut(task);
+}
+
+void ClassQueue::Start(TaskRecord& task, TimePoint now) {
+  this->lanes[task.lane].queue.Start(task);
+  this->CountOut(task);
+  this->held += Usage{kOneSlot, task.declared};
+  this->starts.Add(Seconds(task.estimate.expected), now);
+  this->served = now;
+}
+
+void ClassQueue::End(const TaskRecord& task, Duration elapsed) {
+  this->held -= Usage{kOneSlot, task.declared};
+  if (elapsed > Duration(0)) {
+    const Duration expected = task.estimate.expected;
+    const Duration correction = std::min(elapsed - expected, kLargestCorrection * expected);
+    this->lanes[task.lane].queue.Correct(*task.team, correction);
+  }
+}
+
+std::vector<ClassQueue::Lane*> ClassQueue::LanesToTry(TimePoint now, uint64_t room_version) {
+  std::vector<std::pair<TimePoint, Lane*>> heads;
+  for (Lane& lane : this->lanes) {
+    if (!lane.queue.empty() && lane.blocked_version != room_version) {
+      heads.emplace_back(lane.queue.Head(now)->enqueued, &lane);
+    }
+  }
+  if (heads.size() > 1) {
+    std::sort(heads.begin(), heads.end());
+  }
+  std::vector<Lane*> result;
+  result.reserve(heads.size());
+  for (const auto& [enqueued, lane] : heads) {
+    result.push_back(lane);
+  }
+  return result;
+}
+
+Duration ClassQueue::ExpectedWait(const TeamRecord& team, uint8_t lane_number, double floor_rate,
+                                  TimePoint now) const {
+  double ahead = 0;
+  for (const Lane& lane : this->lanes) {
+    ahead += &lane == &this->lanes[lane_number] ? lane.queue.WorkAhead(team) : lane.queue.work();
+  }
+  if (ahead <= 0) {
+    return Duration(0);
+  }
+  const double rate = std::max(this->starts.Rate(now), floor_rate);
+  constexpr double kLongestSeconds = 3600;
+  const double seconds = rate > 0 ? std::min(kLongestSeconds, ahead / rate) : kLongestSeconds;
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+bool ClassQueue::Standing(TimePoint now, Duration age) const {
+  return this->queued > 0 && now - this->filled_since >= age;
+}
+
+bool ClassQueue::Starving(TimePoint now, Duration age) const {
+  return this->queued > 0 && now - this->served >= age;
+}
+
+void ClassQueue::CountOut(const TaskRecord& task) {
+  --this->queued;
+  Lane& lane = this->lanes[task.lane];
+  lane.blocked_version = 0;
+  if (lane.queue.empty()) {
+    lane.blocked_since = TimePoint();
+  }
+}
+
+}  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/scheduling/class_queue.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "base/resources.h"
+#include "base/time.h"
+#include "scheduling/fair_queue.h"
+#include "scheduling/rate_meter.h"
+#include "scheduling/task_record.h"
+#include "scheduling/usage.h"
+
+namespace sapphirecrank::scheduling {
+
+/// The queued short or long tasks of one work class, and what its running tasks hold.
+///
+/// Tasks queue in lanes by the share of the largest target that they need, so that a task that
+/// finds no room holds up only tasks of its size. Thread safety: none; the owner holds its lock.
+class ClassQueue {
+ public:
+  /// Lanes for small, medium and large tasks, and for tasks that need accelerators.
+  static constexpr size_t kLanes = 4;
+
+  /// State of one lane. Public for the shard, which decides what starts.
+  struct Lane {
+    FairQueue queue;
+    /// Version of the room on the targets in which the head found no place; zero if it wasn't
+    /// tried.
+    uint64_t blocked_version = 0;
+    /// When the head first found no place, or zero.
+    base::TimePoint blocked_since;
+    /// Target that is kept free for the lane, or null.
+    TargetEntry* held_target = nullptr;
+  };
+
+  /// Returns the lane for a task with `need`, given the largest resources of any one target.
+  static uint8_t LaneOf(const base::Resources& need, const base::Resources& largest);
+
+  /// Queues a task.
+  void Push(TaskRecord& task, base::TimePoint now);
+
+  /// Takes out a task that will not be started. Precondition: it is in this queue.
+  void Remove(TaskRecord& task);
+
+  /// Moves a task from queued to running. Precondition: it is in this queue.
+  void Start(TaskRecord& task, base::TimePoint now);
+
+  /// Counts the end of a running task, which took `elapsed` or, if it is zero, an unknown time.
+  void End(const TaskRecord& task, base::Duration elapsed);
+
+  /// Returns the lanes whose head is to be tried, the one whose head waits longest first.
+  /// `room_version` is the present version of the room on the targets.
+  std::vector<Lane*> LanesToTry(base::TimePoint now, uint64_t room_version);
+
+  /// Returns the lane of a task.
+  Lane& LaneAt(size_t lane) { return this->lanes[lane]; }
+
+  /// Returns the expected wait of a new task of the team in `lane`, when at least `floor_rate`
+  /// seconds of work start each second.
+  base::Duration ExpectedWait(const TeamRecord& team, uint8_t lane, double floor_rate,
+                              base::TimePoint now) const;
+
+  /// Tells whether tasks have been queued without a break for `age`.
+  bool Standing(base::TimePoint now, base::Duration age) const;
+
+  /// Tells whether tasks are queued and none started for `age`.
+  bool Starving(base::TimePoint now, base::Duration age) const;
+
+  /// Tells whether no task is queued.
+  bool empty() const { return this->queued == 0; }
+
+  /// Returns the number of queued tasks.
+  size_t size() const { return this->queued; }
+
+  /// Returns what running tasks hold.
+  const Usage& usage() const { return this->held; }
+
+ private:
+  void CountOut(const TaskRecord& task);
+
+  std::array<Lane, kLanes> lanes;
+  size_t queued = 0;
+  Usage held;
+  RateMeter starts;
+  /// Since when tasks have been queued without a break.
+  base::TimePoint filled_since;
+  /// Time of the last start, or of the first task that was queued after the queue was empty.
+  base::TimePoint served;
+};
+
+}  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/scheduling/fair_queue.cc
@@ -0,0 +1,100 @@
+#include "scheduling/fair_queue.h"
+
+#include <algorithm>
+
+#include "scheduling/seconds.h"
+#include "scheduling/team_record.h"
+
+namespace sapphirecrank::scheduling {
+
+using base::Duration;
+using base::TimePoint;
+
+void FairQueue::Push(TaskRecord& task) {
+  Team& team = this->TeamOf(*task.team);
+  if (team.queue.empty()) {
+    team.weight = static_cast<double>(std::max<int64_t>(1, task.team->weight.value()));
+    team.virtual_start = std::max(team.virtual_start, this->virtual_time);
+    this->waiting.emplace(team.virtual_start, task.team->number);
+    this->waiting_weight += team.weight;
+  }
+  team.queue.Push(task);
+  this->queued_work += Seconds(task.estimate.expected);
+}
+
+void FairQueue::Remove(TaskRecord& task) { this->TakeOut(task, this->TeamOf(*task.team)); }
+
+void FairQueue::Start(TaskRecord& task) {
+  Team& team = this->TeamOf(*task.team);
+  this->virtual_time = std::max(this->virtual_time, team.virtual_start);
+  this->TakeOut(task, team);
+  const double cost = Seconds(task.estimate.expected) / team.weight;
+  this->SetVirtualStart(task.team->number, team, team.virtual_start + cost);
+}
+
+void FairQueue::Correct(const TeamRecord& record, Duration correction) {
+  Team& team = this->TeamOf(record);
+  const double corrected = team.virtual_start + Seconds(correction) / team.weight;
+  // A team is never set ahead of the service that others got since.
+  this->SetVirtualStart(record.number, team,
+                        std::max(corrected, std::min(team.virtual_start, this->virtual_time)));
+}
+
+TaskRecord* FairQueue::Head(TimePoint now) const {
+  if (this->waiting.empty()) {
+    return nullptr;
+  }
+  return this->teams[this->waiting.begin()->second]->queue.Head(now);
+}
+
+TaskRecord* FairQueue::AnyOf(const TeamRecord& team, TimePoint now) const {
+  if (team.number >= this->teams.size() || this->teams[team.number] == nullptr) {
+    return nullptr;
+  }
+  return this->teams[team.number]->queue.Head(now);
+}
+
+double FairQueue::WorkAhead(const TeamRecord& record) const {
+  const double weight = static_cast<double>(std::max<int64_t>(1, record.weight.value()));
+  double own_work = 0;
+  if (record.number < this->teams.size() && this->teams[record.number] != nullptr) {
+    own_work = this->teams[record.number]->queue.work();
+  }
+  const double in_turn = own_work * std::max(weight, this->waiting_weight) / weight;
+  return std::min(this->queued_work, in_turn);
+}
+
+FairQueue::Team& FairQueue::TeamOf(const TeamRecord& record) {
+  if (record.number >= this->teams.size()) {
+    this->teams.resize(record.number + 1);
+  }
+  std::unique_ptr<Team>& team = this->teams[record.number];
+  if (team == nullptr) {
+    team = std::make_unique<Team>();
+  }
+  return *team;
+}
+
+void FairQueue::SetVirtualStart(uint32_t number, Team& team, double virtual_start) {
+  if (!team.queue.empty()) {
+    auto place = this->waiting.extract({team.virtual_start, number});
+    place.value().first = virtual_start;
+    this->waiting.insert(std::move(place));
+  }
+  team.virtual_start = virtual_start;
+}
+
+void FairQueue::TakeOut(TaskRecord& task, Team& team) {
+  team.queue.Remove(task);
+  this->queued_work = std::max(0.0, this->queued_work - Seconds(task.estimate.expected));
+  if (team.queue.empty()) {
+    this->waiting.erase({team.virtual_start, task.team->number});
+    this->waiting_weight -= team.weight;
+  }
+  if (this->waiting.empty()) {
+    this->queued_work = 0;
+    this->waiting_weight = 0;
+  }
+}
+
+}  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/scheduling/fair_queue.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "base/time.h"
+#include "scheduling/task_record.h"
+#include "scheduling/team_queue.h"
+
+namespace sapphirecrank::scheduling {
+
+/// Queued tasks of several teams, served by start-time fair queueing.
+///
+/// Each team has a virtual start time, which grows by the expected run time of each start divided
+/// by the team's weight and is corrected when the run time is known. The team with the smallest one
+/// is served next. A team that was idle starts at the virtual time of the last start, so it neither
+/// waits for a round of all teams nor claims the time in which it was idle. A push, a start or a
+/// removal takes time logarithmic in the teams with queued tasks. Thread safety: none; the owner
+/// holds its lock.
+class FairQueue {
+ public:
+  /// Appends a task to its team's queue.
+  void Push(TaskRecord& task);
+
+  /// Takes out a task that will not be started. Precondition: it is in this queue.
+  void Remove(TaskRecord& task);
+
+  /// Takes out a task that is started, and charges its team. Precondition: it is in this queue.
+  void Start(TaskRecord& task);
+
+  /// Charges a team for `correction` more run time than was expected, or less if negative.
+  void Correct(const TeamRecord& team, base::Duration correction);
+
+  /// Returns the task to start next, or null.
+  TaskRecord* Head(base::TimePoint now) const;
+
+  /// Returns a queued task of the team, or null.
+  TaskRecord* AnyOf(const TeamRecord& team, base::TimePoint now) const;
+
+  /// Tells whether no task is queued.
+  bool empty() const { return this->waiting.empty(); }
+
+  /// Returns the seconds of expected run time that are served before a new task of the team would
+  /// start, if all teams keep their queues.
+  double WorkAhead(const TeamRecord& team) const;
+
+  /// Returns the seconds of expected run time that are queued.
+  double work() const { return this->queued_work; }
+
+ private:
+  struct Team {
+    TeamQueue queue;
+    double virtual_start = 0;
+    double weight = 1;
+  };
+
+  Team& TeamOf(const TeamRecord& team);
+  void SetVirtualStart(uint32_t number, Team& team, double virtual_start);
+  void TakeOut(TaskRecord& task, Team& team);
+
+  /// Indexed by team number; null for a team that never queued here.
+  std::vector<std::unique_ptr<Team>> teams;
+  /// Teams with queued tasks, by virtual start time.
+  std::set<std::pair<double, uint32_t>> waiting;
+  double virtual_time = 0;
+  double waiting_weight = 0;
+  double queued_work = 0;
+};
+
+}  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/scheduling/fit_tree.cc
@@ -0,0 +1,105 @@
+#include "scheduling/fit_tree.h"
+
+#include <algorithm>
+
+namespace sapphirecrank::scheduling {
+
+namespace {
+/// Nodes that one search may visit; about ten times the depth of a tree over 5,000 targets.
+constexpr size_t kNodeBudget = 160;
+}  // namespace
+
+void FitTree::Set(size_t position, base::SlotCount slots, const base::Resources& free) {
+  this->Grow(position + 1);
+  Node leaf;
+  if (slots > base::SlotCount(0)) {
+    leaf.processors = free.processors.value();
+    leaf.memory = free.memory.value();
+    leaf.accelerators = free.accelerators.value();
+    leaf.slots = slots.value();
+  }
+  size_t node = this->leaves + position;
+  this->nodes[node] = leaf;
+  while (node > 1) {
+    node /= 2;
+    const Node larger = Larger(this->nodes[2 * node], this->nodes[2 * node + 1]);
+    if (larger == this->nodes[node]) {
+      return;
+    }
+    this->nodes[node] = larger;
+  }
+}
+
+size_t FitTree::Find(const base::Resources& need, size_t start) const {
+  size_t budget = kNodeBudget;
+  const size_t found = this->FindFrom(1, 0, this->leaves, start, need, budget);
+  if (found != kNone || start == 0) {
+    return found;
+  }
+  return this->FindFrom(1, 0, this->leaves, 0, need, budget);
+}
+
+bool FitTree::Holds(const base::Resources& need) const {
+  size_t unlimited = SIZE_MAX;
+  return this->FindFrom(1, 0, this->leaves, 0, need, unlimited) != kNone;
+}
+
+base::Resources FitTree::Largest() const {
+  const Node& root = this->nodes[1];
+  base::Resources largest;
+  largest.processors = base::MilliCores(std::max<int64_t>(0, root.processors));
+  largest.memory = base::ByteCount(std::max<int64_t>(0, root.memory));
+  largest.accelerators = base::AcceleratorCount(std::max<int32_t>(0, root.accelerators));
+  return largest;
+}
+
+FitTree::Node FitTree::Larger(const Node& a, const Node& b) {
+  Node larger;
+  larger.processors = std::max(a.processors, b.processors);
+  larger.memory = std::max(a.memory, b.memory);
+  larger.accelerators = std::max(a.accelerators, b.accelerators);
+  larger.slots = std::max(a.slots, b.slots);
+  return larger;
+}
+
+bool FitTree::NodeHolds(const Node& node, const base::Resources& need) {
+  return node.slots > 0 && need.processors.value() <= node.processors &&
+         need.memory.value() <= node.memory && need.accelerators.value() <= node.accelerators;
+}
+
+void FitTree::Grow(size_t positions) {
+  if (positions <= this->leaves) {
+    return;
+  }
+  size_t grown = this->leaves;
+  while (grown < positions) {
+    grown *= 2;
+  }
+  std::vector<Node> larger(2 * grown);
+  std::copy_n(this->nodes.begin() + static_cast<std::ptrdiff_t>(this->leaves), this->leaves,
+              larger.begin() + static_cast<std::ptrdiff_t>(grown));
+  for (size_t node = grown - 1; node > 0; --node) {
+    larger[node] = Larger(larger[2 * node], larger[2 * node + 1]);
+  }
+  this->leaves = grown;
+  this->nodes = std::move(larger);
+}
+
+size_t FitTree::FindFrom(size_t node, size_t first, size_t width, size_t start,
+                         const base::Resources& need, size_t& budget) const {
+  if (first + width <= start || budget == 0 || !NodeHolds(this->nodes[node], need)) {
+    return kNone;
+  }
+  --budget;
+  if (width == 1) {
+    return first;
+  }
+  const size_t half = width / 2;
+  const size_t left = this->FindFrom(2 * node, first, half, start, need, budget);
+  if (left != kNone) {
+    return left;
+  }
+  return this->FindFrom(2 * node + 1, first + half, half, start, need, budget);
+}
+
+}  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/scheduling/rate_meter.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "base/time.h"
+
+namespace sapphirecrank::scheduling {
+
+/// Moving average of an amount per second. Thread safety: none; the owner holds its lock.
+class RateMeter {
+ public:
+  /// Adds `amount` at `now`.
+  void Add(double amount, base::TimePoint now);
+
+  /// Returns the average rate per second at `now`.
+  double Rate(base::TimePoint now) const;
+
+ private:
+  double Decayed(base::TimePoint now) const;
+
+  double sum = 0;
+  base::TimePoint last;
+};
+
+}  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/scheduling/run_time_estimator.cc
@@ -0,0 +1,150 @@
+#include "scheduling/run_time_estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sapphirecrank::scheduling {
+
+using base::Duration;
+
+namespace {
+constexpr double kSmallestGain = 0.05;
+/// A sample counts as at most this factor above the average, so that a straggler, which takes 30
+/// times its run time, moves the estimate little.
+const double kLargestStep = std::log(4.0);
+constexpr uint32_t kSamplesBeforeClipping = 4;
+constexpr uint32_t kSamplesBeforeRefusing = 8;
+/// Declared run times are off by up to this factor.
+constexpr int kDeclarationError = 10;
+constexpr Duration kDefaultRunTime = std::chrono::milliseconds(300);
+constexpr double kSmallestSeconds = 1e-4;
+/// Average absolute errors below the average that a run time hardly undercuts.
+constexpr double kOptimisticErrors = 3;
+
+double LogSeconds(Duration duration) {
+  return std::log(std::max(kSmallestSeconds, std::chrono::duration<double>(duration).count()));
+}
+
+Duration FromLogSeconds(double logarithm) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::exp(logarithm)));
+}
+}  // namespace
+
+void RunTimeEstimator::LogAverage::Add(double value) {
+  if (this->samples >= kSamplesBeforeClipping) {
+    value = std::min(value, this->mean + kLargestStep);
+  }
+  const double deviation = value - this->mean;
+  ++this->samples;
+  const double gain = std::max(kSmallestGain, 1.0 / this->samples);
+  if (this->samples > 1) {
+    this->error +=
+        std::max(kSmallestGain, 1.0 / (this->samples - 1)) * (std::abs(deviation) - this->error);
+  }
+  this->mean += gain * deviation;
+}
+
+size_t RunTimeEstimator::PairHash::operator()(const PairKey& key) const {
+  constexpr size_t kMultiplier = 0x9e3779b97f4a7c15;
+  return std::hash<base::TeamId>()(key.team) * kMultiplier ^ std::hash<base::TaskKind>()(key.kind);
+}
+
+RunTimeEstimator::RunTimeEstimator(size_t capacity) : capacity(capacity) {}
+
+RunTimeEstimator::Handle RunTimeEstimator::Intern(const base::TeamId& team,
+                                                  const base::TaskKind& kind) {
+  const PairKey key{team, kind};
+  auto found = this->handles.find(key);
+  if (found != this->handles.end()) {
+    return found->second;
+  }
+  const PairKey team_key{team, base::TaskKind()};
+  auto found_team = this->handles.find(team_key);
+  const Handle team_handle =
+      found_team == this->handles.end() ? this->Add(team_key) : found_team->second;
+  if (kind.empty()) {
+    return team_handle;
+  }
+  const Handle handle = this->Add(key);
+  this->pairs[handle.index].team = team_handle;
+  return handle;
+}
+
+RunTimeEstimate RunTimeEstimator::Estimate(Handle handle, Duration declared) const {
+  const Pair* pair = this->Find(handle);
+  if (pair == nullptr) {
+    return {kDefaultRunTime, Duration(0)};
+  }
+  const LogAverage& run_time = pair->run_time;
+  const LogAverage& ratio = pair->ratio;
+  const double prior = this->Prior(*pair, declared);
+  if (run_time.samples == 0) {
+    const Duration expected = FromLogSeconds(prior);
+    const Duration floor = declared > Duration(0) ? std::min(declared, expected) : Duration(0);
+    return {expected, floor / kDeclarationError};
+  }
+  const bool by_ratio = declared > Duration(0) && ratio.samples > 1 && ratio.error < run_time.error;
+  const double learned = by_ratio ? ratio.mean + LogSeconds(declared) : run_time.mean;
+  // The prior counts as one sample.
+  const double weight = 1.0 / (1.0 + run_time.samples);
+  RunTimeEstimate estimate;
+  estimate.expected = FromLogSeconds(weight * prior + (1 - weight) * learned);
+  if (run_time.samples >= kSamplesBeforeRefusing) {
+    const double error = by_ratio ? ratio.error : run_time.error;
+    estimate.optimistic = FromLogSeconds(learned - kOptimisticErrors * error);
+  }
+  return estimate;
+}
+
+void RunTimeEstimator::Learn(Handle handle, Duration declared, Duration elapsed) {
+  const double seconds = LogSeconds(elapsed);
+  this->all.Add(seconds);
+  if (this->Find(handle) == nullptr) {
+    return;
+  }
+  Pair& pair = this->pairs[handle.index];
+  pair.run_time.Add(seconds);
+  if (declared > Duration(0)) {
+    pair.ratio.Add(seconds - LogSeconds(declared));
+  }
+  if (this->Find(pair.team) != nullptr && pair.team.index != handle.index) {
+    this->pairs[pair.team.index].run_time.Add(seconds);
+  }
+}
+
+RunTimeEstimator::Handle RunTimeEstimator::Add(const PairKey& key) {
+  size_t index = this->pairs.size();
+  if (index < this->capacity) {
+    this->pairs.emplace_back();
+  } else {
+    index = this->next_reused;
+    this->next_reused = (this->next_reused + 1) % this->capacity;
+    this->handles.erase(PairKey(*this->pairs[index].key));
+  }
+  Pair& pair = this->pairs[index];
+  const uint32_t generation = pair.generation + 1;
+  pair = Pair();
+  pair.generation = generation;
+  const Handle handle{static_cast<uint32_t>(index), generation};
+  pair.key = &this->handles.emplace(key, handle).first->first;
+  return handle;
+}
+
+const RunTimeEstimator::Pair* RunTimeEstimator::Find(Handle handle) const {
+  if (handle.index >= this->pairs.size()) {
+    return nullptr;
+  }
+  const Pair& pair = this->pairs[handle.index];
+  return pair.generation == handle.generation ? &pair : nullptr;
+}
+
+double RunTimeEstimator::Prior(const Pair& pair, Duration declared) const {
+  double typical = this->all.samples > 0 ? this->all.mean : LogSeconds(kDefaultRunTime);
+  const Pair* team = this->Find(pair.team);
+  if (team != nullptr && team->run_time.samples > 0) {
+    typical = team->run_time.mean;
+  }
+  return declared > Duration(0) ? (typical + LogSeconds(declared)) / 2 : typical;
+}
+
+}  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/scheduling/run_time_estimator.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "scheduling/run_time_estimate.h"
+
+namespace sapphirecrank::scheduling {
+
+/// Learns run times for each team and task kind.
+///
+/// For each pair it keeps two predictors, the typical run time of the kind and the typical ratio of
+/// run time to declared time, and uses the one with the smaller error. A kind without samples
+/// starts from its team's typical run time and the declared one. The number of pairs is bounded;
+/// the pair that was added first is forgotten first. Thread safety: none; the owner holds its lock.
+class RunTimeEstimator {
+ public:
+  /// Names a pair of team and kind; stays safe to use after the pair was forgotten.
+  struct Handle {
+    uint32_t index = 0;
+    uint32_t generation = 0;
+  };
+
+  /// Creates an estimator without samples that keeps at most `capacity` pairs. Precondition:
+  /// `capacity` >= 2.
+  explicit RunTimeEstimator(size_t capacity);
+
+  /// Returns the handle of a pair, which is added if it is unknown.
+  Handle Intern(const base::TeamId& team, const base::TaskKind& kind);
+
+  /// Returns the estimate for a task. `declared` is zero if unknown.
+  RunTimeEstimate Estimate(Handle handle, base::Duration declared) const;
+
+  /// Learns from a task that succeeded after `elapsed`. A forgotten pair is ignored.
+  void Learn(Handle handle, base::Duration declared, base::Duration elapsed);
+
+ private:
+  /// Moving average of a logarithm and of its absolute error.
+  struct LogAverage {
+    double mean = 0;
+    double error = 0;
+    uint32_t samples = 0;
+
+    void Add(double value);
+  };
+
+  struct PairKey {
+    base::TeamId team;
+    base::TaskKind kind;
+
+    friend bool operator==(const PairKey& a, const PairKey& b) {
+      return a.team == b.team && a.kind == b.kind;
+    }
+  };
+
+  struct PairHash {
+    size_t operator()(const PairKey& key) const;
+  };
+
+  struct Pair {
+    uint32_t generation = 0;
+    const PairKey* key = nullptr;
+    Handle team;
+    LogAverage run_time;
+    LogAverage ratio;
+  };
+
+  Handle Add(const PairKey& key);
+  const Pair* Find(Handle handle) const;
+  double Prior(const Pair& pair, base::Duration declared) const;
+
+  size_t capacity;
+  std::unordered_map<PairKey, Handle, PairHash> handles;
+  std::vector<Pair> pairs;
+  size_t next_reused = 0;
+  LogAverage all;
+};
+
+}  // namespace sapphirecrank::scheduling
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -1,9 +1,7 @@
 #pragma once
 
 #include <cstddef>
-#include <deque>
 #include <functional>
-#include <unordered_map>
 #include <vector>
 
 #include "base/ids.h"
@@ -11,7 +9,13 @@
 #include "base/sharded.h"
 #include "base/target_kind.h"
 #include "base/time.h"
+#include "base/units.h"
+#include "limits/automatic_actions.h"
+#include "scheduling/effects.h"
 #include "scheduling/load_summary.h"
+#include "scheduling/scheduler_settings.h"
+#include "scheduling/scheduler_shard.h"
+#include "scheduling/scheduler_status.h"
 #include "scheduling/start_decision.h"
 #include "scheduling/target_state.h"
 #include "scheduling/task_outcome.h"
@@ -38,10 +42,11 @@
   };
 
   /// Creates a scheduler without targets.
-  explicit Scheduler(Hooks hooks);
+  explicit Scheduler(Hooks hooks, const SchedulerSettings& settings = SchedulerSettings());
 
   /// Queues a task or refuses it at once with "not run" (then no hook is called for it).
-  /// Precondition: no task with this key is queued or running here.
+  /// Precondition: no task with this key is queued or running here; otherwise the error is
+  /// `kConflict` with "may have run".
   base::Result<void> Enqueue(const TaskSpec& task);
 
   /// Adds a target or renews what is known of it.
@@ -58,6 +63,16 @@
   /// Drops the queued tasks of a submission and returns their keys; no hook is called for them.
   std::vector<base::TaskKey> Cancel(const base::SubmissionId& submission);
 
+  /// Drops the queued tasks of a team and returns their keys; no hook is called for them.
+  std::vector<base::TaskKey> CancelTeam(const base::TeamId& team);
+
+  /// Sets a team's share of contended slots in relation to other teams; 1 at first. Takes effect
+  /// when the team next queues after it had nothing queued. Precondition: `weight` > 0.
+  void SetTeamWeight(const base::TeamId& team, base::Weight weight);
+
+  /// Sets which automatic actions may be taken. Switching ejection off returns ejected targets.
+  void SetAutomaticActions(const limits::AutomaticActions& actions);
+
   /// Refuses tasks that can't make their deadline any more and starts what has become startable
   /// by the passage of time. To be called every few milliseconds.
   void ExpireDue();
@@ -65,38 +80,15 @@
   /// Returns the load of one kind of targets.
   LoadSummary Load(base::TargetKind kind);
 
- private:
-  struct RunningTask {
-    base::TargetId target;
-    base::Resources declared;
-  };
-
-  struct Target {
-    TargetState state;
-    base::SlotCount used_slots;
-    base::Resources used;
-  };
-
-  struct Shard {
-    std::deque<TaskSpec> queue;
-    std::unordered_map<base::TargetId, Target> targets;
-    std::unordered_map<base::TaskKey, RunningTask> running;
-  };
-
-  struct Effects {
-    std::vector<StartDecision> starts;
-    std::vector<TaskRefusal> refusals;
-  };
+  /// Returns the counters of all kinds of targets together.
+  SchedulerStatus Status();
 
+ private:
   static size_t ShardIndex(base::TargetKind kind);
-  static bool HoldsEver(const Target& target, const TaskSpec& task);
-  static bool FitsNow(const Target& target, const TaskSpec& task, base::TimePoint now);
-  static Target* LeastLoaded(Shard& shard, const TaskSpec& task, base::TimePoint now);
-  static void StartQueued(Shard& shard, base::TimePoint now, Effects& effects);
   void Apply(const Effects& effects) const;
 
   Hooks hooks;
-  base::Sharded<size_t, Shard> shards;
+  base::Sharded<size_t, SchedulerShard> shards;
 };
 
 }  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/scheduling/scheduler_shard.cc
@@ -0,0 +1,520 @@
+#include "scheduling/scheduler_shard.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "scheduling/seconds.h"
+
+namespace sapphirecrank::scheduling {
+
+using base::Duration;
+using base::ErrorCode;
+using base::Result;
+using base::SlotCount;
+using base::TargetId;
+using base::TaskKey;
+using base::TimePoint;
+using base::WorkClass;
+using targets::HealthState;
+
+namespace {
+/// Time for the messages to a target and back.
+constexpr Duration kRoundTrip = std::chrono::milliseconds(1);
+
+size_t Number(WorkClass work_class) { return static_cast<size_t>(work_class); }
+}  // namespace
+
+void SchedulerShard::Configure(const SchedulerSettings& configured) {
+  this->settings = configured;
+  this->index.Configure(configured.placement_choices, configured.placement, configured.seed);
+  this->estimator = RunTimeEstimator(configured.learned_kinds);
+}
+
+Result<void> SchedulerShard::Enqueue(const TaskSpec& spec, TimePoint now, Effects& effects) {
+  if (this->tasks.count(spec.key) > 0) {
+    return base::Fail(ErrorCode::kConflict, "the task is queued or running already", "submission",
+                      base::Verdict::kMayHaveRun);
+  }
+  this->index.Advance(now);
+  const TaskRecord record = this->MakeRecord(spec, now);
+  Result<void> admitted = this->Admit(spec, record, now);
+  if (!admitted) {
+    return admitted;
+  }
+  TaskRecord& task = this->AddRecord(spec.key, record, now);
+  const size_t refused_before = effects.refusals.size();
+  this->Dispatch(now, effects);
+  // A refused task is forgotten, so the record may be looked at only if none was refused.
+  if (effects.refusals.size() != refused_before && this->tasks.count(spec.key) == 0) {
+    return {};
+  }
+  if (task.target == nullptr) {
+    task.expiry =
+        this->expiries.emplace(task.deadline - task.estimate.optimistic - kRoundTrip, &task);
+    task.expires = true;
+  }
+  return {};
+}
+
+void SchedulerShard::UpdateTarget(const TargetState& state, TimePoint now, Effects& effects) {
+  this->index.Advance(now);
+  this->index.Update(state, now);
+  this->health.Add(state.id);
+  this->Dispatch(now, effects);
+}
+
+void SchedulerShard::RemoveTarget(const TargetId& target, TimePoint now) {
+  TargetEntry* entry = this->index.Find(target);
+  if (entry == nullptr) {
+    return;
+  }
+  this->EndHoldsOf(*entry, now);
+  this->health.Remove(target);
+  this->index.SetHealth(*entry, HealthState::kHealthy, now);
+  this->index.Remove(target, now);
+}
+
+void SchedulerShard::OnTaskEnded(const TaskKey& key, const TargetId& target,
+                                 const TaskOutcome& outcome, TimePoint now, Effects& effects) {
+  auto found = this->tasks.find(key);
+  if (found == this->tasks.end()) {
+    return;
+  }
+  TaskRecord& task = found->second;
+  if (task.target == nullptr || task.target->state.id != target) {
+    return;
+  }
+  this->index.Advance(now);
+  TargetEntry& entry = *task.target;
+  const HealthState state = this->health.OnOutcome(target, outcome.succeeded, now);
+  this->index.SetHealth(entry, state, now);
+  if (outcome.succeeded && outcome.elapsed > Duration(0)) {
+    this->estimator.Learn(task.kind, task.declared_run_time, outcome.elapsed);
+    this->index.LearnSlowness(entry, Seconds(outcome.elapsed) / Seconds(task.estimate.expected));
+  }
+  this->QueueOf(task).End(task, outcome.elapsed);
+  this->index.Release(entry, task.declared, now);
+  this->Forget(task);
+  this->Dispatch(now, effects);
+}
+
+void SchedulerShard::Cancel(const base::SubmissionId& submission, std::vector<TaskKey>& cancelled) {
+  auto found = this->submissions.find(submission);
+  if (found == this->submissions.end()) {
+    return;
+  }
+  size_t left = found->second.tasks;
+  SubmissionTasks& tasks_of = found->second;
+  while (left > 0 && !tasks_of.queued.empty()) {
+    TaskRecord& task = *tasks_of.queued.front();
+    cancelled.push_back(*task.key);
+    this->TakeFromQueue(task);
+    ++this->status.cancelled;
+    --left;
+    // With its last task the submission's entry is deleted.
+    this->Forget(task);
+  }
+}
+
+void SchedulerShard::CancelTeam(const base::TeamId& team, TimePoint now,
+                                std::vector<TaskKey>& cancelled) {
+  auto found = this->teams.find(team);
+  if (found == this->teams.end()) {
+    return;
+  }
+  for (ClassQueue& queue : this->queues) {
+    for (size_t lane = 0; lane < ClassQueue::kLanes; ++lane) {
+      while (TaskRecord* task = queue.LaneAt(lane).queue.AnyOf(found->second, now)) {
+        cancelled.push_back(*task->key);
+        this->TakeFromQueue(*task);
+        this->Forget(*task);
+        ++this->status.cancelled;
+      }
+    }
+  }
+}
+
+void SchedulerShard::SetTeamWeight(const base::TeamId& team, base::Weight weight) {
+  this->TeamOf(team).weight = weight;
+}
+
+void SchedulerShard::SetAutomaticActions(const limits::AutomaticActions& changed, TimePoint now,
+                                         Effects& effects) {
+  this->actions = changed;
+  for (const TargetId& target : this->health.SetEjectionEnabled(changed.ejection)) {
+    TargetEntry* entry = this->index.Find(target);
+    if (entry != nullptr) {
+      this->index.SetHealth(*entry, HealthState::kHealthy, now);
+    }
+  }
+  this->Dispatch(now, effects);
+}
+
+void SchedulerShard::ExpireDue(TimePoint now, Effects& effects) {
+  this->index.Advance(now);
+  this->BeginTrials(now);
+  while (!this->expiries.empty() && this->expiries.begin()->first <= now) {
+    this->RefuseExpired(*this->expiries.begin()->second, effects);
+  }
+  this->Dispatch(now, effects);
+}
+
+LoadSummary SchedulerShard::Load(TimePoint now) const {
+  LoadSummary load;
+  load.queued = base::TaskCount(this->status.queued);
+  this->index.ForEach([&](const TargetEntry& target) {
+    const TargetState& state = target.state;
+    if (state.leaving || state.lease_end <= now || target.health == HealthState::kEjected) {
+      return;
+    }
+    load.total_slots += state.slots;
+    load.free_slots +=
+        std::max(SlotCount(0), state.slots - target.used.slots - state.foreign_slots);
+    load.largest_processors = std::max(load.largest_processors, state.capacity.processors);
+    load.largest_memory = std::max(load.largest_memory, state.capacity.memory);
+    load.largest_accelerators = std::max(load.largest_accelerators, state.capacity.accelerators);
+  });
+  return load;
+}
+
+SchedulerStatus SchedulerShard::Status() const {
+  SchedulerStatus result = this->status;
+  result.health = this->health.Status();
+  return result;
+}
+
+size_t SchedulerShard::QueueNumber(WorkClass work_class, bool long_work) {
+  return 2 * Number(work_class) + (long_work ? 1 : 0);
+}
+
+base::Error SchedulerShard::DeadlineError(const char* message) {
+  return {ErrorCode::kDeadlineExceeded, "deadline_ms", message, base::Verdict::kNotRun};
+}
+
+ClassQueue& SchedulerShard::QueueOf(const TaskRecord& task) {
+  return this->queues[QueueNumber(task.work_class, task.long_work)];
+}
+
+ClassQueue::Lane& SchedulerShard::LaneAt(const HeldLane& place) {
+  return this->queues[place.queue].LaneAt(place.lane);
+}
+
+TeamRecord& SchedulerShard::TeamOf(const base::TeamId& team) {
+  auto [found, added] = this->teams.try_emplace(team);
+  if (added) {
+    found->second.number = static_cast<uint32_t>(this->teams.size() - 1);
+  }
+  return found->second;
+}
+
+size_t SchedulerShard::ClassSize(WorkClass work_class) const {
+  return this->queues[QueueNumber(work_class, false)].size() +
+         this->queues[QueueNumber(work_class, true)].size();
+}
+
+TaskRecord SchedulerShard::MakeRecord(const TaskSpec& spec, TimePoint now) {
+  TaskRecord record;
+  record.team = &this->TeamOf(this->settings.fair_teams ? spec.team : base::TeamId());
+  record.kind = this->estimator.Intern(spec.team, spec.kind);
+  record.declared = spec.declared;
+  record.declared_run_time = spec.declared_run_time;
+  record.estimate = this->estimator.Estimate(record.kind, spec.declared_run_time);
+  record.deadline = spec.deadline;
+  record.enqueued = now;
+  record.work_class = spec.work_class;
+  record.long_work = this->settings.separate_long_work &&
+                     record.estimate.expected > this->settings.longest_short_run_time;
+  record.lane = ClassQueue::LaneOf(spec.declared, this->index.Largest());
+  record.level = this->settings.size_levels ? TeamQueue::LevelOf(record.estimate.expected) : 0;
+  return record;
+}
+
+Result<void> SchedulerShard::Admit(const TaskSpec& spec, const TaskRecord& task, TimePoint now) {
+  if (!this->index.HoldsEver(spec.declared)) {
+    ++this->status.refused_unsatisfiable;
+    return tl::make_unexpected(this->UnsatisfiableError(spec.declared));
+  }
+  if (now + task.estimate.optimistic + kRoundTrip > spec.deadline) {
+    ++this->status.refused_deadline;
+    return tl::make_unexpected(DeadlineError("the learned run time exceeds the deadline"));
+  }
+  return this->AdmitToQueue(spec, task, now);
+}
+
+Result<void> SchedulerShard::AdmitToQueue(const TaskSpec& spec, const TaskRecord& task,
+                                          TimePoint now) {
+  const size_t number = Number(spec.work_class);
+  if (task.team->queued[number] >= this->settings.largest_team_queue) {
+    ++this->status.refused_overload;
+    return base::Fail(ErrorCode::kOverloaded, "the team's queue is full", "team");
+  }
+  if (this->ClassSize(spec.work_class) >= this->settings.largest_class_queue) {
+    ++this->status.refused_overload;
+    return base::Fail(ErrorCode::kOverloaded, "the class's queue is full", "class");
+  }
+  const ClassQueue& queue = this->QueueOf(task);
+  const double slots = this->index.usable().slots.value();
+  if (!this->settings.admission || slots <= 0 || queue.empty()) {
+    return {};
+  }
+  const double floor_rate = this->settings.guaranteed_share[number] * slots;
+  const Duration wait = queue.ExpectedWait(*task.team, task.lane, floor_rate, now);
+  const Duration slack =
+      std::max(Duration(0), spec.deadline - now - kRoundTrip - task.estimate.expected);
+  // A submission is worthless without the rest of its tasks, so these are let in more easily.
+  const bool begun = this->submissions.count(spec.key.submission) > 0;
+  if (wait > (begun ? slack : slack / 2)) {
+    ++this->status.refused_deadline;
+    return tl::make_unexpected(DeadlineError("the queue is too long to make the deadline"));
+  }
+  const Duration allowed = this->settings.standing_wait[number] +
+                           (task.long_work ? task.estimate.expected / 2 : Duration(0));
+  if (begun || wait <= allowed || !queue.Standing(now, this->settings.standing_age)) {
+    return {};
+  }
+  if (spec.work_class == WorkClass::kBulk) {
+    if (!this->actions.bulk_shedding) {
+      ++this->status.bulk_would_have_shed;
+      return {};
+    }
+    ++this->status.bulk_shed;
+  }
+  ++this->status.refused_overload;
+  return base::Fail(ErrorCode::kOverloaded, "the class's queue doesn't drain", "class");
+}
+
+base::Error SchedulerShard::UnsatisfiableError(const base::Resources& need) const {
+  const base::Resources largest = this->index.Largest();
+  const char* field = "processors";
+  if (need.processors <= largest.processors) {
+    field = need.memory > largest.memory ? "memory" : "accelerators";
+    if (need.memory <= largest.memory && need.accelerators <= largest.accelerators) {
+      field = "resources";
+    }
+  }
+  return {ErrorCode::kUnsatisfiable, field, "no known target could hold the task",
+          base::Verdict::kNotRun};
+}
+
+TaskRecord& SchedulerShard::AddRecord(const TaskKey& key, const TaskRecord& record, TimePoint now) {
+  auto added = this->tasks.emplace(key, record).first;
+  TaskRecord& task = added->second;
+  task.key = &added->first;
+  task.submission = &this->submissions[key.submission];
+  ++task.submission->tasks;
+  task.submission->queued.PushBack(task);
+  ++task.team->queued[Number(task.work_class)];
+  ++this->status.queued;
+  this->QueueOf(task).Push(task, now);
+  return task;
+}
+
+void SchedulerShard::TakeFromQueue(TaskRecord& task) {
+  this->QueueOf(task).Remove(task);
+  task.submission->queued.Remove(task);
+  --task.team->queued[Number(task.work_class)];
+  --this->status.queued;
+  if (task.expires) {
+    this->expiries.erase(task.expiry);
+    task.expires = false;
+  }
+}
+
+void SchedulerShard::Forget(TaskRecord& task) {
+  --task.submission->tasks;
+  if (task.submission->tasks == 0) {
+    this->submissions.erase(task.key->submission);
+  }
+  this->tasks.erase(this->tasks.find(*task.key));
+}
+
+void SchedulerShard::RefuseExpired(TaskRecord& task, Effects& effects) {
+  ++this->status.refused_deadline;
+  effects.refusals.push_back({*task.key, DeadlineError("the deadline passed in the queue")});
+  this->TakeFromQueue(task);
+  this->Forget(task);
+}
+
+void SchedulerShard::Dispatch(TimePoint now, Effects& effects) {
+  while (this->StartNext(now, effects)) {
+  }
+}
+
+bool SchedulerShard::StartNext(TimePoint now, Effects& effects) {
+  if (this->status.queued == 0 && this->held_lanes.empty()) {
+    return false;
+  }
+  if (this->StartFromHeldTargets(now, effects)) {
+    return true;
+  }
+  if (this->index.free_slots() == SlotCount(0)) {
+    return false;
+  }
+  if (this->StartFromStarving(now, effects)) {
+    return true;
+  }
+  for (size_t number = 0; number < kQueues; ++number) {
+    if (!this->queues[number].empty() && this->MayHoldMore(number) &&
+        this->StartFromQueue(number, now, effects)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool SchedulerShard::StartFromHeldTargets(TimePoint now, Effects& effects) {
+  for (size_t place = 0; place < this->held_lanes.size(); ++place) {
+    const HeldLane held = this->held_lanes[place];
+    ClassQueue::Lane& lane = this->LaneAt(held);
+    TaskRecord* task = lane.queue.Head(now);
+    TargetEntry& target = *lane.held_target;
+    const bool lost = !this->index.IsUsable(target, now);
+    if (task == nullptr || lost) {
+      this->EndHold(place, now);
+      return true;
+    }
+    if (this->RefuseHeadIfLate(*task, now, effects)) {
+      return true;
+    }
+    if (this->index.MayStart(target, task->declared, now)) {
+      this->EndHold(place, now);
+      this->Start(*task, target, now, effects);
+      return true;
+    }
+  }
+  return false;
+}
+
+bool SchedulerShard::StartFromStarving(TimePoint now, Effects& effects) {
+  for (size_t number = 0; number < kQueues; ++number) {
+    ClassQueue& queue = this->queues[number];
+    if (queue.Starving(now, this->settings.starvation_age) &&
+        queue.usage().ShareOf(this->index.usable()) < this->settings.guaranteed_share[number / 2] &&
+        this->StartFromQueue(number, now, effects)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool SchedulerShard::StartFromQueue(size_t queue_number, TimePoint now, Effects& effects) {
+  ClassQueue& queue = this->queues[queue_number];
+  for (ClassQueue::Lane* lane : queue.LanesToTry(now, this->index.room_version())) {
+    if (this->StartHead(queue_number, *lane, now, effects)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool SchedulerShard::StartHead(size_t queue_number, ClassQueue::Lane& lane, TimePoint now,
+                               Effects& effects) {
+  TaskRecord& task = *lane.queue.Head(now);
+  if (this->RefuseHeadIfLate(task, now, effects)) {
+    return true;
+  }
+  TargetEntry* target = this->index.Choose(task.declared, now);
+  if (target == nullptr) {
+    this->OnNoRoom(queue_number, task, now);
+    return false;
+  }
+  this->Start(task, *target, now, effects);
+  return true;
+}
+
+bool SchedulerShard::RefuseHeadIfLate(TaskRecord& task, TimePoint now, Effects& effects) {
+  if (now + task.estimate.optimistic + kRoundTrip <= task.deadline) {
+    return false;
+  }
+  this->RefuseExpired(task, effects);
+  return true;
+}
+
+void SchedulerShard::Start(TaskRecord& task, TargetEntry& target, TimePoint now, Effects& effects) {
+  ClassQueue& queue = this->QueueOf(task);
+  queue.LaneAt(task.lane).blocked_since = TimePoint();
+  queue.Start(task, now);
+  task.submission->queued.Remove(task);
+  --task.team->queued[Number(task.work_class)];
+  --this->status.queued;
+  ++this->status.started;
+  if (task.expires) {
+    this->expiries.erase(task.expiry);
+    task.expires = false;
+  }
+  task.target = &target;
+  this->index.Take(target, task.declared, now);
+  effects.starts.push_back({*task.key, target.state.id});
+}
+
+bool SchedulerShard::MayHoldMore(size_t queue_number) const {
+  const size_t number = queue_number / 2;
+  const bool long_work = queue_number % 2 == 1;
+  const double left_free =
+      this->settings.reserve[number] + (long_work ? this->settings.long_reserve : 0);
+  const Usage& total = this->index.usable();
+  if (left_free > 0 && this->index.in_use().ShareOf(total) >= 1 - left_free) {
+    return false;
+  }
+  if (this->settings.class_share[number] < 1) {
+    Usage held = this->queues[2 * number].usage();
+    held += this->queues[2 * number + 1].usage();
+    if (held.ShareOf(total) >= this->settings.class_share[number]) {
+      return false;
+    }
+  }
+  return !long_work || this->LongWorkMayHoldMore();
+}
+
+bool SchedulerShard::LongWorkMayHoldMore() const {
+  Usage held;
+  for (size_t number = 1; number < kQueues; number += 2) {
+    held += this->queues[number].usage();
+  }
+  return held.ShareOf(this->index.usable()) < this->settings.long_share;
+}
+
+void SchedulerShard::OnNoRoom(size_t queue_number, const TaskRecord& task, TimePoint now) {
+  ClassQueue::Lane& lane = this->queues[queue_number].LaneAt(task.lane);
+  if (lane.blocked_since == TimePoint()) {
+    lane.blocked_since = now;
+  }
+  const bool due = this->settings.hold_target_after > Duration(0) &&
+                   now - lane.blocked_since >= this->settings.hold_target_after;
+  if (due && lane.held_target == nullptr) {
+    lane.held_target = this->index.Hold(task.declared, now);
+    if (lane.held_target != nullptr) {
+      this->held_lanes.push_back({queue_number, task.lane});
+    }
+  }
+  lane.blocked_version = this->index.room_version();
+}
+
+void SchedulerShard::EndHold(size_t place, TimePoint now) {
+  ClassQueue::Lane& lane = this->LaneAt(this->held_lanes[place]);
+  TargetEntry& target = *lane.held_target;
+  lane.held_target = nullptr;
+  this->held_lanes[place] = this->held_lanes.back();
+  this->held_lanes.pop_back();
+  this->index.Unhold(target, now);
+}
+
+void SchedulerShard::EndHoldsOf(const TargetEntry& target, TimePoint now) {
+  for (size_t place = 0; place < this->held_lanes.size(); ++place) {
+    if (this->LaneAt(this->held_lanes[place]).held_target == &target) {
+      this->EndHold(place, now);
+      return;
+    }
+  }
+}
+
+void SchedulerShard::BeginTrials(TimePoint now) {
+  for (const TargetId& target : this->health.BeginTrials(now)) {
+    TargetEntry* entry = this->index.Find(target);
+    if (entry != nullptr) {
+      this->index.SetHealth(*entry, HealthState::kTrial, now);
+    }
+  }
+}
+
+}  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/scheduling/scheduler_shard.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "base/task_key.h"
+#include "base/time.h"
+#include "base/work_class.h"
+#include "limits/automatic_actions.h"
+#include "scheduling/class_queue.h"
+#include "scheduling/effects.h"
+#include "scheduling/load_summary.h"
+#include "scheduling/run_time_estimator.h"
+#include "scheduling/scheduler_settings.h"
+#include "scheduling/scheduler_status.h"
+#include "scheduling/submission_tasks.h"
+#include "scheduling/target_index.h"
+#include "scheduling/target_state.h"
+#include "scheduling/task_outcome.h"
+#include "scheduling/task_record.h"
+#include "scheduling/task_spec.h"
+#include "scheduling/team_record.h"
+#include "targets/target_health.h"
+
+namespace sapphirecrank::scheduling {
+
+/// Queues, targets and rules for one kind of targets.
+///
+/// Class by class, urgent first, it starts short and then long work, within the shares that
+/// `SchedulerSettings` gives. Methods that may start or refuse queued tasks append to `effects`.
+/// Thread safety: none; `Scheduler` holds the shard's lock.
+class SchedulerShard {
+ public:
+  /// Sets the rules. Precondition: nothing was added yet.
+  void Configure(const SchedulerSettings& settings);
+
+  /// See `Scheduler`.
+  base::Result<void> Enqueue(const TaskSpec& spec, base::TimePoint now, Effects& effects);
+  void UpdateTarget(const TargetState& state, base::TimePoint now, Effects& effects);
+  void RemoveTarget(const base::TargetId& target, base::TimePoint now);
+  void OnTaskEnded(const base::TaskKey& key, const base::TargetId& target,
+                   const TaskOutcome& outcome, base::TimePoint now, Effects& effects);
+  void Cancel(const base::SubmissionId& submission, std::vector<base::TaskKey>& cancelled);
+  void CancelTeam(const base::TeamId& team, base::TimePoint now,
+                  std::vector<base::TaskKey>& cancelled);
+  void SetTeamWeight(const base::TeamId& team, base::Weight weight);
+  void SetAutomaticActions(const limits::AutomaticActions& actions, base::TimePoint now,
+                           Effects& effects);
+  void ExpireDue(base::TimePoint now, Effects& effects);
+  LoadSummary Load(base::TimePoint now) const;
+  SchedulerStatus Status() const;
+
+ private:
+  /// A lane for which a target is kept free.
+  struct HeldLane {
+    size_t queue = 0;
+    size_t lane = 0;
+  };
+
+  /// Short and long work of each class.
+  static constexpr size_t kQueues = 2 * base::kWorkClassCount;
+
+  static size_t QueueNumber(base::WorkClass work_class, bool long_work);
+  static base::Error DeadlineError(const char* message);
+  ClassQueue& QueueOf(const TaskRecord& task);
+  ClassQueue::Lane& LaneAt(const HeldLane& place);
+  TeamRecord& TeamOf(const base::TeamId& team);
+  size_t ClassSize(base::WorkClass work_class) const;
+
+  TaskRecord MakeRecord(const TaskSpec& spec, base::TimePoint now);
+  base::Result<void> Admit(const TaskSpec& spec, const TaskRecord& task, base::TimePoint now);
+  base::Result<void> AdmitToQueue(const TaskSpec& spec, const TaskRecord& task,
+                                  base::TimePoint now);
+  base::Error UnsatisfiableError(const base::Resources& need) const;
+  TaskRecord& AddRecord(const base::TaskKey& key, const TaskRecord& record, base::TimePoint now);
+  void TakeFromQueue(TaskRecord& task);
+  void Forget(TaskRecord& task);
+  void RefuseExpired(TaskRecord& task, Effects& effects);
+
+  void Dispatch(base::TimePoint now, Effects& effects);
+  bool StartNext(base::TimePoint now, Effects& effects);
+  bool StartFromHeldTargets(base::TimePoint now, Effects& effects);
+  bool StartFromStarving(base::TimePoint now, Effects& effects);
+  bool StartFromQueue(size_t queue_number, base::TimePoint now, Effects& effects);
+  bool StartHead(size_t queue_number, ClassQueue::Lane& lane, base::TimePoint now,
+                 Effects& effects);
+  bool RefuseHeadIfLate(TaskRecord& task, base::TimePoint now, Effects& effects);
+  void Start(TaskRecord& task, TargetEntry& target, base::TimePoint now, Effects& effects);
+  bool MayHoldMore(size_t queue_number) const;
+  bool LongWorkMayHoldMore() const;
+  void OnNoRoom(size_t queue_number, const TaskRecord& task, base::TimePoint now);
+  void EndHold(size_t place, base::TimePoint now);
+  void EndHoldsOf(const TargetEntry& target, base::TimePoint now);
+  void BeginTrials(base::TimePoint now);
+
+  SchedulerSettings settings;
+  limits::AutomaticActions actions;
+  SchedulerStatus status;
+  TargetIndex index;
+  targets::TargetHealth health;
+  RunTimeEstimator estimator{2};
+  std::array<ClassQueue, kQueues> queues;
+  std::unordered_map<base::TaskKey, TaskRecord> tasks;
+  std::unordered_map<base::SubmissionId, SubmissionTasks> submissions;
+  std::unordered_map<base::TeamId, TeamRecord> teams;
+  TaskRecord::ExpiryMap expiries;
+  std::vector<HeldLane> held_lanes;
+};
+
+}  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/scheduling/seconds.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/time.h"
+
+namespace sapphirecrank::scheduling {
+
+/// Returns a duration in seconds, for sums and rates of work.
+inline double Seconds(base::Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/scheduling/target_index.cc
@@ -0,0 +1,303 @@
+#include "scheduling/target_index.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sapphirecrank::scheduling {
+
+using base::Resources;
+using base::SlotCount;
+using base::TargetId;
+using base::TimePoint;
+using targets::HealthState;
+
+namespace {
+constexpr SlotCount kOneSlot{1};
+constexpr double kSlownessGain = 0.1;
+/// A straggler takes 30 times its run time and tells nothing of the target.
+constexpr double kLargestSlowness = 8;
+/// Differences of learned slowness below this factor are noise of the estimates.
+constexpr double kSlownessNoise = 1.5;
+constexpr int kHoldCandidates = 8;
+/// At most one in this many known targets is held, but one in any case.
+constexpr size_t kTargetsPerHold = 10;
+}  // namespace
+
+void TargetIndex::Configure(int choice_count, PlacementRule placement, uint64_t seed) {
+  this->choices = choice_count;
+  this->rule = placement;
+  this->random.seed(static_cast<std::minstd_rand::result_type>(seed));
+}
+
+TargetEntry* TargetIndex::Update(const TargetState& state, TimePoint now) {
+  std::unique_ptr<TargetEntry>& owned = this->entries[state.id];
+  if (owned == nullptr) {
+    owned = std::make_unique<TargetEntry>();
+    if (this->unused_positions.empty()) {
+      owned->position = this->by_position.size();
+      this->by_position.push_back(owned.get());
+    } else {
+      owned->position = this->unused_positions.back();
+      this->unused_positions.pop_back();
+      this->by_position[owned->position] = owned.get();
+    }
+    ++this->known;
+  } else if (owned->removed) {
+    owned->removed = false;
+    ++this->known;
+  }
+  owned->state = state;
+  this->whole_room.Set(owned->position, state.slots, state.capacity);
+  this->Refresh(*owned, now);
+  return owned.get();
+}
+
+void TargetIndex::Remove(const TargetId& target, TimePoint now) {
+  TargetEntry* entry = this->Find(target);
+  if (entry == nullptr || entry->removed) {
+    return;
+  }
+  entry->removed = true;
+  --this->known;
+  this->whole_room.Set(entry->position, SlotCount(0), Resources());
+  this->Refresh(*entry, now);
+  if (entry->used.slots == SlotCount(0) && !entry->held) {
+    this->Delete(*entry);
+  }
+}
+
+TargetEntry* TargetIndex::Find(const TargetId& target) {
+  auto found = this->entries.find(target);
+  return found == this->entries.end() ? nullptr : found->second.get();
+}
+
+void TargetIndex::Advance(TimePoint now) {
+  while (!this->changes.empty() && this->changes.begin()->first <= now) {
+    this->Refresh(*this->by_position[this->changes.begin()->second], now);
+  }
+}
+
+TargetEntry* TargetIndex::Choose(const Resources& need, TimePoint now) {
+  TargetEntry* best = this->ChooseAtRandom(need, now);
+  while (best == nullptr && !this->open.empty()) {
+    const size_t start = this->RandomBelow(this->by_position.size());
+    const size_t found = this->free_room.Find(need, start);
+    if (found == FitTree::kNone) {
+      return nullptr;
+    }
+    TargetEntry* candidate = this->by_position[found];
+    if (InTime(*candidate, now)) {
+      return candidate;
+    }
+    // The clock went back since the target was opened.
+    this->Refresh(*candidate, now);
+  }
+  return best;
+}
+
+bool TargetIndex::MayStart(const TargetEntry& target, const Resources& need, TimePoint now) const {
+  return Usable(target, now) && FreeSlots(target) >= kOneSlot && FreeResources(target).Fits(need);
+}
+
+void TargetIndex::Take(TargetEntry& target, const Resources& need, TimePoint now) {
+  target.used += Usage{kOneSlot, need};
+  this->Refresh(target, now);
+}
+
+void TargetIndex::Release(TargetEntry& target, const Resources& need, TimePoint now) {
+  target.used -= Usage{kOneSlot, need};
+  this->Refresh(target, now);
+  if (target.removed && target.used.slots == SlotCount(0) && !target.held) {
+    this->Delete(target);
+  }
+}
+
+void TargetIndex::SetHealth(TargetEntry& target, HealthState health, TimePoint now) {
+  if (target.health != health) {
+    target.health = health;
+    this->Refresh(target, now);
+  }
+}
+
+void TargetIndex::LearnSlowness(TargetEntry& target, double ratio) {
+  const double sample = std::clamp(ratio, 1 / kLargestSlowness, kLargestSlowness);
+  target.slowness *= std::exp(kSlownessGain * std::log(sample / target.slowness));
+}
+
+TargetEntry* TargetIndex::Hold(const Resources& need, TimePoint now) {
+  if (this->known == 0 || this->held >= std::max<size_t>(1, this->known / kTargetsPerHold)) {
+    return nullptr;
+  }
+  TargetEntry* best = nullptr;
+  for (int i = 0; i < kHoldCandidates; ++i) {
+    const size_t found = this->whole_room.Find(need, this->RandomBelow(this->by_position.size()));
+    if (found == FitTree::kNone) {
+      break;
+    }
+    TargetEntry* candidate = this->by_position[found];
+    if (candidate->held || candidate->health != HealthState::kHealthy || !Usable(*candidate, now)) {
+      continue;
+    }
+    if (best == nullptr || candidate->used.slots < best->used.slots) {
+      best = candidate;
+    }
+  }
+  if (best != nullptr) {
+    best->held = true;
+    ++this->held;
+    this->Refresh(*best, now);
+  }
+  return best;
+}
+
+void TargetIndex::Unhold(TargetEntry& target, TimePoint now) {
+  target.held = false;
+  --this->held;
+  this->Refresh(target, now);
+  if (target.removed && target.used.slots == SlotCount(0)) {
+    this->Delete(target);
+  }
+}
+
+bool TargetIndex::HoldsEver(const Resources& need) const {
+  return this->known == 0 || this->whole_room.Holds(need);
+}
+
+void TargetIndex::ForEach(const std::function<void(const TargetEntry&)>& function) const {
+  for (const auto& [id, entry] : this->entries) {
+    if (!entry->removed) {
+      function(*entry);
+    }
+  }
+}
+
+bool TargetIndex::InTime(const TargetEntry& target, TimePoint now) {
+  return now >= target.state.usable_from && now < target.state.lease_end;
+}
+
+bool TargetIndex::Usable(const TargetEntry& target, TimePoint now) {
+  return !target.removed && !target.state.leaving && target.health != HealthState::kEjected &&
+         InTime(target, now);
+}
+
+SlotCount TargetIndex::FreeSlots(const TargetEntry& target) {
+  const SlotCount free = target.state.slots - target.state.foreign_slots - target.used.slots;
+  if (target.health == HealthState::kTrial) {
+    return std::min(free, kOneSlot - target.used.slots);
+  }
+  return free;
+}
+
+Resources TargetIndex::FreeResources(const TargetEntry& target) {
+  Resources free = target.state.capacity;
+  free -= target.used.resources;
+  return free;
+}
+
+void TargetIndex::Refresh(TargetEntry& target, TimePoint now) {
+  const bool usable = Usable(target, now);
+  const SlotCount free =
+      usable && !target.held ? std::max(SlotCount(0), FreeSlots(target)) : SlotCount(0);
+  this->usable_total -= target.counted_total;
+  this->usable_used -= target.counted_used;
+  this->usable_free -= target.counted_free;
+  target.counted_total = Usage();
+  target.counted_used = Usage();
+  if (usable) {
+    target.counted_total = Usage{target.state.slots, target.state.capacity};
+    target.counted_used = target.used;
+    target.counted_used.slots += target.state.foreign_slots;
+  }
+  const bool more_room = free > target.counted_free;
+  target.counted_free = free;
+  this->usable_total += target.counted_total;
+  this->usable_used += target.counted_used;
+  this->usable_free += target.counted_free;
+  this->free_room.Set(target.position, free, FreeResources(target));
+  this->SetOpen(target, free > SlotCount(0));
+  this->Schedule(target, now);
+  this->version += more_room || target.held ? 1 : 0;
+}
+
+void TargetIndex::Schedule(TargetEntry& target, TimePoint now) {
+  TimePoint next;
+  if (!target.removed && now < target.state.usable_from) {
+    next = target.state.usable_from;
+  } else if (!target.removed && now < target.state.lease_end) {
+    next = target.state.lease_end;
+  }
+  if (next == target.next_change) {
+    return;
+  }
+  if (target.next_change != TimePoint()) {
+    this->changes.erase({target.next_change, target.position});
+  }
+  if (next != TimePoint()) {
+    this->changes.emplace(next, target.position);
+  }
+  target.next_change = next;
+}
+
+void TargetIndex::SetOpen(TargetEntry& target, bool is_open) {
+  const bool was_open = target.open_position != TargetEntry::kNotOpen;
+  if (was_open == is_open) {
+    return;
+  }
+  if (is_open) {
+    target.open_position = this->open.size();
+    this->open.push_back(&target);
+    return;
+  }
+  TargetEntry* last = this->open.back();
+  this->open[target.open_position] = last;
+  last->open_position = target.open_position;
+  this->open.pop_back();
+  target.open_position = TargetEntry::kNotOpen;
+}
+
+void TargetIndex::Delete(TargetEntry& target) {
+  this->by_position[target.position] = nullptr;
+  this->unused_positions.push_back(target.position);
+  const TargetId id = target.state.id;
+  this->entries.erase(id);
+}
+
+bool TargetIndex::Better(const TargetEntry& a, const TargetEntry& b) const {
+  if (this->rule == PlacementRule::kTightestFit) {
+    const Usage whole_a{a.state.slots, a.state.capacity};
+    const Usage whole_b{b.state.slots, b.state.capacity};
+    return a.used.ShareOf(whole_a) > b.used.ShareOf(whole_b);
+  }
+  if (this->rule == PlacementRule::kCompletionTime) {
+    if (a.slowness * kSlownessNoise < b.slowness) {
+      return true;
+    }
+    if (b.slowness * kSlownessNoise < a.slowness) {
+      return false;
+    }
+  }
+  return static_cast<int64_t>(a.used.slots.value()) * b.state.slots.value() <
+         static_cast<int64_t>(b.used.slots.value()) * a.state.slots.value();
+}
+
+TargetEntry* TargetIndex::ChooseAtRandom(const Resources& need, TimePoint now) {
+  TargetEntry* best = nullptr;
+  for (int i = 0; i < this->choices && !this->open.empty(); ++i) {
+    TargetEntry* candidate = this->open[this->RandomBelow(this->open.size())];
+    if (!InTime(*candidate, now)) {
+      this->Refresh(*candidate, now);
+      continue;
+    }
+    if (candidate == best || !FreeResources(*candidate).Fits(need)) {
+      continue;
+    }
+    if (best == nullptr || this->Better(*candidate, *best)) {
+      best = candidate;
+    }
+  }
+  return best;
+}
+
+size_t TargetIndex::RandomBelow(size_t limit) { return this->random() % limit; }
+
+}  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/scheduling/task_record.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+#include "base/resources.h"
+#include "base/task_key.h"
+#include "base/time.h"
+#include "base/work_class.h"
+#include "scheduling/run_time_estimate.h"
+#include "scheduling/run_time_estimator.h"
+#include "scheduling/task_links.h"
+
+namespace sapphirecrank::scheduling {
+
+struct SubmissionTasks;
+struct TargetEntry;
+struct TeamRecord;
+
+/// A task that is queued or running in a shard. Its address is stable.
+struct TaskRecord {
+  using ExpiryMap = std::multimap<base::TimePoint, TaskRecord*>;
+
+  /// Key of this record in the shard's map.
+  const base::TaskKey* key = nullptr;
+  TeamRecord* team = nullptr;
+  SubmissionTasks* submission = nullptr;
+  RunTimeEstimator::Handle kind;
+  base::Resources declared;
+  base::Duration declared_run_time{0};
+  RunTimeEstimate estimate;
+  base::TimePoint deadline;
+  base::TimePoint enqueued;
+  base::WorkClass work_class = base::WorkClass::kOrdinary;
+  bool long_work = false;
+  /// Queue of the class queue, by the share of a target that the task needs.
+  uint8_t lane = 0;
+  /// Level of the team queue, by expected run time.
+  uint8_t level = 0;
+  TaskLinks queue_links;
+  TaskLinks submission_links;
+  bool expires = false;
+  ExpiryMap::iterator expiry;
+  /// Target that runs the task, or null while it is queued.
+  TargetEntry* target = nullptr;
+};
+
+}  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/scheduling/team_queue.cc
@@ -0,0 +1,63 @@
+#include "scheduling/team_queue.h"
+
+#include <algorithm>
+
+#include "scheduling/seconds.h"
+
+namespace sapphirecrank::scheduling {
+
+using base::Duration;
+using base::TimePoint;
+
+namespace {
+/// Largest expected run time of the lowest level; each further level doubles it.
+constexpr Duration kLowestLevel = std::chrono::milliseconds(50);
+}  // namespace
+
+uint8_t TeamQueue::LevelOf(Duration expected) {
+  uint8_t level = 0;
+  Duration limit = kLowestLevel;
+  while (expected > limit && level + 1U < kLevels) {
+    limit *= 2;
+    ++level;
+  }
+  return level;
+}
+
+void TeamQueue::Push(TaskRecord& task) {
+  this->levels[task.level].PushBack(task);
+  this->filled_levels |= 1U << task.level;
+  this->queued_work += Seconds(task.estimate.expected);
+}
+
+void TeamQueue::Remove(TaskRecord& task) {
+  this->levels[task.level].Remove(task);
+  this->queued_work = std::max(0.0, this->queued_work - Seconds(task.estimate.expected));
+  if (this->levels[task.level].empty()) {
+    this->filled_levels &= ~(1U << task.level);
+  }
+  if (this->filled_levels == 0) {
+    this->queued_work = 0;
+  }
+}
+
+TaskRecord* TeamQueue::Head(TimePoint now) const {
+  TaskRecord* head = nullptr;
+  double longest = 0;
+  for (size_t level = 0; level < kLevels; ++level) {
+    if ((this->filled_levels & (1U << level)) == 0) {
+      continue;
+    }
+    TaskRecord* oldest = this->levels[level].front();
+    // One nanosecond more, so that of tasks that arrived just now the shortest goes first.
+    const double waited = static_cast<double>((now - oldest->enqueued).count() + 1);
+    const double ratio = waited / static_cast<double>(int64_t{1} << level);
+    if (head == nullptr || ratio > longest) {
+      head = oldest;
+      longest = ratio;
+    }
+  }
+  return head;
+}
+
+}  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/scheduling/team_queue.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "base/time.h"
+#include "scheduling/task_list.h"
+
+namespace sapphirecrank::scheduling {
+
+/// The queued tasks of one team in one fair queue, in levels by expected run time.
+///
+/// The head is the oldest task of the level whose oldest task has waited longest in relation to the
+/// level's run time. So short tasks overtake long ones, but none waits forever. Thread safety:
+/// none; the owner holds its lock.
+class TeamQueue {
+ public:
+  static constexpr size_t kLevels = 10;
+
+  /// Returns the level of tasks with this expected run time.
+  static uint8_t LevelOf(base::Duration expected);
+
+  /// Appends a task to its level.
+  void Push(TaskRecord& task);
+
+  /// Takes a task out. Precondition: it is in this queue.
+  void Remove(TaskRecord& task);
+
+  /// Returns the task to start next, or null.
+  TaskRecord* Head(base::TimePoint now) const;
+
+  /// Tells whether no task is queued.
+  bool empty() const { return this->filled_levels == 0; }
+
+  /// Returns the sum of the expected run times, in seconds.
+  double work() const { return this->queued_work; }
+
+ private:
+  std::array<TaskList<&TaskRecord::queue_links>, kLevels> levels;
+  uint32_t filled_levels = 0;
+  double queued_work = 0;
+};
+
+}  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/scheduling/team_record.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "base/units.h"
+#include "base/work_class.h"
+
+namespace sapphirecrank::scheduling {
+
+/// A team in a shard.
+struct TeamRecord {
+  /// Place of the team's queue in each fair queue.
+  uint32_t number = 0;
+  base::Weight weight{1};
+  /// Queued tasks, by work class.
+  std::array<size_t, base::kWorkClassCount> queued{};
+};
+
+}  // namespace sapphirecrank::scheduling
--- /dev/null
+++ b/src/targets/target_health.cc
@@ -0,0 +1,134 @@
+#include "targets/target_health.h"
+
+#include <algorithm>
+
+namespace sapphirecrank::targets {
+
+using base::Duration;
+using base::TargetId;
+using base::TimePoint;
+
+namespace {
+constexpr double kShareGain = 0.02;
+/// Above this share of failures on all targets, the work is at fault and not a target.
+constexpr double kLargestFailureShare = 0.5;
+}  // namespace
+
+void TargetHealth::Add(const TargetId& target) { this->records.try_emplace(target); }
+
+void TargetHealth::Remove(const TargetId& target) {
+  auto found = this->records.find(target);
+  if (found == this->records.end()) {
+    return;
+  }
+  if (found->second.state != HealthState::kHealthy) {
+    --this->status.ejected_now;
+  }
+  this->ejected.erase({found->second.ejected_until, target});
+  this->records.erase(found);
+}
+
+std::vector<TargetId> TargetHealth::SetEjectionEnabled(bool enabled) {
+  std::vector<TargetId> returned;
+  this->ejection_enabled = enabled;
+  if (enabled) {
+    return returned;
+  }
+  for (auto& [target, record] : this->records) {
+    if (record.state != HealthState::kHealthy) {
+      record = Record();
+      returned.push_back(target);
+    }
+  }
+  this->ejected.clear();
+  this->status.ejected_now = 0;
+  return returned;
+}
+
+HealthState TargetHealth::OnOutcome(const TargetId& target, bool succeeded, TimePoint now) {
+  auto found = this->records.find(target);
+  if (found == this->records.end()) {
+    return HealthState::kHealthy;
+  }
+  Record& record = found->second;
+  // Only the first failures in a row count, so that one failing target can't raise the share.
+  if (succeeded || record.failures_in_row < kFailuresBeforeEjection) {
+    this->failure_share += kShareGain * ((succeeded ? 0.0 : 1.0) - this->failure_share);
+  }
+  if (succeeded) {
+    this->OnSuccess(record);
+  } else {
+    this->OnFailure(target, record, now);
+  }
+  return record.state;
+}
+
+std::vector<TargetId> TargetHealth::BeginTrials(TimePoint now) {
+  std::vector<TargetId> due;
+  while (!this->ejected.empty() && this->ejected.begin()->first <= now) {
+    const TargetId target = this->ejected.begin()->second;
+    this->ejected.erase(this->ejected.begin());
+    Record& record = this->records[target];
+    record.state = HealthState::kTrial;
+    record.successes_in_row = 0;
+    due.push_back(target);
+  }
+  return due;
+}
+
+HealthState TargetHealth::State(const TargetId& target) const {
+  auto found = this->records.find(target);
+  return found == this->records.end() ? HealthState::kHealthy : found->second.state;
+}
+
+HealthStatus TargetHealth::Status() const { return this->status; }
+
+void TargetHealth::OnSuccess(Record& record) {
+  record.failures_in_row = 0;
+  if (record.state != HealthState::kTrial) {
+    return;
+  }
+  ++record.successes_in_row;
+  if (record.successes_in_row >= kSuccessesBeforeReturn) {
+    record = Record();
+    --this->status.ejected_now;
+    ++this->status.returns;
+  }
+}
+
+void TargetHealth::OnFailure(const TargetId& target, Record& record, TimePoint now) {
+  ++record.failures_in_row;
+  if (record.state == HealthState::kTrial) {
+    this->Eject(target, record, now);
+  } else if (record.state == HealthState::kHealthy &&
+             record.failures_in_row >= kFailuresBeforeEjection &&
+             this->failure_share <= kLargestFailureShare) {
+    this->EjectIfAllowed(target, record, now);
+  }
+}
+
+void TargetHealth::EjectIfAllowed(const TargetId& target, Record& record, TimePoint now) {
+  const bool due_now = record.failures_in_row == kFailuresBeforeEjection;
+  if (!this->ejection_enabled) {
+    this->status.would_have_ejected += due_now ? 1 : 0;
+    return;
+  }
+  const auto allowed = static_cast<int64_t>(this->records.size() / kTargetsPerEjection);
+  if (this->status.ejected_now >= allowed) {
+    this->status.prevented_by_share += due_now ? 1 : 0;
+    return;
+  }
+  ++this->status.ejected_now;
+  this->Eject(target, record, now);
+}
+
+void TargetHealth::Eject(const TargetId& target, Record& record, TimePoint now) {
+  const Duration doubled = kFirstEjection * (int64_t{1} << std::min(record.ejections_in_row, 10));
+  record.state = HealthState::kEjected;
+  record.ejected_until = now + std::min(kLongestEjection, doubled);
+  ++record.ejections_in_row;
+  ++this->status.ejections;
+  this->ejected.emplace(record.ejected_until, target);
+}
+
+}  // namespace sapphirecrank::targets
--- /dev/null
+++ b/src/targets/target_health.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "targets/health_state.h"
+#include "targets/health_status.h"
+
+namespace sapphirecrank::targets {
+
+/// A circuit breaker for each target, which ejects a target that fails everything it starts.
+///
+/// A target is ejected after `kFailuresBeforeEjection` failures in a row, unless most outcomes of
+/// all targets are failures (then the work is at fault) or too large a share of targets is ejected.
+/// After a delay, which doubles with each ejection in a row, it is on trial: the caller gives it
+/// one task at a time, and `kSuccessesBeforeReturn` successes in a row make it healthy. Thread
+/// safety: none; the owner holds its lock.
+class TargetHealth {
+ public:
+  /// Tasks that fail one after the other on a target before it is ejected.
+  static constexpr int kFailuresBeforeEjection = 5;
+  static constexpr int kSuccessesBeforeReturn = 3;
+  /// Ejected targets and targets on trial are at most one in this many.
+  static constexpr size_t kTargetsPerEjection = 5;
+  static constexpr base::Duration kFirstEjection = std::chrono::seconds(1);
+  static constexpr base::Duration kLongestEjection = std::chrono::seconds(30);
+
+  /// Adds a healthy target; a known one keeps its state.
+  void Add(const base::TargetId& target);
+
+  /// Forgets a target.
+  void Remove(const base::TargetId& target);
+
+  /// Switches ejection on or off. Switching off returns all targets; the ids of those that were not
+  /// healthy are returned.
+  std::vector<base::TargetId> SetEjectionEnabled(bool enabled);
+
+  /// Counts the outcome of a task and returns the target's state after it. An unknown target is
+  /// healthy and stays unknown.
+  HealthState OnOutcome(const base::TargetId& target, bool succeeded, base::TimePoint now);
+
+  /// Puts targets on trial whose ejection ended by `now` and returns them.
+  std::vector<base::TargetId> BeginTrials(base::TimePoint now);
+
+  /// Returns the state of a target; an unknown one is healthy.
+  HealthState State(const base::TargetId& target) const;
+
+  /// Returns the counters.
+  HealthStatus Status() const;
+
+ private:
+  struct Record {
+    HealthState state = HealthState::kHealthy;
+    int failures_in_row = 0;
+    int successes_in_row = 0;
+    int ejections_in_row = 0;
+    base::TimePoint ejected_until;
+  };
+
+  void OnSuccess(Record& record);
+  void OnFailure(const base::TargetId& target, Record& record, base::TimePoint now);
+  void EjectIfAllowed(const base::TargetId& target, Record& record, base::TimePoint now);
+  void Eject(const base::TargetId& target, Record& record, base::TimePoint now);
+
+  bool ejection_enabled = true;
+  /// Moving share of failures among the outcomes of targets that are not failing in a row.
+  double failure_share = 0;
+  HealthStatus status;
+  std::unordered_map<base::TargetId, Record> records;
+  std::set<std::pair<base::TimePoint, base::TargetId>> ejected;
+};
+
+}  // namespace sapphirecrank::targets
