--- /dev/null
+++ b/bench/decisions/analysis.cc
@@ -0,0 +1,230 @@
+#include "bench/decisions/analysis.h"
+
+#include <algorithm>
+#include <map>
+
+namespace sapphirecrank::bench {
+
+using base::Duration;
+using base::TimePoint;
+using End = MeasuredTask::End;
+
+namespace {
+/// Run times up to this are short: the workload has none between 1.2 s and 1.6 s or so.
+constexpr Duration kLongestShort = std::chrono::milliseconds(1500);
+constexpr Duration kRecoveryWindow = std::chrono::milliseconds(250);
+/// A window is served as before the crest if the 95th percentile of the slowdown of short urgent
+/// and ordinary work is at most this, and at most this share of it is refused.
+constexpr double kRecoveredSlowdown = 2;
+constexpr double kRecoveredRefusals = 0.02;
+/// A start and its answer.
+constexpr int64_t kMessagesPerStart = 2;
+
+double Milliseconds(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+/// Collects the figures of one simulation.
+class Analyser {
+ public:
+  Analyser(const Scenario& scenario, const Workload& workload, TimePoint start,
+           const Simulation& simulation)
+      : scenario(scenario), workload(workload), start(start), simulation(simulation) {}
+
+  ScenarioFigures Run() {
+    for (size_t i = 0; i < this->workload.tasks.size(); ++i) {
+      this->Count(this->workload.tasks[i], this->simulation.tasks()[i]);
+    }
+    this->Summarise();
+    return this->figures;
+  }
+
+ private:
+  struct Window {
+    std::vector<double> slowdowns;
+    int refused = 0;
+    int total = 0;
+  };
+
+  using ByClass = std::array<std::vector<double>, base::kWorkClassCount>;
+
+  void Count(const WorkloadTask& task, const MeasuredTask& measured) {
+    this->figures.second_starts += measured.starts > 1 ? 1 : 0;
+    this->figures.lost += measured.end == End::kNone ? 1 : 0;
+    this->figures.untrue_refusals += measured.untrue_refusal ? 1 : 0;
+    this->CountMessages(task, measured);
+    this->CountCrestWork(task, measured);
+    if (measured.arrival < this->start + this->scenario.measured_from) {
+      return;
+    }
+    const auto number = static_cast<size_t>(task.spec.work_class);
+    const bool ran = measured.end == End::kInTime || measured.end == End::kLate;
+    const bool not_run = measured.end == End::kRefused || measured.end == End::kExpired ||
+                         measured.end == End::kCancelled;
+    ++this->totals[number];
+    this->in_time[number] += measured.end == End::kInTime ? 1 : 0;
+    this->not_run[number] += not_run && !measured.unsatisfiable ? 1 : 0;
+    this->CountRefusal(measured);
+    const bool is_short = task.ideal <= kLongestShort;
+    this->figures.behind_excess += measured.behind_excess ? 1 : 0;
+    if (ran) {
+      this->CountRan(number, is_short, task, measured);
+    }
+    if (is_short && number < 2) {
+      this->CountRecovery(task, measured, ran, not_run);
+    }
+  }
+
+  void CountRefusal(const MeasuredTask& measured) {
+    if (measured.end != End::kRefused && measured.end != End::kExpired) {
+      return;
+    }
+    this->figures.unsatisfiable += measured.unsatisfiable ? 1 : 0;
+    const bool at_once = measured.end == End::kRefused;
+    this->figures.refused_at_once += at_once ? 1 : 0;
+    this->figures.expired += at_once ? 0 : 1;
+    this->refusal_ms.push_back(Milliseconds(measured.ended - measured.arrival));
+  }
+
+  void CountRan(size_t number, bool is_short, const WorkloadTask& task,
+                const MeasuredTask& measured) {
+    const double slowdown =
+        Milliseconds(measured.ended - measured.arrival) / Milliseconds(task.ideal);
+    this->slowdowns[number].push_back(slowdown);
+    if (!is_short) {
+      return;
+    }
+    this->short_slowdowns[number].push_back(slowdown);
+    if (number < 2) {
+      this->short_waits.push_back(Milliseconds(measured.started - measured.arrival));
+    }
+    const Duration at = measured.arrival - this->start;
+    if (at >= this->scenario.crest_start && at < this->scenario.crest_end) {
+      this->crest_slowdowns[number].push_back(slowdown);
+    }
+  }
+
+  void CountMessages(const WorkloadTask& task, const MeasuredTask& measured) {
+    const bool useful = measured.end == End::kInTime && !this->simulation.JobAbandoned(task.job);
+    (useful ? this->useful_messages : this->wasted_messages) += kMessagesPerStart * measured.starts;
+  }
+
+  void CountCrestWork(const WorkloadTask& task, const MeasuredTask& measured) {
+    if (measured.starts == 0 || this->scenario.crest_end == this->scenario.crest_start) {
+      return;
+    }
+    const TimePoint from = std::max(measured.started, this->start + this->scenario.crest_start);
+    const TimePoint to = std::min(measured.ended, this->start + this->scenario.crest_end);
+    if (to <= from) {
+      return;
+    }
+    const double seconds = std::chrono::duration<double>(to - from).count();
+    const bool useful = measured.end == End::kInTime && !this->simulation.JobAbandoned(task.job);
+    const base::Resources& need = task.spec.declared;
+    const base::Resources& whole = this->scenario.capacity;
+    const std::array<double, 3> parts = {
+        1.0 / this->scenario.slots.value(),
+        whole.processors.value() > 0 ? static_cast<double>(need.processors.value()) /
+                                           static_cast<double>(whole.processors.value())
+                                     : 0,
+        whole.memory.value() > 0
+            ? static_cast<double>(need.memory.value()) / static_cast<double>(whole.memory.value())
+            : 0};
+    for (size_t i = 0; i < parts.size(); ++i) {
+      this->crest_busy[i] += seconds * parts[i];
+      this->crest_useful[i] += useful ? seconds * parts[i] : 0;
+    }
+  }
+
+  void CountRecovery(const WorkloadTask& task, const MeasuredTask& measured, bool ran,
+                     bool not_run) {
+    const Duration after = measured.arrival - this->start - this->scenario.crest_end;
+    if (this->scenario.crest_end == this->scenario.crest_start || after < Duration(0)) {
+      return;
+    }
+    Window& window = this->windows[after / kRecoveryWindow];
+    ++window.total;
+    window.refused += not_run && !measured.unsatisfiable ? 1 : 0;
+    if (ran) {
+      window.slowdowns.push_back(Milliseconds(measured.ended - measured.arrival) /
+                                 Milliseconds(task.ideal));
+    }
+  }
+
+  void Summarise() {
+    for (size_t i = 0; i < base::kWorkClassCount; ++i) {
+      const auto total = static_cast<double>(std::max<int64_t>(1, this->totals[i]));
+      this->figures.in_time[i] = static_cast<double>(this->in_time[i]) / total;
+      this->figures.not_run[i] = static_cast<double>(this->not_run[i]) / total;
+      this->figures.slowdown[i] = Percentiles::Of(this->slowdowns[i]);
+      this->figures.short_slowdown[i] = Percentiles::Of(this->short_slowdowns[i]);
+      this->figures.crest_short_slowdown[i] = Percentiles::Of(this->crest_slowdowns[i]);
+    }
+    this->figures.short_wait_ms = Percentiles::Of(this->short_waits);
+    this->figures.refusal_p99_ms = Percentiles::Of(this->refusal_ms).p99;
+    this->figures.wasted_messages =
+        static_cast<double>(this->wasted_messages) /
+        static_cast<double>(std::max<int64_t>(1, this->useful_messages));
+    this->figures.overcommitted = this->simulation.overcommitted();
+    this->figures.failing_share =
+        static_cast<double>(this->simulation.late_failing_starts()) /
+        static_cast<double>(std::max<int64_t>(1, this->simulation.starts_after_detection()));
+    this->SummariseCrest();
+  }
+
+  void SummariseCrest() {
+    const double seconds =
+        std::chrono::duration<double>(this->scenario.crest_end - this->scenario.crest_start)
+            .count();
+    if (seconds <= 0) {
+      return;
+    }
+    const auto scarcest = std::max_element(this->crest_busy.begin(), this->crest_busy.end()) -
+                          this->crest_busy.begin();
+    this->figures.crest_busy = this->crest_busy[scarcest] / (seconds * this->scenario.targets);
+    this->figures.crest_useful = this->crest_useful[scarcest] / (seconds * this->scenario.targets);
+    for (const auto& [number, window] : this->windows) {
+      const bool slow = Percentile95(window.slowdowns) > kRecoveredSlowdown;
+      if (slow || window.refused > kRecoveredRefusals * window.total) {
+        this->figures.recovery_seconds = static_cast<double>(number + 1) *
+                                         std::chrono::duration<double>(kRecoveryWindow).count();
+      }
+    }
+  }
+
+  static double Percentile95(std::vector<double> values) {
+    if (values.empty()) {
+      return 0;
+    }
+    std::sort(values.begin(), values.end());
+    return values[values.size() * 95 / 100];
+  }
+
+  const Scenario& scenario;
+  const Workload& workload;
+  TimePoint start;
+  const Simulation& simulation;
+  ScenarioFigures figures;
+  ByClass slowdowns;
+  ByClass short_slowdowns;
+  ByClass crest_slowdowns;
+  std::vector<double> short_waits;
+  std::vector<double> refusal_ms;
+  std::array<int64_t, base::kWorkClassCount> totals{};
+  std::array<int64_t, base::kWorkClassCount> in_time{};
+  std::array<int64_t, base::kWorkClassCount> not_run{};
+  std::array<double, 3> crest_busy{};
+  std::array<double, 3> crest_useful{};
+  std::map<int64_t, Window> windows;
+  int64_t useful_messages = 0;
+  int64_t wasted_messages = 0;
+};
+
+}  // namespace
+
+ScenarioFigures Analyse(const Scenario& scenario, const Workload& workload, TimePoint start,
+                        const Simulation& simulation) {
+  return Analyser(scenario, workload, start, simulation).Run();
+}
+
+}  // namespace sapphirecrank::bench
--- /dev/null
+++ b/bench/decisions/analysis.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "bench/decisions/scenario.h"
+#include "bench/decisions/scenario_figures.h"
+#include "bench/decisions/simulation.h"
+#include "bench/decisions/workload.h"
+
+namespace sapphirecrank::bench {
+
+/// Computes the figures of a simulation that has run.
+ScenarioFigures Analyse(const Scenario& scenario, const Workload& workload, base::TimePoint start,
+                        const Simulation& simulation);
+
+}  // namespace sapphirecrank::bench
--- /dev/null
+++ b/bench/decisions/decision_cost.cc
@@ -0,0 +1,107 @@
+#include "bench/decisions/decision_cost.h"
+
+#include <algorithm>
+#include <ctime>
+#include <deque>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "base/manual_clock.h"
+#include "scheduling/scheduler.h"
+
+namespace sapphirecrank::bench {
+
+using scheduling::TaskSpec;
+
+namespace {
+constexpr int kSlots = 16;
+constexpr size_t kStarts = 200000;
+constexpr int kRepetitions = 3;
+constexpr size_t kQueuedTasks = 2000;
+constexpr size_t kKinds = 20;
+constexpr size_t kJobSize = 20;
+
+double ProcessorSeconds() {
+  timespec time{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
+std::vector<TaskSpec> MakeTasks(size_t count, size_t teams, base::TimePoint now) {
+  std::mt19937_64 random(1);
+  std::vector<TaskSpec> tasks(count);
+  for (size_t i = 0; i < count; ++i) {
+    const size_t job = i / kJobSize;
+    TaskSpec& task = tasks[i];
+    task.key.submission = base::SubmissionId("centre-a:job-" + std::to_string(job));
+    task.key.index = base::TaskIndex(static_cast<uint32_t>(i % kJobSize));
+    task.team = base::TeamId("team-" + std::to_string(random() % teams));
+    task.kind = base::TaskKind("kind-" + std::to_string(random() % kKinds));
+    task.work_class = static_cast<base::WorkClass>(random() % base::kWorkClassCount);
+    task.declared.processors = base::MilliCores(200 + static_cast<int64_t>(random() % 1500));
+    task.declared.memory = base::ByteCount(static_cast<int64_t>(random() % 3) << 30);
+    task.declared_run_time = std::chrono::milliseconds(50 + random() % 1000);
+    task.deadline = now + std::chrono::hours(1);
+  }
+  return tasks;
+}
+
+double MeasureOnce(size_t targets, size_t teams) {
+  base::ManualClock clock;
+  std::deque<scheduling::StartDecision> running;
+  size_t started = 0;
+  scheduling::Scheduler::Hooks hooks;
+  hooks.now = clock.Hook();
+  hooks.start = [&](const scheduling::StartDecision& decision) {
+    ++started;
+    running.push_back(decision);
+  };
+  hooks.refuse = [](const scheduling::TaskRefusal&) {};
+  scheduling::SchedulerSettings settings;
+  settings.admission = false;
+  scheduling::Scheduler scheduler(hooks, settings);
+  for (size_t i = 0; i < targets; ++i) {
+    scheduling::TargetState target;
+    target.id = base::TargetId("target-" + std::to_string(i));
+    target.slots = base::SlotCount(kSlots);
+    target.capacity.processors = base::MilliCores(16000);
+    target.capacity.memory = base::ByteCount(int64_t{32} << 30);
+    target.lease_end = clock.Now() + std::chrono::hours(1);
+    scheduler.UpdateTarget(target);
+  }
+  const size_t filling = targets * kSlots + kQueuedTasks;
+  const std::vector<TaskSpec> tasks = MakeTasks(filling + kStarts, teams, clock.Now());
+  for (size_t i = 0; i < filling; ++i) {
+    scheduler.Enqueue(tasks[i]);
+  }
+  const size_t started_before = started;
+  const double before = ProcessorSeconds();
+  scheduling::TaskOutcome outcome;
+  outcome.succeeded = true;
+  for (size_t i = filling; i < tasks.size(); ++i) {
+    clock.Advance(std::chrono::microseconds(100));
+    scheduler.Enqueue(tasks[i]);
+    if (running.empty()) {
+      continue;
+    }
+    const scheduling::StartDecision ended = running.front();
+    running.pop_front();
+    outcome.elapsed = std::chrono::milliseconds(100 + i % 700);
+    scheduler.OnTaskEnded(ended.task, ended.target, outcome);
+  }
+  const double seconds = ProcessorSeconds() - before;
+  return 1e6 * seconds / static_cast<double>(std::max<size_t>(1, started - started_before));
+}
+
+}  // namespace
+
+double MeasureDecisionCost(size_t targets, size_t teams) {
+  double best = MeasureOnce(targets, teams);
+  for (int i = 1; i < kRepetitions; ++i) {
+    best = std::min(best, MeasureOnce(targets, teams));
+  }
+  return best;
+}
+
+}  // namespace sapphirecrank::bench
--- /dev/null
+++ b/bench/decisions/fifo_scheduler.cc
@@ -0,0 +1,109 @@
+#include "bench/decisions/fifo_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirecrank::bench {
+
+using scheduling::TaskSpec;
+
+namespace {
+constexpr base::SlotCount kOneSlot{1};
+}  // namespace
+
+FifoScheduler::FifoScheduler(scheduling::Scheduler::Hooks hooks, bool random_target)
+    : hooks(std::move(hooks)), random_target(random_target) {}
+
+base::Result<void> FifoScheduler::Enqueue(const TaskSpec& task) {
+  const bool holds_ever =
+      this->targets.empty() ||
+      std::any_of(this->targets.begin(), this->targets.end(),
+                  [&](const Target& target) { return target.state.capacity.Fits(task.declared); });
+  if (!holds_ever) {
+    return base::Fail(base::ErrorCode::kUnsatisfiable, "no target could ever hold the task");
+  }
+  this->queue.push_back(task);
+  this->StartQueued();
+  return {};
+}
+
+void FifoScheduler::UpdateTarget(const scheduling::TargetState& target) {
+  auto [found, added] = this->positions.try_emplace(target.id, this->targets.size());
+  if (added) {
+    this->targets.emplace_back();
+  }
+  this->targets[found->second].state = target;
+  this->StartQueued();
+}
+
+void FifoScheduler::OnTaskEnded(const base::TaskKey& task, const base::TargetId& target,
+                                const scheduling::TaskOutcome& /*outcome*/) {
+  auto ended = this->running.find(task);
+  if (ended == this->running.end()) {
+    return;
+  }
+  Target& held = this->targets[this->positions[target]];
+  held.used_slots -= kOneSlot;
+  held.used -= ended->second;
+  this->running.erase(ended);
+  this->StartQueued();
+}
+
+std::vector<base::TaskKey> FifoScheduler::Cancel(const base::SubmissionId& submission) {
+  // The tasks are dropped when they get to the head, which is cheaper than a search of the queue.
+  this->cancelled.insert(submission);
+  return {};
+}
+
+void FifoScheduler::ExpireDue() { this->StartQueued(); }
+
+bool FifoScheduler::Fits(const Target& target, const TaskSpec& task) const {
+  base::Resources free = target.state.capacity;
+  free -= target.used;
+  return target.used_slots < target.state.slots && this->hooks.now() < target.state.lease_end &&
+         free.Fits(task.declared);
+}
+
+FifoScheduler::Target* FifoScheduler::Choose(const TaskSpec& task) {
+  Target* best = nullptr;
+  size_t fitting = 0;
+  for (Target& target : this->targets) {
+    if (!this->Fits(target, task)) {
+      continue;
+    }
+    ++fitting;
+    const bool better = this->random_target
+                            ? this->random() % fitting == 0
+                            : best == nullptr || target.used_slots < best->used_slots;
+    best = better ? &target : best;
+  }
+  return best;
+}
+
+void FifoScheduler::StartQueued() {
+  while (!this->queue.empty()) {
+    const TaskSpec task = this->queue.front();
+    if (this->cancelled.count(task.key.submission) > 0) {
+      this->queue.pop_front();
+      continue;
+    }
+    if (task.deadline <= this->hooks.now()) {
+      this->queue.pop_front();
+      this->hooks.refuse({task.key,
+                          {base::ErrorCode::kDeadlineExceeded, "deadline_ms", "the deadline passed",
+                           base::Verdict::kNotRun}});
+      continue;
+    }
+    Target* target = this->Choose(task);
+    if (target == nullptr) {
+      return;
+    }
+    this->queue.pop_front();
+    target->used_slots += kOneSlot;
+    target->used += task.declared;
+    this->running[task.key] = task.declared;
+    this->hooks.start({task.key, target->state.id});
+  }
+}
+
+}  // namespace sapphirecrank::bench
--- /dev/null
+++ b/bench/decisions/fifo_scheduler.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <deque>
+#include <random>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "scheduling/scheduler.h"
+
+namespace sapphirecrank::bench {
+
+/// Baseline: one FIFO queue and a random or the least-loaded target with room.
+///
+/// Thread safety: none.
+class FifoScheduler {
+ public:
+  FifoScheduler(scheduling::Scheduler::Hooks hooks, bool random_target);
+
+  base::Result<void> Enqueue(const scheduling::TaskSpec& task);
+  void UpdateTarget(const scheduling::TargetState& target);
+  void OnTaskEnded(const base::TaskKey& task, const base::TargetId& target,
+                   const scheduling::TaskOutcome& outcome);
+  std::vector<base::TaskKey> Cancel(const base::SubmissionId& submission);
+  void ExpireDue();
+
+ private:
+  struct Target {
+    scheduling::TargetState state;
+    base::SlotCount used_slots;
+    base::Resources used;
+  };
+
+  bool Fits(const Target& target, const scheduling::TaskSpec& task) const;
+  Target* Choose(const scheduling::TaskSpec& task);
+  void StartQueued();
+
+  scheduling::Scheduler::Hooks hooks;
+  bool random_target;
+  std::minstd_rand random;
+  std::deque<scheduling::TaskSpec> queue;
+  std::vector<Target> targets;
+  std::unordered_map<base::TargetId, size_t> positions;
+  std::unordered_map<base::TaskKey, base::Resources> running;
+  std::unordered_set<base::SubmissionId> cancelled;
+};
+
+}  // namespace sapphirecrank::bench
--- /dev/null
+++ b/bench/decisions/main.cc
@@ -0,0 +1,161 @@
+#include <fmt/core.h>
+
+#include <atomic>
+#include <cmath>
+#include <cstdlib>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "bench/decisions/analysis.h"
+#include "bench/decisions/decision_cost.h"
+#include "bench/decisions/dispatcher_under_test.h"
+#include "bench/decisions/report.h"
+#include "bench/decisions/scenario.h"
+#include "bench/decisions/simulation.h"
+#include "bench/decisions/workload.h"
+
+namespace sapphirecrank::bench {
+namespace {
+
+constexpr uint64_t kDefaultSeed = 20261204;
+constexpr unsigned kThreads = 4;
+constexpr double kLargestCostMicroseconds = 2;
+constexpr const char* kCostScenario = "cost";
+
+struct Options {
+  uint64_t seed = kDefaultSeed;
+  double load = 0;
+  std::string mix = "standard";
+  /// Part of the names of the scenarios to run; empty runs all.
+  std::string scenario;
+  /// Runs the rule sets with one rule changed, too.
+  bool changed_rules = true;
+};
+
+bool Parse(int argc, char** argv, Options& options) {
+  for (int i = 1; i < argc; ++i) {
+    const std::string name = argv[i];
+    if (name == "--main-rules") {
+      options.changed_rules = false;
+      continue;
+    }
+    if (i + 1 == argc) {
+      return false;
+    }
+    const std::string value = argv[++i];
+    if (name == "--seed") {
+      options.seed = std::strtoull(value.c_str(), nullptr, 10);
+    } else if (name == "--load") {
+      options.load = std::strtod(value.c_str(), nullptr);
+    } else if (name == "--mix") {
+      options.mix = value;
+    } else if (name == "--scenario") {
+      options.scenario = value;
+    } else {
+      return false;
+    }
+  }
+  return options.mix == "standard" || options.mix == "urgent" || options.mix == "bulk";
+}
+
+std::vector<ScenarioFigures> RunScenario(const Scenario& scenario, uint64_t seed,
+                                         const std::vector<RuleSet>& rules) {
+  const base::TimePoint start = base::ManualClock().Now();
+  const Workload workload(scenario, start, seed);
+  std::vector<ScenarioFigures> figures;
+  for (const RuleSet& rule_set : rules) {
+    Simulation simulation(scenario, workload, start, rule_set);
+    simulation.Run();
+    figures.push_back(Analyse(scenario, workload, start, simulation));
+    figures.back().scenario = scenario.name;
+    figures.back().rules = rule_set.name;
+  }
+  return figures;
+}
+
+std::vector<ScenarioFigures> RunAll(const std::vector<Scenario>& scenarios, uint64_t seed,
+                                    const std::vector<RuleSet>& rules) {
+  std::vector<std::vector<ScenarioFigures>> results(scenarios.size());
+  std::atomic<size_t> next{0};
+  std::vector<std::thread> threads;
+  for (unsigned i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&] {
+      for (size_t number = next++; number < scenarios.size(); number = next++) {
+        results[number] = RunScenario(scenarios[number], seed, rules);
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  std::vector<ScenarioFigures> all;
+  for (const std::vector<ScenarioFigures>& figures : results) {
+    all.insert(all.end(), figures.begin(), figures.end());
+  }
+  return all;
+}
+
+/// Returns how much a cost that grows with the logarithm may grow between two sizes.
+double LogarithmicGrowth(double from, double to) { return std::log(to) / std::log(from); }
+
+void MeasureCosts() {
+  const std::vector<size_t> target_counts = {50, 500, 5000};
+  const std::vector<size_t> team_counts = {1, 55, 550};
+  std::vector<std::vector<double>> costs;
+  for (size_t targets : target_counts) {
+    costs.emplace_back();
+    for (size_t teams : team_counts) {
+      costs.back().push_back(MeasureDecisionCost(targets, teams));
+      fmt::print("cost {:5} targets {:4} teams: {:.2f} us for each task start\n", targets, teams,
+                 costs.back().back());
+    }
+  }
+  for (size_t i = 0; i < team_counts.size(); ++i) {
+    PrintAtMost(fmt::format("cost.50_targets.{}_teams_us", team_counts[i]), costs[0][i],
+                kLargestCostMicroseconds);
+    PrintAtMost(fmt::format("cost.growth_50_to_5000_targets.{}_teams", team_counts[i]),
+                costs[2][i] / costs[0][i], LogarithmicGrowth(50, 5000));
+  }
+  for (size_t i = 0; i < target_counts.size(); ++i) {
+    PrintAtMost(fmt::format("cost.growth_55_to_550_teams.{}_targets", target_counts[i]),
+                costs[i][2] / costs[i][1], LogarithmicGrowth(55, 550));
+  }
+}
+
+int Main(int argc, char** argv) {
+  Options options;
+  if (!Parse(argc, argv, options)) {
+    fmt::print(stderr,
+               "usage: bench_decisions [--seed N] [--load X] [--mix standard|urgent|bulk] "
+               "[--scenario NAME|cost] [--main-rules]\n");
+    return 2;
+  }
+  std::vector<RuleSet> rules = MainRuleSets();
+  if (options.changed_rules) {
+    for (RuleSet& changed : ChangedRuleSets()) {
+      rules.push_back(std::move(changed));
+    }
+  }
+  std::vector<Scenario> scenarios;
+  for (Scenario& scenario : AllScenarios(options.load, options.mix)) {
+    if (scenario.name.find(options.scenario) != std::string::npos) {
+      scenarios.push_back(std::move(scenario));
+    }
+  }
+  fmt::print("seed {} mix {}\n", options.seed, options.mix);
+  if (!scenarios.empty()) {
+    const std::vector<ScenarioFigures> figures = RunAll(scenarios, options.seed, rules);
+    PrintTable(figures);
+    PrintTargets(figures);
+  }
+  if (options.scenario.empty() || options.scenario == kCostScenario) {
+    MeasureCosts();
+  }
+  return 0;
+}
+
+}  // namespace
+}  // namespace sapphirecrank::bench
+
+int main(int argc, char** argv) { return sapphirecrank::bench::Main(argc, argv); }
--- /dev/null
+++ b/bench/decisions/percentiles.cc
@@ -0,0 +1,24 @@
+#include "bench/decisions/percentiles.h"
+
+#include <algorithm>
+
+namespace sapphirecrank::bench {
+
+Percentiles Percentiles::Of(std::vector<double> values) {
+  Percentiles result;
+  result.count = values.size();
+  if (values.empty()) {
+    return result;
+  }
+  std::sort(values.begin(), values.end());
+  const auto at = [&](double share) {
+    return values[std::min(values.size() - 1,
+                           static_cast<size_t>(share * static_cast<double>(values.size())))];
+  };
+  result.p50 = at(0.5);
+  result.p99 = at(0.99);
+  result.p999 = at(0.999);
+  return result;
+}
+
+}  // namespace sapphirecrank::bench
--- /dev/null
+++ b/bench/decisions/report.cc
@@ -0,0 +1,127 @@
+#include "bench/decisions/report.h"
+
+#include <fmt/core.h>
+
+#include <algorithm>
+
+namespace sapphirecrank::bench {
+
+namespace {
+constexpr const char* kOurs = "rules";
+constexpr size_t kUrgent = 0;
+constexpr size_t kOrdinary = 1;
+
+bool IsRunner(const ScenarioFigures& figures) { return figures.scenario.rfind("runners", 0) == 0; }
+
+bool EndsWith(const std::string& text, const std::string& end) {
+  return text.size() >= end.size() && text.compare(text.size() - end.size(), end.size(), end) == 0;
+}
+
+std::string Triple(const Percentiles& p) {
+  return fmt::format("{:.2f}/{:.2f}/{:.1f}", p.p50, p.p99, p.p999);
+}
+
+double BetterBaseline(const std::vector<ScenarioFigures>& all, const std::string& scenario) {
+  double best = 0;
+  for (const ScenarioFigures& figures : all) {
+    if (figures.scenario == scenario && figures.rules.rfind("fifo", 0) == 0) {
+      const double p99 = figures.crest_short_slowdown[kUrgent].p99;
+      best = best == 0 ? p99 : std::min(best, p99);
+    }
+  }
+  return best;
+}
+
+void PrintLine(const std::string& name, double figure, double bound, bool met) {
+  fmt::print("TARGET {} {:.4g} {:.4g} {}\n", name, figure, bound, met ? "ok" : "short");
+}
+
+void PrintSteady(const ScenarioFigures& figures) {
+  const std::string& name = figures.scenario;
+  const bool runner = IsRunner(figures);
+  if (EndsWith(name, "-80")) {
+    PrintAtMost(name + ".urgent_short_p99_slowdown", figures.short_slowdown[kUrgent].p99,
+                runner ? 1.2 : 1.5);
+    PrintAtMost(name + ".ordinary_short_p99_slowdown", figures.short_slowdown[kOrdinary].p99, 2);
+  }
+  if (EndsWith(name, "-95")) {
+    PrintAtMost(name + ".urgent_short_p99_slowdown", figures.short_slowdown[kUrgent].p99,
+                runner ? 1.5 : 2);
+    PrintAtMost(name + ".short_wait_p99_ms", figures.short_wait_ms.p99, 50);
+  }
+  if (EndsWith(name, "-80") || EndsWith(name, "-95")) {
+    PrintAtMost(name + ".wasted_messages", figures.wasted_messages, 0.02);
+  }
+}
+
+void PrintCrest(const std::vector<ScenarioFigures>& all, const ScenarioFigures& figures) {
+  const std::string& name = figures.scenario;
+  const double urgent = figures.crest_short_slowdown[kUrgent].p99;
+  PrintAtLeast(name + ".useful_share", figures.crest_useful, 0.95);
+  PrintAtMost(name + ".urgent_short_p99_slowdown", urgent, IsRunner(figures) ? 1.5 : 2);
+  PrintAtMost(name + ".urgent_p99_to_better_baseline", urgent / BetterBaseline(all, name), 0.1);
+  PrintAtMost(name + ".recovery_seconds", figures.recovery_seconds, 2);
+}
+}  // namespace
+
+void PrintAtMost(const std::string& name, double figure, double bound) {
+  PrintLine(name, figure, bound, figure <= bound);
+}
+
+void PrintAtLeast(const std::string& name, double figure, double bound) {
+  PrintLine(name, figure, bound, figure >= bound);
+}
+
+void PrintTable(const std::vector<ScenarioFigures>& figures) {
+  fmt::print(
+      "Slowdowns are p50/p99/p99.9; those of short tasks are marked s; u, o, b are the classes.\n");
+  for (const ScenarioFigures& f : figures) {
+    fmt::print("{:<17}{:<18}us {:<16} os {:<17} bs {:<18} o {:<17} b {:<18}", f.scenario, f.rules,
+               Triple(f.short_slowdown[0]), Triple(f.short_slowdown[1]),
+               Triple(f.short_slowdown[2]), Triple(f.slowdown[1]), Triple(f.slowdown[2]));
+    fmt::print(" wait99 {:.0f}ms notrun {:.3f}/{:.3f}/{:.3f}", f.short_wait_ms.p99, f.not_run[0],
+               f.not_run[1], f.not_run[2]);
+    fmt::print(" late {:.4f}/{:.4f}/{:.4f}", 1 - f.in_time[0] - f.not_run[0],
+               1 - f.in_time[1] - f.not_run[1], 1 - f.in_time[2] - f.not_run[2]);
+    fmt::print(" refused {} expired {} untrue {} never {} wasted {:.4f} excess {}",
+               f.refused_at_once, f.expired, f.untrue_refusals, f.unsatisfiable, f.wasted_messages,
+               f.behind_excess);
+    if (f.crest_busy > 0) {
+      fmt::print(" crest[busy {:.3f} useful {:.3f} us {} os {} recovery {:.2f}s]", f.crest_busy,
+                 f.crest_useful, Triple(f.crest_short_slowdown[0]),
+                 Triple(f.crest_short_slowdown[1]), f.recovery_seconds);
+    }
+    if (f.failing_share > 0) {
+      fmt::print(" failing {:.5f}", f.failing_share);
+    }
+    fmt::print("\n");
+  }
+}
+
+void PrintTargets(const std::vector<ScenarioFigures>& all) {
+  double refusal_ms = 0;
+  int64_t excess = 0;
+  int64_t faults = 0;
+  for (const ScenarioFigures& figures : all) {
+    if (figures.rules != kOurs) {
+      continue;
+    }
+    PrintSteady(figures);
+    if (figures.crest_busy > 0) {
+      PrintCrest(all, figures);
+    }
+    if (EndsWith(figures.scenario, "-failer")) {
+      PrintAtMost(figures.scenario + ".failing_worker_share", figures.failing_share, 0.01);
+      PrintAtMost(figures.scenario + ".wasted_messages", figures.wasted_messages, 0.1);
+    }
+    refusal_ms = std::max(refusal_ms, figures.refusal_p99_ms);
+    excess += figures.behind_excess;
+    faults +=
+        figures.second_starts + figures.lost + figures.untrue_refusals + figures.overcommitted;
+  }
+  PrintAtMost("refusal_p99_ms", refusal_ms, 5);
+  PrintAtMost("short_behind_excess_of_lower_class", static_cast<double>(excess), 0);
+  PrintAtMost("second_starts_lost_untrue_overcommitted", static_cast<double>(faults), 0);
+}
+
+}  // namespace sapphirecrank::bench
--- /dev/null
+++ b/bench/decisions/rule_sets.cc
@@ -0,0 +1,76 @@
+#include "bench/decisions/dispatcher_under_test.h"
+#include "bench/decisions/fifo_scheduler.h"
+
+namespace sapphirecrank::bench {
+
+using scheduling::PlacementRule;
+using scheduling::Scheduler;
+using scheduling::SchedulerSettings;
+
+namespace {
+
+template <typename Implementation>
+DispatcherUnderTest Wrap(const std::shared_ptr<Implementation>& scheduler) {
+  DispatcherUnderTest wrapped;
+  wrapped.enqueue = [scheduler](const scheduling::TaskSpec& task) {
+    return scheduler->Enqueue(task);
+  };
+  wrapped.update_target = [scheduler](const scheduling::TargetState& target) {
+    scheduler->UpdateTarget(target);
+  };
+  wrapped.on_task_ended = [scheduler](const base::TaskKey& task, const base::TargetId& target,
+                                      const scheduling::TaskOutcome& outcome) {
+    scheduler->OnTaskEnded(task, target, outcome);
+  };
+  wrapped.cancel = [scheduler](const base::SubmissionId& id) { return scheduler->Cancel(id); };
+  wrapped.expire_due = [scheduler] { scheduler->ExpireDue(); };
+  return wrapped;
+}
+
+RuleSet Fifo(const std::string& name, bool random_target) {
+  return {name, [random_target](Scheduler::Hooks hooks) {
+            return Wrap(std::make_shared<FifoScheduler>(std::move(hooks), random_target));
+          }};
+}
+
+RuleSet WithSettings(const std::string& name, const SchedulerSettings& settings) {
+  return {name, [settings](Scheduler::Hooks hooks) {
+            return Wrap(std::make_shared<Scheduler>(std::move(hooks), settings));
+          }};
+}
+
+RuleSet Changed(const std::string& name, const std::function<void(SchedulerSettings&)>& change) {
+  SchedulerSettings settings;
+  change(settings);
+  return WithSettings(name, settings);
+}
+
+}  // namespace
+
+std::vector<RuleSet> MainRuleSets() {
+  return {Fifo("fifo-random", true), Fifo("fifo-least-loaded", false),
+          WithSettings("rules", SchedulerSettings())};
+}
+
+std::vector<RuleSet> ChangedRuleSets() {
+  return {
+      Changed("no-fair-teams", [](SchedulerSettings& s) { s.fair_teams = false; }),
+      Changed("no-size-levels", [](SchedulerSettings& s) { s.size_levels = false; }),
+      Changed("no-long-queue", [](SchedulerSettings& s) { s.separate_long_work = false; }),
+      Changed("no-reserve",
+              [](SchedulerSettings& s) {
+                s.reserve = {0, 0, 0};
+                s.long_reserve = 0;
+              }),
+      Changed("no-admission", [](SchedulerSettings& s) { s.admission = false; }),
+      Changed("no-hold", [](SchedulerSettings& s) { s.hold_target_after = base::Duration(0); }),
+      Changed("one-choice", [](SchedulerSettings& s) { s.placement_choices = 1; }),
+      Changed("eight-choices", [](SchedulerSettings& s) { s.placement_choices = 8; }),
+      Changed("tightest-fit",
+              [](SchedulerSettings& s) { s.placement = PlacementRule::kTightestFit; }),
+      Changed("completion-time",
+              [](SchedulerSettings& s) { s.placement = PlacementRule::kCompletionTime; }),
+  };
+}
+
+}  // namespace sapphirecrank::bench
--- /dev/null
+++ b/bench/decisions/scenario.cc
@@ -0,0 +1,116 @@
+#include "bench/decisions/scenario.h"
+
+namespace sapphirecrank::bench {
+
+using base::Duration;
+using std::chrono::seconds;
+
+namespace {
+constexpr double kOrdinaryLoad = 0.8;
+constexpr double kHighLoad = 0.95;
+constexpr double kCrestLoad = 5;
+/// Demand of urgent work at the peak, which alone fits.
+constexpr double kUrgentCrestLoad = 0.7;
+constexpr seconds kCrestStart{20};
+constexpr seconds kCrestEnd{30};
+constexpr int64_t kGibibyte = int64_t{1} << 30;
+
+using Shares = std::array<double, base::kWorkClassCount>;
+
+Shares SharesOf(const std::string& mix) {
+  if (mix == "urgent") {
+    return {0.5, 0.3, 0.2};
+  }
+  if (mix == "bulk") {
+    return {0.1, 0.3, 0.6};
+  }
+  return {0.25, 0.45, 0.3};
+}
+
+Shares Scaled(const Shares& shares, double load) {
+  return {shares[0] * load, shares[1] * load, shares[2] * load};
+}
+
+Scenario Runners() {
+  Scenario scenario;
+  scenario.name = "runners";
+  return scenario;
+}
+
+Scenario Workers(int cores, int64_t gibibytes) {
+  Scenario scenario;
+  scenario.name = "workers" + std::to_string(cores);
+  scenario.kind = base::TargetKind::kWorker;
+  scenario.slots = base::SlotCount(cores);
+  scenario.capacity.processors = base::MilliCores(int64_t{1000} * cores);
+  scenario.capacity.memory = base::ByteCount(gibibytes * kGibibyte);
+  scenario.largest_job = 200;
+  return scenario;
+}
+
+Scenario Steady(Scenario base, const Shares& shares, double load) {
+  base.name += "-" + std::to_string(static_cast<int>(100 * load + 0.5));
+  base.phases = {{Duration(0), Scaled(shares, load)}};
+  return base;
+}
+
+Scenario Crest(Scenario base, const Shares& shares) {
+  base.name += "-crest";
+  const double rest = (kCrestLoad - kUrgentCrestLoad) / (shares[1] + shares[2]);
+  base.phases = {{Duration(0), Scaled(shares, kOrdinaryLoad)},
+                 {kCrestStart, {kUrgentCrestLoad, rest * shares[1], rest * shares[2]}},
+                 {kCrestEnd, Scaled(shares, kOrdinaryLoad)}};
+  base.crest_start = kCrestStart;
+  base.crest_end = kCrestEnd;
+  return base;
+}
+
+Scenario Swing(Scenario base, const Shares& shares) {
+  base.name += "-swing";
+  constexpr int kPeriods = 8;
+  constexpr seconds kHalfPeriod(2);
+  for (int i = 0; i < kPeriods; ++i) {
+    const Duration start = seconds(8) + 2 * i * kHalfPeriod;
+    base.phases.push_back({i == 0 ? Duration(0) : start, Scaled(shares, 0.3)});
+    base.phases.push_back({start + kHalfPeriod, Scaled(shares, 1.5)});
+  }
+  return base;
+}
+
+Scenario Failing(Scenario base, const Shares& shares) {
+  base = Steady(base, shares, kOrdinaryLoad);
+  base.name += "-failer";
+  base.failing_targets = 1;
+  return base;
+}
+
+Scenario Slow(Scenario base, const Shares& shares) {
+  base = Steady(base, shares, kOrdinaryLoad);
+  base.name += "-slow";
+  base.slow_targets = 3;
+  return base;
+}
+
+}  // namespace
+
+std::vector<Scenario> AllScenarios(double load, const std::string& mix) {
+  const Shares shares = SharesOf(mix);
+  std::vector<Scenario> scenarios;
+  for (const Scenario& base : {Runners(), Workers(16, 32), Workers(64, 256)}) {
+    if (load > 0) {
+      scenarios.push_back(Steady(base, shares, load));
+    } else {
+      scenarios.push_back(Steady(base, shares, kOrdinaryLoad));
+      scenarios.push_back(Steady(base, shares, kHighLoad));
+    }
+    scenarios.push_back(Crest(base, shares));
+  }
+  scenarios.push_back(Swing(Runners(), shares));
+  scenarios.push_back(Swing(Workers(16, 32), shares));
+  scenarios.push_back(Failing(Runners(), shares));
+  scenarios.push_back(Failing(Workers(16, 32), shares));
+  scenarios.push_back(Slow(Runners(), shares));
+  return scenarios;
+}
+
+}  // namespace sapphirecrank::bench
--- /dev/null
+++ b/bench/decisions/scenario.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include "base/resources.h"
+#include "base/target_kind.h"
+#include "base/time.h"
+#include "base/units.h"
+#include "base/work_class.h"
+
+namespace sapphirecrank::bench {
+
+/// Targets and demand of one simulation. Demand is in parts of the capacity of all targets.
+struct Scenario {
+  /// A change of the demand.
+  struct Phase {
+    base::Duration start{0};
+    /// Demand of each class, urgent first.
+    std::array<double, base::kWorkClassCount> load{};
+  };
+
+  std::string name;
+  base::TargetKind kind = base::TargetKind::kRunner;
+  int targets = 50;
+  base::SlotCount slots{8};
+  base::Resources capacity;
+  int largest_job = 1;
+  std::vector<Phase> phases;
+  base::Duration length = std::chrono::seconds(40);
+  /// Tasks that arrive before are not measured, as run times are not learned yet.
+  base::Duration measured_from = std::chrono::seconds(10);
+  /// Time of the demand peak; equal if there is none.
+  base::Duration crest_start{0};
+  base::Duration crest_end{0};
+  /// Targets that fail everything they start from `measured_from` on.
+  int failing_targets = 0;
+  /// Targets on which all work takes four times as long.
+  int slow_targets = 0;
+  /// Teams of about equal demand but for the first, which brings half of the work.
+  int teams = 12;
+};
+
+/// Returns the scenarios of a whole run. `load` is the demand of the ordinary scenarios (0 keeps
+/// 0.8 and 0.95), `mix` the shares of the classes: "standard", "urgent" or "bulk".
+std::vector<Scenario> AllScenarios(double load, const std::string& mix);
+
+}  // namespace sapphirecrank::bench
--- /dev/null
+++ b/bench/decisions/scenario_figures.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include "base/work_class.h"
+#include "bench/decisions/percentiles.h"
+
+namespace sapphirecrank::bench {
+
+/// Figures of one simulation.
+struct ScenarioFigures {
+  std::string scenario;
+  std::string rules;
+  /// Slowdown of tasks that ran, by class; of all tasks and of short ones.
+  std::array<Percentiles, base::kWorkClassCount> slowdown;
+  std::array<Percentiles, base::kWorkClassCount> short_slowdown;
+  /// Share of the tasks of a class that ended in time, and that were refused or cancelled.
+  std::array<double, base::kWorkClassCount> in_time{};
+  std::array<double, base::kWorkClassCount> not_run{};
+  /// Wait of short urgent and ordinary tasks in milliseconds.
+  Percentiles short_wait_ms;
+  /// The same at the crest, by class.
+  std::array<Percentiles, base::kWorkClassCount> crest_short_slowdown;
+  /// Share of the capacity that did work at the crest which ended in time in a whole job.
+  double crest_useful = 0;
+  /// Share of the capacity in use at the crest.
+  double crest_busy = 0;
+  /// Seconds after the crest until short urgent and ordinary work is served as before.
+  double recovery_seconds = 0;
+  int64_t refused_at_once = 0;
+  /// Refused after waiting in the queue.
+  int64_t expired = 0;
+  int64_t untrue_refusals = 0;
+  int64_t unsatisfiable = 0;
+  double refusal_p99_ms = 0;
+  /// Messages for work that ended late, failed or was part of a failed job, for each useful one.
+  double wasted_messages = 0;
+  int64_t behind_excess = 0;
+  int64_t second_starts = 0;
+  int64_t lost = 0;
+  int64_t overcommitted = 0;
+  double failing_share = 0;
+};
+
+}  // namespace sapphirecrank::bench
--- /dev/null
+++ b/bench/decisions/simulation.cc
@@ -0,0 +1,225 @@
+#include "bench/decisions/simulation.h"
+
+#include <algorithm>
+#include <string>
+
+namespace sapphirecrank::bench {
+
+using base::Duration;
+using base::TimePoint;
+using scheduling::TaskSpec;
+
+namespace {
+constexpr Duration kAnnouncementPeriod = std::chrono::milliseconds(500);
+constexpr Duration kLease = std::chrono::seconds(2);
+constexpr Duration kExpiryPeriod = std::chrono::milliseconds(5);
+/// Time in which a failing target answers.
+constexpr Duration kFailureTime = std::chrono::milliseconds(2);
+constexpr int kSlowness = 4;
+/// Time after the last arrival after which a queued task counts as lost.
+constexpr Duration kLongestQueueing = std::chrono::seconds(60);
+constexpr Duration kLongestShort = std::chrono::milliseconds(1500);
+/// Shares of the slots that a class may hold while work of a higher class waits
+/// (docs/measurements.md).
+constexpr std::array<double, base::kWorkClassCount> kShares = {1.0, 1.0, 0.7};
+
+size_t Number(base::WorkClass work_class) { return static_cast<size_t>(work_class); }
+}  // namespace
+
+Simulation::Simulation(const Scenario& scenario, const Workload& workload, TimePoint start,
+                       const RuleSet& rules)
+    : scenario(scenario), workload(workload), start(start) {
+  this->clock.Advance(start - this->clock.Now());
+  scheduling::Scheduler::Hooks hooks;
+  hooks.now = this->clock.Hook();
+  hooks.start = [this](const scheduling::StartDecision& decision) { this->OnStart(decision); };
+  hooks.refuse = [this](const scheduling::TaskRefusal& refusal) {
+    this->OnRefused(this->TaskNumber(refusal.task), MeasuredTask::End::kExpired);
+  };
+  this->dispatcher = rules.create(std::move(hooks));
+  this->measured.resize(workload.tasks.size());
+  this->abandoned.resize(workload.jobs.size());
+  for (size_t job = 0; job < workload.jobs.size(); ++job) {
+    this->job_numbers[workload.tasks[workload.jobs[job].first_task].spec.key.submission] = job;
+  }
+  this->AddTargets();
+}
+
+void Simulation::AddTargets() {
+  for (int i = 0; i < this->scenario.targets; ++i) {
+    Target target;
+    target.state.id = base::TargetId("target-" + std::to_string(i));
+    target.state.kind = this->scenario.kind;
+    target.state.rack = base::RackId("rack-" + std::to_string(i / 8));
+    target.state.slots = this->scenario.slots;
+    target.state.capacity = this->scenario.capacity;
+    target.failing = i < this->scenario.failing_targets;
+    target.slowness = i >= this->scenario.targets - this->scenario.slow_targets ? kSlowness : 1;
+    this->target_numbers[target.state.id] = this->targets.size();
+    this->targets.push_back(target);
+  }
+}
+
+void Simulation::Announce() {
+  for (Target& target : this->targets) {
+    target.state.lease_end = this->clock.Now() + kLease;
+    this->dispatcher.update_target(target.state);
+  }
+}
+
+void Simulation::Run() {
+  TimePoint next_announcement = this->start;
+  TimePoint next_expiry = this->start;
+  size_t next_job = 0;
+  const TimePoint last = this->start + this->scenario.length + kLongestQueueing;
+  while (next_job < this->workload.jobs.size() || !this->completions.empty() ||
+         (this->clock.Now() < last && this->AnyPending())) {
+    TimePoint next = std::min(next_announcement, next_expiry);
+    if (next_job < this->workload.jobs.size()) {
+      next = std::min(next, this->workload.jobs[next_job].arrival);
+    }
+    if (!this->completions.empty()) {
+      next = std::min(next, this->completions.top().at);
+    }
+    this->AdvanceTo(next);
+    if (next == next_announcement) {
+      this->Announce();
+      next_announcement += kAnnouncementPeriod;
+    } else if (next == next_expiry) {
+      this->dispatcher.expire_due();
+      next_expiry += kExpiryPeriod;
+    } else if (!this->completions.empty() && this->completions.top().at == next) {
+      const Completion completion = this->completions.top();
+      this->completions.pop();
+      this->Complete(completion);
+    } else {
+      this->Arrive(this->workload.jobs[next_job]);
+      ++next_job;
+    }
+  }
+}
+
+bool Simulation::AnyPending() const {
+  return std::any_of(this->measured.begin(), this->measured.end(),
+                     [](const MeasuredTask& task) { return task.end == MeasuredTask::End::kNone; });
+}
+
+void Simulation::AdvanceTo(TimePoint at) { this->clock.Advance(at - this->clock.Now()); }
+
+void Simulation::Arrive(const Workload::Job& job) {
+  for (size_t i = 0; i < job.task_count; ++i) {
+    this->measured[job.first_task + i].arrival = job.arrival;
+  }
+  for (size_t i = 0; i < job.task_count; ++i) {
+    this->ArriveTask(job.first_task + i);
+  }
+}
+
+void Simulation::ArriveTask(size_t number) {
+  const WorkloadTask& task = this->workload.tasks[number];
+  MeasuredTask& measured_task = this->measured[number];
+  if (this->abandoned[task.job]) {
+    measured_task.end = MeasuredTask::End::kCancelled;
+    return;
+  }
+  const base::Result<void> result = this->dispatcher.enqueue(task.spec);
+  if (!result) {
+    measured_task.unsatisfiable = result.error().code == base::ErrorCode::kUnsatisfiable;
+    this->OnRefused(number, MeasuredTask::End::kRefused);
+    return;
+  }
+  measured_task.behind_excess = measured_task.starts == 0 && task.ideal <= kLongestShort &&
+                                this->LowerClassInExcess(task.spec.work_class);
+}
+
+void Simulation::OnStart(const scheduling::StartDecision& decision) {
+  const size_t number = this->TaskNumber(decision.task);
+  const WorkloadTask& task = this->workload.tasks[number];
+  const size_t target_number = this->target_numbers[decision.target];
+  Target& target = this->targets[target_number];
+  MeasuredTask& measured_task = this->measured[number];
+  ++measured_task.starts;
+  measured_task.untrue_refusal |= measured_task.end != MeasuredTask::End::kNone;
+  measured_task.started = this->clock.Now();
+  measured_task.target = static_cast<uint32_t>(target_number);
+  ++target.used_slots;
+  target.used += task.spec.declared;
+  if (target.used_slots > target.state.slots.value() || !target.state.capacity.Fits(target.used)) {
+    ++this->overcommits;
+  }
+  ClassUse& use = this->in_use[Number(task.spec.work_class)];
+  ++use.slots;
+  use.long_tasks += task.ideal > kLongestShort ? 1 : 0;
+  const bool fails =
+      target.failing && this->clock.Now() >= this->start + this->scenario.measured_from;
+  if (this->failures >= kToleratedFailures) {
+    ++this->starts_after;
+    this->failing_late += fails ? 1 : 0;
+  }
+  const Duration run_time = fails ? kFailureTime : task.run_time * target.slowness;
+  this->completions.push({this->clock.Now() + kRoundTrip + run_time, number, !fails});
+}
+
+void Simulation::OnRefused(size_t number, MeasuredTask::End end) {
+  MeasuredTask& measured_task = this->measured[number];
+  measured_task.untrue_refusal |= measured_task.starts > 0;
+  measured_task.end = end;
+  measured_task.ended = this->clock.Now();
+  this->AbandonJob(this->workload.tasks[number].job);
+}
+
+void Simulation::Complete(const Completion& completion) {
+  const WorkloadTask& task = this->workload.tasks[completion.task];
+  MeasuredTask& measured_task = this->measured[completion.task];
+  Target& target = this->targets[measured_task.target];
+  measured_task.ended = completion.at;
+  --target.used_slots;
+  target.used -= task.spec.declared;
+  ClassUse& use = this->in_use[Number(task.spec.work_class)];
+  --use.slots;
+  use.long_tasks -= task.ideal > kLongestShort ? 1 : 0;
+  if (!completion.succeeded) {
+    measured_task.end = MeasuredTask::End::kFailed;
+    ++this->failures;
+    this->AbandonJob(task.job);
+  } else {
+    const bool in_time = completion.at <= task.spec.deadline;
+    measured_task.end = in_time ? MeasuredTask::End::kInTime : MeasuredTask::End::kLate;
+  }
+  scheduling::TaskOutcome outcome;
+  outcome.succeeded = completion.succeeded;
+  outcome.elapsed = completion.at - measured_task.started;
+  this->dispatcher.on_task_ended(task.spec.key, target.state.id, outcome);
+}
+
+void Simulation::AbandonJob(size_t job) {
+  if (this->abandoned[job]) {
+    return;
+  }
+  this->abandoned[job] = true;
+  const Workload::Job& whole = this->workload.jobs[job];
+  this->dispatcher.cancel(this->workload.tasks[whole.first_task].spec.key.submission);
+  for (size_t i = whole.first_task; i < whole.first_task + whole.task_count; ++i) {
+    if (this->measured[i].starts == 0 && this->measured[i].end == MeasuredTask::End::kNone) {
+      this->measured[i].end = MeasuredTask::End::kCancelled;
+    }
+  }
+}
+
+bool Simulation::LowerClassInExcess(base::WorkClass work_class) const {
+  const double slots = static_cast<double>(this->scenario.targets) * this->scenario.slots.value();
+  for (size_t lower = Number(work_class) + 1; lower < this->in_use.size(); ++lower) {
+    if (this->in_use[lower].long_tasks > 0 &&
+        this->in_use[lower].slots > kShares[lower] * slots + 1) {
+      return true;
+    }
+  }
+  return false;
+}
+
+size_t Simulation::TaskNumber(const base::TaskKey& key) const {
+  const size_t job = this->job_numbers.at(key.submission);
+  return this->workload.jobs[job].first_task + key.index.value();
+}
+
+}  // namespace sapphirecrank::bench
--- /dev/null
+++ b/bench/decisions/workload.cc
@@ -0,0 +1,193 @@
+#include "bench/decisions/workload.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sapphirecrank::bench {
+
+using base::Duration;
+using base::TimePoint;
+using base::WorkClass;
+
+namespace {
+constexpr double kShortestSeconds = 0.05;
+constexpr double kLongestShortSeconds = 1;
+constexpr double kShortestLongSeconds = 2;
+constexpr double kLongestSeconds = 6;
+/// Share of jobs whose tasks take several seconds, by class.
+constexpr std::array<double, base::kWorkClassCount> kLongJobs = {0.005, 0.02, 0.05};
+constexpr int kShortKinds = 60;
+constexpr int kLongKinds = 8;
+/// Share of jobs of a kind that was never seen before.
+constexpr double kFreshJobs = 0.02;
+/// Share of jobs that no target can hold.
+constexpr double kImpossibleJobs = 0.002;
+constexpr double kStragglers = 0.001;
+constexpr int kStragglerFactor = 30;
+constexpr double kDeclarationError = 10;
+constexpr double kRunTimeSpread = 0.2;
+/// Time that each class has in addition to four times its run time.
+constexpr std::array<double, base::kWorkClassCount> kDeadlineSeconds = {1, 3, 20};
+constexpr double kDeadlineRunTimes = 4;
+constexpr double kLargeTasks = 0.02;
+constexpr double kGibibyte = 1073741824.0;
+constexpr double kFirstTeamShare = 0.5;
+
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+}  // namespace
+
+Workload::Workload(const Scenario& scenario, TimePoint start, uint64_t seed)
+    : random(seed), kinds(base::kWorkClassCount) {
+  for (int number = 0; number < base::kWorkClassCount; ++number) {
+    const auto work_class = static_cast<WorkClass>(number);
+    for (int i = 0; i < kShortKinds + kLongKinds; ++i) {
+      this->kinds[number].push_back(this->MakeKind(scenario, work_class, i));
+    }
+  }
+  for (int number = 0; number < base::kWorkClassCount; ++number) {
+    this->AddClass(scenario, static_cast<WorkClass>(number), start);
+  }
+  std::stable_sort(this->jobs.begin(), this->jobs.end(),
+                   [](const Job& a, const Job& b) { return a.arrival < b.arrival; });
+  for (size_t job = 0; job < this->jobs.size(); ++job) {
+    for (size_t i = 0; i < this->jobs[job].task_count; ++i) {
+      this->tasks[this->jobs[job].first_task + i].job = job;
+    }
+  }
+}
+
+double Workload::Uniform(double low, double high) {
+  return std::uniform_real_distribution<double>(low, high)(this->random);
+}
+
+double Workload::LogUniform(double low, double high) {
+  return std::exp(this->Uniform(std::log(low), std::log(high)));
+}
+
+Workload::Kind Workload::MakeKind(const Scenario& scenario, WorkClass work_class, int number) {
+  Kind kind;
+  kind.work_class = work_class;
+  const int team = this->Uniform(0, 1) < kFirstTeamShare
+                       ? 0
+                       : static_cast<int>(this->Uniform(0, scenario.teams));
+  kind.team = "team-" + std::to_string(team);
+  kind.name = std::string(base::WorkClassName(work_class)) + "-" + std::to_string(number);
+  kind.seconds = number < kShortKinds ? this->LogUniform(kShortestSeconds, kLongestShortSeconds)
+                                      : this->Uniform(kShortestLongSeconds, kLongestSeconds);
+  kind.declared_factor =
+      number % 2 == 0 ? this->LogUniform(1 / kDeclarationError, kDeclarationError) : 0;
+  if (scenario.capacity.processors.value() > 0) {
+    const double cores =
+        this->Uniform(0, 1) < kLargeTasks ? this->Uniform(2, 4) : this->LogUniform(0.25, 1);
+    kind.size.processors = base::MilliCores(static_cast<int64_t>(1000 * cores));
+    kind.size.memory = base::ByteCount(
+        static_cast<int64_t>(kGibibyte * std::min(cores, 1.0) * this->LogUniform(0.25, 1.5)));
+  }
+  return kind;
+}
+
+const Workload::Kind& Workload::PickKind(const Scenario& scenario, WorkClass work_class) {
+  std::vector<Kind>& known = this->kinds[static_cast<size_t>(work_class)];
+  const bool is_long = this->Uniform(0, 1) < kLongJobs[static_cast<size_t>(work_class)];
+  const int number = is_long ? kShortKinds + static_cast<int>(this->Uniform(0, kLongKinds))
+                             : static_cast<int>(this->Uniform(0, kShortKinds));
+  if (this->Uniform(0, 1) >= kFreshJobs) {
+    return known[number];
+  }
+  known[number] = this->MakeKind(scenario, work_class, number);
+  known[number].name += "-" + std::to_string(++this->fresh_kinds);
+  return known[number];
+}
+
+int Workload::PickJobSize(const Scenario& scenario) {
+  return static_cast<int>(this->LogUniform(1, scenario.largest_job + 0.99));
+}
+
+WorkloadTask Workload::MakeTask(const Scenario& scenario, const Kind& kind) {
+  WorkloadTask task;
+  const double spread = std::normal_distribution<double>(0, kRunTimeSpread)(this->random);
+  const double seconds = kind.seconds * std::exp(spread);
+  task.ideal = FromSeconds(seconds);
+  task.run_time = this->Uniform(0, 1) < kStragglers ? task.ideal * kStragglerFactor : task.ideal;
+  const double factor = kind.declared_factor > 0
+                            ? kind.declared_factor
+                            : this->LogUniform(1 / kDeclarationError, kDeclarationError);
+  task.spec.team = base::TeamId(kind.team);
+  task.spec.kind = base::TaskKind(kind.name);
+  task.spec.work_class = kind.work_class;
+  task.spec.target_kind = scenario.kind;
+  task.spec.declared_run_time = FromSeconds(seconds * factor);
+  const double size_factor = this->LogUniform(1 / kDeclarationError, kDeclarationError);
+  const auto scaled = [&](int64_t size, int64_t whole) {
+    return std::min(whole, static_cast<int64_t>(static_cast<double>(size) * size_factor));
+  };
+  const base::Resources& capacity = scenario.capacity;
+  task.spec.declared.processors =
+      base::MilliCores(scaled(kind.size.processors.value(), capacity.processors.value()));
+  task.spec.declared.memory =
+      base::ByteCount(scaled(kind.size.memory.value(), capacity.memory.value()));
+  return task;
+}
+
+void Workload::AddDemand(const Scenario& scenario, const WorkloadTask& task,
+                         std::array<double, 3>& demand) {
+  const double seconds = std::chrono::duration<double>(task.run_time).count() / scenario.targets;
+  const auto part = [](int64_t need, int64_t whole) {
+    return whole > 0 ? static_cast<double>(need) / static_cast<double>(whole) : 0;
+  };
+  const base::Resources& need = task.spec.declared;
+  demand[0] += seconds / scenario.slots.value();
+  demand[1] += seconds * part(need.processors.value(), scenario.capacity.processors.value());
+  demand[2] += seconds * part(need.memory.value(), scenario.capacity.memory.value());
+}
+
+void Workload::AddJob(const Scenario& scenario, WorkClass work_class, TimePoint arrival) {
+  const Kind kind = this->PickKind(scenario, work_class);
+  const int size = this->PickJobSize(scenario);
+  const bool impossible =
+      scenario.capacity.processors.value() > 0 && this->Uniform(0, 1) < kImpossibleJobs;
+  const Duration deadline = FromSeconds(kDeadlineSeconds[static_cast<size_t>(work_class)] +
+                                        kDeadlineRunTimes * kind.seconds);
+  Job job{arrival, this->tasks.size(), static_cast<size_t>(size)};
+  const base::SubmissionId submission("job-" + std::to_string(this->jobs.size()));
+  for (int i = 0; i < size; ++i) {
+    WorkloadTask task = this->MakeTask(scenario, kind);
+    task.spec.key = {submission, base::TaskIndex(static_cast<uint32_t>(i))};
+    task.spec.deadline = arrival + deadline;
+    task.spec.submission_tasks = base::TaskCount(size);
+    if (impossible) {
+      task.spec.declared.processors = scenario.capacity.processors + base::MilliCores(1);
+    }
+    this->tasks.push_back(task);
+  }
+  this->jobs.push_back(job);
+}
+
+void Workload::AddPhase(const Scenario& scenario, WorkClass work_class, TimePoint start,
+                        TimePoint end, double load) {
+  const double length = std::chrono::duration<double>(end - start).count();
+  std::array<double, 3> demand{};
+  // Arrivals of a given number of jobs are uniform in time, as those of a Poisson process are. The
+  // number is set by the demand, so that one phase with long jobs isn't above its load.
+  while (*std::max_element(demand.begin(), demand.end()) < load * length) {
+    const size_t first = this->tasks.size();
+    this->AddJob(scenario, work_class, start + FromSeconds(this->Uniform(0, length)));
+    for (size_t i = first; i < this->tasks.size(); ++i) {
+      AddDemand(scenario, this->tasks[i], demand);
+    }
+  }
+}
+
+void Workload::AddClass(const Scenario& scenario, WorkClass work_class, TimePoint start) {
+  for (size_t i = 0; i < scenario.phases.size(); ++i) {
+    const Scenario::Phase& phase = scenario.phases[i];
+    const Duration end =
+        i + 1 < scenario.phases.size() ? scenario.phases[i + 1].start : scenario.length;
+    this->AddPhase(scenario, work_class, start + phase.start, start + end,
+                   phase.load[static_cast<size_t>(work_class)]);
+  }
+}
+
+}  // namespace sapphirecrank::bench
--- /dev/null
+++ b/bench/decisions/workload.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "bench/decisions/scenario.h"
+#include "bench/decisions/workload_task.h"
+
+namespace sapphirecrank::bench {
+
+/// The jobs of one simulation, drawn from a seed before the simulation starts, so that all rule
+/// sets get the same work.
+class Workload {
+ public:
+  struct Job {
+    base::TimePoint arrival;
+    size_t first_task = 0;
+    size_t task_count = 0;
+  };
+
+  /// Draws the jobs of `scenario`, which arrive from `start` on.
+  Workload(const Scenario& scenario, base::TimePoint start, uint64_t seed);
+
+  std::vector<Job> jobs;
+  std::vector<WorkloadTask> tasks;
+
+ private:
+  /// Work of one kind of one team.
+  struct Kind {
+    std::string team;
+    std::string name;
+    base::WorkClass work_class = base::WorkClass::kOrdinary;
+    double seconds = 0;
+    base::Resources size;
+    /// Factor by which all declared run times of the kind are off, if the same for all.
+    double declared_factor = 0;
+  };
+
+  double Uniform(double low, double high);
+  double LogUniform(double low, double high);
+  Kind MakeKind(const Scenario& scenario, base::WorkClass work_class, int number);
+  const Kind& PickKind(const Scenario& scenario, base::WorkClass work_class);
+  int PickJobSize(const Scenario& scenario);
+  void AddJob(const Scenario& scenario, base::WorkClass work_class, base::TimePoint arrival);
+  WorkloadTask MakeTask(const Scenario& scenario, const Kind& kind);
+  static void AddDemand(const Scenario& scenario, const WorkloadTask& task,
+                        std::array<double, 3>& demand);
+  void AddPhase(const Scenario& scenario, base::WorkClass work_class, base::TimePoint start,
+                base::TimePoint end, double load);
+  void AddClass(const Scenario& scenario, base::WorkClass work_class, base::TimePoint start);
+
+  std::mt19937_64 random;
+  std::vector<std::vector<Kind>> kinds;
+  size_t fresh_kinds = 0;
+};
+
+}  // namespace sapphirecrank::bench
