scheduling: Admit submissions as a whole, judge lanes apart and pack tightly

Change: EnqueueAll admits or refuses a job as a whole, each lane has its own expected wait, and of eight random targets the fullest in processors or memory is taken, which leaves room for large tasks.

--- a/bench/decisions/fifo_scheduler.h
+++ b/bench/decisions/fifo_scheduler.h
@@ -17,7 +17,7 @@
  public:
   FifoScheduler(scheduling::Scheduler::Hooks hooks, bool random_target);
 
-  base::Result<void> Enqueue(const scheduling::TaskSpec& task);
+  base::Result<void> EnqueueAll(const std::vector<scheduling::TaskSpec>& tasks);
   void UpdateTarget(const scheduling::TargetState& target);
   void OnTaskEnded(const base::TaskKey& task, const base::TargetId& target,
                    const scheduling::TaskOutcome& outcome);
@@ -31,6 +31,7 @@
     base::Resources used;
   };
 
+  bool HoldsEver(const scheduling::TaskSpec& task) const;
   bool Fits(const Target& target, const scheduling::TaskSpec& task) const;
   Target* Choose(const scheduling::TaskSpec& task);
   void StartQueued();
--- a/bench/decisions/main.cc
+++ b/bench/decisions/main.cc
@@ -1,5 +1,6 @@
 #include <fmt/core.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cmath>
 #include <cstdlib>
@@ -29,6 +30,8 @@
   std::string mix = "standard";
   /// Part of the names of the scenarios to run; empty runs all.
   std::string scenario;
+  /// Name of the only rule set to run; empty runs all.
+  std::string rules;
   /// Runs the rule sets with one rule changed, too.
   bool changed_rules = true;
 };
@@ -52,6 +55,8 @@
       options.mix = value;
     } else if (name == "--scenario") {
       options.scenario = value;
+    } else if (name == "--rules") {
+      options.rules = value;
     } else {
       return false;
     }
@@ -128,7 +133,7 @@
   if (!Parse(argc, argv, options)) {
     fmt::print(stderr,
                "usage: bench_decisions [--seed N] [--load X] [--mix standard|urgent|bulk] "
-               "[--scenario NAME|cost] [--main-rules]\n");
+               "[--scenario NAME|cost] [--rules NAME] [--main-rules]\n");
     return 2;
   }
   std::vector<RuleSet> rules = MainRuleSets();
@@ -137,6 +142,12 @@
       rules.push_back(std::move(changed));
     }
   }
+  if (!options.rules.empty()) {
+    rules.erase(
+        std::remove_if(rules.begin(), rules.end(),
+                       [&](const RuleSet& rule_set) { return rule_set.name != options.rules; }),
+        rules.end());
+  }
   std::vector<Scenario> scenarios;
   for (Scenario& scenario : AllScenarios(options.load, options.mix)) {
     if (scenario.name.find(options.scenario) != std::string::npos) {
--- a/bench/decisions/rule_sets.cc
+++ b/bench/decisions/rule_sets.cc
@@ -12,8 +12,8 @@
 template <typename Implementation>
 DispatcherUnderTest Wrap(const std::shared_ptr<Implementation>& scheduler) {
   DispatcherUnderTest wrapped;
-  wrapped.enqueue = [scheduler](const scheduling::TaskSpec& task) {
-    return scheduler->Enqueue(task);
+  wrapped.enqueue_all = [scheduler](const std::vector<scheduling::TaskSpec>& tasks) {
+    return scheduler->EnqueueAll(tasks);
   };
   wrapped.update_target = [scheduler](const scheduling::TargetState& target) {
     scheduler->UpdateTarget(target);
@@ -63,7 +63,10 @@
                 s.long_reserve = 0;
               }),
       Changed("no-admission", [](SchedulerSettings& s) { s.admission = false; }),
-      Changed("no-hold", [](SchedulerSettings& s) { s.hold_target_after = base::Duration(0); }),
+      Changed("no-hold",
+              [](SchedulerSettings& s) {
+                s.held_target_share = {0, 0, 0};
+              }),
       Changed("one-choice", [](SchedulerSettings& s) { s.placement_choices = 1; }),
       Changed("eight-choices", [](SchedulerSettings& s) { s.placement_choices = 8; }),
       Changed("tightest-fit",
--- a/bench/decisions/scenario.h
+++ b/bench/decisions/scenario.h
@@ -38,6 +38,9 @@
   int failing_targets = 0;
   /// Targets on which all work takes four times as long.
   int slow_targets = 0;
+  /// Declarations are off by any factor up to ten with equal probability of its logarithm, in place
+  /// of a normal distribution whose third standard deviation is ten.
+  bool wide_errors = false;
   /// Teams of about equal demand but for the first, which brings half of the work.
   int teams = 12;
 };
--- a/bench/decisions/workload.h
+++ b/bench/decisions/workload.h
@@ -43,6 +43,7 @@
 
   double Uniform(double low, double high);
   double LogUniform(double low, double high);
+  double DeclarationFactor(const Scenario& scenario);
   Kind MakeKind(const Scenario& scenario, base::WorkClass work_class, int number);
   const Kind& PickKind(const Scenario& scenario, base::WorkClass work_class);
   int PickJobSize(const Scenario& scenario);
--- a/src/scheduling/class_queue.cc
+++ b/src/scheduling/class_queue.cc
@@ -41,12 +41,12 @@
 }
 
 void ClassQueue::Push(TaskRecord& task, TimePoint now) {
-  if (this->queued == 0) {
-    this->filled_since = now;
-    this->served = now;
+  Lane& lane = this->lanes[task.lane];
+  if (lane.queue.empty()) {
+    lane.filled_since = now;
+    lane.served = now;
   }
   ++this->queued;
-  Lane& lane = this->lanes[task.lane];
   lane.queue.Push(task);
   // The new task may be the head and smaller than the one that found no room.
   lane.blocked_version = 0;
@@ -61,8 +61,8 @@
   this->lanes[task.lane].queue.Start(task);
   this->CountOut(task);
   this->held += Usage{kOneSlot, task.declared};
-  this->starts.Add(Seconds(task.estimate.expected), now);
-  this->served = now;
+  this->lanes[task.lane].starts.Add(Seconds(task.estimate.expected), now);
+  this->lanes[task.lane].served = now;
 }
 
 void ClassQueue::End(const TaskRecord& task, Duration elapsed) {
@@ -92,29 +92,19 @@
   return result;
 }
 
-Duration ClassQueue::ExpectedWait(const TeamRecord& team, uint8_t lane_number, double floor_rate,
-                                  TimePoint now) const {
-  double ahead = 0;
-  for (const Lane& lane : this->lanes) {
-    ahead += &lane == &this->lanes[lane_number] ? lane.queue.WorkAhead(team) : lane.queue.work();
-  }
-  if (ahead <= 0) {
+Duration ClassQueue::ExpectedWait(const TeamRecord& team, uint8_t lane_number, double more_work,
+                                  double floor_rate, TimePoint now) const {
+  const Lane& lane = this->lanes[lane_number];
+  if (lane.queue.empty()) {
     return Duration(0);
   }
-  const double rate = std::max(this->starts.Rate(now), floor_rate);
+  const double ahead = lane.queue.WorkAhead(team) + more_work;
+  const double rate = std::max(lane.starts.Rate(now), floor_rate);
   constexpr double kLongestSeconds = 3600;
   const double seconds = rate > 0 ? std::min(kLongestSeconds, ahead / rate) : kLongestSeconds;
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
-bool ClassQueue::Standing(TimePoint now, Duration age) const {
-  return this->queued > 0 && now - this->filled_since >= age;
-}
-
-bool ClassQueue::Starving(TimePoint now, Duration age) const {
-  return this->queued > 0 && now - this->served >= age;
-}
-
 void ClassQueue::CountOut(const TaskRecord& task) {
   --this->queued;
   Lane& lane = this->lanes[task.lane];
--- a/src/scheduling/class_queue.h
+++ b/src/scheduling/class_queue.h
@@ -31,8 +31,24 @@
     uint64_t blocked_version = 0;
     /// When the head first found no place, or zero.
     base::TimePoint blocked_since;
-    /// Target that is kept free for the lane, or null.
-    TargetEntry* held_target = nullptr;
+    /// Targets that are kept free for the lane.
+    size_t held_targets = 0;
+    /// Seconds of expected run time that were started.
+    RateMeter starts;
+    /// Since when tasks have been queued without a break.
+    base::TimePoint filled_since;
+    /// Time of the last start, or of the first task that was queued after the lane was empty.
+    base::TimePoint served;
+
+    /// Tells whether tasks have been queued without a break for `age`.
+    bool Standing(base::TimePoint now, base::Duration age) const {
+      return !this->queue.empty() && now - this->filled_since >= age;
+    }
+
+    /// Tells whether tasks are queued and none started for `age`.
+    bool Starving(base::TimePoint now, base::Duration age) const {
+      return !this->queue.empty() && now - this->served >= age;
+    }
   };
 
   /// Returns the lane for a task with `need`, given the largest resources of any one target.
@@ -56,17 +72,13 @@
 
   /// Returns the lane of a task.
   Lane& LaneAt(size_t lane) { return this->lanes[lane]; }
+  const Lane& LaneAt(size_t lane) const { return this->lanes[lane]; }
 
-  /// Returns the expected wait of a new task of the team in `lane`, when at least `floor_rate`
-  /// seconds of work start each second.
-  base::Duration ExpectedWait(const TeamRecord& team, uint8_t lane, double floor_rate,
-                              base::TimePoint now) const;
-
-  /// Tells whether tasks have been queued without a break for `age`.
-  bool Standing(base::TimePoint now, base::Duration age) const;
-
-  /// Tells whether tasks are queued and none started for `age`.
-  bool Starving(base::TimePoint now, base::Duration age) const;
+  /// Returns the expected wait of a new task of the team in `lane`, behind `more_work` seconds of
+  /// work in addition to what is queued, when at least `floor_rate` seconds of work start each
+  /// second.
+  base::Duration ExpectedWait(const TeamRecord& team, uint8_t lane, double more_work,
+                              double floor_rate, base::TimePoint now) const;
 
   /// Tells whether no task is queued.
   bool empty() const { return this->queued == 0; }
@@ -83,11 +95,6 @@
   std::array<Lane, kLanes> lanes;
   size_t queued = 0;
   Usage held;
-  RateMeter starts;
-  /// Since when tasks have been queued without a break.
-  base::TimePoint filled_since;
-  /// Time of the last start, or of the first task that was queued after the queue was empty.
-  base::TimePoint served;
 };
 
 }  // namespace sapphirecrank::scheduling
--- a/src/scheduling/fair_queue.cc
+++ b/src/scheduling/fair_queue.cc
@@ -19,6 +19,7 @@
     this->waiting_weight += team.weight;
   }
   team.queue.Push(task);
+  ++this->queued;
   this->queued_work += Seconds(task.estimate.expected);
 }
 
@@ -86,6 +87,7 @@
 
 void FairQueue::TakeOut(TaskRecord& task, Team& team) {
   team.queue.Remove(task);
+  --this->queued;
   this->queued_work = std::max(0.0, this->queued_work - Seconds(task.estimate.expected));
   if (team.queue.empty()) {
     this->waiting.erase({team.virtual_start, task.team->number});
--- a/src/scheduling/fair_queue.h
+++ b/src/scheduling/fair_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <set>
@@ -43,6 +44,9 @@
   /// Tells whether no task is queued.
   bool empty() const { return this->waiting.empty(); }
 
+  /// Returns the number of queued tasks.
+  size_t size() const { return this->queued; }
+
   /// Returns the seconds of expected run time that are served before a new task of the team would
   /// start, if all teams keep their queues.
   double WorkAhead(const TeamRecord& team) const;
@@ -68,6 +72,7 @@
   double virtual_time = 0;
   double waiting_weight = 0;
   double queued_work = 0;
+  size_t queued = 0;
 };
 
 }  // namespace sapphirecrank::scheduling
--- a/src/scheduling/placement_rule.h
+++ b/src/scheduling/placement_rule.h
@@ -6,7 +6,8 @@
 enum class PlacementRule {
   /// The smaller share of slots in use.
   kLeastLoaded,
-  /// The smaller rest of processors and memory, which keeps other targets free for large tasks.
+  /// The larger share of processors or memory in use, which keeps other targets free for large
+  /// tasks; without these, the smaller share of slots in use.
   kTightestFit,
   /// The smaller learned ratio of run time to expected run time, then the smaller load.
   kCompletionTime,
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -4,7 +4,6 @@
 
 namespace sapphirecrank::scheduling {
 
-using base::ErrorCode;
 using base::TimePoint;
 
 namespace {
@@ -17,15 +16,21 @@
   this->shards.ForEach([&](SchedulerShard& shard) { shard.Configure(settings); });
 }
 
-base::Result<void> Scheduler::Enqueue(const TaskSpec& task) {
-  const TimePoint now = this->hooks.now();
-  if (task.deadline <= now) {
-    return base::Fail(ErrorCode::kDeadlineExceeded, "the deadline has passed", "deadline_ms");
+base::Result<void> Scheduler::Enqueue(const TaskSpec& task) { return this->Enqueue(&task, 1); }
+
+base::Result<void> Scheduler::EnqueueAll(const std::vector<TaskSpec>& tasks) {
+  return this->Enqueue(tasks.data(), tasks.size());
+}
+
+base::Result<void> Scheduler::Enqueue(const TaskSpec* tasks, size_t count) {
+  if (count == 0) {
+    return {};
   }
+  const TimePoint now = this->hooks.now();
   Effects effects;
   const base::Result<void> result = this->shards.WithIndex(
-      ShardIndex(task.target_kind),
-      [&](SchedulerShard& shard) { return shard.Enqueue(task, now, effects); });
+      ShardIndex(tasks->target_kind),
+      [&](SchedulerShard& shard) { return shard.Enqueue(tasks, count, now, effects); });
   this->Apply(effects);
   return result;
 }
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -49,6 +49,10 @@
   /// `kConflict` with "may have run".
   base::Result<void> Enqueue(const TaskSpec& task);
 
+  /// Queues all tasks or refuses all with "not run", as a job is worthless without the rest of its
+  /// tasks. Otherwise as `Enqueue`. Precondition: all tasks have the same target kind.
+  base::Result<void> EnqueueAll(const std::vector<TaskSpec>& tasks);
+
   /// Adds a target or renews what is known of it.
   void UpdateTarget(const TargetState& target);
 
@@ -84,6 +88,7 @@
   SchedulerStatus Status();
 
  private:
+  base::Result<void> Enqueue(const TaskSpec* tasks, size_t count);
   static size_t ShardIndex(base::TargetKind kind);
   void Apply(const Effects& effects) const;
 
--- a/src/scheduling/scheduler_settings.h
+++ b/src/scheduling/scheduler_settings.h
@@ -39,10 +39,14 @@
   size_t largest_team_queue = 20000;
 
   /// Targets that are drawn at random for a placement, of which the best is chosen.
-  int placement_choices = 2;
-  PlacementRule placement = PlacementRule::kLeastLoaded;
-  /// Keeps a target free for a task that found no room for this time; zero switches it off.
-  base::Duration hold_target_after = std::chrono::milliseconds(100);
+  int placement_choices = 8;
+  PlacementRule placement = PlacementRule::kTightestFit;
+  /// Keeps a target free for a task that found no room for this time.
+  std::array<base::Duration, base::kWorkClassCount> hold_target_after = {
+      std::chrono::milliseconds(0), std::chrono::milliseconds(20), std::chrono::milliseconds(100)};
+  /// Share of the targets that may be kept free before one more is for a task of this class; zero
+  /// switches it off.
+  std::array<double, base::kWorkClassCount> held_target_share = {0.04, 0.04, 0.04};
 
   /// Switches for comparisons in bench/decisions.
   bool fair_teams = true;
--- a/src/scheduling/scheduler_shard.cc
+++ b/src/scheduling/scheduler_shard.cc
@@ -30,28 +30,29 @@
   this->estimator = RunTimeEstimator(configured.learned_kinds);
 }
 
-Result<void> SchedulerShard::Enqueue(const TaskSpec& spec, TimePoint now, Effects& effects) {
-  if (this->tasks.count(spec.key) > 0) {
-    return base::Fail(ErrorCode::kConflict, "the task is queued or running already", "submission",
-                      base::Verdict::kMayHaveRun);
-  }
+Result<void> SchedulerShard::Enqueue(const TaskSpec* specs, size_t count, TimePoint now,
+                                     Effects& effects) {
   this->index.Advance(now);
-  const TaskRecord record = this->MakeRecord(spec, now);
-  Result<void> admitted = this->Admit(spec, record, now);
-  if (!admitted) {
-    return admitted;
+  AddedWork added{};
+  std::vector<TaskRecord> records;
+  records.reserve(count);
+  for (size_t i = 0; i < count; ++i) {
+    if (this->tasks.count(specs[i].key) > 0) {
+      return base::Fail(ErrorCode::kConflict, "the task is queued or running already", "submission",
+                        base::Verdict::kMayHaveRun);
+    }
+    records.push_back(this->MakeRecord(specs[i], now));
+    Result<void> admitted = this->Admit(specs[i], records.back(), i, added, now);
+    if (!admitted) {
+      return this->CountRefusal(std::move(admitted));
+    }
   }
-  TaskRecord& task = this->AddRecord(spec.key, record, now);
-  const size_t refused_before = effects.refusals.size();
-  this->Dispatch(now, effects);
-  // A refused task is forgotten, so the record may be looked at only if none was refused.
-  if (effects.refusals.size() != refused_before && this->tasks.count(spec.key) == 0) {
-    return {};
+  for (size_t i = 0; i < count; ++i) {
+    this->AddRecord(specs[i].key, records[i], now);
   }
-  if (task.target == nullptr) {
-    task.expiry =
-        this->expiries.emplace(task.deadline - task.estimate.optimistic - kRoundTrip, &task);
-    task.expires = true;
+  this->Dispatch(now, effects);
+  for (size_t i = 0; i < count; ++i) {
+    this->AddExpiry(specs[i].key);
   }
   return {};
 }
@@ -195,8 +196,8 @@
   return this->queues[QueueNumber(task.work_class, task.long_work)];
 }
 
-ClassQueue::Lane& SchedulerShard::LaneAt(const HeldLane& place) {
-  return this->queues[place.queue].LaneAt(place.lane);
+ClassQueue::Lane& SchedulerShard::LaneAt(const HeldTarget& held) {
+  return this->queues[held.queue].LaneAt(held.lane);
 }
 
 TeamRecord& SchedulerShard::TeamOf(const base::TeamId& team) {
@@ -229,60 +230,85 @@
   return record;
 }
 
-Result<void> SchedulerShard::Admit(const TaskSpec& spec, const TaskRecord& task, TimePoint now) {
+Result<void> SchedulerShard::Admit(const TaskSpec& spec, const TaskRecord& task, size_t position,
+                                   AddedWork& added, TimePoint now) {
+  if (spec.deadline <= now) {
+    return tl::make_unexpected(DeadlineError("the deadline has passed"));
+  }
   if (!this->index.HoldsEver(spec.declared)) {
-    ++this->status.refused_unsatisfiable;
     return tl::make_unexpected(this->UnsatisfiableError(spec.declared));
   }
   if (now + task.estimate.optimistic + kRoundTrip > spec.deadline) {
-    ++this->status.refused_deadline;
     return tl::make_unexpected(DeadlineError("the learned run time exceeds the deadline"));
   }
-  return this->AdmitToQueue(spec, task, now);
+  const Result<void> room = this->CheckQueueSizes(spec, task, position);
+  return room && this->settings.admission ? this->AdmitToQueue(spec, task, added, now) : room;
 }
 
-Result<void> SchedulerShard::AdmitToQueue(const TaskSpec& spec, const TaskRecord& task,
-                                          TimePoint now) {
-  const size_t number = Number(spec.work_class);
-  if (task.team->queued[number] >= this->settings.largest_team_queue) {
-    ++this->status.refused_overload;
+Result<void> SchedulerShard::CheckQueueSizes(const TaskSpec& spec, const TaskRecord& task,
+                                             size_t position) const {
+  if (task.team->queued[Number(spec.work_class)] + position >= this->settings.largest_team_queue) {
     return base::Fail(ErrorCode::kOverloaded, "the team's queue is full", "team");
   }
-  if (this->ClassSize(spec.work_class) >= this->settings.largest_class_queue) {
-    ++this->status.refused_overload;
+  if (this->ClassSize(spec.work_class) + position >= this->settings.largest_class_queue) {
     return base::Fail(ErrorCode::kOverloaded, "the class's queue is full", "class");
   }
-  const ClassQueue& queue = this->QueueOf(task);
+  return {};
+}
+
+Result<void> SchedulerShard::AdmitToQueue(const TaskSpec& spec, const TaskRecord& task,
+                                          AddedWork& added, TimePoint now) {
+  const size_t number = Number(spec.work_class);
   const double slots = this->index.usable().slots.value();
-  if (!this->settings.admission || slots <= 0 || queue.empty()) {
+  const ClassQueue& queue = this->QueueOf(task);
+  if (slots <= 0 || queue.LaneAt(task.lane).queue.empty()) {
     return {};
   }
+  double& added_work = added[QueueNumber(task.work_class, task.long_work)][task.lane];
+  const bool first = added_work == 0 && this->submissions.count(spec.key.submission) == 0;
   const double floor_rate = this->settings.guaranteed_share[number] * slots;
-  const Duration wait = queue.ExpectedWait(*task.team, task.lane, floor_rate, now);
+  const Duration wait = queue.ExpectedWait(*task.team, task.lane, added_work, floor_rate, now);
+  added_work += Seconds(task.estimate.expected);
   const Duration slack =
       std::max(Duration(0), spec.deadline - now - kRoundTrip - task.estimate.expected);
-  // A submission is worthless without the rest of its tasks, so these are let in more easily.
-  const bool begun = this->submissions.count(spec.key.submission) > 0;
-  if (wait > (begun ? slack : slack / 2)) {
-    ++this->status.refused_deadline;
+  if (wait > slack / 2) {
     return tl::make_unexpected(DeadlineError("the queue is too long to make the deadline"));
   }
   const Duration allowed = this->settings.standing_wait[number] +
                            (task.long_work ? task.estimate.expected / 2 : Duration(0));
-  if (begun || wait <= allowed || !queue.Standing(now, this->settings.standing_age)) {
+  // The rest of an admitted submission only adds to the wait of work that comes after it.
+  if (!first || wait <= allowed ||
+      !queue.LaneAt(task.lane).Standing(now, this->settings.standing_age)) {
     return {};
   }
-  if (spec.work_class == WorkClass::kBulk) {
+  return this->RefuseStanding(spec.work_class);
+}
+
+Result<void> SchedulerShard::RefuseStanding(WorkClass work_class) {
+  if (work_class == WorkClass::kBulk) {
     if (!this->actions.bulk_shedding) {
       ++this->status.bulk_would_have_shed;
       return {};
     }
     ++this->status.bulk_shed;
   }
-  ++this->status.refused_overload;
   return base::Fail(ErrorCode::kOverloaded, "the class's queue doesn't drain", "class");
 }
 
+Result<void> SchedulerShard::CountRefusal(Result<void> admitted) {
+  switch (admitted.error().code) {
+    case ErrorCode::kUnsatisfiable:
+      ++this->status.refused_unsatisfiable;
+      break;
+    case ErrorCode::kOverloaded:
+      ++this->status.refused_overload;
+      break;
+    default:
+      ++this->status.refused_deadline;
+  }
+  return admitted;
+}
+
 base::Error SchedulerShard::UnsatisfiableError(const base::Resources& need) const {
   const base::Resources largest = this->index.Largest();
   const char* field = "processors";
@@ -296,7 +322,19 @@
           base::Verdict::kNotRun};
 }
 
-TaskRecord& SchedulerShard::AddRecord(const TaskKey& key, const TaskRecord& record, TimePoint now) {
+void SchedulerShard::AddExpiry(const TaskKey& key) {
+  // The task may have been started or refused since it was added.
+  auto found = this->tasks.find(key);
+  if (found == this->tasks.end() || found->second.target != nullptr || found->second.expires) {
+    return;
+  }
+  TaskRecord& task = found->second;
+  task.expiry =
+      this->expiries.emplace(task.deadline - task.estimate.optimistic - kRoundTrip, &task);
+  task.expires = true;
+}
+
+void SchedulerShard::AddRecord(const TaskKey& key, const TaskRecord& record, TimePoint now) {
   auto added = this->tasks.emplace(key, record).first;
   TaskRecord& task = added->second;
   task.key = &added->first;
@@ -306,7 +344,6 @@
   ++task.team->queued[Number(task.work_class)];
   ++this->status.queued;
   this->QueueOf(task).Push(task, now);
-  return task;
 }
 
 void SchedulerShard::TakeFromQueue(TaskRecord& task) {
@@ -341,7 +378,7 @@
 }
 
 bool SchedulerShard::StartNext(TimePoint now, Effects& effects) {
-  if (this->status.queued == 0 && this->held_lanes.empty()) {
+  if (this->status.queued == 0 && this->held_targets.empty()) {
     return false;
   }
   if (this->StartFromHeldTargets(now, effects)) {
@@ -363,11 +400,11 @@
 }
 
 bool SchedulerShard::StartFromHeldTargets(TimePoint now, Effects& effects) {
-  for (size_t place = 0; place < this->held_lanes.size(); ++place) {
-    const HeldLane held = this->held_lanes[place];
+  for (size_t place = 0; place < this->held_targets.size(); ++place) {
+    const HeldTarget held = this->held_targets[place];
     ClassQueue::Lane& lane = this->LaneAt(held);
     TaskRecord* task = lane.queue.Head(now);
-    TargetEntry& target = *lane.held_target;
+    TargetEntry& target = *held.target;
     const bool lost = !this->index.IsUsable(target, now);
     if (task == nullptr || lost) {
       this->EndHold(place, now);
@@ -388,10 +425,15 @@
 bool SchedulerShard::StartFromStarving(TimePoint now, Effects& effects) {
   for (size_t number = 0; number < kQueues; ++number) {
     ClassQueue& queue = this->queues[number];
-    if (queue.Starving(now, this->settings.starvation_age) &&
-        queue.usage().ShareOf(this->index.usable()) < this->settings.guaranteed_share[number / 2] &&
-        this->StartFromQueue(number, now, effects)) {
-      return true;
+    if (queue.empty() || queue.usage().ShareOf(this->index.usable()) >=
+                             this->settings.guaranteed_share[number / 2]) {
+      continue;
+    }
+    for (ClassQueue::Lane* lane : queue.LanesToTry(now, this->index.room_version())) {
+      if (lane->Starving(now, this->settings.starvation_age) &&
+          this->StartHead(number, *lane, now, effects)) {
+        return true;
+      }
     }
   }
   return false;
@@ -479,29 +521,35 @@
   if (lane.blocked_since == TimePoint()) {
     lane.blocked_since = now;
   }
-  const bool due = this->settings.hold_target_after > Duration(0) &&
-                   now - lane.blocked_since >= this->settings.hold_target_after;
-  if (due && lane.held_target == nullptr) {
-    lane.held_target = this->index.Hold(task.declared, now);
-    if (lane.held_target != nullptr) {
-      this->held_lanes.push_back({queue_number, task.lane});
-    }
-  }
+  this->HoldIfDue(queue_number, task, now);
   lane.blocked_version = this->index.room_version();
 }
 
+void SchedulerShard::HoldIfDue(size_t queue_number, const TaskRecord& task, TimePoint now) {
+  const Duration after = this->settings.hold_target_after[queue_number / 2];
+  ClassQueue::Lane& lane = this->queues[queue_number].LaneAt(task.lane);
+  if (now - lane.blocked_since < after || lane.held_targets >= lane.queue.size()) {
+    return;
+  }
+  const double share = this->settings.held_target_share[queue_number / 2];
+  TargetEntry* target = this->index.Hold(task.declared, share, now);
+  if (target != nullptr) {
+    ++lane.held_targets;
+    this->held_targets.push_back({queue_number, task.lane, target});
+  }
+}
+
 void SchedulerShard::EndHold(size_t place, TimePoint now) {
-  ClassQueue::Lane& lane = this->LaneAt(this->held_lanes[place]);
-  TargetEntry& target = *lane.held_target;
-  lane.held_target = nullptr;
-  this->held_lanes[place] = this->held_lanes.back();
-  this->held_lanes.pop_back();
-  this->index.Unhold(target, now);
+  const HeldTarget held = this->held_targets[place];
+  --this->LaneAt(held).held_targets;
+  this->held_targets[place] = this->held_targets.back();
+  this->held_targets.pop_back();
+  this->index.Unhold(*held.target, now);
 }
 
 void SchedulerShard::EndHoldsOf(const TargetEntry& target, TimePoint now) {
-  for (size_t place = 0; place < this->held_lanes.size(); ++place) {
-    if (this->LaneAt(this->held_lanes[place]).held_target == &target) {
+  for (size_t place = 0; place < this->held_targets.size(); ++place) {
+    if (this->held_targets[place].target == &target) {
       this->EndHold(place, now);
       return;
     }
--- a/src/scheduling/scheduler_shard.h
+++ b/src/scheduling/scheduler_shard.h
@@ -40,7 +40,8 @@
   void Configure(const SchedulerSettings& settings);
 
   /// See `Scheduler`.
-  base::Result<void> Enqueue(const TaskSpec& spec, base::TimePoint now, Effects& effects);
+  base::Result<void> Enqueue(const TaskSpec* specs, size_t count, base::TimePoint now,
+                             Effects& effects);
   void UpdateTarget(const TargetState& state, base::TimePoint now, Effects& effects);
   void RemoveTarget(const base::TargetId& target, base::TimePoint now);
   void OnTaskEnded(const base::TaskKey& key, const base::TargetId& target,
@@ -56,10 +57,11 @@
   SchedulerStatus Status() const;
 
  private:
-  /// A lane for which a target is kept free.
-  struct HeldLane {
+  /// A target that is kept free for a lane.
+  struct HeldTarget {
     size_t queue = 0;
     size_t lane = 0;
+    TargetEntry* target = nullptr;
   };
 
   /// Short and long work of each class.
@@ -68,16 +70,25 @@
   static size_t QueueNumber(base::WorkClass work_class, bool long_work);
   static base::Error DeadlineError(const char* message);
   ClassQueue& QueueOf(const TaskRecord& task);
-  ClassQueue::Lane& LaneAt(const HeldLane& place);
+  ClassQueue::Lane& LaneAt(const HeldTarget& held);
   TeamRecord& TeamOf(const base::TeamId& team);
   size_t ClassSize(base::WorkClass work_class) const;
 
+  /// Seconds of work that a submission adds to each lane of each queue.
+  using AddedWork = std::array<std::array<double, ClassQueue::kLanes>, kQueues>;
+
   TaskRecord MakeRecord(const TaskSpec& spec, base::TimePoint now);
-  base::Result<void> Admit(const TaskSpec& spec, const TaskRecord& task, base::TimePoint now);
-  base::Result<void> AdmitToQueue(const TaskSpec& spec, const TaskRecord& task,
+  base::Result<void> Admit(const TaskSpec& spec, const TaskRecord& task, size_t position,
+                           AddedWork& added, base::TimePoint now);
+  base::Result<void> CheckQueueSizes(const TaskSpec& spec, const TaskRecord& task,
+                                     size_t position) const;
+  base::Result<void> AdmitToQueue(const TaskSpec& spec, const TaskRecord& task, AddedWork& added,
                                   base::TimePoint now);
+  base::Result<void> RefuseStanding(base::WorkClass work_class);
+  base::Result<void> CountRefusal(base::Result<void> admitted);
   base::Error UnsatisfiableError(const base::Resources& need) const;
-  TaskRecord& AddRecord(const base::TaskKey& key, const TaskRecord& record, base::TimePoint now);
+  void AddExpiry(const base::TaskKey& key);
+  void AddRecord(const base::TaskKey& key, const TaskRecord& record, base::TimePoint now);
   void TakeFromQueue(TaskRecord& task);
   void Forget(TaskRecord& task);
   void RefuseExpired(TaskRecord& task, Effects& effects);
@@ -94,6 +105,7 @@
   bool MayHoldMore(size_t queue_number) const;
   bool LongWorkMayHoldMore() const;
   void OnNoRoom(size_t queue_number, const TaskRecord& task, base::TimePoint now);
+  void HoldIfDue(size_t queue_number, const TaskRecord& task, base::TimePoint now);
   void EndHold(size_t place, base::TimePoint now);
   void EndHoldsOf(const TargetEntry& target, base::TimePoint now);
   void BeginTrials(base::TimePoint now);
@@ -109,7 +121,7 @@
   std::unordered_map<base::SubmissionId, SubmissionTasks> submissions;
   std::unordered_map<base::TeamId, TeamRecord> teams;
   TaskRecord::ExpiryMap expiries;
-  std::vector<HeldLane> held_lanes;
+  std::vector<HeldTarget> held_targets;
 };
 
 }  // namespace sapphirecrank::scheduling
--- a/src/scheduling/target_index.cc
+++ b/src/scheduling/target_index.cc
@@ -19,8 +19,6 @@
 /// Differences of learned slowness below this factor are noise of the estimates.
 constexpr double kSlownessNoise = 1.5;
 constexpr int kHoldCandidates = 8;
-/// At most one in this many known targets is held, but one in any case.
-constexpr size_t kTargetsPerHold = 10;
 }  // namespace
 
 void TargetIndex::Configure(int choice_count, PlacementRule placement, uint64_t seed) {
@@ -124,11 +122,13 @@
   target.slowness *= std::exp(kSlownessGain * std::log(sample / target.slowness));
 }
 
-TargetEntry* TargetIndex::Hold(const Resources& need, TimePoint now) {
-  if (this->known == 0 || this->held >= std::max<size_t>(1, this->known / kTargetsPerHold)) {
+TargetEntry* TargetIndex::Hold(const Resources& need, double largest_share, TimePoint now) {
+  const double allowed = std::max(1.0, largest_share * static_cast<double>(this->known));
+  if (this->known == 0 || largest_share <= 0 || static_cast<double>(this->held) + 1 > allowed) {
     return nullptr;
   }
   TargetEntry* best = nullptr;
+  double smallest = 0;
   for (int i = 0; i < kHoldCandidates; ++i) {
     const size_t found = this->whole_room.Find(need, this->RandomBelow(this->by_position.size()));
     if (found == FitTree::kNone) {
@@ -138,8 +138,10 @@
     if (candidate->held || candidate->health != HealthState::kHealthy || !Usable(*candidate, now)) {
       continue;
     }
-    if (best == nullptr || candidate->used.slots < best->used.slots) {
+    const double deficit = Deficit(*candidate, need);
+    if (best == nullptr || deficit < smallest) {
       best = candidate;
+      smallest = deficit;
     }
   }
   if (best != nullptr) {
@@ -262,11 +264,20 @@
   this->entries.erase(id);
 }
 
+double TargetIndex::Deficit(const TargetEntry& target, const Resources& need) {
+  Usage wanted = target.used;
+  wanted += Usage{kOneSlot, need};
+  return wanted.ShareOf(Usage{target.state.slots, target.state.capacity});
+}
+
 bool TargetIndex::Better(const TargetEntry& a, const TargetEntry& b) const {
   if (this->rule == PlacementRule::kTightestFit) {
-    const Usage whole_a{a.state.slots, a.state.capacity};
-    const Usage whole_b{b.state.slots, b.state.capacity};
-    return a.used.ShareOf(whole_a) > b.used.ShareOf(whole_b);
+    // Only resources are packed tightly; targets that have none are filled evenly.
+    const double share_a = a.used.ResourceShareOf(a.state.capacity);
+    const double share_b = b.used.ResourceShareOf(b.state.capacity);
+    if (share_a != share_b) {
+      return share_a > share_b;
+    }
   }
   if (this->rule == PlacementRule::kCompletionTime) {
     if (a.slowness * kSlownessNoise < b.slowness) {
--- a/src/scheduling/target_index.h
+++ b/src/scheduling/target_index.h
@@ -64,8 +64,8 @@
   void LearnSlowness(TargetEntry& target, double ratio);
 
   /// Keeps one usable target that could hold `need` free of other work and returns it, or returns
-  /// null if there is none or too many are held already.
-  TargetEntry* Hold(const base::Resources& need, base::TimePoint now);
+  /// null if there is none or `largest_share` of the targets are held already.
+  TargetEntry* Hold(const base::Resources& need, double largest_share, base::TimePoint now);
 
   /// Ends `Hold`.
   void Unhold(TargetEntry& target, base::TimePoint now);
@@ -100,6 +100,7 @@
   void Schedule(TargetEntry& target, base::TimePoint now);
   void SetOpen(TargetEntry& target, bool open);
   void Delete(TargetEntry& target);
+  static double Deficit(const TargetEntry& target, const base::Resources& need);
   bool Better(const TargetEntry& a, const TargetEntry& b) const;
   TargetEntry* ChooseAtRandom(const base::Resources& need, base::TimePoint now);
   size_t RandomBelow(size_t limit);
--- a/src/scheduling/task_spec.h
+++ b/src/scheduling/task_spec.h
@@ -5,7 +5,6 @@
 #include "base/target_kind.h"
 #include "base/task_key.h"
 #include "base/time.h"
-#include "base/units.h"
 #include "base/work_class.h"
 
 namespace sapphirecrank::scheduling {
@@ -23,8 +22,6 @@
   base::Duration declared_run_time{0};
   base::TimePoint deadline;
   bool idempotent = false;
-  /// Tasks that the submission brings to this scheduler; lets it admit the whole or nothing.
-  base::TaskCount submission_tasks{1};
 };
 
 }  // namespace sapphirecrank::scheduling
--- a/src/scheduling/usage.h
+++ b/src/scheduling/usage.h
@@ -27,12 +27,17 @@
   /// Returns the share of `total` that this takes in the scarcest dimension; a dimension of which
   /// `total` has nothing is left out. Thread safety: pure.
   double ShareOf(const Usage& total) const {
-    double share = Ratio(this->slots.value(), total.slots.value());
-    share = std::max(share,
-                     Ratio(this->resources.processors.value(), total.resources.processors.value()));
-    share = std::max(share, Ratio(this->resources.memory.value(), total.resources.memory.value()));
-    return std::max(
-        share, Ratio(this->resources.accelerators.value(), total.resources.accelerators.value()));
+    return std::max(Ratio(this->slots.value(), total.slots.value()),
+                    this->ResourceShareOf(total.resources));
+  }
+
+  /// As `ShareOf`, but without slots.
+  double ResourceShareOf(const base::Resources& total) const {
+    const double processors = Ratio(this->resources.processors.value(), total.processors.value());
+    const double memory = Ratio(this->resources.memory.value(), total.memory.value());
+    const double accelerators =
+        Ratio(this->resources.accelerators.value(), total.accelerators.value());
+    return std::max({processors, memory, accelerators});
   }
 
  private:
