scheduling: Test the scheduler, the estimator and target health

The tests found that of lanes whose heads arrived together the small one was always served; the one that was served longest ago now goes first.

--- a/bench/decisions/scenario.cc
+++ b/bench/decisions/scenario.cc
@@ -1,5 +1,7 @@
 #include "bench/decisions/scenario.h"
 
+#include <cmath>
+
 namespace sapphirecrank::bench {
 
 using base::Duration;
@@ -50,7 +52,7 @@
 }
 
 Scenario Steady(Scenario base, const Shares& shares, double load) {
-  base.name += "-" + std::to_string(static_cast<int>(100 * load + 0.5));
+  base.name += "-" + std::to_string(std::lround(100 * load));
   base.phases = {{Duration(0), Scaled(shares, load)}};
   base.length = kSteadyLength;
   return base;
--- a/bench/decisions/workload.cc
+++ b/bench/decisions/workload.cc
@@ -27,7 +27,7 @@
 constexpr double kDeclarationError = 10;
 /// Standard deviation of the logarithm of the factor by which declarations are off, so that the
 /// largest error is three standard deviations.
-const double kDeclarationSpread = std::log(kDeclarationError) / 3;
+constexpr double kDeclarationSpread = 2.3026 / 3;
 constexpr double kRunTimeSpread = 0.2;
 /// Time that each class has in addition to four times its run time.
 constexpr std::array<double, base::kWorkClassCount> kDeadlineSeconds = {1, 3, 20};
--- a/src/scheduling/class_queue.cc
+++ b/src/scheduling/class_queue.cc
@@ -1,6 +1,7 @@
 #include "scheduling/class_queue.h"
 
 #include <algorithm>
+#include <array>
 
 #include "scheduling/seconds.h"
 
@@ -74,22 +75,30 @@
   }
 }
 
-std::vector<ClassQueue::Lane*> ClassQueue::LanesToTry(TimePoint now, uint64_t room_version) {
-  std::vector<std::pair<TimePoint, Lane*>> heads;
+ClassQueue::LaneOrder ClassQueue::LanesToTry(TimePoint now, uint64_t room_version) {
+  LaneOrder order;
+  std::array<TimePoint, kLanes> enqueued;
   for (Lane& lane : this->lanes) {
-    if (!lane.queue.empty() && lane.blocked_version != room_version) {
-      heads.emplace_back(lane.queue.Head(now)->enqueued, &lane);
+    if (lane.queue.empty() || lane.blocked_version == room_version) {
+      continue;
     }
+    const TimePoint head = lane.queue.Head(now)->enqueued;
+    size_t place = order.count;
+    const auto before = [&](size_t other) {
+      // Of lanes whose heads arrived together, the one that was served longest ago goes first.
+      return head < enqueued[other] ||
+             (head == enqueued[other] && lane.served < order.lanes[other]->served);
+    };
+    while (place > 0 && before(place - 1)) {
+      order.lanes[place] = order.lanes[place - 1];
+      enqueued[place] = enqueued[place - 1];
+      --place;
+    }
+    order.lanes[place] = &lane;
+    enqueued[place] = head;
+    ++order.count;
   }
-  if (heads.size() > 1) {
-    std::sort(heads.begin(), heads.end());
-  }
-  std::vector<Lane*> result;
-  result.reserve(heads.size());
-  for (const auto& [enqueued, lane] : heads) {
-    result.push_back(lane);
-  }
-  return result;
+  return order;
 }
 
 Duration ClassQueue::ExpectedWait(const TeamRecord& team, uint8_t lane_number, double more_work,
--- a/src/scheduling/class_queue.h
+++ b/src/scheduling/class_queue.h
@@ -3,7 +3,6 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <vector>
 
 #include "base/resources.h"
 #include "base/time.h"
@@ -51,6 +50,15 @@
     }
   };
 
+  /// Lanes in the order in which they are tried.
+  struct LaneOrder {
+    std::array<Lane*, kLanes> lanes{};
+    size_t count = 0;
+
+    Lane* const* begin() const { return this->lanes.data(); }
+    Lane* const* end() const { return this->lanes.data() + this->count; }
+  };
+
   /// Returns the lane for a task with `need`, given the largest resources of any one target.
   static uint8_t LaneOf(const base::Resources& need, const base::Resources& largest);
 
@@ -68,7 +76,7 @@
 
   /// Returns the lanes whose head is to be tried, the one whose head waits longest first.
   /// `room_version` is the present version of the room on the targets.
-  std::vector<Lane*> LanesToTry(base::TimePoint now, uint64_t room_version);
+  LaneOrder LanesToTry(base::TimePoint now, uint64_t room_version);
 
   /// Returns the lane of a task.
   Lane& LaneAt(size_t lane) { return this->lanes[lane]; }
--- a/src/scheduling/run_time_estimator.cc
+++ b/src/scheduling/run_time_estimator.cc
@@ -9,9 +9,9 @@
 
 namespace {
 constexpr double kSmallestGain = 0.05;
-/// A sample counts as at most this factor above the average, so that a straggler, which takes 30
-/// times its run time, moves the estimate little.
-const double kLargestStep = std::log(4.0);
+/// A sample counts as at most four times the average (this is the logarithm), so that a straggler,
+/// which takes 30 times its run time, moves the estimate little.
+constexpr double kLargestStep = 1.3863;
 constexpr uint32_t kSamplesBeforeClipping = 4;
 constexpr uint32_t kSamplesBeforeRefusing = 8;
 /// Declared run times are off by up to this factor.
--- a/src/scheduling/scheduler_shard.h
+++ b/src/scheduling/scheduler_shard.h
@@ -65,7 +65,7 @@
   };
 
   /// Short and long work of each class.
-  static constexpr size_t kQueues = 2 * base::kWorkClassCount;
+  static constexpr size_t kQueues = size_t{2} * base::kWorkClassCount;
 
   static size_t QueueNumber(base::WorkClass work_class, bool long_work);
   static base::Error DeadlineError(const char* message);
--- /dev/null
+++ b/tests/scheduling/run_time_estimator_test.cc
@@ -0,0 +1,90 @@
+#include "scheduling/run_time_estimator.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+using sapphirecrank::base::Duration;
+using sapphirecrank::base::TaskKind;
+using sapphirecrank::base::TeamId;
+using sapphirecrank::scheduling::RunTimeEstimator;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+constexpr size_t kCapacity = 100;
+
+bool IsNear(Duration expected, Duration actual) {
+  return actual > expected * 7 / 10 && actual < expected * 14 / 10;
+}
+}  // namespace
+
+TEST_GROUP(RunTimeEstimator){};
+
+// Guards against estimates that follow declared run times which are wrong by up to ten times.
+TEST(RunTimeEstimator, LearnsWhatAKindTakes) {
+  RunTimeEstimator estimator(kCapacity);
+  const auto kind = estimator.Intern(TeamId("team"), TaskKind("kind"));
+  for (int i = 0; i < 20; ++i) {
+    estimator.Learn(kind, milliseconds(i % 2 == 0 ? 20 : 2000), milliseconds(200));
+  }
+  CHECK_TRUE(IsNear(milliseconds(200), estimator.Estimate(kind, seconds(2)).expected));
+  CHECK_TRUE(IsNear(milliseconds(200), estimator.Estimate(kind, Duration(0)).expected));
+}
+
+// Guards against one estimate for a kind whose run time varies, when declarations are off by the
+// same factor each time.
+TEST(RunTimeEstimator, LearnsHowFarDeclarationsAreOff) {
+  RunTimeEstimator estimator(kCapacity);
+  const auto kind = estimator.Intern(TeamId("team"), TaskKind("kind"));
+  for (int i = 0; i < 40; ++i) {
+    const milliseconds declared(100 * (1 + i % 10));
+    estimator.Learn(kind, declared, declared / 5);
+  }
+  CHECK_TRUE(IsNear(milliseconds(20), estimator.Estimate(kind, milliseconds(100)).expected));
+  CHECK_TRUE(IsNear(milliseconds(200), estimator.Estimate(kind, seconds(1)).expected));
+}
+
+// Guards against an unknown kind that is refused or ordered by a wrong declaration alone.
+TEST(RunTimeEstimator, UnknownKindsStartFromTheirTeam) {
+  RunTimeEstimator estimator(kCapacity);
+  const auto known = estimator.Intern(TeamId("team"), TaskKind("known"));
+  for (int i = 0; i < 20; ++i) {
+    estimator.Learn(known, Duration(0), milliseconds(200));
+  }
+  const auto unknown = estimator.Intern(TeamId("team"), TaskKind("unknown"));
+  CHECK_TRUE(IsNear(milliseconds(200), estimator.Estimate(unknown, Duration(0)).expected));
+  const auto estimate = estimator.Estimate(unknown, seconds(2));
+  CHECK(estimate.expected < seconds(1));
+  CHECK(estimate.optimistic <= milliseconds(100));
+}
+
+// Guards against stragglers, which take 30 times their run time, that spoil the estimate.
+TEST(RunTimeEstimator, StragglersMoveTheEstimateLittle) {
+  RunTimeEstimator estimator(kCapacity);
+  const auto kind = estimator.Intern(TeamId("team"), TaskKind("kind"));
+  for (int i = 0; i < 50; ++i) {
+    estimator.Learn(kind, Duration(0), milliseconds(100));
+  }
+  for (int i = 0; i < 4; ++i) {
+    estimator.Learn(kind, Duration(0), seconds(3));
+  }
+  CHECK_TRUE(IsNear(milliseconds(100), estimator.Estimate(kind, Duration(0)).expected));
+}
+
+// Guards against memory that grows with the kinds that callers make up, and against samples that
+// go to the pair that took the place of a forgotten one.
+TEST(RunTimeEstimator, ForgetsTheOldestPairs) {
+  RunTimeEstimator estimator(4);
+  const auto forgotten = estimator.Intern(TeamId("team"), TaskKind("first"));
+  for (int i = 0; i < 10; ++i) {
+    estimator.Intern(TeamId("team"), TaskKind("kind-" + std::to_string(i)));
+  }
+  const auto last = estimator.Intern(TeamId("team"), TaskKind("kind-9"));
+  const Duration before = estimator.Estimate(last, milliseconds(100)).expected;
+  for (int i = 0; i < 10; ++i) {
+    estimator.Learn(forgotten, Duration(0), seconds(100));
+  }
+  CHECK(estimator.Estimate(last, milliseconds(100)).optimistic <= milliseconds(10));
+  CHECK(before > Duration(0));
+}
--- /dev/null
+++ b/tests/scheduling/scheduler_test.cc
@@ -0,0 +1,331 @@
+#include "scheduling/scheduler.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+#include <string>
+
+#include "tests/scheduling/scheduler_fixture.h"
+
+using sapphirecrank::base::ErrorCode;
+using sapphirecrank::base::TargetId;
+using sapphirecrank::base::Weight;
+using sapphirecrank::base::WorkClass;
+using sapphirecrank::limits::AutomaticActions;
+using sapphirecrank::scheduling::SchedulerFixture;
+using sapphirecrank::scheduling::SchedulerSettings;
+using sapphirecrank::scheduling::StartDecision;
+using sapphirecrank::scheduling::TargetState;
+using sapphirecrank::scheduling::TaskSpec;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+constexpr milliseconds kRunTime{100};
+
+SchedulerSettings WithoutAdmission() {
+  SchedulerSettings settings;
+  settings.admission = false;
+  return settings;
+}
+
+/// Ends the oldest running task and starts what follows, `count` times.
+void EndOldest(SchedulerFixture& fixture, size_t& ended, int count) {
+  for (int i = 0; i < count && ended < fixture.starts.size(); ++i) {
+    const StartDecision decision = fixture.starts[ended];
+    ++ended;
+    fixture.End(decision, true, kRunTime);
+  }
+}
+}  // namespace
+
+TEST_GROUP(Scheduler){};
+
+// Guards against urgent work behind ordinary or bulk work that arrived earlier.
+TEST(Scheduler, StartsUrgentBeforeOrdinaryBeforeBulk) {
+  SchedulerFixture fixture;
+  fixture.AddTarget("a", 1);
+  fixture.Enqueue("running", WorkClass::kOrdinary);
+  fixture.Enqueue("bulk", WorkClass::kBulk);
+  fixture.Enqueue("ordinary", WorkClass::kOrdinary);
+  fixture.Enqueue("urgent", WorkClass::kUrgent);
+  size_t ended = 0;
+  EndOldest(fixture, ended, 3);
+  STRCMP_EQUAL("urgent", fixture.Started(1).c_str());
+  STRCMP_EQUAL("ordinary", fixture.Started(2).c_str());
+  STRCMP_EQUAL("bulk", fixture.Started(3).c_str());
+}
+
+// Guards against lower classes that never start while urgent work always waits.
+TEST(Scheduler, StarvedClassesGetTheirGuaranteedShare) {
+  SchedulerFixture fixture(WithoutAdmission());
+  fixture.AddTarget("a", 2);
+  for (int i = 0; i < 400; ++i) {
+    fixture.Enqueue("urgent-" + std::to_string(i), WorkClass::kUrgent);
+  }
+  fixture.Enqueue("ordinary", WorkClass::kOrdinary);
+  fixture.Enqueue("bulk", WorkClass::kBulk);
+  size_t ended = 0;
+  EndOldest(fixture, ended, 20);
+  std::set<std::string> started;
+  for (size_t i = 0; i < fixture.starts.size(); ++i) {
+    started.insert(fixture.Started(i));
+  }
+  CHECK_EQUAL(1U, started.count("ordinary"));
+  CHECK_EQUAL(1U, started.count("bulk"));
+}
+
+// Guards against one team's backlog that delays all other teams, and against ignored weights.
+TEST(Scheduler, SharesSlotsAmongTeamsByWeight) {
+  SchedulerFixture fixture(WithoutAdmission());
+  fixture.scheduler.SetTeamWeight(sapphirecrank::base::TeamId("heavy"), Weight(3));
+  fixture.AddTarget("a", 2);
+  for (int i = 0; i < 400; ++i) {
+    fixture.Enqueue("light-" + std::to_string(i), WorkClass::kOrdinary, "light");
+  }
+  for (int i = 0; i < 400; ++i) {
+    fixture.Enqueue("heavy-" + std::to_string(i), WorkClass::kOrdinary, "heavy");
+  }
+  size_t ended = 0;
+  EndOldest(fixture, ended, 200);
+  int heavy = 0;
+  for (size_t i = 2; i < fixture.starts.size(); ++i) {
+    heavy += fixture.Started(i).rfind("heavy", 0) == 0 ? 1 : 0;
+  }
+  CHECK(heavy >= 140);
+  CHECK(heavy <= 160);
+}
+
+// Guards against short tasks that queue behind long ones of their team and class.
+TEST(Scheduler, ShortTasksOvertakeLongOnes) {
+  SchedulerFixture fixture;
+  fixture.AddTarget("a", 1);
+  fixture.Enqueue("running", WorkClass::kOrdinary);
+  TaskSpec long_task = fixture.Task("long", WorkClass::kOrdinary);
+  long_task.kind = sapphirecrank::base::TaskKind("refresh");
+  long_task.declared_run_time = seconds(30);
+  fixture.scheduler.Enqueue(long_task);
+  fixture.Enqueue("short", WorkClass::kOrdinary);
+  size_t ended = 0;
+  EndOldest(fixture, ended, 1);
+  STRCMP_EQUAL("short", fixture.Started(1).c_str());
+}
+
+// Guards against long work that takes all slots before a burst of short work arrives.
+TEST(Scheduler, LongWorkLeavesSlotsFree) {
+  SchedulerFixture fixture;
+  fixture.AddTarget("a", 10);
+  for (int i = 0; i < 10; ++i) {
+    TaskSpec task = fixture.Task("long-" + std::to_string(i), WorkClass::kBulk);
+    task.declared_run_time = seconds(60);
+    fixture.scheduler.Enqueue(task);
+  }
+  CHECK_EQUAL(5U, fixture.starts.size());
+}
+
+// Guards against starts on targets that are leaving, not yet usable, past their lease or removed.
+TEST(Scheduler, StartsNothingOnUnusableTargets) {
+  SchedulerFixture fixture;
+  TargetState leaving = fixture.Target("leaving", 4);
+  leaving.leaving = true;
+  TargetState later = fixture.Target("later", 1);
+  later.usable_from = fixture.clock.Now() + seconds(2);
+  later.lease_end = fixture.clock.Now() + seconds(4);
+  fixture.scheduler.UpdateTarget(leaving);
+  fixture.scheduler.UpdateTarget(later);
+  fixture.AddTarget("removed", 4);
+  fixture.scheduler.RemoveTarget(TargetId("removed"));
+  fixture.Enqueue("first", WorkClass::kUrgent);
+  fixture.Enqueue("second", WorkClass::kUrgent);
+  CHECK_EQUAL(0U, fixture.starts.size());
+  fixture.clock.Advance(seconds(3));
+  fixture.scheduler.ExpireDue();
+  CHECK_EQUAL(1U, fixture.starts.size());
+  fixture.End(fixture.starts[0], true, seconds(2));
+  CHECK_EQUAL(1U, fixture.starts.size());
+}
+
+// Guards against a slot that is given away twice when a target is removed and announced again
+// while its task still runs.
+TEST(Scheduler, RemovedTargetKeepsItsRunningTasks) {
+  SchedulerFixture fixture;
+  fixture.AddTarget("a", 1);
+  fixture.Enqueue("first", WorkClass::kUrgent);
+  fixture.Enqueue("second", WorkClass::kUrgent);
+  fixture.scheduler.RemoveTarget(TargetId("a"));
+  fixture.AddTarget("a", 1);
+  CHECK_EQUAL(1U, fixture.starts.size());
+  fixture.End(fixture.starts[0], true, kRunTime);
+  CHECK_EQUAL(2U, fixture.starts.size());
+}
+
+// Guards against a second start when a caller resends a task that is queued or running.
+TEST(Scheduler, RefusesKnownTaskAsConflict) {
+  SchedulerFixture fixture;
+  fixture.AddTarget("a", 1);
+  fixture.Enqueue("running", WorkClass::kUrgent);
+  fixture.Enqueue("queued", WorkClass::kUrgent);
+  for (const char* submission : {"running", "queued"}) {
+    const auto result = fixture.Enqueue(submission, WorkClass::kUrgent);
+    CHECK_FALSE(result.has_value());
+    CHECK(result.error().code == ErrorCode::kConflict);
+  }
+  CHECK_EQUAL(1U, fixture.starts.size());
+}
+
+// Guards against "never" while no target has announced itself yet, and against tasks that wait for
+// room that no target has.
+TEST(Scheduler, RefusesOnlyWhatNoKnownTargetCouldHold) {
+  SchedulerFixture fixture;
+  TaskSpec large = fixture.Task("large", WorkClass::kOrdinary);
+  large.declared.memory = sapphirecrank::base::ByteCount(5000);
+  CHECK(fixture.scheduler.Enqueue(large).has_value());
+  fixture.AddTarget("a", 4);
+  large.key.submission = sapphirecrank::base::SubmissionId("again");
+  const auto result = fixture.scheduler.Enqueue(large);
+  CHECK_FALSE(result.has_value());
+  CHECK(result.error().code == ErrorCode::kUnsatisfiable);
+  STRCMP_EQUAL("memory", result.error().field.c_str());
+  CHECK(result.error().verdict == sapphirecrank::base::Verdict::kNotRun);
+}
+
+// Guards against work that waits in the queue although its deadline can't be met, and against
+// refusals that depend on a wrongly declared run time.
+TEST(Scheduler, RefusesAtOnceWhatMissesItsDeadline) {
+  SchedulerFixture fixture;
+  fixture.AddTarget("a", 4);
+  for (int i = 0; i < 10; ++i) {
+    fixture.Enqueue("learn-" + std::to_string(i), WorkClass::kOrdinary);
+    fixture.End(fixture.starts.back(), true, seconds(1));
+  }
+  TaskSpec task = fixture.Task("late", WorkClass::kOrdinary);
+  task.declared_run_time = milliseconds(1);
+  task.deadline = fixture.clock.Now() + milliseconds(200);
+  const auto result = fixture.scheduler.Enqueue(task);
+  CHECK_FALSE(result.has_value());
+  CHECK(result.error().code == ErrorCode::kDeadlineExceeded);
+  task.kind = sapphirecrank::base::TaskKind("unknown");
+  CHECK(fixture.scheduler.Enqueue(task).has_value());
+}
+
+// Guards against queues that grow without bound in a demand peak.
+TEST(Scheduler, BoundsTheQueuesOfTeamAndClass) {
+  SchedulerSettings settings = WithoutAdmission();
+  settings.largest_team_queue = 2;
+  settings.largest_class_queue = 3;
+  SchedulerFixture fixture(settings);
+  CHECK(fixture.Enqueue("1", WorkClass::kBulk, "one").has_value());
+  CHECK(fixture.Enqueue("2", WorkClass::kBulk, "one").has_value());
+  const auto team = fixture.Enqueue("3", WorkClass::kBulk, "one");
+  CHECK_FALSE(team.has_value());
+  STRCMP_EQUAL("team", team.error().field.c_str());
+  CHECK(fixture.Enqueue("4", WorkClass::kBulk, "two").has_value());
+  const auto work_class = fixture.Enqueue("5", WorkClass::kBulk, "two");
+  CHECK_FALSE(work_class.has_value());
+  STRCMP_EQUAL("class", work_class.error().field.c_str());
+  CHECK(fixture.Enqueue("6", WorkClass::kOrdinary, "two").has_value());
+}
+
+// Guards against a submission that is queued in part.
+TEST(Scheduler, QueuesAllTasksOrNone) {
+  SchedulerFixture fixture;
+  fixture.AddTarget("a", 4);
+  std::vector<TaskSpec> tasks(3, fixture.Task("job", WorkClass::kOrdinary));
+  for (uint32_t i = 0; i < 3; ++i) {
+    tasks[i].key.index = sapphirecrank::base::TaskIndex(i);
+  }
+  tasks[2].declared.memory = sapphirecrank::base::ByteCount(5000);
+  CHECK_FALSE(fixture.scheduler.EnqueueAll(tasks).has_value());
+  CHECK_EQUAL(0U, fixture.starts.size());
+  tasks[2].declared.memory = sapphirecrank::base::ByteCount(0);
+  CHECK(fixture.scheduler.EnqueueAll(tasks).has_value());
+  CHECK_EQUAL(3U, fixture.starts.size());
+}
+
+// Guards against cancelled tasks that start, and against a cancel that hits other work.
+TEST(Scheduler, CancelsSubmissionsAndTeams) {
+  SchedulerFixture fixture;
+  fixture.AddTarget("a", 1);
+  fixture.Enqueue("running", WorkClass::kUrgent, "one");
+  fixture.Enqueue("first", WorkClass::kUrgent, "one");
+  fixture.Enqueue("second", WorkClass::kBulk, "one");
+  fixture.Enqueue("third", WorkClass::kOrdinary, "two");
+  CHECK_EQUAL(0U, fixture.scheduler.Cancel(fixture.starts[0].task.submission).size());
+  CHECK_EQUAL(1U, fixture.scheduler.Cancel(sapphirecrank::base::SubmissionId("first")).size());
+  CHECK_EQUAL(1U, fixture.scheduler.CancelTeam(sapphirecrank::base::TeamId("one")).size());
+  fixture.End(fixture.starts[0], true, kRunTime);
+  CHECK_EQUAL(2U, fixture.starts.size());
+  STRCMP_EQUAL("third", fixture.Started(1).c_str());
+}
+
+// Guards against a worker that fails at once and so draws work, and against ejection while the
+// action is switched off.
+TEST(Scheduler, EjectsFastFailersUnlessSwitchedOff) {
+  for (const bool enabled : {true, false}) {
+    SchedulerFixture fixture;
+    AutomaticActions actions;
+    actions.ejection = enabled;
+    fixture.scheduler.SetAutomaticActions(actions);
+    for (int i = 0; i < 5; ++i) {
+      fixture.AddTarget("target-" + std::to_string(i), 1);
+    }
+    int failed = 0;
+    for (int i = 0; i < 500; ++i) {
+      fixture.Enqueue("task-" + std::to_string(i), WorkClass::kOrdinary);
+      const StartDecision decision = fixture.starts.back();
+      const bool fails = decision.target == TargetId("target-0");
+      failed += fails ? 1 : 0;
+      fixture.End(decision, !fails, milliseconds(1));
+    }
+    const auto status = fixture.scheduler.Status();
+    CHECK_EQUAL(enabled, failed <= 5);
+    CHECK_EQUAL(enabled ? 1 : 0, status.health.ejections);
+    CHECK_EQUAL(enabled ? 0 : 1, status.health.would_have_ejected);
+  }
+}
+
+// Guards against bulk work that is refused early although the action is switched off.
+TEST(Scheduler, ShedsBulkOnlyIfSwitchedOn) {
+  for (const bool enabled : {true, false}) {
+    SchedulerFixture fixture;
+    AutomaticActions actions;
+    actions.bulk_shedding = enabled;
+    fixture.scheduler.SetAutomaticActions(actions);
+    fixture.AddTarget("a", 1);
+    int refused = 0;
+    for (int i = 0; i < 200; ++i) {
+      TaskSpec task = fixture.Task("bulk-" + std::to_string(i), WorkClass::kBulk);
+      task.deadline = fixture.clock.Now() + std::chrono::hours(10);
+      refused += fixture.scheduler.Enqueue(task) ? 0 : 1;
+      fixture.clock.Advance(milliseconds(10));
+    }
+    const auto status = fixture.scheduler.Status();
+    CHECK_EQUAL(enabled, refused > 0);
+    CHECK_EQUAL(refused, status.bulk_shed);
+    CHECK_EQUAL(enabled, status.bulk_would_have_shed == 0);
+  }
+}
+
+// Guards against tasks of unusual size that are passed by small ones forever.
+TEST(Scheduler, KeepsATargetFreeForALargeTask) {
+  SchedulerFixture fixture(WithoutAdmission());
+  fixture.AddTarget("a", 4);
+  fixture.AddTarget("b", 4);
+  for (int i = 0; i < 300; ++i) {
+    TaskSpec small = fixture.Task("small-" + std::to_string(i), WorkClass::kOrdinary);
+    small.declared.processors = sapphirecrank::base::MilliCores(900);
+    fixture.scheduler.Enqueue(small);
+    if (i == 20) {
+      TaskSpec large = fixture.Task("large", WorkClass::kOrdinary);
+      large.declared.processors = sapphirecrank::base::MilliCores(3500);
+      fixture.scheduler.Enqueue(large);
+    }
+  }
+  size_t ended = 0;
+  EndOldest(fixture, ended, 40);
+  bool large_started = false;
+  for (size_t i = 0; i < fixture.starts.size(); ++i) {
+    large_started |= fixture.Started(i) == "large";
+  }
+  CHECK_TRUE(large_started);
+}
--- /dev/null
+++ b/tests/targets/target_health_test.cc
@@ -0,0 +1,105 @@
+#include "targets/target_health.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+using sapphirecrank::base::Duration;
+using sapphirecrank::base::TargetId;
+using sapphirecrank::base::TimePoint;
+using sapphirecrank::targets::HealthState;
+using sapphirecrank::targets::TargetHealth;
+
+namespace {
+constexpr int kTargets = 10;
+
+TargetId Target(int number) { return TargetId("target-" + std::to_string(number)); }
+
+void AddTargets(TargetHealth& health, int count) {
+  for (int i = 0; i < count; ++i) {
+    health.Add(Target(i));
+  }
+}
+
+/// Fails the target so often that it is due to be ejected; another one succeeds in between.
+HealthState FailInRow(TargetHealth& health, int number, TimePoint now) {
+  HealthState state = HealthState::kHealthy;
+  for (int i = 0; i < TargetHealth::kFailuresBeforeEjection; ++i) {
+    health.OnOutcome(Target(kTargets - 1), true, now);
+    state = health.OnOutcome(Target(number), false, now);
+  }
+  return state;
+}
+}  // namespace
+
+TEST_GROUP(TargetHealth){};
+
+// Guards against a failing target that keeps its work, and against ejection for a single failure.
+TEST(TargetHealth, EjectsAfterFailuresInARow) {
+  TargetHealth health;
+  AddTargets(health, kTargets);
+  const TimePoint now(std::chrono::hours(1));
+  for (int i = 0; i < 3 * TargetHealth::kFailuresBeforeEjection; ++i) {
+    CHECK(health.OnOutcome(Target(0), i % 2 == 0, now) == HealthState::kHealthy);
+  }
+  CHECK(FailInRow(health, 0, now) == HealthState::kEjected);
+  CHECK_EQUAL(1, health.Status().ejected_now);
+}
+
+// Guards against a return without trial work, and against a trial after each second for a target
+// that keeps failing.
+TEST(TargetHealth, ReturnsAfterSuccessfulTrialsOnly) {
+  TargetHealth health;
+  AddTargets(health, kTargets);
+  TimePoint now(std::chrono::hours(1));
+  FailInRow(health, 0, now);
+  CHECK_TRUE(health.BeginTrials(now).empty());
+  now += TargetHealth::kFirstEjection;
+  CHECK_EQUAL(1U, health.BeginTrials(now).size());
+  CHECK(health.OnOutcome(Target(0), false, now) == HealthState::kEjected);
+  CHECK_TRUE(health.BeginTrials(now + TargetHealth::kFirstEjection).empty());
+  now += 2 * TargetHealth::kFirstEjection;
+  CHECK_EQUAL(1U, health.BeginTrials(now).size());
+  for (int i = 1; i < TargetHealth::kSuccessesBeforeReturn; ++i) {
+    CHECK(health.OnOutcome(Target(0), true, now) == HealthState::kTrial);
+  }
+  CHECK(health.OnOutcome(Target(0), true, now) == HealthState::kHealthy);
+  CHECK_EQUAL(0, health.Status().ejected_now);
+  CHECK_EQUAL(1, health.Status().returns);
+}
+
+// Guards against an ejection of most targets when each of them fails.
+TEST(TargetHealth, EjectsAtMostAFifth) {
+  TargetHealth health;
+  AddTargets(health, kTargets);
+  const TimePoint now(std::chrono::hours(1));
+  for (int i = 0; i < 5; ++i) {
+    FailInRow(health, i, now);
+  }
+  CHECK_EQUAL(2, health.Status().ejected_now);
+  CHECK_EQUAL(3, health.Status().prevented_by_share);
+}
+
+// Guards against ejection of targets that run work which fails everywhere.
+TEST(TargetHealth, BlamesTheWorkIfAllTargetsFail) {
+  TargetHealth health;
+  AddTargets(health, kTargets);
+  const TimePoint now(std::chrono::hours(1));
+  for (int i = 0; i < 20 * kTargets; ++i) {
+    health.OnOutcome(Target(i % kTargets), false, now);
+  }
+  CHECK_EQUAL(0, health.Status().ejections);
+}
+
+// Guards against ejection while the action is switched off.
+TEST(TargetHealth, CountsWhatItWouldHaveEjected) {
+  TargetHealth health;
+  AddTargets(health, kTargets);
+  const TimePoint now(std::chrono::hours(1));
+  FailInRow(health, 0, now);
+  CHECK_EQUAL(1U, health.SetEjectionEnabled(false).size());
+  CHECK(health.State(Target(0)) == HealthState::kHealthy);
+  CHECK(FailInRow(health, 1, now) == HealthState::kHealthy);
+  CHECK_EQUAL(1, health.Status().would_have_ejected);
+  CHECK_EQUAL(0, health.Status().ejected_now);
+}
