dispatch, protocol: Carry run times and queue waits to the metrics

A slowdown needs the run time of the longest task of a job, which only the target's owner measures. Reports and task results now carry it, the dispatcher tells how long a started task had waited, and the target client marks an answer with another attempt's id. Nothing was measured.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -43,7 +43,8 @@
 void Dispatcher::AssignOne(const HostId& origin, Assignment assignment) {
   const scheduling::TaskSpec spec = assignment.spec;
   const bool is_new = this->pending.With(spec.key, [&](Shard& shard) {
-    return shard.try_emplace(spec.key, Pending{origin, std::move(assignment)}).second;
+    return shard.try_emplace(spec.key, Pending{origin, std::move(assignment), this->hooks.now()})
+        .second;
   });
   if (!is_new) {
     return;
@@ -85,12 +86,19 @@
 void Dispatcher::Start(const scheduling::StartDecision& decision) {
   const TimePoint now = this->hooks.now();
   TargetCall call;
+  scheduling::TaskSpec spec;
+  TimePoint queued_at;
   call.attempt = this->NextAttempt();
   this->pending.With(decision.task, [&](Shard& shard) {
     Pending& found = shard.at(decision.task);
     call.payload = std::move(found.assignment.payload);
     call.timeout = found.assignment.spec.deadline - now;
+    spec = found.assignment.spec;
+    queued_at = found.queued_at;
   });
+  if (this->hooks.on_start) {
+    this->hooks.on_start(spec, now - queued_at);
+  }
   const auto address = this->registry.Address(decision.target);
   if (!address) {
     this->OnAnswer(decision, call.attempt, now,
@@ -105,13 +113,14 @@
 }
 
 void Dispatcher::OnAnswer(const scheduling::StartDecision& decision, const AttemptId& attempt,
-                          TimePoint started, const TargetAnswer& answer) {
+                          TimePoint started, TargetAnswer answer) {
   // The slot goes to the uncertain attempts before the scheduler may give it away.
   if (answer.verdict == Verdict::kMayHaveRun) {
     this->registry.OnUncertainEnd(decision.target, attempt);
   }
+  answer.run_time = this->hooks.now() - started;
   this->scheduler.OnTaskEnded(decision.task, decision.target,
-                              {answer.verdict, answer.succeeded, this->hooks.now() - started});
+                              {answer.verdict, answer.succeeded, answer.run_time});
   this->Finish(decision.task, answer);
 }
 
@@ -136,6 +145,7 @@
   report.verdict = answer.verdict;
   report.body = answer.body;
   report.error = answer.error;
+  report.run_time = answer.run_time;
   this->hooks.report(origin, report);
   --this->in_flight;
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -34,6 +34,8 @@
     std::function<void(const TargetCall&, std::function<void(const TargetAnswer&)>)> call_target;
     /// Sends a report to the host that assigned the task.
     std::function<void(const base::HostId&, const TaskReport&)> report;
+    /// Observes a start and how long the task had waited here; may be empty.
+    std::function<void(const scheduling::TaskSpec&, base::Duration)> on_start;
   };
 
   /// `own_prefix` begins each attempt id and must differ for each start of a process.
@@ -68,6 +70,7 @@
   struct Pending {
     base::HostId origin;
     Assignment assignment;
+    base::TimePoint queued_at;
   };
 
   using Shard = std::unordered_map<base::TaskKey, Pending>;
@@ -75,7 +78,7 @@
   void AssignOne(const base::HostId& origin, Assignment assignment);
   void Start(const scheduling::StartDecision& decision);
   void OnAnswer(const scheduling::StartDecision& decision, const base::AttemptId& attempt,
-                base::TimePoint started, const TargetAnswer& answer);
+                base::TimePoint started, TargetAnswer answer);
   void Finish(const base::TaskKey& key, const TargetAnswer& answer);
   base::AttemptId NextAttempt();
 
--- a/src/dispatch/target_answer.h
+++ b/src/dispatch/target_answer.h
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "base/error.h"
+#include "base/time.h"
 
 namespace sapphirecrank::dispatch {
 
@@ -13,6 +14,10 @@
   base::Verdict verdict = base::Verdict::kMayHaveRun;
   std::string body;
   base::Error error;
+  /// Time from the call to its end; zero if there was no call.
+  base::Duration run_time{0};
+  /// The target answered with the id of another attempt.
+  bool is_crossed = false;
 };
 
 }  // namespace sapphirecrank::dispatch
--- a/src/dispatch/task_report.h
+++ b/src/dispatch/task_report.h
@@ -5,6 +5,7 @@
 #include "base/error.h"
 #include "base/ids.h"
 #include "base/task_key.h"
+#include "base/time.h"
 #include "base/verdict.h"
 
 namespace sapphirecrank::dispatch {
@@ -19,6 +20,8 @@
   std::string body;
   /// Why the task didn't succeed; only meaningful if it didn't.
   base::Error error;
+  /// Time on the target as its owner measured it; zero if the task was not started.
+  base::Duration run_time{0};
 };
 
 }  // namespace sapphirecrank::dispatch
--- a/src/entryhost/message_translation.cc
+++ b/src/entryhost/message_translation.cc
@@ -44,7 +44,7 @@
   message.results.reserve(reports.size());
   for (const TaskReport& report : reports) {
     message.results.push_back({report.key, report.placement, report.succeeded, report.verdict,
-                               report.body, report.error});
+                               report.body, report.error, report.run_time});
   }
   return message;
 }
@@ -54,7 +54,7 @@
   reports.reserve(message.results.size());
   for (const protocol::TaskResult& result : message.results) {
     reports.push_back({result.key, result.placement, result.succeeded, result.verdict, result.body,
-                       result.error});
+                       result.error, result.run_time});
   }
   return reports;
 }
--- a/src/outbound/target_client.cc
+++ b/src/outbound/target_client.cc
@@ -116,8 +116,10 @@
     return answer;
   }
   if (call.answered_attempt != call.request.attempt.value()) {
-    return Failed(ErrorCode::kTargetFailed, Verdict::kMayHaveRun,
-                  "the target answered another attempt");
+    TargetAnswer answer = Failed(ErrorCode::kTargetFailed, Verdict::kMayHaveRun,
+                                 "the target answered another attempt");
+    answer.is_crossed = true;
+    return answer;
   }
   long status = 0;
   curl_easy_getinfo(call.handle, CURLINFO_RESPONSE_CODE, &status);
--- a/src/protocol/message_codec.cc
+++ b/src/protocol/message_codec.cc
@@ -208,7 +208,7 @@
   json map = {{"placement", Value(result.placement)}, {"succeeded", result.succeeded},
               {"verdict", Number(result.verdict)},    {"body", Bytes(result.body)},
               {"code", Number(result.error.code)},    {"field", result.error.field},
-              {"message", result.error.message}};
+              {"message", result.error.message},      {"run_time_ns", result.run_time.count()}};
   EncodeKey(result.key, map);
   return map;
 }
@@ -223,6 +223,7 @@
   result.error.field = reader.Text("field");
   result.error.message = reader.Text("message");
   result.error.verdict = result.verdict;
+  result.run_time = ReadDuration(reader, "run_time_ns");
   return result;
 }
 json EncodeBody(const TaskResults& message) {
--- a/src/protocol/task_result.h
+++ b/src/protocol/task_result.h
@@ -5,6 +5,7 @@
 #include "base/error.h"
 #include "base/ids.h"
 #include "base/task_key.h"
+#include "base/time.h"
 #include "base/verdict.h"
 
 namespace sapphirecrank::protocol {
@@ -17,6 +18,8 @@
   base::Verdict verdict = base::Verdict::kMayHaveRun;
   std::string body;
   base::Error error;
+  /// Time on the target as its owner measured it; zero if the task was not started.
+  base::Duration run_time{0};
 };
 
 }  // namespace sapphirecrank::protocol
