observability: Add metrics for teams and classes

Histograms of response time, slowdown and queue wait for each team and class, and counters for starts, answers with an error, messages, wasted messages, retries and ejections. Teams are fixed at construction, the rest counts as "other"; a series is made with its first value.

--- /dev/null
+++ b/bench/metrics/main.cc
@@ -0,0 +1,79 @@
+// Measures what a metrics call costs: metrics [CALLS]
+
+#include <fmt/format.h>
+
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "observability/metrics.h"
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr int kDefaultCalls = 1000000;
+constexpr int kTeams = 550;
+
+std::vector<base::TeamId> Teams() {
+  std::vector<base::TeamId> teams;
+  for (int i = 0; i < kTeams; ++i) {
+    teams.emplace_back(fmt::format("team-{}", i));
+  }
+  return teams;
+}
+
+/// Returns nanoseconds for one start and one complete answer, on each of `thread_count` threads.
+double Measure(int thread_count, int calls, bool is_one_team) {
+  const std::vector<base::TeamId> teams = Teams();
+  observability::Metrics metrics(teams);
+  const auto begin = std::chrono::steady_clock::now();
+  std::vector<std::thread> threads;
+  threads.reserve(static_cast<size_t>(thread_count));
+  for (int thread = 0; thread < thread_count; ++thread) {
+    threads.emplace_back([&, thread] {
+      for (int i = 0; i < calls; ++i) {
+        const base::TeamId& team = teams[is_one_team ? 0 : (i * 7 + thread) % kTeams];
+        metrics.OnTaskStart(team, base::WorkClass::kOrdinary, std::chrono::microseconds(i % 90));
+        metrics.OnComplete(team, base::WorkClass::kOrdinary, std::chrono::milliseconds(i % 900),
+                           std::chrono::milliseconds(100));
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  const std::chrono::duration<double, std::nano> elapsed = std::chrono::steady_clock::now() - begin;
+  return elapsed.count() / calls;
+}
+
+void MeasureText() {
+  const std::vector<base::TeamId> teams = Teams();
+  observability::Metrics metrics(teams);
+  for (const base::TeamId& team : teams) {
+    for (base::WorkClass work_class :
+         {base::WorkClass::kUrgent, base::WorkClass::kOrdinary, base::WorkClass::kBulk}) {
+      metrics.OnTaskStart(team, work_class, std::chrono::milliseconds(1));
+    }
+  }
+  const auto begin = std::chrono::steady_clock::now();
+  const size_t size = metrics.Text().size();
+  const std::chrono::duration<double, std::milli> elapsed =
+      std::chrono::steady_clock::now() - begin;
+  fmt::print("text of {} teams in 3 classes: {} bytes in {:.0f} ms\n", kTeams, size,
+             elapsed.count());
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const int calls = argc > 1 ? std::stoi(argv[1]) : kDefaultCalls;
+  for (int threads : {1, 4}) {
+    fmt::print("{} threads, {} teams: {:.0f} ns for a start and an answer\n", threads, kTeams,
+               Measure(threads, calls, false));
+    fmt::print("{} threads, 1 team: {:.0f} ns for a start and an answer\n", threads,
+               Measure(threads, calls, true));
+  }
+  MeasureText();
+  return 0;
+}
--- /dev/null
+++ b/src/observability/message_kind.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string_view>
+
+namespace sapphirecrank::observability {
+
+/// Sorts of messages that an entry host sends for work.
+enum class MessageKind { kAssignment, kResults, kCancellation, kAnnouncement, kTargetCall };
+
+constexpr int kMessageKindCount = 5;
+
+/// Returns the kind's name in metrics.
+std::string_view MessageKindName(MessageKind kind);
+
+}  // namespace sapphirecrank::observability
--- /dev/null
+++ b/src/observability/metrics.cc
@@ -0,0 +1,214 @@
+#include "observability/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <unordered_map>
+
+#include "base/error_code.h"
+#include "base/mutex.h"
+#include "base/mutex_lock.h"
+
+namespace sapphirecrank::observability {
+
+using base::TeamId;
+using base::WorkClass;
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Histogram;
+
+namespace {
+
+constexpr const char* kOtherTeam = "other";
+constexpr int kErrorCodeCount = static_cast<int>(base::ErrorCode::kInternal) + 1;
+constexpr int kVerdictCount = static_cast<int>(base::Verdict::kRan) + 1;
+
+const Histogram::BucketBoundaries& SecondsBuckets() {
+  static const Histogram::BucketBoundaries kBuckets = {0.001, 0.005, 0.01, 0.025, 0.05, 0.1,
+                                                       0.25,  0.5,   1,    2.5,   5,    10};
+  return kBuckets;
+}
+
+const Histogram::BucketBoundaries& SlowdownBuckets() {
+  static const Histogram::BucketBoundaries kBuckets = {1.05, 1.1, 1.2, 1.35, 1.5, 2, 3, 5, 10, 30};
+  return kBuckets;
+}
+
+double Seconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+Family<Counter>& CounterFamily(prometheus::Registry& registry, const std::string& name,
+                               const std::string& help) {
+  return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+Family<Histogram>& HistogramFamily(prometheus::Registry& registry, const std::string& name,
+                                   const std::string& help) {
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+}  // namespace
+
+class Metrics::Impl {
+ public:
+  /// The series of one team and class.
+  struct Series {
+    Histogram& response_time;
+    Histogram& slowdown;
+    Histogram& queue_wait;
+    Counter& starts;
+  };
+
+  /// The series of one team, each made when it gets its first value.
+  struct Team {
+    std::string name;
+    std::array<std::atomic<Series*>, base::kWorkClassCount> series{};
+  };
+
+  explicit Impl(const std::vector<TeamId>& teams);
+
+  Series& Find(const TeamId& team, WorkClass work_class);
+
+  prometheus::Registry registry;
+  Family<Histogram>& response_times;
+  Family<Histogram>& slowdowns;
+  Family<Histogram>& queue_waits;
+  Family<Counter>& starts;
+  std::array<std::array<Counter*, kErrorCodeCount>, kVerdictCount> refusals;
+  std::array<Counter*, kMessageKindCount> messages;
+  std::array<Counter*, kWastedMessageCount> wasted;
+  Counter& retries;
+  Counter& ejections;
+
+ private:
+  Series& Create(Team& team, WorkClass work_class);
+  void AddRefusals();
+  void AddMessages();
+
+  // Not changed after construction, so that it is read without a lock.
+  std::unordered_map<TeamId, std::unique_ptr<Team>> teams;
+  Team other;
+  base::Mutex creation;
+  std::vector<std::unique_ptr<Series>> created GUARDED_BY(creation);
+};
+
+Metrics::Impl::Impl(const std::vector<TeamId>& teams)
+    : response_times(HistogramFamily(this->registry, "sapphirecrank_response_seconds",
+                                     "Time from a request's arrival to its complete answer")),
+      slowdowns(HistogramFamily(this->registry, "sapphirecrank_slowdown_ratio",
+                                "Response time over the run time of the longest task")),
+      queue_waits(HistogramFamily(this->registry, "sapphirecrank_queue_wait_seconds",
+                                  "Time that a task waited on this host before its start")),
+      starts(CounterFamily(this->registry, "sapphirecrank_task_starts_total",
+                           "Tasks started on this host's targets")),
+      retries(CounterFamily(this->registry, "sapphirecrank_retries_total", "Tasks placed again")
+                  .Add({})),
+      ejections(
+          CounterFamily(this->registry, "sapphirecrank_ejections_total", "Targets taken out of use")
+              .Add({})) {
+  this->other.name = kOtherTeam;
+  const size_t count = std::min(teams.size(), kMostTeams);
+  for (size_t i = 0; i < count; ++i) {
+    auto team = std::make_unique<Team>();
+    team->name = teams[i].value();
+    this->teams.emplace(teams[i], std::move(team));
+  }
+  this->AddRefusals();
+  this->AddMessages();
+}
+
+void Metrics::Impl::AddRefusals() {
+  Family<Counter>& family = CounterFamily(this->registry, "sapphirecrank_refusals_total",
+                                          "Refused and failed answers by verdict and code");
+  for (int verdict = 0; verdict < kVerdictCount; ++verdict) {
+    for (int code = 0; code < kErrorCodeCount; ++code) {
+      const std::string verdict_name(base::VerdictName(static_cast<base::Verdict>(verdict)));
+      const std::string code_name(base::ErrorCodeName(static_cast<base::ErrorCode>(code)));
+      this->refusals[verdict][code] = &family.Add({{"verdict", verdict_name}, {"code", code_name}});
+    }
+  }
+}
+
+void Metrics::Impl::AddMessages() {
+  Family<Counter>& sent =
+      CounterFamily(this->registry, "sapphirecrank_messages_total", "Messages sent for work");
+  for (int kind = 0; kind < kMessageKindCount; ++kind) {
+    const std::string name(MessageKindName(static_cast<MessageKind>(kind)));
+    this->messages[kind] = &sent.Add({{"kind", name}});
+  }
+  Family<Counter>& lost = CounterFamily(this->registry, "sapphirecrank_wasted_messages_total",
+                                        "Messages that brought nothing, by cause");
+  for (int cause = 0; cause < kWastedMessageCount; ++cause) {
+    const std::string name(WastedMessageName(static_cast<WastedMessage>(cause)));
+    this->wasted[cause] = &lost.Add({{"cause", name}});
+  }
+}
+
+Metrics::Impl::Series& Metrics::Impl::Find(const TeamId& team, WorkClass work_class) {
+  const auto found = this->teams.find(team);
+  Team& entry = found == this->teams.end() ? this->other : *found->second;
+  Series* series = entry.series[static_cast<size_t>(work_class)].load(std::memory_order_acquire);
+  return series != nullptr ? *series : this->Create(entry, work_class);
+}
+
+Metrics::Impl::Series& Metrics::Impl::Create(Team& team, WorkClass work_class) {
+  base::MutexLock lock(this->creation);
+  std::atomic<Series*>& place = team.series[static_cast<size_t>(work_class)];
+  if (place.load(std::memory_order_acquire) == nullptr) {
+    const prometheus::Labels labels = {{"team", team.name},
+                                       {"class", std::string(base::WorkClassName(work_class))}};
+    this->created.push_back(std::make_unique<Series>(
+        Series{this->response_times.Add(labels, SecondsBuckets()),
+               this->slowdowns.Add(labels, SlowdownBuckets()),
+               this->queue_waits.Add(labels, SecondsBuckets()), this->starts.Add(labels)}));
+    place.store(this->created.back().get(), std::memory_order_release);
+  }
+  return *place.load(std::memory_order_acquire);
+}
+
+Metrics::Metrics(const std::vector<TeamId>& teams) : impl(std::make_unique<Impl>(teams)) {}
+
+Metrics::~Metrics() = default;
+
+void Metrics::OnComplete(const TeamId& team, WorkClass work_class, base::Duration response_time,
+                         base::Duration run_time) {
+  Impl::Series& series = this->impl->Find(team, work_class);
+  series.response_time.Observe(Seconds(response_time));
+  if (run_time > base::Duration(0)) {
+    series.slowdown.Observe(Seconds(response_time) / Seconds(run_time));
+  }
+}
+
+void Metrics::OnRefused(const base::Error& error) {
+  const auto verdict = static_cast<size_t>(error.verdict);
+  this->impl->refusals[verdict][static_cast<size_t>(error.code)]->Increment();
+}
+
+void Metrics::OnTaskStart(const TeamId& team, WorkClass work_class, base::Duration queue_wait) {
+  Impl::Series& series = this->impl->Find(team, work_class);
+  series.starts.Increment();
+  series.queue_wait.Observe(Seconds(queue_wait));
+}
+
+void Metrics::OnMessage(MessageKind kind) {
+  this->impl->messages[static_cast<size_t>(kind)]->Increment();
+}
+
+void Metrics::OnWasted(WastedMessage cause) {
+  this->impl->wasted[static_cast<size_t>(cause)]->Increment();
+}
+
+void Metrics::OnRetry() { this->impl->retries.Increment(); }
+
+void Metrics::OnEjection() { this->impl->ejections.Increment(); }
+
+std::string Metrics::Text() const {
+  return prometheus::TextSerializer().Serialize(this->impl->registry.Collect());
+}
+
+}  // namespace sapphirecrank::observability
--- /dev/null
+++ b/tests/observability/metrics_test.cc
@@ -0,0 +1,84 @@
+#include "observability/metrics.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+using base::TeamId;
+using base::WorkClass;
+using observability::Metrics;
+using std::chrono::milliseconds;
+
+namespace {
+
+bool Has(const Metrics& metrics, const std::string& line) {
+  return metrics.Text().find(line) != std::string::npos;
+}
+
+}  // namespace
+
+TEST_GROUP(Metrics){};
+
+// Guards against answers that are counted for the wrong team or class, or with a wrong ratio.
+TEST(Metrics, CompleteAnswersAreCountedForTheirTeamAndClass) {
+  Metrics metrics({TeamId("tags"), TeamId("maps")});
+  metrics.OnComplete(TeamId("tags"), WorkClass::kUrgent, milliseconds(110), milliseconds(100));
+  CHECK_TRUE(
+      Has(metrics, "sapphirecrank_response_seconds_count{class=\"urgent\",team=\"tags\"} 1"));
+  CHECK_TRUE(Has(metrics, "sapphirecrank_slowdown_ratio_sum{class=\"urgent\",team=\"tags\"} 1.1"));
+  CHECK_FALSE(Has(metrics, "team=\"maps\""));
+}
+
+// Guards against a caller that fills the memory with label values of its own.
+TEST(Metrics, UnknownAndSurplusTeamsShareOneSeries) {
+  std::vector<TeamId> teams;
+  for (size_t i = 0; i <= Metrics::kMostTeams; ++i) {
+    teams.emplace_back("team-" + std::to_string(i));
+  }
+  Metrics metrics(teams);
+  metrics.OnTaskStart(teams.back(), WorkClass::kBulk, milliseconds(1));
+  metrics.OnTaskStart(TeamId("unheard of"), WorkClass::kBulk, milliseconds(1));
+  CHECK_TRUE(Has(metrics, "sapphirecrank_task_starts_total{class=\"bulk\",team=\"other\"} 2"));
+  CHECK_FALSE(Has(metrics, "unheard"));
+}
+
+// Guards against a slowdown that is infinite because the run time isn't known.
+TEST(Metrics, UnknownRunTimeGivesNoSlowdown) {
+  Metrics metrics({TeamId("tags")});
+  metrics.OnComplete(TeamId("tags"), WorkClass::kUrgent, milliseconds(5), milliseconds(0));
+  CHECK_TRUE(Has(metrics, "sapphirecrank_slowdown_ratio_count{class=\"urgent\",team=\"tags\"} 0"));
+}
+
+// Guards against refusals that hide whether the work may have run.
+TEST(Metrics, RefusalsAreCountedByVerdictAndCode) {
+  Metrics metrics({});
+  metrics.OnRefused({base::ErrorCode::kOverloaded, "", "", base::Verdict::kNotRun});
+  CHECK_TRUE(
+      Has(metrics, "sapphirecrank_refusals_total{code=\"overloaded\",verdict=\"not run\"} 1"));
+  CHECK_TRUE(
+      Has(metrics, "sapphirecrank_refusals_total{code=\"overloaded\",verdict=\"may have run\"} 0"));
+}
+
+// Guards against lost or doubled counts when threads create the same series at once.
+TEST(Metrics, ThreadsThatCreateTheSameSeriesLoseNothing) {
+  constexpr int kThreads = 4;
+  constexpr int kCalls = 1000;
+  Metrics metrics({TeamId("tags")});
+  std::vector<std::thread> threads;
+  threads.reserve(kThreads);
+  for (int i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&metrics] {
+      for (int call = 0; call < kCalls; ++call) {
+        metrics.OnTaskStart(TeamId("tags"), WorkClass::kOrdinary, milliseconds(call));
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  CHECK_TRUE(
+      Has(metrics, "sapphirecrank_task_starts_total{class=\"ordinary\",team=\"tags\"} 4000"));
+}
