entryhost: Feed the metrics and serve them at GET /metrics

Answers, starts, messages to peers and targets, wasted results and repeated placements are counted where the entry host passes them on.

--- a/src/entryhost/entry_host.cc
+++ b/src/entryhost/entry_host.cc
@@ -18,6 +18,7 @@
 #include "entryhost/message_translation.h"
 #include "frontend/api_router.h"
 #include "frontend/http_server.h"
+#include "observability/metrics.h"
 #include "outbound/target_client.h"
 #include "peers/peer_network.h"
 
@@ -35,6 +36,8 @@
 using dispatch::TaskReport;
 using frontend::CallerWork;
 using frontend::WorkAnswer;
+using observability::MessageKind;
+using observability::WastedMessage;
 
 namespace {
 
@@ -62,6 +65,23 @@
   return {ErrorCode::kShuttingDown, "", "the entry host stopped", Verdict::kMayHaveRun};
 }
 
+std::vector<base::TeamId> TeamIds(const configuration::Settings& settings) {
+  std::vector<base::TeamId> teams;
+  teams.reserve(settings.teams.size());
+  for (const configuration::TeamSettings& team : settings.teams) {
+    teams.push_back(team.id);
+  }
+  return teams;
+}
+
+Duration LongestRunTime(const std::vector<TaskReport>& reports) {
+  Duration longest{0};
+  for (const TaskReport& report : reports) {
+    longest = std::max(longest, report.run_time);
+  }
+  return longest;
+}
+
 /// Combines the reports of all tasks into one answer: complete or failed.
 WorkAnswer ToAnswer(const std::vector<TaskReport>& reports) {
   WorkAnswer answer;
@@ -102,6 +122,11 @@
   peers::PeerSettings MakePeerSettings(const std::string& secret) const;
 
   void Run(CallerWork work, const frontend::ApiRouter::OnAnswer& on_answer);
+  void Refuse(const base::Error& error, const frontend::ApiRouter::OnAnswer& on_answer);
+  void NoteAnswer(const scheduling::TaskSpec& task, TimePoint arrived,
+                  const std::vector<TaskReport>& reports, const WorkAnswer& answer);
+  void NoteAssignment(const HostId& host, const std::vector<Assignment>& tasks);
+  void NoteTargetAnswer(const dispatch::TargetAnswer& answer);
   base::Result<HostId> Announce(const targets::TargetAnnouncement& announcement);
   HostId OwnerOf(const TargetId& target) const;
   std::vector<dispatch::HostLoad> Loads(TargetKind kind);
@@ -125,6 +150,7 @@
   // Time from which this host may start work on its targets.
   std::atomic<Duration::rep> usable_from;
   std::set<base::TeamId> teams;
+  observability::Metrics metrics;
   dispatch::LoadTable loads;
   outbound::TargetClient client;
   dispatch::Dispatcher dispatcher;
@@ -145,6 +171,7 @@
       now(base::SteadyClock()),
       incarnation(RandomIncarnation()),
       usable_from((this->now() + kOwnershipDelay).time_since_epoch().count()),
+      metrics(TeamIds(settings)),
       client(outbound::TargetClientSettings()),
       dispatcher(settings.host.value() + "/" + std::to_string(this->incarnation.value()) + "/",
                  this->DispatcherHooks()),
@@ -200,7 +227,14 @@
   hooks.now = this->now;
   hooks.usable_from = [this] { return TimePoint(Duration(this->usable_from.load())); };
   hooks.call_target = [this](const auto& call, auto on_done) {
-    this->client.Start(call, std::move(on_done));
+    this->metrics.OnMessage(MessageKind::kTargetCall);
+    this->client.Start(call, [this, on_done = std::move(on_done)](const auto& answer) {
+      this->NoteTargetAnswer(answer);
+      on_done(answer);
+    });
+  };
+  hooks.on_start = [this](const scheduling::TaskSpec& task, Duration queue_wait) {
+    this->metrics.OnTaskStart(task.team, task.work_class, queue_wait);
   };
   hooks.report = [this](const HostId& host, const TaskReport& report) {
     this->Report(host, report);
@@ -225,6 +259,7 @@
   return {this->now, [this](const HostId& host, const std::vector<TaskReport>& reports) {
             // A report that can't be sent is for a host that has already ended these tasks with
             // "may have run" because this host was lost to it.
+            this->metrics.OnMessage(MessageKind::kResults);
             this->network.Send(host, ToMessage(reports));
           }};
 }
@@ -270,7 +305,7 @@
   };
   hooks.announce = [this](const auto& announcement) { return this->Announce(announcement); };
   hooks.status = [this] { return this->Status(); };
-  hooks.metrics = [] { return std::string(); };
+  hooks.metrics = [this] { return this->metrics.Text(); };
   return hooks;
 }
 
@@ -289,13 +324,13 @@
 
 void EntryHost::Impl::Run(CallerWork work, const frontend::ApiRouter::OnAnswer& on_answer) {
   if (this->leaving) {
-    on_answer({ShuttingDown(), {}});
+    this->Refuse(ShuttingDown(), on_answer);
     return;
   }
   if (this->teams.count(work.team) == 0) {
-    on_answer({base::Error{ErrorCode::kInvalidArgument, "team",
-                           "unknown team '" + work.team.value() + "'", Verdict::kNotRun},
-               {}});
+    this->Refuse(base::Error{ErrorCode::kInvalidArgument, "team",
+                             "unknown team '" + work.team.value() + "'", Verdict::kNotRun},
+                 on_answer);
     return;
   }
   const bool is_request = work.submission.empty();
@@ -304,7 +339,8 @@
                                 std::to_string(this->incarnation.value()) + "/" +
                                 std::to_string(this->next_request++))
                  : work.submission;
-  const TimePoint deadline = this->now() + work.deadline;
+  const TimePoint arrived = this->now();
+  const TimePoint deadline = arrived + work.deadline;
   std::vector<Assignment> tasks;
   tasks.reserve(work.tasks.size());
   for (size_t i = 0; i < work.tasks.size(); ++i) {
@@ -322,12 +358,50 @@
     assignment.payload = std::move(task.payload);
     tasks.push_back(std::move(assignment));
   }
-  const bool is_started = this->router.Submit(
-      std::move(tasks), [on_answer](const auto& reports) { on_answer(ToAnswer(reports)); });
+  const scheduling::TaskSpec first = tasks.front().spec;
+  const bool is_started =
+      this->router.Submit(std::move(tasks), [this, first, arrived, on_answer](const auto& reports) {
+        const WorkAnswer answer = ToAnswer(reports);
+        this->NoteAnswer(first, arrived, reports, answer);
+        on_answer(answer);
+      });
   if (!is_started) {
-    on_answer({base::Error{ErrorCode::kConflict, "submission", "this job is under way",
-                           Verdict::kMayHaveRun},
-               {}});
+    this->Refuse(base::Error{ErrorCode::kConflict, "submission", "this job is under way",
+                             Verdict::kMayHaveRun},
+                 on_answer);
+  }
+}
+
+void EntryHost::Impl::Refuse(const base::Error& error,
+                             const frontend::ApiRouter::OnAnswer& on_answer) {
+  this->metrics.OnRefused(error);
+  on_answer({error, {}});
+}
+
+void EntryHost::Impl::NoteAnswer(const scheduling::TaskSpec& task, TimePoint arrived,
+                                 const std::vector<TaskReport>& reports, const WorkAnswer& answer) {
+  if (answer.error) {
+    this->metrics.OnRefused(*answer.error);
+    return;
+  }
+  this->metrics.OnComplete(task.team, task.work_class, this->now() - arrived,
+                           LongestRunTime(reports));
+}
+
+void EntryHost::Impl::NoteAssignment(const HostId& host, const std::vector<Assignment>& tasks) {
+  if (host != this->settings.host) {
+    this->metrics.OnMessage(MessageKind::kAssignment);
+  }
+  for (const Assignment& task : tasks) {
+    if (task.placement > base::PlacementNumber(1)) {
+      this->metrics.OnRetry();
+    }
+  }
+}
+
+void EntryHost::Impl::NoteTargetAnswer(const dispatch::TargetAnswer& answer) {
+  if (answer.is_crossed) {
+    this->metrics.OnWasted(WastedMessage::kCrossedAnswer);
   }
 }
 
@@ -342,6 +416,7 @@
   if (owner == this->settings.host) {
     this->dispatcher.Announce(announcement);
   } else {
+    this->metrics.OnMessage(MessageKind::kAnnouncement);
     this->network.SendUnnumbered(owner, ToMessage(announcement));
   }
   return owner;
@@ -382,6 +457,7 @@
 }
 
 bool EntryHost::Impl::Assign(const HostId& host, const std::vector<Assignment>& tasks) {
+  this->NoteAssignment(host, tasks);
   if (host == this->settings.host) {
     this->dispatcher.Assign(host, tasks);
     return true;
@@ -394,6 +470,7 @@
     this->dispatcher.Cancel(submission);
     return;
   }
+  this->metrics.OnMessage(MessageKind::kCancellation);
   this->network.Send(host, protocol::CancelTasks{submission});
 }
 
@@ -410,7 +487,11 @@
     this->OnAssignTasks(host, *assign);
   } else if (const auto* results = std::get_if<protocol::TaskResults>(&message)) {
     for (const TaskReport& report : FromMessage(*results)) {
-      this->router.OnReport(host, report);
+      if (!this->router.OnReport(host, report)) {
+        this->metrics.OnWasted(WastedMessage::kLateResult);
+      } else if (report.verdict == Verdict::kNotRun) {
+        this->metrics.OnWasted(WastedMessage::kRefusedAssignment);
+      }
     }
   } else if (const auto* cancel = std::get_if<protocol::CancelTasks>(&message)) {
     this->dispatcher.Cancel(cancel->submission);
@@ -420,6 +501,8 @@
     const targets::TargetAnnouncement announcement = FromMessage(*forwarded);
     if (this->OwnerOf(announcement.id) == this->settings.host) {
       this->dispatcher.Announce(announcement);
+    } else {
+      this->metrics.OnWasted(WastedMessage::kMisdirectedAnnouncement);
     }
   }
 }
