configuration: Check settings against a schema and list all faults

Settings were read field by field and the first fault ended the reading, so an operator mended one after the other; contradictions weren't found at all. The JSON schema is now part of the binary and checked by valijson; unknown and repeated fields, units in a wrong name, addresses out of range, hosts and addresses that occur twice, the host itself among its peers and duplicate teams are found too, all at once with their paths. Bounds of the HTTP server and credential files become settings. A file with a secret is refused if its group or others have any access. Nothing was measured.

--- /dev/null
+++ b/src/configuration/http_settings.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "base/time.h"
+#include "base/units.h"
+
+namespace sapphirecrank::configuration {
+
+/// Bounds of the HTTP server.
+struct HttpSettings {
+  int threads = 4;
+  base::ByteCount maximum_body{4LL * 1024 * 1024};
+  base::ConnectionCount maximum_connections{4096};
+  base::ConnectionCount maximum_connections_per_address{2048};
+  /// Idle connections are closed after this long; whole seconds.
+  base::Duration idle_timeout = std::chrono::seconds(60);
+};
+
+}  // namespace sapphirecrank::configuration
--- /dev/null
+++ b/src/configuration/secret_file.cc
@@ -0,0 +1,75 @@
+#include "configuration/secret_file.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+
+namespace sapphirecrank::configuration {
+
+using base::ErrorCode;
+using base::Fail;
+
+namespace {
+
+constexpr mode_t kAccessOfOthers = 077;
+constexpr mode_t kPermissionBits = 07777;
+constexpr off_t kLargestFile = 4L * 1024 * 1024;
+
+base::Result<void> CheckStatus(const std::string& path, const struct stat& status) {
+  if (!S_ISREG(status.st_mode)) {
+    return Fail(ErrorCode::kInvalidArgument, "'" + path + "' is not a regular file", "file");
+  }
+  if ((status.st_mode & kAccessOfOthers) != 0) {
+    return Fail(ErrorCode::kPermissionDenied,
+                fmt::format("'{}' has mode {:04o}, so that others have access to it; use chmod 600",
+                            path, status.st_mode & kPermissionBits),
+                "file");
+  }
+  if (status.st_size == 0) {
+    return Fail(ErrorCode::kInvalidArgument, "'" + path + "' is empty", "file");
+  }
+  if (status.st_size > kLargestFile) {
+    return Fail(ErrorCode::kTooLarge, "'" + path + "' has more than 4 MiB", "file");
+  }
+  return {};
+}
+
+base::Result<std::string> ReadAll(const std::string& path, int descriptor) {
+  std::string text;
+  char buffer[4096];
+  while (true) {
+    const ssize_t count = read(descriptor, buffer, sizeof(buffer));
+    if (count == 0) {
+      return text;
+    }
+    if (count < 0) {
+      return Fail(ErrorCode::kNotFound, "can't read '" + path + "': " + std::strerror(errno),
+                  "file");
+    }
+    text.append(buffer, static_cast<size_t>(count));
+  }
+}
+
+}  // namespace
+
+base::Result<std::string> ReadSecretFile(const std::string& path) {
+  // Not blocking, so that a named pipe is refused instead of waited for.
+  const int descriptor = open(path.c_str(), O_RDONLY | O_CLOEXEC | O_NONBLOCK);
+  if (descriptor < 0) {
+    return Fail(ErrorCode::kNotFound, "can't read '" + path + "': " + std::strerror(errno), "file");
+  }
+  struct stat status {};
+  fstat(descriptor, &status);
+  const auto checked = CheckStatus(path, status);
+  base::Result<std::string> text =
+      checked ? ReadAll(path, descriptor)
+              : base::Result<std::string>(tl::make_unexpected(checked.error()));
+  close(descriptor);
+  return text;
+}
+
+}  // namespace sapphirecrank::configuration
--- a/src/configuration/settings.cc
+++ b/src/configuration/settings.cc
@@ -5,69 +5,75 @@
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
-#include <optional>
 
-#include "json/object_reader.h"
+#include "configuration/settings_checker.h"
 
 namespace sapphirecrank::configuration {
 
-using json::ObjectReader;
 using Json = nlohmann::json;
 
 namespace {
 
-constexpr size_t kLongestName = 128;
-constexpr size_t kLongestPath = 4096;
-constexpr size_t kMostHosts = 1024;
-constexpr size_t kMostTeams = 10000;
-constexpr int64_t kMostWeight = 1000000;
+base::Error ToError(const std::vector<SettingsFault>& faults) {
+  std::string message;
+  for (const SettingsFault& fault : faults) {
+    message += message.empty() ? "" : "; ";
+    message += (fault.path.empty() ? "the document" : fault.path) + ": " + fault.message;
+  }
+  return {base::ErrorCode::kInvalidArgument, faults.front().path, message, base::Verdict::kNotRun};
+}
+
+HttpSettings ReadHttp(const Json& http) {
+  const HttpSettings defaults;
+  HttpSettings settings;
+  settings.threads = http.value("threads", defaults.threads);
+  settings.maximum_body =
+      base::ByteCount(http.value("maximum_body_bytes", defaults.maximum_body.value()));
+  settings.maximum_connections = base::ConnectionCount(
+      http.value("maximum_connections", defaults.maximum_connections.value()));
+  settings.maximum_connections_per_address = base::ConnectionCount(http.value(
+      "maximum_connections_per_address", defaults.maximum_connections_per_address.value()));
+  const auto idle = std::chrono::duration_cast<std::chrono::milliseconds>(defaults.idle_timeout);
+  settings.idle_timeout = std::chrono::milliseconds(http.value("idle_timeout_ms", idle.count()));
+  return settings;
+}
 
-void ReadPeers(ObjectReader& reader, std::optional<base::Error>& error, Settings& settings) {
-  reader.Array("peers", 0, kMostHosts, [&](const Json& element, const std::string& path) {
-    ObjectReader item(element, path, error);
-    HostAddress peer;
-    peer.host = base::HostId(item.Text("host", kLongestName));
-    peer.data_centre = base::DataCentreId(item.Text("data_centre", kLongestName));
-    peer.address = base::NetworkAddress(item.Text("address", kLongestName));
-    item.Finish();
-    settings.peers.push_back(peer);
-  });
+AuthenticationSettings ReadAuthentication(const Json& authentication) {
+  return {authentication.value("operator_tokens_file", ""),
+          authentication.value("team_keys_file", "")};
 }
 
-void ReadTeams(ObjectReader& reader, std::optional<base::Error>& error, Settings& settings) {
-  reader.Array("teams", 1, kMostTeams, [&](const Json& element, const std::string& path) {
-    ObjectReader item(element, path, error);
-    TeamSettings team;
-    team.id = base::TeamId(item.Text("id", kLongestName));
-    team.weight = base::Weight(item.Integer("weight", 1, kMostWeight, 1));
-    item.Finish();
-    settings.teams.push_back(team);
-  });
+/// Precondition: the document has no faults.
+Settings ReadSettings(const Json& document) {
+  const Json none = Json::object();
+  const Json empty = Json::array();
+  Settings settings;
+  settings.host = base::HostId(document.at("host"));
+  settings.data_centre = base::DataCentreId(document.at("data_centre"));
+  settings.http_listen = base::NetworkAddress(document.at("http_listen"));
+  settings.peer_listen = base::NetworkAddress(document.at("peer_listen"));
+  settings.secret_file = document.at("secret_file");
+  settings.http = ReadHttp(document.value("http", none));
+  settings.authentication = ReadAuthentication(document.value("authentication", none));
+  for (const Json& peer : document.value("peers", empty)) {
+    settings.peers.push_back({base::HostId(peer.at("host")),
+                              base::DataCentreId(peer.at("data_centre")),
+                              base::NetworkAddress(peer.at("address"))});
+  }
+  for (const Json& team : document.at("teams")) {
+    settings.teams.push_back({base::TeamId(team.at("id")), base::Weight(team.value("weight", 1))});
+  }
+  return settings;
 }
 
 }  // namespace
 
 base::Result<Settings> ParseSettings(const std::string& text) {
-  const Json document = Json::parse(text, nullptr, false);
-  if (document.is_discarded()) {
-    return base::Fail(base::ErrorCode::kInvalidArgument, "the settings are not valid JSON",
-                      "settings");
+  const std::vector<SettingsFault> faults = SettingsChecker().Check(text);
+  if (!faults.empty()) {
+    return tl::make_unexpected(ToError(faults));
   }
-  std::optional<base::Error> error;
-  ObjectReader reader(document, "", error);
-  Settings settings;
-  settings.host = base::HostId(reader.Text("host", kLongestName));
-  settings.data_centre = base::DataCentreId(reader.Text("data_centre", kLongestName));
-  settings.http_listen = base::NetworkAddress(reader.Text("http_listen", kLongestName));
-  settings.peer_listen = base::NetworkAddress(reader.Text("peer_listen", kLongestName));
-  settings.secret_file = reader.Text("secret_file", kLongestPath);
-  ReadPeers(reader, error, settings);
-  ReadTeams(reader, error, settings);
-  reader.Finish();
-  if (error) {
-    return tl::make_unexpected(*error);
-  }
-  return settings;
+  return ReadSettings(Json::parse(text));
 }
 
 base::Result<std::string> ReadFile(const std::string& path) {
--- a/src/configuration/settings.h
+++ b/src/configuration/settings.h
@@ -5,7 +5,9 @@
 
 #include "base/ids.h"
 #include "base/result.h"
+#include "configuration/authentication_settings.h"
 #include "configuration/host_address.h"
+#include "configuration/http_settings.h"
 #include "configuration/team_settings.h"
 
 namespace sapphirecrank::configuration {
@@ -20,11 +22,14 @@
   base::NetworkAddress peer_listen;
   /// File with the secret that all entry hosts share.
   std::string secret_file;
+  HttpSettings http;
+  AuthenticationSettings authentication;
   std::vector<HostAddress> peers;
   std::vector<TeamSettings> teams;
 };
 
-/// Reads settings from JSON text. Errors name the faulty field. Thread safety: pure.
+/// Reads settings from JSON text. The error's message lists all faults with their paths, its field
+/// is that of the first one. Thread safety: pure.
 base::Result<Settings> ParseSettings(const std::string& text);
 
 /// Reads a whole file. Errors: `kNotFound` with the file's name.
--- /dev/null
+++ b/src/configuration/settings_checker.cc
@@ -0,0 +1,341 @@
+#include "configuration/settings_checker.h"
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+#include "configuration/settings_schema.h"
+
+namespace sapphirecrank::configuration {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr size_t kLongestShownValue = 80;
+constexpr int kHighestPort = 65535;
+constexpr int kHighestOctet = 255;
+constexpr int kMostNesting = 32;
+
+std::string Join(const std::string& path, const std::string& name) {
+  return path.empty() ? name : path + "." + name;
+}
+
+std::string Element(const std::string& path, size_t index) {
+  return path + "[" + std::to_string(index) + "]";
+}
+
+std::string Shown(const Json& value) {
+  std::string text = value.dump(-1, ' ', true, Json::error_handler_t::replace);
+  if (text.size() > kLongestShownValue) {
+    text = text.substr(0, kLongestShownValue) + "...";
+  }
+  return text;
+}
+
+/// A place in the document, with the part of the schema that describes it.
+struct Place {
+  std::string path;
+  const Json* value;
+  const Json* schema;
+};
+
+/// Follows the context of a validation error: "<root>", then "[name]" or "[index]".
+Place Follow(const std::vector<std::string>& context, const Json& document, const Json& schema) {
+  Place place{"", &document, &schema};
+  for (size_t i = 1; i < context.size(); ++i) {
+    const std::string step = context[i].substr(1, context[i].size() - 2);
+    if (place.value->is_array()) {
+      const size_t index = std::stoul(step);
+      place = {Element(place.path, index), &(*place.value)[index], &place.schema->at("items")};
+    } else {
+      place = {Join(place.path, step), &place.value->at(step),
+               &place.schema->at("properties").at(step)};
+    }
+  }
+  return place;
+}
+
+std::string Expected(const Json& schema) { return schema.at("description").get<std::string>(); }
+
+bool StartsWith(const std::string& text, const std::string& prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+/// Tells whether a validation error only repeats one of a part, or one that is found elsewhere.
+bool IsSecondary(const std::string& description) {
+  return StartsWith(description, "Failed to validate") ||
+         StartsWith(description, "Object contains a property");
+}
+
+/// Returns a name without its unit, so that "timeout_s" is recognised as "timeout_ms".
+std::string WithoutUnit(const std::string& name) {
+  static const std::set<std::string> kUnits = {"ms", "s",     "sec", "seconds", "us", "ns",
+                                               "b",  "bytes", "kb",  "kib",     "mb", "mib"};
+  const size_t end = name.rfind('_');
+  const bool has_unit = end != std::string::npos && kUnits.count(name.substr(end + 1)) > 0;
+  return has_unit ? name.substr(0, end) : name;
+}
+
+size_t EditDistance(const std::string& a, const std::string& b) {
+  std::vector<size_t> row(b.size() + 1);
+  for (size_t j = 0; j <= b.size(); ++j) {
+    row[j] = j;
+  }
+  for (size_t i = 1; i <= a.size(); ++i) {
+    size_t diagonal = row[0];
+    row[0] = i;
+    for (size_t j = 1; j <= b.size(); ++j) {
+      const size_t replaced = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
+      diagonal = row[j];
+      row[j] = std::min({replaced, row[j] + 1, row[j - 1] + 1});
+    }
+  }
+  return row[b.size()];
+}
+
+std::string Suggestion(const std::string& name, const Json& properties) {
+  constexpr size_t kNearest = 2;
+  constexpr size_t kLongestCompared = 64;
+  if (name.size() > kLongestCompared) {
+    return "";
+  }
+  for (const auto& known : properties.items()) {
+    if (WithoutUnit(known.key()) == WithoutUnit(name)) {
+      return "; the unit is part of the name: use '" + known.key() + "', " +
+             Expected(known.value());
+    }
+    if (EditDistance(known.key(), name) <= kNearest) {
+      return "; did you mean '" + known.key() + "'?";
+    }
+  }
+  return "";
+}
+
+/// Returns the number in `text`, or -1 unless it has digits only and is at most `highest`.
+int Number(const std::string& text, int highest) {
+  constexpr size_t kMostDigits = 5;
+  const bool is_number = !text.empty() && text.size() <= kMostDigits &&
+                         text.find_first_not_of("0123456789") == std::string::npos;
+  const int number = is_number ? std::stoi(text) : -1;
+  return number <= highest ? number : -1;
+}
+
+bool IsIpNumber(const std::string& text) {
+  constexpr int kOctets = 4;
+  std::istringstream stream(text);
+  std::string octet;
+  int count = 0;
+  while (std::getline(stream, octet, '.')) {
+    if (Number(octet, kHighestOctet) < 0) {
+      return false;
+    }
+    ++count;
+  }
+  return count == kOctets && text.back() != '.';
+}
+
+/// Returns a member of an object if it is there and a string.
+const std::string* Text(const Json& object, const std::string& name) {
+  if (!object.is_object()) {
+    return nullptr;
+  }
+  const auto found = object.find(name);
+  return found != object.end() && found->is_string() ? found->get_ptr<const std::string*>()
+                                                     : nullptr;
+}
+
+/// Returns a member of the document if it is an array, or an empty array.
+const Json& Array(const Json& document, const std::string& name) {
+  static const Json kEmpty = Json::array();
+  if (!document.is_object()) {
+    return kEmpty;
+  }
+  const auto found = document.find(name);
+  return found != document.end() && found->is_array() ? *found : kEmpty;
+}
+
+}  // namespace
+
+std::vector<SettingsFault> SettingsChecker::Check(const std::string& text) {
+  this->faults.clear();
+  Json document;
+  if (this->Parse(text, document)) {
+    this->CheckSchema(document);
+    this->CheckAddresses(document);
+    this->CheckPeers(document);
+    this->CheckTeams(document);
+  }
+  return this->faults;
+}
+
+bool SettingsChecker::Parse(const std::string& text, Json& document) {
+  std::vector<std::set<std::string>> names;
+  bool is_too_deep = false;
+  const auto note = [&](int depth, Json::parse_event_t event, Json& value) {
+    is_too_deep = is_too_deep || depth > kMostNesting;
+    if (event == Json::parse_event_t::object_start) {
+      names.emplace_back();
+    } else if (event == Json::parse_event_t::object_end) {
+      names.pop_back();
+    } else if (event == Json::parse_event_t::key) {
+      const auto name = value.get<std::string>();
+      if (!names.back().insert(name).second) {
+        this->Add("", "field '" + name + "' occurs twice in one object");
+      }
+    }
+    return true;
+  };
+  try {
+    document = Json::parse(text, note);
+  } catch (const Json::exception& fault) {
+    this->Add("", std::string("not valid JSON: ") + fault.what());
+    return false;
+  }
+  if (is_too_deep) {
+    this->Add("", "nested too deeply");
+  }
+  return !is_too_deep;
+}
+
+void SettingsChecker::CheckSchema(const Json& document) {
+  const Json schema_document = Json::parse(SettingsSchema());
+  valijson::Schema schema;
+  valijson::SchemaParser parser;
+  const valijson::adapters::NlohmannJsonAdapter schema_adapter(schema_document);
+  parser.populateSchema(schema_adapter, schema);
+  // Weak types would accept the string "4" for the number 4.
+  valijson::Validator validator(valijson::Validator::kStrongTypes);
+  valijson::ValidationResults results;
+  const valijson::adapters::NlohmannJsonAdapter adapter(document);
+  validator.validate(schema, adapter, &results);
+  std::set<std::string> reported;
+  for (const valijson::ValidationResults::Error& error : results) {
+    if (IsSecondary(error.description)) {
+      continue;
+    }
+    const Place place = Follow(error.context, document, schema_document);
+    if (StartsWith(error.description, "Missing required")) {
+      const size_t begin = error.description.find('\'') + 1;
+      const std::string name =
+          error.description.substr(begin, error.description.rfind('\'') - begin);
+      this->Add(Join(place.path, name),
+                "is missing; expected " + Expected(place.schema->at("properties").at(name)));
+    } else if (reported.insert(place.path).second) {
+      this->Add(place.path, "is " + Shown(*place.value) + "; expected " + Expected(*place.schema));
+    }
+  }
+  this->CheckNames(document, schema_document, "");
+}
+
+void SettingsChecker::CheckNames(const Json& value, const Json& schema, const std::string& path) {
+  if (value.is_array() && schema.contains("items")) {
+    for (size_t i = 0; i < value.size(); ++i) {
+      this->CheckNames(value[i], schema.at("items"), Element(path, i));
+    }
+  }
+  if (!value.is_object() || !schema.contains("properties")) {
+    return;
+  }
+  const Json& properties = schema.at("properties");
+  for (const auto& item : value.items()) {
+    if (properties.contains(item.key())) {
+      this->CheckNames(item.value(), properties.at(item.key()), Join(path, item.key()));
+    } else {
+      this->Add(Join(path, item.key()), "unknown field" + Suggestion(item.key(), properties));
+    }
+  }
+}
+
+void SettingsChecker::CheckAddresses(const Json& document) {
+  const std::string* http = Text(document, "http_listen");
+  const std::string* peer = Text(document, "peer_listen");
+  if (http != nullptr) {
+    this->CheckAddress(*http, true, "http_listen");
+  }
+  if (peer != nullptr) {
+    this->CheckAddress(*peer, true, "peer_listen");
+  }
+  const bool is_free_port =
+      http != nullptr && http->size() > 2 && http->compare(http->size() - 2, 2, ":0") == 0;
+  if (http != nullptr && peer != nullptr && *http == *peer && !is_free_port) {
+    this->Add("peer_listen", "is the same address as http_listen, " + *http);
+  }
+}
+
+void SettingsChecker::CheckAddress(const std::string& address, bool is_listening,
+                                   const std::string& path) {
+  const size_t colon = address.rfind(':');
+  const bool is_split = colon != std::string::npos;
+  const int port = is_split ? Number(address.substr(colon + 1), kHighestPort) : -1;
+  if (!is_split || !IsIpNumber(address.substr(0, colon)) || port < 0) {
+    this->Add(path, "is '" + Shown(address) +
+                        "'; expected an IP number and a port from 1 to 65535, such as "
+                        "10.0.0.1:8080");
+    return;
+  }
+  if (!is_listening && (port == 0 || StartsWith(address, "0.0.0.0:"))) {
+    this->Add(path, "is '" + address + "', which can't be connected to");
+  }
+}
+
+void SettingsChecker::CheckPeers(const Json& document) {
+  const std::string* own_name = Text(document, "host");
+  const std::string* own_address = Text(document, "peer_listen");
+  const Json& peers = Array(document, "peers");
+  std::map<std::string, size_t> names;
+  std::map<std::string, size_t> addresses;
+  for (size_t i = 0; i < peers.size(); ++i) {
+    const std::string path = Element("peers", i);
+    if (const std::string* name = Text(peers[i], "host")) {
+      const auto [first, is_new] = names.emplace(*name, i);
+      if (!is_new) {
+        this->Add(path + ".host",
+                  "is '" + *name + "', which " + Element("peers", first->second) + " has too");
+      }
+      if (own_name != nullptr && *own_name == *name) {
+        this->Add(path + ".host", "is this host itself, '" + *name + "'; list only other hosts");
+      }
+    }
+    if (const std::string* address = Text(peers[i], "address")) {
+      this->CheckAddress(*address, false, path + ".address");
+      const auto [first, is_new] = addresses.emplace(*address, i);
+      if (!is_new) {
+        this->Add(path + ".address",
+                  "is " + *address + ", which " + Element("peers", first->second) + " has too");
+      }
+      if (own_address != nullptr && *own_address == *address) {
+        this->Add(path + ".address", "is this host's own peer_listen, " + *address);
+      }
+    }
+  }
+}
+
+void SettingsChecker::CheckTeams(const Json& document) {
+  const Json& teams = Array(document, "teams");
+  std::map<std::string, size_t> ids;
+  for (size_t i = 0; i < teams.size(); ++i) {
+    const std::string* id = Text(teams[i], "id");
+    if (id == nullptr) {
+      continue;
+    }
+    const auto [first, is_new] = ids.emplace(*id, i);
+    if (!is_new) {
+      this->Add(Element("teams", i) + ".id",
+                "is '" + *id + "', which " + Element("teams", first->second) + " has too");
+    }
+  }
+}
+
+void SettingsChecker::Add(const std::string& path, const std::string& message) {
+  this->faults.push_back({path, message});
+}
+
+}  // namespace sapphirecrank::configuration
--- /dev/null
+++ b/src/configuration/settings_checker.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "configuration/settings_fault.h"
+
+namespace sapphirecrank::configuration {
+
+/// Finds all faults of a settings document at once: syntax, schema, unknown and repeated fields,
+/// and contradictions between fields. Files that are named in the document are not opened.
+///
+/// Thread safety: one object for one thread.
+class SettingsChecker {
+ public:
+  /// Returns the faults of the document `text`, in no particular order; none if it can be used.
+  std::vector<SettingsFault> Check(const std::string& text);
+
+ private:
+  using Json = nlohmann::json;
+
+  bool Parse(const std::string& text, Json& document);
+  void CheckSchema(const Json& document);
+  void CheckNames(const Json& value, const Json& schema, const std::string& path);
+  void CheckAddresses(const Json& document);
+  void CheckAddress(const std::string& address, bool is_listening, const std::string& path);
+  void CheckPeers(const Json& document);
+  void CheckTeams(const Json& document);
+  void Add(const std::string& path, const std::string& message);
+
+  std::vector<SettingsFault> faults;
+};
+
+}  // namespace sapphirecrank::configuration
