--- a/src/entryhost/entry_host.cc
+++ b/src/entryhost/entry_host.cc
@@ -74,6 +74,16 @@
   return teams;
 }
 
+frontend::HttpServerSettings ToHttpServerSettings(const configuration::Settings& settings) {
+  const configuration::HttpSettings& http = settings.http;
+  return {settings.http_listen,
+          http.threads,
+          http.maximum_body,
+          http.maximum_connections,
+          http.maximum_connections_per_address,
+          http.idle_timeout};
+}
+
 Duration LongestRunTime(const std::vector<TaskReport>& reports) {
   Duration longest{0};
   for (const TaskReport& report : reports) {
@@ -181,7 +191,7 @@
       network(this->MakePeerSettings(secret), this->PeerHooks()),
       pool(std::make_unique<base::WorkerPool>("worker", kWorkerThreads)),
       timers(std::make_unique<base::TimerQueue>("timers")),
-      http({settings.http_listen}, [this](const auto& request, const auto& respond) {
+      http(ToHttpServerSettings(settings), [this](const auto& request, const auto& respond) {
         this->api.Handle(request, respond);
       }) {
   for (const configuration::TeamSettings& team : settings.teams) {
