frontend: Add operators' tokens, teams' keys and access control

Anyone who reached an entry host could submit work for any team and read its status. Operators now have tokens with a reading or a changing role, teams have keys that bind work to the team; secrets are compared in constant time and each change that an operator asks for is reported for the audit log. A resource without a rule of its own needs the changing role.

--- /dev/null
+++ b/src/frontend/access_control.cc
@@ -0,0 +1,94 @@
+#include "frontend/access_control.h"
+
+#include <utility>
+
+#include "frontend/answer_writer.h"
+
+namespace sapphirecrank::frontend {
+
+namespace {
+
+bool StartsWith(const std::string& text, const std::string& prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+bool IsRead(const HttpRequest& request) {
+  return request.method == "GET" && (request.path == "/metrics" || request.path == "/v1/status");
+}
+
+bool IsWork(const HttpRequest& request) {
+  return request.path == "/v1/jobs" || request.path == "/v1/requests" ||
+         StartsWith(request.path, "/v1/jobs/");
+}
+
+bool IsAnnouncement(const HttpRequest& request) {
+  return request.method == "POST" && request.path == "/v1/targets";
+}
+
+}  // namespace
+
+AccessControl::AccessControl(Authenticator authenticator, Hooks hooks)
+    : authenticator(std::move(authenticator)), hooks(std::move(hooks)) {}
+
+void AccessControl::Handle(const HttpRequest& request, const Respond& respond) const {
+  if (IsAnnouncement(request)) {
+    this->hooks.handle(request, respond);
+  } else if (IsRead(request)) {
+    this->Read(request, respond);
+  } else if (IsWork(request)) {
+    this->Work(request, respond);
+  } else {
+    this->Change(request, respond);
+  }
+}
+
+void AccessControl::Read(const HttpRequest& request, const Respond& respond) const {
+  const auto name = this->authenticator.Operator(request, OperatorRole::kReading);
+  if (!name) {
+    this->Refuse(request, name.error(), respond);
+    return;
+  }
+  this->hooks.handle(request, respond);
+}
+
+void AccessControl::Change(const HttpRequest& request, const Respond& respond) const {
+  const auto name = this->authenticator.Operator(request, OperatorRole::kChanging);
+  if (!name) {
+    const HttpResponse response = ErrorResponse(name.error());
+    this->hooks.audit(request, "", response.status);
+    respond(response);
+    return;
+  }
+  this->hooks.handle(request, [this, request, name = *name, respond](const HttpResponse& response) {
+    this->hooks.audit(request, name, response.status);
+    respond(response);
+  });
+}
+
+void AccessControl::Work(const HttpRequest& request, const Respond& respond) const {
+  if (request.method == "DELETE" && this->authenticator.ChecksOperators() &&
+      this->authenticator.Operator(request, OperatorRole::kChanging)) {
+    this->Change(request, respond);
+    return;
+  }
+  const auto team = this->authenticator.Team(request);
+  if (!team) {
+    this->Refuse(request, team.error(), respond);
+    return;
+  }
+  if (team->empty()) {
+    this->hooks.handle(request, respond);
+    return;
+  }
+  HttpRequest bound = request;
+  bound.team = *team;
+  this->hooks.handle(bound, respond);
+}
+
+void AccessControl::Refuse(const HttpRequest& request, const base::Error& error,
+                           const Respond& respond) const {
+  this->hooks.refused(request, error);
+  respond(ErrorResponse(error));
+}
+
+}  // namespace sapphirecrank::frontend
--- /dev/null
+++ b/src/frontend/access_control.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "base/error.h"
+#include "frontend/authenticator.h"
+#include "frontend/http_request.h"
+#include "frontend/http_response.h"
+
+namespace sapphirecrank::frontend {
+
+/// Stands before the router: refuses requests without the right credential and reports changes by
+/// operators for the audit log.
+///
+/// Reading the status and metrics needs the reading role; work needs a team's key and is bound to
+/// that team; announcements of targets are open; everything else needs the changing role. A
+/// changing operator may also cancel any job. Thread safety: all methods may be called from any
+/// thread.
+class AccessControl {
+ public:
+  using Respond = std::function<void(const HttpResponse&)>;
+
+  /// Behaviour handed in; all members must be set.
+  struct Hooks {
+    /// Handles an allowed request; calls the second argument exactly once, now or later.
+    std::function<void(const HttpRequest&, const Respond&)> handle;
+    /// Told once for each change that an operator asked for: the operator's name, empty if unknown,
+    /// and the status of the answer.
+    std::function<void(const HttpRequest&, const std::string& name, int status)> audit;
+    /// Told for each other request that is refused.
+    std::function<void(const HttpRequest&, const base::Error&)> refused;
+  };
+
+  AccessControl(Authenticator authenticator, Hooks hooks);
+
+  /// Handles one request; `respond` is called exactly once, now or later.
+  void Handle(const HttpRequest& request, const Respond& respond) const;
+
+ private:
+  void Read(const HttpRequest& request, const Respond& respond) const;
+  void Change(const HttpRequest& request, const Respond& respond) const;
+  void Work(const HttpRequest& request, const Respond& respond) const;
+  void Refuse(const HttpRequest& request, const base::Error& error, const Respond& respond) const;
+
+  Authenticator authenticator;
+  Hooks hooks;
+};
+
+}  // namespace sapphirecrank::frontend
--- /dev/null
+++ b/src/frontend/authenticator.cc
@@ -0,0 +1,100 @@
+#include "frontend/authenticator.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace sapphirecrank::frontend {
+
+using base::ErrorCode;
+using base::Fail;
+
+namespace {
+
+constexpr const char* kScheme = "Bearer ";
+constexpr const char* kField = "authorization";
+
+struct Credential {
+  std::string name;
+  std::string secret;
+};
+
+std::optional<Credential> ReadCredential(const HttpRequest& request) {
+  const auto header = request.headers.find(kField);
+  const std::string scheme = kScheme;
+  if (header == request.headers.end() || header->second.compare(0, scheme.size(), scheme) != 0) {
+    return std::nullopt;
+  }
+  const std::string text = header->second.substr(scheme.size());
+  const size_t colon = text.find(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  return Credential{text.substr(0, colon), text.substr(colon + 1)};
+}
+
+/// Compares in a time that depends on the length of `presented` only.
+bool IsEqualSecret(const std::string& expected, const std::string& presented) {
+  // An unknown name has no secret; it is compared too, so that known names don't take longer.
+  const std::string& other = expected.empty() ? presented : expected;
+  volatile uint8_t difference = expected.empty() || expected.size() != presented.size() ? 1 : 0;
+  for (size_t i = 0; i < presented.size(); ++i) {
+    const auto a = static_cast<uint8_t>(presented[i]);
+    const auto b = static_cast<uint8_t>(other[i % other.size()]);
+    difference = difference | (a ^ b);
+  }
+  return difference == 0;
+}
+
+base::Error MissingCredential(const std::string& what) {
+  return {ErrorCode::kUnauthenticated, kField,
+          what + " is needed: Authorization: Bearer NAME:SECRET", base::Verdict::kNotRun};
+}
+
+}  // namespace
+
+Authenticator::Authenticator(const std::vector<OperatorToken>& tokens,
+                             const std::vector<TeamKey>& keys) {
+  for (const OperatorToken& token : tokens) {
+    this->operators.emplace(token.name, KnownOperator{token.role, token.secret});
+  }
+  for (const TeamKey& key : keys) {
+    this->teams.emplace(key.team.value(), key.secret);
+  }
+}
+
+base::Result<std::string> Authenticator::Operator(const HttpRequest& request,
+                                                  OperatorRole needed) const {
+  if (!this->ChecksOperators()) {
+    return std::string();
+  }
+  const auto credential = ReadCredential(request);
+  if (!credential) {
+    return tl::make_unexpected(MissingCredential("an operator's token"));
+  }
+  const auto found = this->operators.find(credential->name);
+  const bool is_known = found != this->operators.end();
+  if (!IsEqualSecret(is_known ? found->second.secret : "", credential->secret)) {
+    return Fail(ErrorCode::kUnauthenticated, "the operator's token is wrong", kField);
+  }
+  if (needed == OperatorRole::kChanging && found->second.role != OperatorRole::kChanging) {
+    return Fail(ErrorCode::kPermissionDenied, "this token may only read", kField);
+  }
+  return credential->name;
+}
+
+base::Result<base::TeamId> Authenticator::Team(const HttpRequest& request) const {
+  if (!this->ChecksTeams()) {
+    return base::TeamId();
+  }
+  const auto credential = ReadCredential(request);
+  if (!credential) {
+    return tl::make_unexpected(MissingCredential("a team's key"));
+  }
+  const auto found = this->teams.find(credential->name);
+  if (!IsEqualSecret(found == this->teams.end() ? "" : found->second, credential->secret)) {
+    return Fail(ErrorCode::kUnauthenticated, "the team's key is wrong", kField);
+  }
+  return base::TeamId(credential->name);
+}
+
+}  // namespace sapphirecrank::frontend
--- /dev/null
+++ b/src/frontend/authenticator.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "frontend/http_request.h"
+#include "frontend/operator_role.h"
+#include "frontend/operator_token.h"
+#include "frontend/team_key.h"
+
+namespace sapphirecrank::frontend {
+
+/// Recognises operators and teams by the header `Authorization: Bearer NAME:SECRET`.
+///
+/// The name selects the entry, the secrets are compared in a time that doesn't depend on where they
+/// differ. Thread safety: all methods may be called from any thread.
+class Authenticator {
+ public:
+  /// No tokens leave operators' resources open, no keys leave teams' resources open.
+  Authenticator(const std::vector<OperatorToken>& tokens, const std::vector<TeamKey>& keys);
+
+  bool ChecksOperators() const { return !this->operators.empty(); }
+  bool ChecksTeams() const { return !this->teams.empty(); }
+
+  /// Returns the operator's name, empty if operators aren't checked. Errors: `kUnauthenticated` for
+  /// a missing or wrong token, `kPermissionDenied` for one without `needed`.
+  base::Result<std::string> Operator(const HttpRequest& request, OperatorRole needed) const;
+
+  /// Returns the team that the request's key belongs to, empty if teams aren't checked. Errors:
+  /// `kUnauthenticated` for a missing or wrong key.
+  base::Result<base::TeamId> Team(const HttpRequest& request) const;
+
+ private:
+  struct KnownOperator {
+    OperatorRole role;
+    std::string secret;
+  };
+
+  std::unordered_map<std::string, KnownOperator> operators;
+  std::unordered_map<std::string, std::string> teams;
+};
+
+}  // namespace sapphirecrank::frontend
--- a/src/frontend/http_request.h
+++ b/src/frontend/http_request.h
@@ -3,6 +3,8 @@
 #include <map>
 #include <string>
 
+#include "base/ids.h"
+
 namespace sapphirecrank::frontend {
 
 /// One HTTP request, read completely.
@@ -15,6 +17,8 @@
   /// IP number of the other side.
   std::string remote;
   std::string body;
+  /// The team that the caller has proved to belong to; empty if callers aren't checked.
+  base::TeamId team;
 };
 
 }  // namespace sapphirecrank::frontend
--- /dev/null
+++ b/src/frontend/operator_role.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace sapphirecrank::frontend {
+
+/// What an operator may do; a changing operator may also read.
+enum class OperatorRole { kReading, kChanging };
+
+}  // namespace sapphirecrank::frontend
