entryhost, frontend: Put access control before the router

The router checks that the team of a job is the one that the caller's key belongs to, on submission and on cancellation, and tells the metrics of work that it refuses. POST /v1/drain sends SIGTERM to the own process, for which the main thread waits. Without credentials everything stays open. Nothing was measured.

--- a/src/entryhost/entry_host.cc
+++ b/src/entryhost/entry_host.cc
@@ -1,5 +1,8 @@
 #include "entryhost/entry_host.h"
 
+#include <signal.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -16,6 +19,7 @@
 #include "dispatch/request_router.h"
 #include "dispatch/result_batcher.h"
 #include "entryhost/message_translation.h"
+#include "frontend/access_control.h"
 #include "frontend/api_router.h"
 #include "frontend/http_server.h"
 #include "observability/metrics.h"
@@ -116,7 +120,7 @@
 class EntryHost::Impl {
  public:
   Impl(const configuration::Settings& settings, const std::string& secret,
-       observability::Logger& logger);
+       observability::Logger& logger, frontend::Authenticator authenticator);
   ~Impl();
 
   base::Result<void> Start();
@@ -129,6 +133,7 @@
   dispatch::ResultBatcher::Hooks BatcherHooks();
   peers::PeerNetwork::Hooks PeerHooks();
   frontend::ApiRouter::Hooks ApiHooks();
+  frontend::AccessControl::Hooks AccessHooks();
   peers::PeerSettings MakePeerSettings(const std::string& secret) const;
 
   void Run(CallerWork work, const frontend::ApiRouter::OnAnswer& on_answer);
@@ -167,6 +172,7 @@
   dispatch::RequestRouter router;
   dispatch::ResultBatcher batcher;
   frontend::ApiRouter api;
+  frontend::AccessControl access;
   // The threads of what follows call what is above; the destructor stops them first.
   peers::PeerNetwork network;
   std::unique_ptr<base::WorkerPool> pool;
@@ -175,7 +181,7 @@
 };
 
 EntryHost::Impl::Impl(const configuration::Settings& settings, const std::string& secret,
-                      observability::Logger& logger)
+                      observability::Logger& logger, frontend::Authenticator authenticator)
     : settings(settings),
       logger(logger),
       now(base::SteadyClock()),
@@ -188,11 +194,12 @@
       router(this->RouterHooks()),
       batcher(kResultWindow, this->BatcherHooks()),
       api(this->ApiHooks()),
+      access(std::move(authenticator), this->AccessHooks()),
       network(this->MakePeerSettings(secret), this->PeerHooks()),
       pool(std::make_unique<base::WorkerPool>("worker", kWorkerThreads)),
       timers(std::make_unique<base::TimerQueue>("timers")),
       http(ToHttpServerSettings(settings), [this](const auto& request, const auto& respond) {
-        this->api.Handle(request, respond);
+        this->access.Handle(request, respond);
       }) {
   for (const configuration::TeamSettings& team : settings.teams) {
     this->teams.insert(team.id);
@@ -314,11 +321,36 @@
     return {};
   };
   hooks.announce = [this](const auto& announcement) { return this->Announce(announcement); };
+  hooks.team_of = [this](const auto& submission) { return this->router.TeamOf(submission); };
+  hooks.refused = [this](const auto& error) { this->metrics.OnRefused(error); };
+  // The main thread waits for this signal and then drains.
+  hooks.drain = [] { kill(getpid(), SIGTERM); };
   hooks.status = [this] { return this->Status(); };
   hooks.metrics = [this] { return this->metrics.Text(); };
   return hooks;
 }
 
+frontend::AccessControl::Hooks EntryHost::Impl::AccessHooks() {
+  frontend::AccessControl::Hooks hooks;
+  hooks.handle = [this](const auto& request, const auto& respond) {
+    this->api.Handle(request, respond);
+  };
+  hooks.audit = [this](const auto& request, const std::string& name, int status) {
+    this->logger.Info("audit", {{"operator", name},
+                                {"remote", request.remote},
+                                {"method", request.method},
+                                {"path", request.path},
+                                {"status", std::to_string(status)}});
+  };
+  hooks.refused = [this](const auto& request, const base::Error& error) {
+    this->metrics.OnRefused(error);
+    this->logger.Warning(
+        "request without the right credential",
+        {{"remote", request.remote}, {"path", request.path}, {"reason", error.message}});
+  };
+  return hooks;
+}
+
 peers::PeerSettings EntryHost::Impl::MakePeerSettings(const std::string& secret) const {
   peers::PeerSettings peer_settings;
   peer_settings.host = this->settings.host;
@@ -598,8 +630,8 @@
 }
 
 EntryHost::EntryHost(const configuration::Settings& settings, const std::string& secret,
-                     observability::Logger& logger)
-    : impl(std::make_unique<Impl>(settings, secret, logger)) {}
+                     observability::Logger& logger, frontend::Authenticator authenticator)
+    : impl(std::make_unique<Impl>(settings, secret, logger, std::move(authenticator))) {}
 
 EntryHost::~EntryHost() = default;
 
--- a/src/entryhost/entry_host.h
+++ b/src/entryhost/entry_host.h
@@ -5,6 +5,7 @@
 #include "base/ids.h"
 #include "base/result.h"
 #include "configuration/settings.h"
+#include "frontend/authenticator.h"
 #include "observability/logger.h"
 
 namespace sapphirecrank::entryhost {
@@ -14,9 +15,11 @@
 /// Thread safety: all methods are for one thread.
 class EntryHost {
  public:
+  /// Without credentials in `authenticator` everything is open to everyone.
   /// Preconditions: `logger` outlives this object; `secret` is the shared secret of all hosts.
   EntryHost(const configuration::Settings& settings, const std::string& secret,
-            observability::Logger& logger);
+            observability::Logger& logger,
+            frontend::Authenticator authenticator = frontend::Authenticator({}, {}));
 
   /// Stops at once; call `Drain` first for a graceful shutdown.
   ~EntryHost();
--- a/src/frontend/api_router.cc
+++ b/src/frontend/api_router.cc
@@ -24,6 +24,19 @@
   return response;
 }
 
+base::Error ForeignTeam(const base::TeamId& team) {
+  return {ErrorCode::kPermissionDenied, "team", "the key belongs to team '" + team.value() + "'",
+          base::Verdict::kNotRun};
+}
+
+/// Returns the work unless the caller has proved to belong to another team.
+base::Result<CallerWork> CheckTeam(const HttpRequest& request, CallerWork work) {
+  if (!request.team.empty() && request.team != work.team) {
+    return tl::make_unexpected(ForeignTeam(request.team));
+  }
+  return work;
+}
+
 }  // namespace
 
 ApiRouter::ApiRouter(Hooks hooks) : hooks(std::move(hooks)) {}
@@ -38,6 +51,9 @@
     this->CancelJob(request, respond);
   } else if (request.method == "POST" && path == "/v1/targets") {
     this->Announce(request, respond);
+  } else if (request.method == "POST" && path == "/v1/drain") {
+    this->hooks.drain();
+    respond(Ok(R"({"state":"draining"})"));
   } else if (request.method == "GET" && path == "/v1/status") {
     respond(Ok(this->hooks.status()));
   } else if (request.method == "GET" && path == "/metrics") {
@@ -52,8 +68,11 @@
 
 void ApiRouter::RunJob(const HttpRequest& request, const Respond& respond) const {
   auto work = ParseJob(request.body);
+  if (work) {
+    work = CheckTeam(request, std::move(*work));
+  }
   if (!work) {
-    respond(ErrorResponse(work.error()));
+    this->RefuseWork(work.error(), respond);
     return;
   }
   const base::SubmissionId submission = work->submission;
@@ -64,16 +83,29 @@
 
 void ApiRouter::RunRequest(const HttpRequest& request, const Respond& respond) const {
   auto work = ParseRequest(request.body);
+  if (work) {
+    work = CheckTeam(request, std::move(*work));
+  }
   if (!work) {
-    respond(ErrorResponse(work.error()));
+    this->RefuseWork(work.error(), respond);
     return;
   }
   this->hooks.run(std::move(*work),
                   [respond](const WorkAnswer& answer) { respond(RequestResponse(answer)); });
 }
 
+void ApiRouter::RefuseWork(const base::Error& error, const Respond& respond) const {
+  this->hooks.refused(error);
+  respond(ErrorResponse(error));
+}
+
 void ApiRouter::CancelJob(const HttpRequest& request, const Respond& respond) const {
   const base::SubmissionId submission(request.path.substr(std::string(kJobPrefix).size()));
+  const base::TeamId team = this->hooks.team_of(submission);
+  if (!request.team.empty() && !team.empty() && team != request.team) {
+    respond(ErrorResponse(ForeignTeam(request.team)));
+    return;
+  }
   const auto cancelled = this->hooks.cancel(submission);
   respond(cancelled ? Ok(R"({"state":"cancelling"})") : ErrorResponse(cancelled.error()));
 }
--- a/src/frontend/api_router.h
+++ b/src/frontend/api_router.h
@@ -28,6 +28,12 @@
     std::function<base::Result<void>(const base::SubmissionId&)> cancel;
     /// Takes in an announcement and returns the host that owns the target.
     std::function<base::Result<base::HostId>(const targets::TargetAnnouncement&)> announce;
+    /// Returns the team of a job that is under way, empty if it isn't known.
+    std::function<base::TeamId(const base::SubmissionId&)> team_of;
+    /// Told of work that is refused before it reaches `run`.
+    std::function<void(const base::Error&)> refused;
+    /// Starts a graceful shutdown of this host.
+    std::function<void()> drain;
     /// Returns the status document as JSON text.
     std::function<std::string()> status;
     /// Returns the metrics in Prometheus' text format.
@@ -42,6 +48,7 @@
  private:
   void RunJob(const HttpRequest& request, const Respond& respond) const;
   void RunRequest(const HttpRequest& request, const Respond& respond) const;
+  void RefuseWork(const base::Error& error, const Respond& respond) const;
   void CancelJob(const HttpRequest& request, const Respond& respond) const;
   void Announce(const HttpRequest& request, const Respond& respond) const;
 
