--- a/bench/metrics/main.cc
+++ b/bench/metrics/main.cc
@@ -17,6 +17,7 @@
 
 std::vector<base::TeamId> Teams() {
   std::vector<base::TeamId> teams;
+  teams.reserve(kTeams);
   for (int i = 0; i < kTeams; ++i) {
     teams.emplace_back(fmt::format("team-{}", i));
   }
