--- a/src/frontend/access_control.cc
+++ b/src/frontend/access_control.cc
@@ -55,7 +55,9 @@
   const auto name = this->authenticator.Operator(request, OperatorRole::kChanging);
   if (!name) {
     const HttpResponse response = ErrorResponse(name.error());
-    this->hooks.audit(request, "", response.status);
+    // A reader who tries to change something is known by name.
+    const auto reader = this->authenticator.Operator(request, OperatorRole::kReading);
+    this->hooks.audit(request, reader.value_or(""), response.status);
     respond(response);
     return;
   }
--- a/tests/frontend/access_control_test.cc
+++ b/tests/frontend/access_control_test.cc
@@ -76,7 +76,7 @@
   LONGS_EQUAL(403, this->Send("PUT", "/v1/preset", kReadingToken));
   LONGS_EQUAL(0, this->handled.size());
   LONGS_EQUAL(7, this->audit.size());
-  STRCMP_EQUAL(" /v1/preset 403", this->audit.back().c_str());
+  STRCMP_EQUAL("monitor /v1/preset 403", this->audit.back().c_str());
 }
 
 // Guards against an accepted change that leaves no trace of who made it.
