cli: Add subcommands run, check, submit, cancel, status, drain, version

The binary could only run a host; work was submitted with curl. Exit codes tell whether work was refused and not run (4), the host was not reached (5), or it may have run (1). check and run list the faults of the settings and of all files that they name; a secret that others can read is refused, so the demo sets its umask. main only fills in the hooks.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,6 +5,8 @@
 bash scripts/install.sh
 bash scripts/build.sh
 work="$(mktemp -d)"
+# An entry host refuses a secret that others can read.
+umask 077
 processes=()
 stop() {
   kill "${processes[@]}" 2>/dev/null || true
--- /dev/null
+++ b/src/cli/answer_printer.cc
@@ -0,0 +1,120 @@
+#include "cli/answer_printer.h"
+
+#include <fmt/format.h>
+
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace sapphirecrank::cli {
+
+using Json = nlohmann::json;
+
+namespace {
+
+std::string Shown(const Json& value) {
+  return value.is_string() ? value.get<std::string>()
+                           : value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+/// Returns a member as text, or "?" if there is none.
+std::string Member(const Json& object, const std::string& name) {
+  return object.is_object() && object.contains(name) ? Shown(object.at(name)) : "?";
+}
+
+const Json& Part(const Json& object, const std::string& name) {
+  static const Json kNothing;
+  return object.is_object() && object.contains(name) ? object.at(name) : kNothing;
+}
+
+std::string PeerLine(const Json& peer) {
+  const bool is_up = Part(peer, "up") == Json(true);
+  return fmt::format("  {:<20} {:<12} {}\n", Member(peer, "host"), Member(peer, "data_centre"),
+                     is_up ? "up" : "DOWN");
+}
+
+std::string TargetLine(const Json& target) {
+  const bool is_leaving = Part(target, "leaving") == Json(true);
+  return fmt::format("  {:<20} {:<8} {:<21} {:>4} slots {:>4} running{}\n", Member(target, "id"),
+                     Member(target, "kind"), Member(target, "address"), Member(target, "slots"),
+                     Member(target, "running"), is_leaving ? "  leaving" : "");
+}
+
+std::string LoadLine(const std::string& kind, const Json& load) {
+  return fmt::format("  {:<8} {} of {} slots free, {} tasks queued\n", kind,
+                     Member(load, "free_slots"), Member(load, "slots"), Member(load, "queued"));
+}
+
+std::string ErrorText(const Json& error) {
+  const std::string field = Member(error, "field");
+  return fmt::format("{}{}: {} ({})", Member(error, "code"),
+                     field.empty() || field == "?" ? "" : " in '" + field + "'",
+                     Member(error, "message"), Member(error, "verdict"));
+}
+
+std::string FailedTasks(const Json& tasks) {
+  std::map<std::string, int> verdicts;
+  for (const Json& task : tasks) {
+    ++verdicts[Member(task, "verdict")];
+  }
+  std::string text;
+  for (const auto& [verdict, count] : verdicts) {
+    text += fmt::format("{}{} {}", text.empty() ? "" : ", ", count, verdict);
+  }
+  return text.empty() ? "" : "\ntasks: " + text;
+}
+
+}  // namespace
+
+std::string StatusText(const std::string& document) {
+  const Json status = Json::parse(document, nullptr, false);
+  if (!status.is_object()) {
+    return document;
+  }
+  const bool is_leaving = Part(status, "leaving") == Json(true);
+  std::string text = fmt::format(
+      "host {} in data centre {}{}\nwork in flight: {}, tasks on own targets: {}\n",
+      Member(status, "host"), Member(status, "data_centre"), is_leaving ? ", leaving" : "",
+      Member(status, "work_in_flight"), Member(status, "tasks_in_flight"));
+  text += "load:\n";
+  for (const auto& load : Part(status, "load").items()) {
+    text += LoadLine(load.key(), load.value());
+  }
+  text += fmt::format("peers: {}\n", Part(status, "peers").size());
+  for (const Json& peer : Part(status, "peers")) {
+    text += PeerLine(peer);
+  }
+  text += fmt::format("targets owned by this host: {}\n", Part(status, "targets").size());
+  for (const Json& target : Part(status, "targets")) {
+    text += TargetLine(target);
+  }
+  return text;
+}
+
+std::string AnswerText(const std::string& document) {
+  const Json answer = Json::parse(document, nullptr, false);
+  const Json& error = Part(answer, "error");
+  if (error.is_object()) {
+    const std::string submission =
+        answer.contains("submission") ? "job " + Member(answer, "submission") + " " : "";
+    return submission + "failed: " + ErrorText(error) + FailedTasks(Part(answer, "tasks")) + "\n";
+  }
+  const Json& results = Part(answer, "results");
+  if (!results.is_array() || !answer.contains("submission")) {
+    return document + "\n";
+  }
+  std::string text = fmt::format("job {} {}: {} results\n", Member(answer, "submission"),
+                                 Member(answer, "state"), results.size());
+  for (size_t i = 0; i < results.size(); ++i) {
+    text += fmt::format("  {}: {}\n", i,
+                        results[i].dump(-1, ' ', false, Json::error_handler_t::replace));
+  }
+  return text;
+}
+
+std::string VerdictOf(const std::string& document) {
+  const Json answer = Json::parse(document, nullptr, false);
+  const Json& verdict = Part(Part(answer, "error"), "verdict");
+  return verdict.is_string() ? verdict.get<std::string>() : "may have run";
+}
+
+}  // namespace sapphirecrank::cli
--- /dev/null
+++ b/src/cli/answer_printer.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+
+namespace sapphirecrank::cli {
+
+/// Returns a status document in lines for people, or the document itself if it isn't understood.
+/// Thread safety: pure.
+std::string StatusText(const std::string& document);
+
+/// Returns the answer to a job or request in lines for people. Thread safety: pure.
+std::string AnswerText(const std::string& document);
+
+/// Returns the verdict that an error answer states, or "may have run" if it states none.
+std::string VerdictOf(const std::string& document);
+
+}  // namespace sapphirecrank::cli
--- /dev/null
+++ b/src/cli/command.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace sapphirecrank::cli {
+
+/// Subcommands of the program.
+enum class Command { kNone, kRun, kCheck, kSubmit, kCancel, kStatus, kDrain, kVersion };
+
+}  // namespace sapphirecrank::cli
--- /dev/null
+++ b/src/cli/command_line.cc
@@ -0,0 +1,223 @@
+#include "cli/command_line.h"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/error_code.h"
+#include "base/verdict.h"
+#include "cli/answer_printer.h"
+#include "cli/http_client.h"
+#include "cli/option_parser.h"
+
+namespace sapphirecrank::cli {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr const char* kVersion = "0.1.0";
+constexpr int64_t kDefaultDeadlineMs = 30LL * 1000;
+constexpr int64_t kLongestDeadlineMs = 3600LL * 1000;
+// The entry host ends all work at its deadline; the answer may take a little longer.
+constexpr base::Duration kAnswerMargin = std::chrono::seconds(10);
+constexpr int kUnauthenticated = 401;
+constexpr int kForbidden = 403;
+constexpr int kFirstErrorStatus = 300;
+
+std::string Dump(const Json& json) {
+  return json.dump(2, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+
+ExitCode CodeOf(const HttpReply& reply) {
+  if (reply.status < kFirstErrorStatus) {
+    return ExitCode::kOk;
+  }
+  if (reply.status == kUnauthenticated || reply.status == kForbidden) {
+    return ExitCode::kDenied;
+  }
+  return VerdictOf(reply.body) == base::VerdictName(base::Verdict::kNotRun) ? ExitCode::kNotRun
+                                                                            : ExitCode::kFailed;
+}
+
+base::Duration TimeoutOf(const Json& work) {
+  const auto deadline = work.find("deadline_ms");
+  int64_t milliseconds = kDefaultDeadlineMs;
+  if (deadline != work.end() && deadline->is_number_integer()) {
+    milliseconds = std::min(std::max<int64_t>(deadline->get<int64_t>(), 0), kLongestDeadlineMs);
+  }
+  return std::chrono::milliseconds(milliseconds) + kAnswerMargin;
+}
+
+std::string FirstLine(const std::string& text) {
+  return text.substr(0, text.find_first_of("\r\n"));
+}
+
+}  // namespace
+
+CommandLine::CommandLine(Hooks hooks) : hooks(std::move(hooks)) {}
+
+ExitCode CommandLine::Run(const std::vector<std::string>& arguments) const {
+  const auto options = ParseOptions(arguments);
+  if (!options) {
+    this->hooks.print_error("sapphirecrank: " + options.error().message + "\n");
+    return ExitCode::kWrongUsage;
+  }
+  if (!options->help.empty()) {
+    this->hooks.print(options->help);
+    return ExitCode::kOk;
+  }
+  switch (options->command) {
+    case Command::kRun:
+      return this->RunHost(*options);
+    case Command::kCheck:
+      return this->Check(*options);
+    case Command::kSubmit:
+      return this->Submit(*options);
+    case Command::kCancel:
+      return this->Cancel(*options);
+    case Command::kStatus:
+      return this->Status(*options);
+    case Command::kDrain:
+      return this->Drain(*options);
+    case Command::kVersion:
+      return this->Version(*options);
+    case Command::kNone:
+      break;
+  }
+  return ExitCode::kWrongUsage;
+}
+
+ExitCode CommandLine::RunHost(const CommandOptions& options) const {
+  const auto configuration = ConfigurationLoader(this->hooks.files).Load(options.settings_file);
+  if (!configuration) {
+    this->PrintFaults(options, options.settings_file, configuration.error());
+    return ExitCode::kFaultySettings;
+  }
+  const auto ended = this->hooks.run(*configuration);
+  return ended ? ExitCode::kOk : this->Fault(options, ended.error(), ExitCode::kFailed);
+}
+
+ExitCode CommandLine::Check(const CommandOptions& options) const {
+  const auto configuration = ConfigurationLoader(this->hooks.files).Load(options.argument);
+  if (!configuration) {
+    this->PrintFaults(options, options.argument, configuration.error());
+    return ExitCode::kFaultySettings;
+  }
+  this->hooks.print(options.is_json ? Dump({{"file", options.argument}, {"faults", Json::array()}})
+                                    : fmt::format("{}: ok\n", options.argument));
+  return ExitCode::kOk;
+}
+
+ExitCode CommandLine::Submit(const CommandOptions& options) const {
+  const auto text = this->hooks.files.read_file(options.argument);
+  if (!text) {
+    return this->Fault(options, text.error(), ExitCode::kWrongUsage);
+  }
+  const Json work = Json::parse(*text, nullptr, false);
+  if (!work.is_object()) {
+    const base::Error error{base::ErrorCode::kInvalidArgument, "FILE",
+                            "'" + options.argument + "' does not hold a JSON object"};
+    return this->Fault(options, error, ExitCode::kWrongUsage);
+  }
+  HttpCall call;
+  call.method = "POST";
+  call.path = work.contains("tasks") ? "/v1/jobs" : "/v1/requests";
+  call.body = *text;
+  call.timeout = TimeoutOf(work);
+  return this->Send(options, call, AnswerText);
+}
+
+ExitCode CommandLine::Cancel(const CommandOptions& options) const {
+  HttpCall call;
+  call.method = "DELETE";
+  call.path = "/v1/jobs/" + EscapePath(options.argument);
+  return this->Send(options, call, [&](const std::string&) {
+    return fmt::format("job {}: cancelling; what runs is finished\n", options.argument);
+  });
+}
+
+ExitCode CommandLine::Status(const CommandOptions& options) const {
+  HttpCall call;
+  call.path = "/v1/status";
+  return this->Send(options, call, StatusText);
+}
+
+ExitCode CommandLine::Drain(const CommandOptions& options) const {
+  HttpCall call;
+  call.method = "POST";
+  call.path = "/v1/drain";
+  return this->Send(options, call, [&](const std::string&) {
+    return fmt::format("{}: draining; it stops when its work has ended\n",
+                       options.entry_host.value());
+  });
+}
+
+ExitCode CommandLine::Version(const CommandOptions& options) const {
+  this->hooks.print(options.is_json ? Dump({{"version", kVersion}})
+                                    : fmt::format("sapphirecrank {}\n", kVersion));
+  return ExitCode::kOk;
+}
+
+ExitCode CommandLine::Send(const CommandOptions& options, HttpCall call,
+                           const std::function<std::string(const std::string&)>& text) const {
+  call.entry_host = options.entry_host;
+  if (!options.credential_file.empty()) {
+    const auto credential = this->hooks.files.read_secret(options.credential_file);
+    if (!credential) {
+      return this->Fault(options, credential.error(), ExitCode::kDenied);
+    }
+    call.credential = FirstLine(*credential);
+  }
+  const auto reply = this->hooks.call(call, [this](base::Duration elapsed) {
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(elapsed).count();
+    this->hooks.print_error(fmt::format("waiting for the answer: {} s\n", seconds));
+  });
+  if (!reply) {
+    const bool is_unreachable = reply.error().verdict == base::Verdict::kNotRun;
+    return this->Fault(options, reply.error(),
+                       is_unreachable ? ExitCode::kUnreachable : ExitCode::kFailed);
+  }
+  const ExitCode code = CodeOf(*reply);
+  if (options.is_json) {
+    this->hooks.print(reply->body + "\n");
+  } else if (code == ExitCode::kOk) {
+    this->hooks.print(text(reply->body));
+  } else {
+    this->hooks.print_error("sapphirecrank: " + AnswerText(reply->body));
+  }
+  return code;
+}
+
+ExitCode CommandLine::Fault(const CommandOptions& options, const base::Error& error,
+                            ExitCode code) const {
+  if (options.is_json) {
+    this->hooks.print(Dump({{"error",
+                             {{"code", base::ErrorCodeName(error.code)},
+                              {"field", error.field},
+                              {"message", error.message},
+                              {"verdict", base::VerdictName(error.verdict)}}}}));
+  } else {
+    this->hooks.print_error(
+        fmt::format("sapphirecrank: {}: {}\n", base::ErrorCodeName(error.code), error.message));
+  }
+  return code;
+}
+
+void CommandLine::PrintFaults(const CommandOptions& options, const std::string& path,
+                              const ConfigurationLoader::Faults& faults) const {
+  Json list = Json::array();
+  for (const configuration::SettingsFault& fault : faults) {
+    list.push_back({{"path", fault.path}, {"message", fault.message}});
+    if (!options.is_json) {
+      this->hooks.print_error(fmt::format("{}: {}{}{}\n", path, fault.path,
+                                          fault.path.empty() ? "" : ": ", fault.message));
+    }
+  }
+  if (options.is_json) {
+    this->hooks.print(Dump({{"file", path}, {"faults", std::move(list)}}));
+  }
+}
+
+}  // namespace sapphirecrank::cli
--- /dev/null
+++ b/src/cli/command_line.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/result.h"
+#include "base/time.h"
+#include "cli/command_options.h"
+#include "cli/configuration_loader.h"
+#include "cli/exit_code.h"
+#include "cli/http_call.h"
+#include "cli/http_reply.h"
+
+namespace sapphirecrank::cli {
+
+/// The subcommands of the program.
+///
+/// Thread safety: one object for one thread.
+class CommandLine {
+ public:
+  /// Behaviour handed in; all members must be set.
+  struct Hooks {
+    ConfigurationLoader::Hooks files;
+    /// Calls an entry host; see `CallEntryHost`.
+    std::function<base::Result<HttpReply>(const HttpCall&,
+                                          const std::function<void(base::Duration)>& on_waiting)>
+        call;
+    /// Runs an entry host until it is stopped.
+    std::function<base::Result<void>(const HostConfiguration&)> run;
+    /// Writes to standard output and standard error.
+    std::function<void(const std::string&)> print;
+    std::function<void(const std::string&)> print_error;
+  };
+
+  explicit CommandLine(Hooks hooks);
+
+  /// Runs the command that `arguments`, which follow the program's name, ask for.
+  ExitCode Run(const std::vector<std::string>& arguments) const;
+
+ private:
+  ExitCode RunHost(const CommandOptions& options) const;
+  ExitCode Check(const CommandOptions& options) const;
+  ExitCode Submit(const CommandOptions& options) const;
+  ExitCode Cancel(const CommandOptions& options) const;
+  ExitCode Status(const CommandOptions& options) const;
+  ExitCode Drain(const CommandOptions& options) const;
+  ExitCode Version(const CommandOptions& options) const;
+  /// Sends a call with the credential of the options, and prints an error or `text` of the answer.
+  ExitCode Send(const CommandOptions& options, HttpCall call,
+                const std::function<std::string(const std::string&)>& text) const;
+  ExitCode Fault(const CommandOptions& options, const base::Error& error, ExitCode code) const;
+  void PrintFaults(const CommandOptions& options, const std::string& path,
+                   const ConfigurationLoader::Faults& faults) const;
+
+  Hooks hooks;
+};
+
+}  // namespace sapphirecrank::cli
--- /dev/null
+++ b/src/cli/configuration_loader.cc
@@ -0,0 +1,108 @@
+#include "cli/configuration_loader.h"
+
+#include <set>
+#include <utility>
+
+#include "configuration/settings_checker.h"
+#include "frontend/credential_parser.h"
+
+namespace sapphirecrank::cli {
+
+namespace {
+
+constexpr const char* kSecretField = "secret_file";
+constexpr const char* kTokensField = "authentication.operator_tokens_file";
+constexpr const char* kKeysField = "authentication.team_keys_file";
+
+std::string WithoutEndOfLine(std::string text) {
+  while (!text.empty() && (text.back() == '\n' || text.back() == '\r')) {
+    text.pop_back();
+  }
+  return text;
+}
+
+}  // namespace
+
+ConfigurationLoader::ConfigurationLoader(Hooks hooks) : hooks(std::move(hooks)) {}
+
+tl::expected<HostConfiguration, ConfigurationLoader::Faults> ConfigurationLoader::Load(
+    const std::string& path) const {
+  const auto text = this->hooks.read_file(path);
+  if (!text) {
+    return tl::make_unexpected(Faults{{"", text.error().message}});
+  }
+  Faults faults = configuration::SettingsChecker().Check(*text);
+  if (!faults.empty()) {
+    return tl::make_unexpected(std::move(faults));
+  }
+  HostConfiguration configuration;
+  configuration.settings = *configuration::ParseSettings(*text);
+  this->ReadSecret(configuration, faults);
+  this->ReadTokens(configuration, faults);
+  this->ReadKeys(configuration, faults);
+  if (!faults.empty()) {
+    return tl::make_unexpected(std::move(faults));
+  }
+  return configuration;
+}
+
+void ConfigurationLoader::ReadSecret(HostConfiguration& configuration, Faults& faults) const {
+  const auto text = this->hooks.read_secret(configuration.settings.secret_file);
+  if (!text) {
+    faults.push_back({kSecretField, text.error().message});
+    return;
+  }
+  configuration.secret = WithoutEndOfLine(*text);
+  if (configuration.secret.size() < frontend::kShortestSecret) {
+    faults.push_back({kSecretField, "the secret in '" + configuration.settings.secret_file +
+                                        "' is shorter than 16 bytes"});
+  }
+}
+
+void ConfigurationLoader::ReadTokens(HostConfiguration& configuration, Faults& faults) const {
+  const std::string& path = configuration.settings.authentication.operator_tokens_file;
+  if (path.empty()) {
+    return;
+  }
+  const auto text = this->hooks.read_secret(path);
+  if (!text) {
+    faults.push_back({kTokensField, text.error().message});
+    return;
+  }
+  auto tokens = frontend::ParseOperatorTokens(*text);
+  if (!tokens) {
+    faults.push_back({kTokensField, "'" + path + "': " + tokens.error().message});
+    return;
+  }
+  configuration.tokens = std::move(*tokens);
+}
+
+void ConfigurationLoader::ReadKeys(HostConfiguration& configuration, Faults& faults) const {
+  const std::string& path = configuration.settings.authentication.team_keys_file;
+  if (path.empty()) {
+    return;
+  }
+  const auto text = this->hooks.read_secret(path);
+  if (!text) {
+    faults.push_back({kKeysField, text.error().message});
+    return;
+  }
+  auto keys = frontend::ParseTeamKeys(*text);
+  if (!keys) {
+    faults.push_back({kKeysField, "'" + path + "': " + keys.error().message});
+    return;
+  }
+  std::set<base::TeamId> teams;
+  for (const configuration::TeamSettings& team : configuration.settings.teams) {
+    teams.insert(team.id);
+  }
+  for (const frontend::TeamKey& key : *keys) {
+    if (teams.count(key.team) == 0) {
+      faults.push_back(
+          {kKeysField, "'" + path + "': team '" + key.team.value() + "' is not among the teams"});
+    }
+  }
+  configuration.keys = std::move(*keys);
+}
+
+}  // namespace sapphirecrank::cli
--- /dev/null
+++ b/src/cli/configuration_loader.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "base/result.h"
+#include "cli/host_configuration.h"
+#include "configuration/settings_fault.h"
+
+namespace sapphirecrank::cli {
+
+/// Loads the settings file of an entry host and all files that it names.
+///
+/// Thread safety: as the hooks.
+class ConfigurationLoader {
+ public:
+  /// Behaviour handed in; all members must be set.
+  struct Hooks {
+    std::function<base::Result<std::string>(const std::string& path)> read_file;
+    /// Reads a file that others must have no access to.
+    std::function<base::Result<std::string>(const std::string& path)> read_secret;
+  };
+
+  using Faults = std::vector<configuration::SettingsFault>;
+
+  explicit ConfigurationLoader(Hooks hooks);
+
+  /// Returns the configuration, or all its faults. The named files are read only if the settings
+  /// themselves have no fault.
+  tl::expected<HostConfiguration, Faults> Load(const std::string& path) const;
+
+ private:
+  void ReadSecret(HostConfiguration& configuration, Faults& faults) const;
+  void ReadTokens(HostConfiguration& configuration, Faults& faults) const;
+  void ReadKeys(HostConfiguration& configuration, Faults& faults) const;
+
+  Hooks hooks;
+};
+
+}  // namespace sapphirecrank::cli
--- /dev/null
+++ b/src/cli/host_configuration.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "configuration/settings.h"
+#include "frontend/operator_token.h"
+#include "frontend/team_key.h"
+
+namespace sapphirecrank::cli {
+
+/// The settings of an entry host with the contents of the files that they name.
+struct HostConfiguration {
+  configuration::Settings settings;
+  std::string secret;
+  std::vector<frontend::OperatorToken> tokens;
+  std::vector<frontend::TeamKey> keys;
+};
+
+}  // namespace sapphirecrank::cli
--- /dev/null
+++ b/src/cli/http_call.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace sapphirecrank::cli {
+
+/// One HTTP request to an entry host.
+struct HttpCall {
+  base::NetworkAddress entry_host;
+  std::string method = "GET";
+  std::string path;
+  std::string body;
+  /// NAME:SECRET, or empty.
+  std::string credential;
+  base::Duration timeout = std::chrono::seconds(10);
+};
+
+}  // namespace sapphirecrank::cli
--- /dev/null
+++ b/src/cli/http_client.cc
@@ -0,0 +1,109 @@
+#include "cli/http_client.h"
+
+#include <curl/curl.h>
+
+#include <memory>
+
+namespace sapphirecrank::cli {
+
+using base::ErrorCode;
+using base::Fail;
+
+namespace {
+
+constexpr base::Duration kConnectTimeout = std::chrono::seconds(2);
+
+/// What the progress function needs between two calls.
+struct Progress {
+  const std::function<void(base::Duration)>& on_waiting;
+  std::chrono::steady_clock::time_point begin = std::chrono::steady_clock::now();
+  base::Duration told{0};
+};
+
+long Milliseconds(base::Duration duration) {
+  return static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+size_t OnBody(char* data, size_t size, size_t count, void* user) {
+  static_cast<std::string*>(user)->append(data, size * count);
+  return size * count;
+}
+
+int OnProgress(void* user, curl_off_t /*download_total*/, curl_off_t /*downloaded*/,
+               curl_off_t /*upload_total*/, curl_off_t /*uploaded*/) {
+  auto* progress = static_cast<Progress*>(user);
+  const base::Duration elapsed = std::chrono::steady_clock::now() - progress->begin;
+  if (elapsed - progress->told >= std::chrono::seconds(1)) {
+    progress->told = elapsed;
+    progress->on_waiting(elapsed);
+  }
+  return 0;
+}
+
+base::Error TransferError(CURL* handle, CURLcode code, const std::string& address) {
+  const std::string reason = std::string(curl_easy_strerror(code));
+  long request_size = 0;
+  curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &request_size);
+  if (request_size == 0) {
+    return {ErrorCode::kUnavailable, "entry-host", "can't connect to " + address + ": " + reason,
+            base::Verdict::kNotRun};
+  }
+  const ErrorCode kind =
+      code == CURLE_OPERATION_TIMEDOUT ? ErrorCode::kDeadlineExceeded : ErrorCode::kInternal;
+  return {kind, "entry-host", "no answer from " + address + ": " + reason,
+          base::Verdict::kMayHaveRun};
+}
+
+}  // namespace
+
+base::Result<HttpReply> CallEntryHost(const HttpCall& call,
+                                      const std::function<void(base::Duration)>& on_waiting) {
+  const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> handle(curl_easy_init(),
+                                                                   &curl_easy_cleanup);
+  // Without "Expect:" a large body would wait a second for the permission to be sent.
+  curl_slist* list = curl_slist_append(nullptr, "Expect:");
+  list = curl_slist_append(list, "Content-Type: application/json");
+  if (!call.credential.empty()) {
+    list = curl_slist_append(list, ("Authorization: Bearer " + call.credential).c_str());
+  }
+  const std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> headers(list,
+                                                                            &curl_slist_free_all);
+  HttpReply reply;
+  Progress progress{on_waiting};
+  const std::string url = "http://" + call.entry_host.value() + call.path;
+  CURL* curl = handle.get();
+  curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(curl, CURLOPT_PROXY, "");
+  curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+  curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers.get());
+  curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, Milliseconds(kConnectTimeout));
+  curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, Milliseconds(call.timeout));
+  curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(curl, CURLOPT_WRITEDATA, &reply.body);
+  curl_easy_setopt(curl, CURLOPT_NOPROGRESS, 0L);
+  curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, &OnProgress);
+  curl_easy_setopt(curl, CURLOPT_XFERINFODATA, &progress);
+  if (call.method == "POST") {
+    curl_easy_setopt(curl, CURLOPT_POSTFIELDS, call.body.data());
+    curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body.size()));
+  }
+  const CURLcode code = curl_easy_perform(curl);
+  if (code != CURLE_OK) {
+    return tl::make_unexpected(TransferError(curl, code, call.entry_host.value()));
+  }
+  long status = 0;
+  curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+  reply.status = static_cast<int>(status);
+  return reply;
+}
+
+std::string EscapePath(const std::string& text) {
+  char* escaped = curl_easy_escape(nullptr, text.c_str(), static_cast<int>(text.size()));
+  std::string result = escaped;
+  curl_free(escaped);
+  return result;
+}
+
+}  // namespace sapphirecrank::cli
--- /dev/null
+++ b/src/main/host_process.cc
@@ -0,0 +1,56 @@
+#include "main/host_process.h"
+
+#include <signal.h>
+
+#include "entryhost/entry_host.h"
+#include "observability/logger.h"
+
+namespace sapphirecrank {
+
+namespace {
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+void WarnOfOpenAccess(const cli::HostConfiguration& configuration, observability::Logger& logger) {
+  if (configuration.tokens.empty()) {
+    logger.Warning("operators are not authenticated; anyone can read the status and drain the host",
+                   {{"setting", "authentication.operator_tokens_file"}});
+  }
+  if (configuration.keys.empty()) {
+    logger.Warning("callers are not authenticated; anyone can submit work for any team",
+                   {{"setting", "authentication.team_keys_file"}});
+  }
+}
+
+}  // namespace
+
+base::Result<void> RunHostProcess(const cli::HostConfiguration& configuration) {
+  // Blocked before the first thread starts, so that only sigwait gets them.
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  observability::Logger logger(observability::LogLevel::kInfo,
+                               observability::Logger::StandardError());
+  WarnOfOpenAccess(configuration, logger);
+  const std::string& name = configuration.settings.host.value();
+  entryhost::EntryHost host(configuration.settings, configuration.secret, logger,
+                            frontend::Authenticator(configuration.tokens, configuration.keys));
+  const auto started = host.Start();
+  if (!started) {
+    return started;
+  }
+  logger.Info("entry host started", {{"host", name}, {"http", host.HttpAddress().value()}});
+  int signal = 0;
+  sigwait(&signals, &signal);
+  logger.Info("draining", {{"host", name}});
+  host.Drain();
+  logger.Info("stopped", {{"host", name}});
+  return {};
+}
+
+}  // namespace sapphirecrank
--- /dev/null
+++ b/src/main/host_process.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/result.h"
+#include "cli/host_configuration.h"
+
+namespace sapphirecrank {
+
+/// Runs an entry host until SIGTERM or SIGINT arrives, then drains it. Errors: the host can't
+/// listen. Precondition: the process has one thread and calls this once.
+base::Result<void> RunHostProcess(const cli::HostConfiguration& configuration);
+
+}  // namespace sapphirecrank
--- /dev/null
+++ b/tests/cli/command_line_test.cc
@@ -0,0 +1,198 @@
+#include "cli/command_line.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+using base::ErrorCode;
+using cli::CommandLine;
+using cli::ExitCode;
+using cli::HttpCall;
+using cli::HttpReply;
+
+namespace {
+
+constexpr const char* kSettings = R"({"host": "ba-0", "data_centre": "ba",
+  "http_listen": "127.0.0.1:8080", "peer_listen": "127.0.0.1:8081", "secret_file": "secret",
+  "authentication": {"operator_tokens_file": "tokens", "team_keys_file": "keys"},
+  "teams": [{"id": "tags"}]})";
+
+}  // namespace
+
+TEST_GROUP(CommandLine) {
+  void setup() override {
+    this->files = {{"settings", kSettings},
+                   {"secret", "0123456789abcdef\n"},
+                   {"tokens", "monitor reading 0123456789abcdef\n"},
+                   {"keys", "tags 0123456789abcdef\n"},
+                   {"credential", "monitor:0123456789abcdef\n"},
+                   {"job", R"({"submission": "ba:1", "deadline_ms": 2000, "tasks": [{}]})"},
+                   {"request", R"({"team": "tags"})"}};
+  }
+
+  int Run(const std::vector<std::string>& arguments) {
+    this->out.clear();
+    this->err.clear();
+    CommandLine::Hooks hooks;
+    const auto read = [this](const std::string& path) -> base::Result<std::string> {
+      if (this->files.count(path) == 0) {
+        return base::Fail(ErrorCode::kNotFound, "can't read '" + path + "'", "file");
+      }
+      return this->files.at(path);
+    };
+    hooks.files = {read, read};
+    hooks.call = [this](const HttpCall& call, const auto& on_waiting) {
+      this->calls.push_back(call);
+      on_waiting(std::chrono::milliseconds(3100));
+      return this->reply;
+    };
+    hooks.run = [this](const auto& configuration) {
+      this->secret = configuration.secret;
+      return base::Result<void>();
+    };
+    hooks.print = [this](const std::string& text) { this->out += text; };
+    hooks.print_error = [this](const std::string& text) { this->err += text; };
+    return static_cast<int>(CommandLine(hooks).Run(arguments));
+  }
+
+  bool Prints(const std::string& part) const { return this->out.find(part) != std::string::npos; }
+  bool Complains(const std::string& part) const {
+    return this->err.find(part) != std::string::npos;
+  }
+
+  std::map<std::string, std::string> files;
+  base::Result<HttpReply> reply = HttpReply{200, "{}"};
+  std::vector<HttpCall> calls;
+  std::string secret;
+  std::string out;
+  std::string err;
+};
+
+// Guards against a command that starts although its line is wrong.
+TEST(CommandLine, WrongUsageIsExplained) {
+  LONGS_EQUAL(2, this->Run({}));
+  LONGS_EQUAL(2, this->Run({"sumbit", "job"}));
+  CHECK_TRUE(this->Complains("unknown command 'sumbit'"));
+  LONGS_EQUAL(2, this->Run({"submit"}));
+  CHECK_TRUE(this->Complains("FILE is missing"));
+  LONGS_EQUAL(2, this->Run({"status", "more"}));
+  CHECK_TRUE(this->Complains("unexpected argument 'more'"));
+  LONGS_EQUAL(2, this->Run({"drain", "--forse"}));
+  CHECK_TRUE(this->Complains("--forse"));
+  LONGS_EQUAL(2, this->Run({"run"}));
+  CHECK_TRUE(this->Complains("--settings is missing"));
+  LONGS_EQUAL(2, this->Run({"submit", "no-such-file"}));
+  CHECK_TRUE(this->Complains("no-such-file"));
+  LONGS_EQUAL(0, this->calls.size());
+}
+
+// Guards against a command without help, or help that runs the command.
+TEST(CommandLine, EachCommandHasHelp) {
+  for (const char* name : {"run", "check", "submit", "cancel", "status", "drain", "version"}) {
+    LONGS_EQUAL(0, this->Run({name, "--help"}));
+    CHECK_TRUE(this->Prints("--json"));
+    LONGS_EQUAL(0, this->Run({"--help"}));
+    CHECK_TRUE(this->Prints(name));
+  }
+  LONGS_EQUAL(0, this->calls.size());
+}
+
+// Guards against a host that starts with faulty files, and against faults told one by one.
+TEST(CommandLine, CheckAndRunListTheFaultsOfAllFiles) {
+  LONGS_EQUAL(0, this->Run({"check", "settings"}));
+  LONGS_EQUAL(0, this->Run({"run", "--settings", "settings"}));
+  STRCMP_EQUAL("0123456789abcdef", this->secret.c_str());
+  this->files["secret"] = "short\n";
+  this->files["tokens"] = "monitor root 0123456789abcdef\n";
+  this->files["keys"] = "maps 0123456789abcdef\n";
+  LONGS_EQUAL(3, this->Run({"check", "settings"}));
+  CHECK_TRUE(this->Complains("settings: secret_file: "));
+  CHECK_TRUE(this->Complains("'tokens': line 1: role must be"));
+  CHECK_TRUE(this->Complains("team 'maps' is not among the teams"));
+  this->secret.clear();
+  LONGS_EQUAL(3, this->Run({"run", "-s", "settings"}));
+  CHECK_TRUE(this->secret.empty());
+  LONGS_EQUAL(3, this->Run({"check", "--json", "settings"}));
+  CHECK_TRUE(this->Prints("\"path\": \"authentication.team_keys_file\""));
+  LONGS_EQUAL(3, this->Run({"check", "nothing"}));
+}
+
+// Guards against work that goes to the wrong resource or is given up before its deadline.
+TEST(CommandLine, SubmitSendsTheFileAndPrintsTheAnswer) {
+  this->reply = HttpReply{200, R"({"submission":"ba:1","state":"complete","results":[7,"x"]})"};
+  LONGS_EQUAL(0, this->Run({"submit", "job", "-e", "10.0.0.1:80", "-c", "credential"}));
+  STRCMP_EQUAL("/v1/jobs", this->calls[0].path.c_str());
+  STRCMP_EQUAL("10.0.0.1:80", this->calls[0].entry_host.value().c_str());
+  STRCMP_EQUAL("monitor:0123456789abcdef", this->calls[0].credential.c_str());
+  CHECK(this->calls[0].timeout == std::chrono::seconds(12));
+  CHECK_TRUE(this->Prints("job ba:1 complete: 2 results"));
+  CHECK_TRUE(this->Complains("waiting for the answer: 3 s"));
+  LONGS_EQUAL(0, this->Run({"submit", "request", "--json"}));
+  STRCMP_EQUAL("/v1/requests", this->calls[1].path.c_str());
+  STRCMP_EQUAL((this->reply->body + "\n").c_str(), this->out.c_str());
+}
+
+// Guards against an exit code that invites a script to repeat work that may have run.
+TEST(CommandLine, ExitCodesTellWhetherWorkMayHaveRun) {
+  const auto code_of = [this](int status, const std::string& verdict) {
+    this->reply = HttpReply{
+        status, R"({"error":{"code":"c","field":"f","message":"m","verdict":")" + verdict + "\"}}"};
+    return this->Run({"submit", "job"});
+  };
+  LONGS_EQUAL(4, code_of(429, "not run"));
+  CHECK_TRUE(this->Complains("failed: c in 'f': m (not run)"));
+  LONGS_EQUAL(1, code_of(502, "may have run"));
+  LONGS_EQUAL(1, code_of(502, "ran"));
+  LONGS_EQUAL(6, code_of(403, "not run"));
+  this->reply = HttpReply{500, "no JSON"};
+  LONGS_EQUAL(1, this->Run({"submit", "job"}));
+  this->reply = base::Fail(ErrorCode::kUnavailable, "refused", "", base::Verdict::kNotRun);
+  LONGS_EQUAL(5, this->Run({"submit", "job"}));
+  this->reply = base::Fail(ErrorCode::kInternal, "lost", "", base::Verdict::kMayHaveRun);
+  LONGS_EQUAL(1, this->Run({"submit", "job", "--json"}));
+  CHECK_TRUE(this->Prints("\"verdict\": \"may have run\""));
+}
+
+// Guards against a submission id that reaches another resource.
+TEST(CommandLine, CancelEscapesTheId) {
+  LONGS_EQUAL(0, this->Run({"cancel", "ba:1/../x y"}));
+  STRCMP_EQUAL("/v1/jobs/ba%3A1%2F..%2Fx%20y", this->calls[0].path.c_str());
+  STRCMP_EQUAL("DELETE", this->calls[0].method.c_str());
+}
+
+// Guards against a status that hides a peer that is down.
+TEST(CommandLine, StatusShowsHostPeersTargetsAndLoad) {
+  this->reply =
+      HttpReply{200, R"({"host":"ba-0","data_centre":"ba","leaving":false,"work_in_flight":1,
+    "tasks_in_flight":2,"load":{"worker":{"free_slots":3,"slots":8,"queued":5}},
+    "peers":[{"host":"ba-1","data_centre":"ba","up":false}],
+    "targets":[{"id":"w-1","kind":"worker","address":"a:1","slots":8,"leaving":true,"running":2}]})"};
+  LONGS_EQUAL(0, this->Run({"status"}));
+  CHECK_TRUE(this->Prints("DOWN"));
+  CHECK_TRUE(this->Prints("3 of 8 slots free, 5 tasks queued"));
+  CHECK_TRUE(this->Prints("w-1"));
+  CHECK_TRUE(this->Prints("leaving"));
+}
+
+// Guards against a crash on arguments or answers of any kind.
+TEST(CommandLine, AnyArgumentsAndAnswersGiveAnExitCode) {
+  const bool holds = rc::check([this](const std::string& noise, const std::string& body) {
+    const std::vector<std::string> words = {"status", "submit", "cancel", "check", "--json", "-e",
+                                            "-c",     "job",    "x",      "--",    "-",      noise};
+    const auto arguments = *rc::gen::container<std::vector<std::string>>(rc::gen::elementOf(words));
+    const std::vector<std::string> answers = {body,
+                                              "[]",
+                                              R"({"error":3})",
+                                              R"({"peers":[1],"targets":{"a":2},"load":[3]})",
+                                              R"({"submission":1,"results":[null]})",
+                                              R"({"error":{},"tasks":5})"};
+    this->reply = HttpReply{*rc::gen::inRange(200, 600), *rc::gen::elementOf(answers)};
+    const int code = this->Run(arguments);
+    RC_ASSERT(code >= 0 && code <= 6);
+  });
+  CHECK_TRUE(holds);
+}
