bench: Add the open-loop load generator and the overhead measurement

bench_load sends a Poisson process whose rate swings, with urgent requests and jobs of 1 to 200 tasks, at fixed times whether earlier work was answered or not; response times count from the intended time. bench_overhead compares calls through an entry host with direct calls of the same runner in turn, and reads messages and task starts from GET /metrics. bench_fake_target prints its addresses at the start.

--- a/bench/fake_target/main.cc
+++ b/bench/fake_target/main.cc
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 #include <signal.h>
 
+#include <cstdio>
 #include <memory>
 #include <string>
 #include <vector>
@@ -58,7 +59,9 @@
   targets.reserve(static_cast<size_t>(count));
   for (int i = 0; i < count; ++i) {
     targets.push_back(std::make_unique<testing::FakeTarget>(MakeSettings(argc, argv, i)));
+    fmt::print("listening on {}\n", targets.back()->Address());
   }
+  std::fflush(stdout);
   int signal = 0;
   sigwait(&signals, &signal);
   size_t started = 0;
--- /dev/null
+++ b/bench/load/class_results.cc
@@ -0,0 +1,42 @@
+#include "bench/load/class_results.h"
+
+#include <fmt/format.h>
+
+#include "bench/load/percentile.h"
+
+namespace sapphirecrank::load {
+
+namespace {
+
+using FloatMs = std::chrono::duration<double, std::milli>;
+
+}  // namespace
+
+void ClassResults::AddComplete(base::Duration response_time, base::Duration ideal) {
+  this->response_ms.push_back(FloatMs(response_time).count());
+  this->slowdowns.push_back(FloatMs(response_time) / FloatMs(ideal));
+}
+
+void ClassResults::AddFailed(bool has_not_run) {
+  if (has_not_run) {
+    ++this->not_run;
+  } else {
+    ++this->failed;
+  }
+}
+
+std::string ClassResults::Heading() {
+  return fmt::format("{:<10}{:>10}{:>9}{:>8}{:>10}{:>10}{:>10}{:>10}{:>14}{:>14}", "class",
+                     "complete", "not run", "failed", "p50 ms", "p90 ms", "p99 ms", "max ms",
+                     "slowdown p50", "slowdown p99");
+}
+
+std::string ClassResults::Line(const std::string& name) {
+  return fmt::format("{:<10}{:>10}{:>9}{:>8}{:>10.1f}{:>10.1f}{:>10.1f}{:>10.1f}{:>14.2f}{:>14.2f}",
+                     name, this->response_ms.size(), this->not_run, this->failed,
+                     Percentile(this->response_ms, 0.5), Percentile(this->response_ms, 0.9),
+                     Percentile(this->response_ms, 0.99), Percentile(this->response_ms, 1),
+                     Percentile(this->slowdowns, 0.5), Percentile(this->slowdowns, 0.99));
+}
+
+}  // namespace sapphirecrank::load
--- /dev/null
+++ b/bench/load/class_results.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace sapphirecrank::load {
+
+/// Results of one class of work.
+class ClassResults {
+ public:
+  /// Notes a complete answer; `ideal` is the run time of its longest task.
+  void AddComplete(base::Duration response_time, base::Duration ideal);
+
+  /// Notes an answer other than a complete one.
+  void AddFailed(bool has_not_run);
+
+  /// Returns the heading of the lines that `Line` gives.
+  static std::string Heading();
+
+  /// Returns a line with counts and percentiles, in ms.
+  std::string Line(const std::string& name);
+
+ private:
+  std::vector<double> response_ms;
+  std::vector<double> slowdowns;
+  size_t not_run = 0;
+  size_t failed = 0;
+};
+
+}  // namespace sapphirecrank::load
--- /dev/null
+++ b/bench/load/load_generator.cc
@@ -0,0 +1,168 @@
+#include "bench/load/load_generator.h"
+
+#include <curl/curl.h>
+
+#include <unordered_map>
+#include <utility>
+
+#include "bench/load/percentile.h"
+
+namespace sapphirecrank::load {
+
+namespace {
+
+constexpr long kMostIdleConnections = 2000;
+constexpr long kTimeoutMs = 60000;
+constexpr int kLongestPollMs = 100;
+constexpr auto kProgressInterval = std::chrono::seconds(2);
+constexpr int kFirstErrorStatus = 300;
+
+size_t OnBody(char* data, size_t size, size_t count, void* user) {
+  static_cast<std::string*>(user)->append(data, size * count);
+  return size * count;
+}
+
+}  // namespace
+
+class LoadGenerator::Impl {
+ public:
+  struct Transfer {
+    const Arrival* arrival = nullptr;
+    std::string body;
+  };
+
+  Impl(LoadSettings settings, std::function<void(size_t, size_t)> on_progress)
+      : settings(std::move(settings)),
+        on_progress(std::move(on_progress)),
+        multi(curl_multi_init()),
+        headers(curl_slist_append(nullptr, "Expect:")) {
+    curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kMostIdleConnections);
+  }
+  ~Impl() {
+    curl_multi_cleanup(this->multi);
+    curl_slist_free_all(this->headers);
+  }
+
+  void Run(const std::vector<Arrival>& arrivals);
+
+  std::array<ClassResults, base::kWorkClassCount> results;
+  std::vector<double> delays_ms;
+
+ private:
+  base::Duration Elapsed() const { return std::chrono::steady_clock::now() - this->begin; }
+  void Send(const Arrival& arrival);
+  void Collect();
+  void Finish(CURL* handle, CURLcode code);
+  void TellProgress();
+
+  LoadSettings settings;
+  std::function<void(size_t, size_t)> on_progress;
+  CURLM* multi;
+  curl_slist* headers;
+  std::chrono::steady_clock::time_point begin;
+  base::Duration next_progress = kProgressInterval;
+  size_t sent = 0;
+  std::unordered_map<CURL*, std::unique_ptr<Transfer>> open;
+};
+
+void LoadGenerator::Impl::Run(const std::vector<Arrival>& arrivals) {
+  this->begin = std::chrono::steady_clock::now();
+  while (this->sent < arrivals.size() || !this->open.empty()) {
+    while (this->sent < arrivals.size() && arrivals[this->sent].at <= this->Elapsed()) {
+      this->Send(arrivals[this->sent]);
+      ++this->sent;
+    }
+    int running = 0;
+    curl_multi_perform(this->multi, &running);
+    this->Collect();
+    this->TellProgress();
+    int wait_ms = kLongestPollMs;
+    if (this->sent < arrivals.size()) {
+      const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+          arrivals[this->sent].at - this->Elapsed());
+      wait_ms = static_cast<int>(std::clamp<int64_t>(left.count(), 0, kLongestPollMs));
+    }
+    curl_multi_poll(this->multi, nullptr, 0, wait_ms, nullptr);
+  }
+}
+
+void LoadGenerator::Impl::Send(const Arrival& arrival) {
+  const std::chrono::duration<double, std::milli> delay = this->Elapsed() - arrival.at;
+  this->delays_ms.push_back(delay.count());
+  auto transfer = std::make_unique<Transfer>();
+  transfer->arrival = &arrival;
+  const std::string url =
+      "http://" + this->settings.entry_hosts[this->sent % this->settings.entry_hosts.size()] +
+      arrival.path;
+  CURL* handle = curl_easy_init();
+  curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, kTimeoutMs);
+  curl_easy_setopt(handle, CURLOPT_HTTPHEADER, this->headers);
+  curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(arrival.body.size()));
+  curl_easy_setopt(handle, CURLOPT_POSTFIELDS, arrival.body.data());
+  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer->body);
+  curl_multi_add_handle(this->multi, handle);
+  this->open.emplace(handle, std::move(transfer));
+}
+
+void LoadGenerator::Impl::Collect() {
+  int left = 0;
+  while (CURLMsg* message = curl_multi_info_read(this->multi, &left)) {
+    if (message->msg == CURLMSG_DONE) {
+      this->Finish(message->easy_handle, message->data.result);
+    }
+  }
+}
+
+void LoadGenerator::Impl::Finish(CURL* handle, CURLcode code) {
+  const auto found = this->open.find(handle);
+  const Transfer& transfer = *found->second;
+  const Arrival& arrival = *transfer.arrival;
+  ClassResults& results = this->results[static_cast<size_t>(arrival.work_class)];
+  long status = 0;
+  curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
+  if (code == CURLE_OK && status < kFirstErrorStatus) {
+    results.AddComplete(this->Elapsed() - arrival.at, arrival.longest);
+  } else {
+    // The verdict of the whole comes before those of the tasks, in the object "error".
+    const size_t error = transfer.body.find("\"error\":{");
+    const size_t verdict = transfer.body.find("\"verdict\":\"", error);
+    const bool has_not_run = error != std::string::npos && verdict != std::string::npos &&
+                             transfer.body.compare(verdict, 19, "\"verdict\":\"not run\"") == 0;
+    results.AddFailed(has_not_run);
+  }
+  curl_multi_remove_handle(this->multi, handle);
+  curl_easy_cleanup(handle);
+  this->open.erase(found);
+}
+
+void LoadGenerator::Impl::TellProgress() {
+  if (this->Elapsed() >= this->next_progress) {
+    this->next_progress += kProgressInterval;
+    this->on_progress(this->sent, this->open.size());
+  }
+}
+
+LoadGenerator::LoadGenerator(LoadSettings settings,
+                             std::function<void(size_t sent, size_t open)> on_progress)
+    : impl(std::make_unique<Impl>(std::move(settings), std::move(on_progress))) {}
+
+LoadGenerator::~LoadGenerator() = default;
+
+void LoadGenerator::Run(const std::vector<Arrival>& arrivals) { this->impl->Run(arrivals); }
+
+ClassResults& LoadGenerator::Results(base::WorkClass work_class) {
+  return this->impl->results[static_cast<size_t>(work_class)];
+}
+
+base::Duration LoadGenerator::SendDelay() {
+  constexpr double kShare = 0.999;
+  const double delay = Percentile(this->impl->delays_ms, kShare);
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double, std::milli>(delay));
+}
+
+}  // namespace sapphirecrank::load
--- /dev/null
+++ b/bench/load/main.cc
@@ -0,0 +1,102 @@
+// Open-loop load against running entry hosts: load [OPTION...] ENTRY_HOST...
+
+#include <curl/curl.h>
+#include <fmt/format.h>
+#include <popt.h>
+
+#include <random>
+#include <string>
+
+#include "bench/load/load_generator.h"
+#include "bench/load/workload.h"
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+/// Values of the options; the texts belong to popt.
+struct Options {
+  int seconds = 10;
+  double rate = 50;
+  double swing = 5;
+  int period_seconds = 4;
+  int run_time_ms = 50;
+  int seed = 1;
+  char* team = nullptr;
+  char* data_centre = nullptr;
+};
+
+load::LoadSettings ToSettings(const Options& options, poptContext context) {
+  load::LoadSettings settings;
+  settings.length = std::chrono::seconds(options.seconds);
+  settings.rate = options.rate;
+  settings.swing = options.swing;
+  settings.swing_period = std::chrono::seconds(options.period_seconds);
+  settings.run_time = std::chrono::milliseconds(options.run_time_ms);
+  settings.seed = static_cast<uint64_t>(options.seed);
+  settings.team = options.team == nullptr ? settings.team : options.team;
+  settings.run_name = fmt::format("load-{}", std::random_device()());
+  settings.data_centre = options.data_centre == nullptr ? "" : options.data_centre;
+  while (const char* host = poptGetArg(context)) {
+    settings.entry_hosts.emplace_back(host);
+  }
+  return settings;
+}
+
+bool IsUsable(const load::LoadSettings& settings) {
+  return !settings.entry_hosts.empty() && settings.rate > 0 && settings.swing >= 1 &&
+         settings.length.count() > 0 && settings.swing_period.count() > 0 &&
+         settings.run_time.count() > 0;
+}
+
+void RunLoad(const load::LoadSettings& settings) {
+  const std::vector<load::Arrival> arrivals = load::MakeWorkload(settings);
+  int tasks = 0;
+  for (const load::Arrival& arrival : arrivals) {
+    tasks += arrival.tasks;
+  }
+  fmt::print("seed {}: {} arrivals with {} tasks in {} s\n", settings.seed, arrivals.size(), tasks,
+             std::chrono::duration_cast<std::chrono::seconds>(settings.length).count());
+  load::LoadGenerator generator(settings, [&](size_t sent, size_t open) {
+    fmt::print(stderr, "sent {} of {}, {} open\n", sent, arrivals.size(), open);
+  });
+  generator.Run(arrivals);
+  fmt::print("{}\n", load::ClassResults::Heading());
+  for (base::WorkClass work_class :
+       {base::WorkClass::kUrgent, base::WorkClass::kOrdinary, base::WorkClass::kBulk}) {
+    const std::string name(base::WorkClassName(work_class));
+    fmt::print("{}\n", generator.Results(work_class).Line(name));
+  }
+  const std::chrono::duration<double, std::milli> delay = generator.SendDelay();
+  fmt::print("sent at most {:.1f} ms late (p99.9); response times count from the intended time\n",
+             delay.count());
+}
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  Options values;
+  const poptOption options[] = {
+      {"seconds", 't', POPT_ARG_INT, &values.seconds, 0, "length of the run", "S"},
+      {"rate", 'r', POPT_ARG_DOUBLE, &values.rate, 0, "arrivals a second in the low half", "N"},
+      {"swing", 'w', POPT_ARG_DOUBLE, &values.swing, 0, "high rate over low rate", "N"},
+      {"period", 'p', POPT_ARG_INT, &values.period_seconds, 0, "length of a swing", "S"},
+      {"run-time", 'u', POPT_ARG_INT, &values.run_time_ms, 0, "mean run time of a task", "MS"},
+      {"seed", 'd', POPT_ARG_INT, &values.seed, 0, "seed of the arrivals", "N"},
+      {"team", 'm', POPT_ARG_STRING, &values.team, 0, "team to submit for", "TEAM"},
+      {"data-centre", 'c', POPT_ARG_STRING, &values.data_centre, 0, "home of the jobs", "NAME"},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext context = poptGetContext("load", argc, argv, options, 0);
+  poptSetOtherOptionHelp(context, "[OPTION...] ENTRY_HOST...");
+  const int parsed = poptGetNextOpt(context);
+  const load::LoadSettings settings = ToSettings(values, context);
+  const bool is_usable = parsed == -1 && IsUsable(settings);
+  if (is_usable) {
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    RunLoad(settings);
+  } else {
+    poptPrintUsage(context, stderr, 0);
+  }
+  poptFreeContext(context);
+  return is_usable ? 0 : 2;
+}
--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,59 @@
+#!/usr/bin/env bash
+# Builds and runs one measurement: bench.sh overhead | load [options] | metrics
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+build_target() {
+  cmake -S . -B build/release -G Ninja >/dev/null
+  ninja -C build/release --quiet "$@"
+}
+
+# Starts one entry host at 127.0.0.1:18401 with runners and workers, and stops them at the end.
+start_host() {
+  build_target sapphirecrank bench_fake_target
+  work="$(mktemp -d)"
+  processes=()
+  stop_host() {
+    kill "${processes[@]}" 2>/dev/null || true
+    wait 2>/dev/null || true
+    rm -rf "$work"
+  }
+  trap stop_host EXIT
+  # An entry host refuses a secret that others can read.
+  (umask 077 && head -c 32 /dev/urandom | base64 >"$work/secret")
+  cat >"$work/host.json" <<EOJ
+{"host": "bench-0", "data_centre": "ba", "http_listen": "127.0.0.1:18401",
+ "peer_listen": "127.0.0.1:18402", "secret_file": "$work/secret", "teams": [{"id": "load"}]}
+EOJ
+  build/release/src/sapphirecrank run --settings "$work/host.json" 2>"$work/host.log" &
+  processes+=($!)
+  build/release/bench/bench_fake_target runner 4 8 ba 127.0.0.1:18401 >"$work/runners" &
+  processes+=($!)
+  build/release/bench/bench_fake_target worker 4 64 ba 127.0.0.1:18401 >"$work/workers" &
+  processes+=($!)
+  # A new owner of a target starts nothing for 2 s.
+  sleep 3.5
+}
+
+case "${1:-}" in
+  overhead)
+    build_target bench_overhead
+    start_host
+    runner="$(sed -n 's/^listening on //p' "$work/runners" | head -n 1)"
+    build/release/bench/bench_overhead 127.0.0.1:18401 "$runner" load
+    ;;
+  load)
+    shift
+    build_target bench_load
+    start_host
+    build/release/bench/bench_load "$@" 127.0.0.1:18401
+    ;;
+  metrics)
+    build_target bench_metrics
+    exec build/release/bench/bench_metrics
+    ;;
+  *)
+    echo "usage: bench.sh overhead | load [options] | metrics" >&2
+    exit 2
+    ;;
+esac
