--- /dev/null
+++ b/src/membership/owner_selector.cc
@@ -0,0 +1,52 @@
+#include "membership/owner_selector.h"
+
+#include <cstdint>
+#include <utility>
+
+#include "base/rendezvous_hash.h"
+#include "membership/view.h"
+
+namespace sapphirecrank::membership {
+
+using base::HostId;
+
+namespace {
+
+// Members with equal scores are ordered by name.
+using Rank = std::pair<uint64_t, const HostId*>;
+
+bool IsHigher(const Rank& a, const Rank& b) {
+  if (b.second == nullptr || a.first != b.first) {
+    return b.second == nullptr || a.first > b.first;
+  }
+  return *a.second < *b.second;
+}
+
+}  // namespace
+
+Owners OwnerSelector::Select(const View& view, std::string_view key) {
+  Rank first{0, nullptr};
+  Rank second{0, nullptr};
+  for (const HostId& member : view.members) {
+    const Rank rank{base::RendezvousScore(member.value(), key), &member};
+    if (IsHigher(rank, first)) {
+      second = std::exchange(first, rank);
+    } else if (IsHigher(rank, second)) {
+      second = rank;
+    }
+  }
+  Owners owners;
+  if (first.second != nullptr) {
+    owners.owner = *first.second;
+  }
+  if (second.second != nullptr) {
+    owners.backup = *second.second;
+  }
+  return owners;
+}
+
+bool OwnerSelector::IsOwner(const View& view, const HostId& host, std::string_view key) {
+  return Select(view, key).owner == host;
+}
+
+}  // namespace sapphirecrank::membership
