membership: Add the lease under which a host acts on its view

A host that is cut off from its group must stop before another one takes over its targets. ViewLease grants the right to act on a key while the view was confirmed at most 1.5 s ago, counted from the question, and from 2 s after the host learned that it owns the key. Keys that stay with their owner don't wait, unless the host missed a view: another host may have owned any key in it.

--- /dev/null
+++ b/src/membership/view_lease.cc
@@ -0,0 +1,120 @@
+#include "membership/view_lease.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/mutex_lock.h"
+#include "membership/owner_selector.h"
+
+namespace sapphirecrank::membership {
+
+using base::Duration;
+using base::Epoch;
+using base::ErrorCode;
+using base::HostId;
+using base::TimePoint;
+
+namespace {
+// With 10 % of drift each way, a lease lasts at most 1.67 s and a wait at least 1.81 s.
+constexpr Duration kLeaseLength = std::chrono::milliseconds(1500);
+constexpr Duration kOwnerWait = std::chrono::seconds(2);
+}  // namespace
+
+ViewLease::ViewLease(HostId self, Hooks hooks) : self(std::move(self)), hooks(std::move(hooks)) {}
+
+bool ViewLease::Learn(View view) {
+  view.learned_at = this->hooks.now();
+  base::MutexLock lock(this->mutex);
+  if (!this->views.empty()) {
+    const Epoch known = this->views.back().epoch;
+    if (view.epoch <= known) {
+      return false;
+    }
+    if (view.epoch != known.Next()) {
+      // Another host may have owned any key in a view that this host missed.
+      this->views.clear();
+      this->confirmed_from.reset();
+    }
+  }
+  this->DropOldViews(view.learned_at);
+  this->views.push_back(std::move(view));
+  return true;
+}
+
+void ViewLease::Confirm(Epoch epoch, TimePoint asked_at) {
+  base::MutexLock lock(this->mutex);
+  if (this->views.empty() || this->views.back().epoch != epoch) {
+    return;
+  }
+  this->confirmed_from = std::max(this->confirmed_from.value_or(asked_at), asked_at);
+}
+
+base::Result<Epoch> ViewLease::MayAct() {
+  const TimePoint now = this->hooks.now();
+  base::MutexLock lock(this->mutex);
+  return this->CheckLease(now);
+}
+
+base::Result<Epoch> ViewLease::MayActOn(std::string_view key) {
+  const TimePoint now = this->hooks.now();
+  base::MutexLock lock(this->mutex);
+  base::Result<Epoch> epoch = this->CheckLease(now);
+  if (!epoch) {
+    return epoch;
+  }
+  const std::optional<TimePoint> usable_from = this->FindUsableFrom(key);
+  if (!usable_from) {
+    return base::Fail(ErrorCode::kFenced, "another host owns this key");
+  }
+  if (now < *usable_from) {
+    return base::Fail(ErrorCode::kUnavailable, "the former owner's lease may not have ended");
+  }
+  return epoch;
+}
+
+std::optional<TimePoint> ViewLease::UsableFrom(std::string_view key) {
+  base::MutexLock lock(this->mutex);
+  return this->FindUsableFrom(key);
+}
+
+std::optional<View> ViewLease::Current() {
+  base::MutexLock lock(this->mutex);
+  return this->views.empty() ? std::nullopt : std::optional<View>(this->views.back());
+}
+
+base::Result<Epoch> ViewLease::CheckLease(TimePoint now) const {
+  if (this->views.empty()) {
+    return base::Fail(ErrorCode::kUnavailable, "no view of the data centre is known");
+  }
+  const View& current = this->views.back();
+  if (!current.Contains(this->self)) {
+    return base::Fail(ErrorCode::kFenced, "this host is not in the view of its data centre");
+  }
+  if (!this->confirmed_from || now - *this->confirmed_from >= kLeaseLength) {
+    return base::Fail(ErrorCode::kUnavailable, "the view of the data centre is not confirmed");
+  }
+  return current.epoch;
+}
+
+std::optional<TimePoint> ViewLease::FindUsableFrom(std::string_view key) const {
+  std::optional<TimePoint> owner_since;
+  for (auto view = this->views.rbegin(); view != this->views.rend(); ++view) {
+    if (!OwnerSelector::IsOwner(*view, this->self, key)) {
+      break;
+    }
+    owner_since = view->learned_at;
+  }
+  return owner_since ? std::optional<TimePoint>(*owner_since + kOwnerWait) : std::nullopt;
+}
+
+void ViewLease::DropOldViews(TimePoint now) {
+  // The newest view whose wait is over answers for all views before it.
+  const auto waiting =
+      std::find_if(this->views.begin(), this->views.end(),
+                   [now](const View& view) { return view.learned_at + kOwnerWait > now; });
+  if (waiting - this->views.begin() > 1) {
+    this->views.erase(this->views.begin(), waiting - 1);
+  }
+}
+
+}  // namespace sapphirecrank::membership
