membership: Add the table of live entry hosts

MemberTable sends a heartbeat to each host every 200 ms and suspects a host after 1 s without an answer, counted from when the newest answered heartbeat was sent. Received heartbeats don't count, because a link that is silent in one direction still delivers them. After a pause of this process at least three unanswered heartbeats are needed, so that it doesn't suspect everyone. A changed incarnation is reported even if the restart took less than a second.

--- /dev/null
+++ b/src/membership/member_table.cc
@@ -0,0 +1,127 @@
+#include "membership/member_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/mutex_lock.h"
+
+namespace sapphirecrank::membership {
+
+using base::Duration;
+using base::HostId;
+using base::Incarnation;
+using base::Sequence;
+using base::TimePoint;
+
+namespace {
+
+constexpr Duration kHeartbeatPeriod = std::chrono::milliseconds(200);
+constexpr Duration kLongestSilence = std::chrono::seconds(1);
+// After a pause of this process its own clock shows a long silence, although the others were not
+// asked meanwhile; so a suspicion also needs heartbeats that went unanswered.
+constexpr size_t kFewestUnanswered = 3;
+// Answers to older heartbeats are ignored.
+constexpr size_t kLongestHistory = 64;
+
+}  // namespace
+
+MemberTable::MemberTable(Hooks hooks) : hooks(std::move(hooks)) {}
+
+void MemberTable::Add(const HostId& host) {
+  const TimePoint now = this->hooks.now();
+  Member member;
+  member.live_at = now;
+  base::MutexLock lock(this->mutex);
+  this->members.try_emplace(host, std::move(member));
+}
+
+void MemberTable::Remove(const HostId& host) {
+  base::MutexLock lock(this->mutex);
+  this->members.erase(host);
+}
+
+void MemberTable::Tick() {
+  const TimePoint now = this->hooks.now();
+  std::vector<std::pair<HostId, Sequence>> heartbeats;
+  std::vector<Change> changes;
+  {
+    base::MutexLock lock(this->mutex);
+    for (auto& [host, member] : this->members) {
+      if (member.state.liveness != Liveness::kSuspected && IsSilent(member, now)) {
+        member.state.liveness = Liveness::kSuspected;
+        changes.push_back({host, member.state});
+      }
+      if (now < member.next_heartbeat) {
+        continue;
+      }
+      member.next_heartbeat = now + kHeartbeatPeriod;
+      this->last_sequence = this->last_sequence.Next();
+      member.unanswered.push_back({this->last_sequence, now});
+      if (member.unanswered.size() > kLongestHistory) {
+        member.unanswered.pop_front();
+      }
+      heartbeats.emplace_back(host, this->last_sequence);
+    }
+  }
+  for (const auto& [host, sequence] : heartbeats) {
+    this->hooks.send_heartbeat(host, sequence);
+  }
+  this->Apply(changes);
+}
+
+void MemberTable::OnAnswer(const HostId& host, Sequence sequence, Incarnation incarnation) {
+  const TimePoint now = this->hooks.now();
+  std::vector<Change> changes;
+  {
+    base::MutexLock lock(this->mutex);
+    auto found = this->members.find(host);
+    if (found == this->members.end()) {
+      return;
+    }
+    Member& member = found->second;
+    const auto answered = std::find_if(
+        member.unanswered.begin(), member.unanswered.end(),
+        [sequence](const Heartbeat& heartbeat) { return heartbeat.sequence == sequence; });
+    if (answered == member.unanswered.end()) {
+      return;
+    }
+    member.live_at = answered->sent_at;
+    member.unanswered.erase(member.unanswered.begin(), answered + 1);
+    // An answer that comes a second late proves life then, not now.
+    const bool recent = now - member.live_at < kLongestSilence;
+    const MemberState state{recent ? Liveness::kAlive : member.state.liveness, incarnation};
+    if (state != std::exchange(member.state, state)) {
+      changes.push_back({host, state});
+    }
+  }
+  this->Apply(changes);
+}
+
+MemberState MemberTable::State(const HostId& host) {
+  base::MutexLock lock(this->mutex);
+  auto found = this->members.find(host);
+  return found == this->members.end() ? MemberState() : found->second.state;
+}
+
+std::vector<HostId> MemberTable::Alive() {
+  base::MutexLock lock(this->mutex);
+  std::vector<HostId> alive;
+  for (const auto& [host, member] : this->members) {
+    if (member.state.liveness == Liveness::kAlive) {
+      alive.push_back(host);
+    }
+  }
+  return alive;
+}
+
+bool MemberTable::IsSilent(const Member& member, TimePoint now) {
+  return now - member.live_at >= kLongestSilence && member.unanswered.size() >= kFewestUnanswered;
+}
+
+void MemberTable::Apply(const std::vector<Change>& changes) const {
+  for (const Change& change : changes) {
+    this->hooks.on_change(change.host, change.state);
+  }
+}
+
+}  // namespace sapphirecrank::membership
--- /dev/null
+++ b/src/membership/member_table.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/mutex.h"
+#include "base/time.h"
+#include "membership/member_state.h"
+
+namespace sapphirecrank::membership {
+
+/// Liveness of the other entry hosts of a data centre, from answered heartbeats.
+///
+/// Only an answer to this host's own heartbeat counts as a sign of life, because a link that is
+/// silent in one direction still delivers the other host's heartbeats. Thread safety: all methods
+/// may be called from any thread; hooks run without a lock.
+class MemberTable {
+ public:
+  /// Behaviour handed in; all members must be set.
+  struct Hooks {
+    /// Current time.
+    base::Clock now;
+    /// Sends a heartbeat, whose answer repeats the sequence.
+    std::function<void(const base::HostId&, base::Sequence)> send_heartbeat;
+    /// Called with the new state after each change of liveness or incarnation. Calls for changes
+    /// on several threads may come in another order; `State` returns the newest.
+    std::function<void(const base::HostId&, const MemberState&)> on_change;
+  };
+
+  /// Creates an empty table.
+  explicit MemberTable(Hooks hooks);
+
+  /// Adds a host, which has a second to answer its first heartbeat. A known one is left as it is.
+  void Add(const base::HostId& host) EXCLUDES(mutex);
+
+  /// Forgets a host; `on_change` is not called.
+  void Remove(const base::HostId& host) EXCLUDES(mutex);
+
+  /// Sends the heartbeats that are due, one to each host every 200 ms, and suspects hosts that have
+  /// been silent for a second. Call it at least every 50 ms.
+  void Tick() EXCLUDES(mutex);
+
+  /// Takes in the answer of a host to one of this host's heartbeats. An answer to an older
+  /// heartbeat than the newest answered one, or to none that was sent, is ignored.
+  void OnAnswer(const base::HostId& host, base::Sequence sequence, base::Incarnation incarnation)
+      EXCLUDES(mutex);
+
+  /// Returns the state of a host; unknown for one that isn't in the table.
+  MemberState State(const base::HostId& host) EXCLUDES(mutex);
+
+  /// Returns the hosts that are alive, in no order.
+  std::vector<base::HostId> Alive() EXCLUDES(mutex);
+
+ private:
+  struct Heartbeat {
+    base::Sequence sequence;
+    base::TimePoint sent_at;
+  };
+
+  struct Member {
+    MemberState state;
+    // Unanswered ones, oldest first, at most kLongestHistory.
+    std::deque<Heartbeat> unanswered;
+    // When the newest answered heartbeat was sent, or the host was added.
+    base::TimePoint live_at;
+    base::TimePoint next_heartbeat;
+  };
+
+  struct Change {
+    base::HostId host;
+    MemberState state;
+  };
+
+  static bool IsSilent(const Member& member, base::TimePoint now);
+  void Apply(const std::vector<Change>& changes) const;
+
+  Hooks hooks;
+  base::Mutex mutex;
+  std::unordered_map<base::HostId, Member> members GUARDED_BY(mutex);
+  base::Sequence last_sequence GUARDED_BY(mutex);
+};
+
+}  // namespace sapphirecrank::membership
