cli: Free the values of repeated options

The address sanitizer found that popt drops the first value of an option that is given twice. Values are now taken one by one as popt reads them; the last one counts.

--- a/src/cli/option_parser.cc
+++ b/src/cli/option_parser.cc
@@ -59,55 +59,40 @@
   return nullptr;
 }
 
-/// The options of one subcommand in popt's form, with the places for their values.
-class OptionTable {
- public:
-  explicit OptionTable(const CommandForm& form) {
-    if (form.takes_settings) {
-      this->Add({"settings", 's', POPT_ARG_STRING, &this->settings_file, 0, "settings file (JSON)",
-                 "FILE"});
-    }
-    if (form.takes_entry_host) {
-      this->Add({"entry-host", 'e', POPT_ARG_STRING, &this->entry_host, 0,
-                 "entry host to ask (default 127.0.0.1:8080)", "ADDRESS"});
-      this->Add({"credential-file", 'c', POPT_ARG_STRING, &this->credential_file, 0,
-                 "file of mode 600 with one line NAME:SECRET", "FILE"});
-    }
-    this->Add({"json", 'j', POPT_ARG_NONE, &this->is_json, 0, "print JSON for programs", nullptr});
-    this->Add({"help", 'h', POPT_ARG_NONE, &this->is_help, 0, "show this help", nullptr});
-    this->Add(POPT_TABLEEND);
-  }
-  ~OptionTable() {
-    free(this->settings_file);
-    free(this->entry_host);
-    free(this->credential_file);
+// What poptGetNextOpt returns for each option.
+constexpr int kSettings = 's';
+constexpr int kEntryHost = 'e';
+constexpr int kCredentialFile = 'c';
+constexpr int kJson = 'j';
+constexpr int kHelp = 'h';
+
+/// Returns the options of a subcommand in popt's form.
+std::vector<poptOption> OptionTable(const CommandForm& form) {
+  std::vector<poptOption> options;
+  if (form.takes_settings) {
+    options.push_back(
+        {"settings", 's', POPT_ARG_STRING, nullptr, kSettings, "settings file (JSON)", "FILE"});
   }
-  OptionTable(const OptionTable&) = delete;
-  OptionTable& operator=(const OptionTable&) = delete;
-
-  const poptOption* Options() const { return this->options.data(); }
-  bool IsHelp() const { return this->is_help != 0; }
-
-  /// Copies the values into `result`.
-  void Fill(CommandOptions& result) const {
-    result.settings_file = Text(this->settings_file);
-    result.entry_host =
-        base::NetworkAddress(this->entry_host == nullptr ? kDefaultEntryHost : this->entry_host);
-    result.credential_file = Text(this->credential_file);
-    result.is_json = this->is_json != 0;
+  if (form.takes_entry_host) {
+    options.push_back({"entry-host", 'e', POPT_ARG_STRING, nullptr, kEntryHost,
+                       "entry host to ask (default 127.0.0.1:8080)", "ADDRESS"});
+    options.push_back({"credential-file", 'c', POPT_ARG_STRING, nullptr, kCredentialFile,
+                       "file of mode 600 with one line NAME:SECRET", "FILE"});
   }
+  options.push_back(
+      {"json", 'j', POPT_ARG_NONE, nullptr, kJson, "print JSON for programs", nullptr});
+  options.push_back({"help", 'h', POPT_ARG_NONE, nullptr, kHelp, "show this help", nullptr});
+  options.push_back(POPT_TABLEEND);
+  return options;
+}
 
- private:
-  static std::string Text(const char* value) { return value == nullptr ? "" : value; }
-  void Add(const poptOption& option) { this->options.push_back(option); }
-
-  std::vector<poptOption> options;
-  char* settings_file = nullptr;
-  char* entry_host = nullptr;
-  char* credential_file = nullptr;
-  int is_json = 0;
-  int is_help = 0;
-};
+/// Takes the value of the option that was read last.
+std::string TakeValue(poptContext context) {
+  char* value = poptGetOptArg(context);
+  const std::string text = value == nullptr ? "" : value;
+  free(value);
+  return text;
+}
 
 std::string HelpOf(const CommandForm& form, poptContext context) {
   char* text = nullptr;
@@ -143,21 +128,32 @@
   return {};
 }
 
-base::Result<CommandOptions> ReadOptions(const CommandForm& form, const OptionTable& table,
-                                         poptContext context) {
-  const int end = poptGetNextOpt(context);
-  if (end < -1) {
-    const std::string option = poptBadOption(context, POPT_BADOPTION_NOALIAS);
-    return Fail(ErrorCode::kInvalidArgument,
-                fmt::format("{}: {}: {}", form.name, option, poptStrerror(end)), option);
-  }
+base::Result<CommandOptions> ReadOptions(const CommandForm& form, poptContext context) {
   CommandOptions options;
   options.command = form.command;
-  if (table.IsHelp()) {
-    options.help = HelpOf(form, context);
-    return options;
+  options.entry_host = base::NetworkAddress(kDefaultEntryHost);
+  int option = 0;
+  while ((option = poptGetNextOpt(context)) > 0) {
+    // A repeated option counts with its last value.
+    const std::string value = TakeValue(context);
+    if (option == kSettings) {
+      options.settings_file = value;
+    } else if (option == kEntryHost) {
+      options.entry_host = base::NetworkAddress(value);
+    } else if (option == kCredentialFile) {
+      options.credential_file = value;
+    } else if (option == kJson) {
+      options.is_json = true;
+    } else if (option == kHelp) {
+      options.help = HelpOf(form, context);
+      return options;
+    }
+  }
+  if (option < -1) {
+    const std::string name = poptBadOption(context, POPT_BADOPTION_NOALIAS);
+    return Fail(ErrorCode::kInvalidArgument,
+                fmt::format("{}: {}: {}", form.name, name, poptStrerror(option)), name);
   }
-  table.Fill(options);
   const auto read = ReadArguments(form, context, options);
   if (!read) {
     return tl::make_unexpected(read.error());
@@ -175,10 +171,10 @@
   // popt expects the null pointer that ends argv.
   const int count = static_cast<int>(pointers.size());
   pointers.push_back(nullptr);
-  const OptionTable table(form);
-  poptContext context = poptGetContext(nullptr, count, pointers.data(), table.Options(), 0);
+  const std::vector<poptOption> table = OptionTable(form);
+  poptContext context = poptGetContext(nullptr, count, pointers.data(), table.data(), 0);
   poptSetOtherOptionHelp(context, fmt::format("[OPTION...] {}", form.argument).c_str());
-  auto options = ReadOptions(form, table, context);
+  auto options = ReadOptions(form, context);
   poptFreeContext(context);
   return options;
 }
