--- a/src/cli/configuration_loader.cc
+++ b/src/cli/configuration_loader.cc
@@ -1,5 +1,6 @@
 #include "cli/configuration_loader.h"
 
+#include <nlohmann/json.hpp>
 #include <set>
 #include <utility>
 
@@ -21,6 +22,26 @@
   return text;
 }
 
+using Json = nlohmann::json;
+
+/// Returns a text at `pointer`, or an empty one if there is none.
+std::string TextAt(const Json& document, const std::string& pointer) {
+  const Json::json_pointer place(pointer);
+  const bool is_text = document.contains(place) && document.at(place).is_string();
+  return is_text ? document.at(place).get<std::string>() : "";
+}
+
+/// Returns faulty settings with nothing but the names of files.
+configuration::Settings FileNames(const std::string& text) {
+  const Json document = Json::parse(text, nullptr, false);
+  configuration::Settings settings;
+  settings.secret_file = TextAt(document, "/secret_file");
+  settings.authentication.operator_tokens_file =
+      TextAt(document, "/authentication/operator_tokens_file");
+  settings.authentication.team_keys_file = TextAt(document, "/authentication/team_keys_file");
+  return settings;
+}
+
 }  // namespace
 
 ConfigurationLoader::ConfigurationLoader(Hooks hooks) : hooks(std::move(hooks)) {}
@@ -32,14 +53,15 @@
     return tl::make_unexpected(Faults{{"", text.error().message}});
   }
   Faults faults = configuration::SettingsChecker().Check(*text);
-  if (!faults.empty()) {
-    return tl::make_unexpected(std::move(faults));
-  }
+  const bool is_usable = faults.empty();
   HostConfiguration configuration;
-  configuration.settings = *configuration::ParseSettings(*text);
+  configuration.settings = is_usable ? *configuration::ParseSettings(*text) : FileNames(*text);
   this->ReadSecret(configuration, faults);
   this->ReadTokens(configuration, faults);
   this->ReadKeys(configuration, faults);
+  if (is_usable) {
+    CheckTeams(configuration, faults);
+  }
   if (!faults.empty()) {
     return tl::make_unexpected(std::move(faults));
   }
@@ -47,6 +69,9 @@
 }
 
 void ConfigurationLoader::ReadSecret(HostConfiguration& configuration, Faults& faults) const {
+  if (configuration.settings.secret_file.empty()) {
+    return;
+  }
   const auto text = this->hooks.read_secret(configuration.settings.secret_file);
   if (!text) {
     faults.push_back({kSecretField, text.error().message});
@@ -92,17 +117,21 @@
     faults.push_back({kKeysField, "'" + path + "': " + keys.error().message});
     return;
   }
+  configuration.keys = std::move(*keys);
+}
+
+void ConfigurationLoader::CheckTeams(const HostConfiguration& configuration, Faults& faults) {
+  const std::string& path = configuration.settings.authentication.team_keys_file;
   std::set<base::TeamId> teams;
   for (const configuration::TeamSettings& team : configuration.settings.teams) {
     teams.insert(team.id);
   }
-  for (const frontend::TeamKey& key : *keys) {
+  for (const frontend::TeamKey& key : configuration.keys) {
     if (teams.count(key.team) == 0) {
       faults.push_back(
           {kKeysField, "'" + path + "': team '" + key.team.value() + "' is not among the teams"});
     }
   }
-  configuration.keys = std::move(*keys);
 }
 
 }  // namespace sapphirecrank::cli
--- a/src/cli/configuration_loader.h
+++ b/src/cli/configuration_loader.h
@@ -27,11 +27,13 @@
 
   explicit ConfigurationLoader(Hooks hooks);
 
-  /// Returns the configuration, or all its faults. The named files are read only if the settings
-  /// themselves have no fault.
+  /// Returns the configuration, or all its faults, also those of the files that faulty settings
+  /// name.
   tl::expected<HostConfiguration, Faults> Load(const std::string& path) const;
 
  private:
+  /// Checks that all teams with keys are among the teams of the settings.
+  static void CheckTeams(const HostConfiguration& configuration, Faults& faults);
   void ReadSecret(HostConfiguration& configuration, Faults& faults) const;
   void ReadTokens(HostConfiguration& configuration, Faults& faults) const;
   void ReadKeys(HostConfiguration& configuration, Faults& faults) const;
--- a/tests/cli/command_line_test.cc
+++ b/tests/cli/command_line_test.cc
@@ -119,6 +119,9 @@
   LONGS_EQUAL(3, this->Run({"check", "--json", "settings"}));
   CHECK_TRUE(this->Prints("\"path\": \"authentication.team_keys_file\""));
   LONGS_EQUAL(3, this->Run({"check", "nothing"}));
+  this->files["settings"].insert(1, "\"colour\": 1, ");
+  LONGS_EQUAL(3, this->Run({"check", "settings"}));
+  CHECK_TRUE(this->Complains("colour") && this->Complains("shorter than 16 bytes"));
 }
 
 // Guards against work that goes to the wrong resource or is given up before its deadline.
