--- /dev/null
+++ b/scripts/model.sh
@@ -0,0 +1,67 @@
+#!/usr/bin/env bash
+# Checks the models in models/ to the end, and that a fault seeded into each of them is found.
+# Each search may take MEMORY_MB and SECONDS_LIMIT; two run at a time, in a temporary directory.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+readonly MEMORY_MB=3000
+readonly SECONDS_LIMIT=100
+readonly DEPTH=100000
+
+models="$PWD/models"
+directory="$(mktemp -d)"
+trap 'rm -rf "$directory"' EXIT
+
+# run_search NAME OUTPUT [FLAG]: builds the verifier of a model and lets it search.
+run_search() {
+  local name="$1" output="$2" flag="${3:-}"
+  mkdir -p "$directory/$output"
+  cd "$directory/$output"
+  spin -a ${flag:+"$flag"} "$models/$name.pml" >spin.log 2>&1
+  # The code that spin generates has warnings.
+  gcc -w -O2 -DSAFETY -DMEMLIM="$MEMORY_MB" -o pan pan.c
+  timeout "$SECONDS_LIMIT" ./pan -m"$DEPTH" >pan.log 2>&1 || echo "exit code $?" >>pan.log
+}
+
+report() { echo "model $1: $2"; }
+
+# check_complete NAME: the search visited all states and found no error.
+check_complete() {
+  local log="$directory/$1/pan.log"
+  if grep -q 'errors: 0' "$log" &&
+     ! grep -Eq 'Search not completed|max search depth too small|out of memory|exit code' "$log"; then
+    report "$1" "no error in $(awk '/states, stored/ {print $1; exit}' "$log") states, $(
+      awk '/total actual memory/ {print $1}' "$log") MB, $(
+      awk '/elapsed time/ {print $4}' "$log") s"
+  else
+    report "$1" "FAILED"
+    cat "$log"
+    return 1
+  fi
+}
+
+# check_found NAME OUTPUT: an assertion failed because of the seeded fault.
+check_found() {
+  local log="$directory/$2/pan.log"
+  if grep -q 'assertion violated' "$log"; then
+    report "$1" "seeded fault $2 found: $(grep -m1 'assertion violated' "$log")"
+  else
+    report "$1" "seeded fault $2 NOT FOUND"
+    cat "$log"
+    return 1
+  fi
+}
+
+(run_search submission submission) &
+first=$!
+(run_search configuration configuration
+ run_search configuration no_quorum -DNO_QUORUM
+ run_search submission no_fencing -DNO_FENCING) &
+second=$!
+wait "$first" "$second"
+
+failed=0
+check_complete submission || failed=1
+check_found submission no_fencing || failed=1
+check_complete configuration || failed=1
+check_found configuration no_quorum || failed=1
+exit "$failed"
