configuration: Add the replicated configuration store

The configuration is applied by compare-and-set from the log: a change has an expected version and a change id. Of two changes with equal versions one wins and the other gets a conflict with the current version. ChangeProposer answers an operator only after the entry was committed and applied; after a loss of leadership the answer is "may have run" and the advice to resend. CurrencyMonitor treats all automatic actions as off unless the configuration was confirmed current at most 3 s ago.

--- /dev/null
+++ b/src/configuration/change_memory.cc
@@ -0,0 +1,21 @@
+#include "configuration/change_memory.h"
+
+namespace sapphirecrank::configuration {
+
+const ChangeOutcome* ChangeMemory::Find(const base::ChangeId& id) const {
+  auto found = this->outcomes.find(id);
+  return found == this->outcomes.end() ? nullptr : &found->second;
+}
+
+void ChangeMemory::Add(const base::ChangeId& id, const ChangeOutcome& outcome) {
+  if (!this->outcomes.emplace(id, outcome).second) {
+    return;
+  }
+  this->ids.push_back(id);
+  if (this->ids.size() > kCapacity) {
+    this->outcomes.erase(this->ids.front());
+    this->ids.pop_front();
+  }
+}
+
+}  // namespace sapphirecrank::configuration
--- /dev/null
+++ b/src/configuration/change_proposer.cc
@@ -0,0 +1,47 @@
+#include "configuration/change_proposer.h"
+
+#include <utility>
+
+#include "configuration/configuration_codec.h"
+
+namespace sapphirecrank::configuration {
+
+using base::ErrorCode;
+
+ChangeProposer::ChangeProposer(Hooks hooks) : hooks(std::move(hooks)) {}
+
+void ChangeProposer::Submit(const ConfigurationChange& change, OnOutcome on_outcome) {
+  auto index = this->hooks.propose(ConfigurationCodec::EncodeChange(change));
+  if (!index) {
+    on_outcome(tl::make_unexpected(index.error()));
+    return;
+  }
+  this->pending[*index] = Pending{this->hooks.term(), std::move(on_outcome)};
+}
+
+void ChangeProposer::OnApplied(base::LogIndex index, base::Term term,
+                               const ChangeOutcome& outcome) {
+  auto found = this->pending.find(index);
+  if (found == this->pending.end()) {
+    return;
+  }
+  Pending waiting = std::move(found->second);
+  this->pending.erase(found);
+  if (waiting.term == term) {
+    waiting.on_outcome(outcome);
+    return;
+  }
+  // Another leader's entry took the place, so that this one can't be committed any more.
+  waiting.on_outcome(base::Fail(ErrorCode::kUnavailable, "another leader replaced the change"));
+}
+
+void ChangeProposer::OnLeadershipLost() {
+  std::map<base::LogIndex, Pending> lost = std::exchange(this->pending, {});
+  for (auto& [index, waiting] : lost) {
+    waiting.on_outcome(base::Fail(ErrorCode::kUnavailable,
+                                  "leadership was lost; resend with the same change id", "",
+                                  base::Verdict::kMayHaveRun));
+  }
+}
+
+}  // namespace sapphirecrank::configuration
--- /dev/null
+++ b/src/configuration/change_proposer.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <functional>
+#include <map>
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "configuration/change_outcome.h"
+#include "configuration/configuration_change.h"
+
+namespace sapphirecrank::configuration {
+
+/// Waits on the leader until proposed changes are committed and applied, and answers each once.
+///
+/// Thread safety: none; it belongs to the thread that drives the group's `RaftNode`.
+class ChangeProposer {
+ public:
+  using OnOutcome = std::function<void(const base::Result<ChangeOutcome>&)>;
+
+  struct Hooks {
+    /// Appends a command to the group's log (`RaftNode::Propose`).
+    std::function<base::Result<base::LogIndex>(const std::string& command)> propose;
+    /// Returns the group's current term.
+    std::function<base::Term()> term;
+  };
+
+  explicit ChangeProposer(Hooks hooks);
+
+  /// Proposes a change. `on_outcome` is called once: with the outcome after a quorum has committed
+  /// the change, or with `kUnavailable`. The error's verdict says whether the change may still be
+  /// accepted; a resend with the same change id tells.
+  void Submit(const ConfigurationChange& change, OnOutcome on_outcome);
+
+  /// Reports an applied entry and its outcome.
+  void OnApplied(base::LogIndex index, base::Term term, const ChangeOutcome& outcome);
+
+  /// Reports that this host leads no longer: the outcome of what is pending is unknown here.
+  void OnLeadershipLost();
+
+ private:
+  struct Pending {
+    base::Term term;
+    OnOutcome on_outcome;
+  };
+
+  Hooks hooks;
+  std::map<base::LogIndex, Pending> pending;
+};
+
+}  // namespace sapphirecrank::configuration
--- /dev/null
+++ b/src/configuration/configuration.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "base/ids.h"
+#include "configuration/preset.h"
+#include "configuration/preset_name.h"
+#include "configuration/team_share.h"
+
+namespace sapphirecrank::configuration {
+
+/// The replicated configuration at one version.
+struct Configuration {
+  /// Grows by one with each accepted change.
+  base::Version version{1};
+  PresetName preset_in_force = Preset::Ordinary();
+  std::map<PresetName, Preset> presets = Preset::Standard();
+  std::map<base::TeamId, TeamShare> teams;
+  /// Entry hosts and targets that get no new work.
+  std::set<base::HostId> drained_hosts;
+  std::set<base::TargetId> drained_targets;
+
+  /// Returns the preset in force.
+  const Preset& preset() const { return this->presets.at(this->preset_in_force); }
+};
+
+}  // namespace sapphirecrank::configuration
--- /dev/null
+++ b/src/configuration/configuration_codec.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include "base/result.h"
+#include "configuration/change_memory.h"
+#include "configuration/configuration.h"
+#include "configuration/configuration_change.h"
+
+namespace sapphirecrank::configuration {
+
+/// CBOR form of changes in the log and of the state in snapshots. Thread safety: pure.
+struct ConfigurationCodec {
+  static std::string EncodeChange(const ConfigurationChange& change);
+
+  /// Error: `kCorrupted` if the bytes are no change.
+  static base::Result<ConfigurationChange> DecodeChange(const std::string& bytes);
+
+  static std::string EncodeState(const Configuration& configuration, const ChangeMemory& memory);
+
+  /// Error: `kCorrupted` if the bytes are no state.
+  static base::Result<std::pair<Configuration, ChangeMemory>> DecodeState(const std::string& bytes);
+};
+
+}  // namespace sapphirecrank::configuration
--- /dev/null
+++ b/src/configuration/configuration_store.cc
@@ -0,0 +1,171 @@
+#include "configuration/configuration_store.h"
+
+#include <utility>
+
+#include "base/mutex_lock.h"
+#include "configuration/configuration_codec.h"
+
+namespace sapphirecrank::configuration {
+namespace {
+
+using base::ErrorCode;
+using base::Result;
+
+bool HasActions(const limits::AutomaticActions& actions) {
+  return actions.ejection || actions.hedging || actions.throttling || actions.bulk_shedding ||
+         actions.retry;
+}
+
+bool IsPercent(Percent value) { return value >= Percent(0) && value <= Percent(100); }
+
+auto Invalid(const std::string& field, const std::string& message) {
+  return base::Fail(ErrorCode::kInvalidArgument, message, field);
+}
+
+template <typename Id>
+void SetMember(std::set<Id>& members, const Id& id, bool member) {
+  if (member) {
+    members.insert(id);
+  } else {
+    members.erase(id);
+  }
+}
+
+struct ActionApplier {
+  Configuration& next;
+
+  Result<void> operator()(const ConfigurationChange::ChoosePreset& action) const {
+    if (this->next.presets.count(action.name) == 0) {
+      return Invalid("preset", "unknown preset: " + action.name.value());
+    }
+    this->next.preset_in_force = action.name;
+    return {};
+  }
+
+  Result<void> operator()(const ConfigurationChange::PutPreset& action) const {
+    if (action.name.empty()) {
+      return Invalid("preset", "a preset needs a name");
+    }
+    if (action.name == Preset::AllActionsOff() && HasActions(action.preset.actions)) {
+      return Invalid("preset", "this preset keeps all automatic actions off");
+    }
+    for (const ClassParameters& parameters : action.preset.classes) {
+      if (!IsPercent(parameters.reserved_slots) || !IsPercent(parameters.long_task_slots)) {
+        return Invalid("classes", "a share is from 0 to 100 percent");
+      }
+      if (parameters.queue_limit < base::TaskCount(1)) {
+        return Invalid("classes", "a queue limit is at least 1");
+      }
+    }
+    this->next.presets[action.name] = action.preset;
+    return {};
+  }
+
+  Result<void> operator()(const ConfigurationChange::PutTeam& action) const {
+    if (action.team.empty()) {
+      return Invalid("team", "a team needs a name");
+    }
+    if (action.settings.weight < base::Weight(1)) {
+      return Invalid("weight", "a weight is at least 1");
+    }
+    if (action.settings.slot_quota < base::SlotCount(0)) {
+      return Invalid("slot_quota", "a quota is at least 0");
+    }
+    this->next.teams[action.team] = action.settings;
+    return {};
+  }
+
+  Result<void> operator()(const ConfigurationChange::RemoveTeam& action) const {
+    if (this->next.teams.erase(action.team) == 0) {
+      return Invalid("team", "unknown team: " + action.team.value());
+    }
+    return {};
+  }
+
+  Result<void> operator()(const ConfigurationChange::DrainHost& action) const {
+    if (action.host.empty()) {
+      return Invalid("host", "a host needs a name");
+    }
+    SetMember(this->next.drained_hosts, action.host, action.drained);
+    return {};
+  }
+
+  Result<void> operator()(const ConfigurationChange::DrainTarget& action) const {
+    if (action.target.empty()) {
+      return Invalid("target", "a target needs a name");
+    }
+    SetMember(this->next.drained_targets, action.target, action.drained);
+    return {};
+  }
+};
+
+}  // namespace
+
+ConfigurationStore::ConfigurationStore() : current(std::make_shared<const Configuration>()) {}
+
+ChangeOutcome ConfigurationStore::Apply(const std::string& command) {
+  auto change = ConfigurationCodec::DecodeChange(command);
+  if (!change) {
+    ChangeOutcome outcome;
+    outcome.version = this->Current()->version;
+    outcome.message = change.error().message;
+    return outcome;
+  }
+  const ChangeOutcome* first = this->memory.Find(change->id);
+  if (first != nullptr) {
+    return *first;
+  }
+  ChangeOutcome outcome = this->Decide(*change);
+  this->memory.Add(change->id, outcome);
+  return outcome;
+}
+
+std::shared_ptr<const Configuration> ConfigurationStore::Current() const {
+  base::MutexLock lock(this->mutex);
+  return this->current;
+}
+
+std::string ConfigurationStore::Snapshot() const {
+  return ConfigurationCodec::EncodeState(*this->Current(), this->memory);
+}
+
+Result<void> ConfigurationStore::Restore(const std::string& snapshot) {
+  auto state = ConfigurationCodec::DecodeState(snapshot);
+  if (!state) {
+    return tl::make_unexpected(state.error());
+  }
+  this->memory = std::move(state->second);
+  this->Publish(std::make_shared<const Configuration>(std::move(state->first)));
+  return {};
+}
+
+ChangeOutcome ConfigurationStore::Decide(const ConfigurationChange& change) {
+  std::shared_ptr<const Configuration> before = this->Current();
+  ChangeOutcome outcome;
+  outcome.version = before->version;
+  if (change.expected != before->version) {
+    outcome.kind = ChangeOutcome::Kind::kConflict;
+    outcome.field = "expected";
+    outcome.message = "the configuration has another version";
+    return outcome;
+  }
+  auto next = std::make_shared<Configuration>(*before);
+  auto applied = std::visit(ActionApplier{*next}, change.action);
+  if (!applied) {
+    outcome.field = applied.error().field;
+    outcome.message = applied.error().message;
+    return outcome;
+  }
+  next->version = before->version.Next();
+  outcome.kind = ChangeOutcome::Kind::kAccepted;
+  outcome.version = next->version;
+  this->Publish(std::move(next));
+  return outcome;
+}
+
+void ConfigurationStore::Publish(std::shared_ptr<const Configuration> configuration) {
+  base::MutexLock lock(this->mutex);
+  this->current.swap(configuration);
+}
+
+}  // namespace sapphirecrank::configuration
--- /dev/null
+++ b/src/configuration/currency_monitor.cc
@@ -0,0 +1,29 @@
+#include "configuration/currency_monitor.h"
+
+#include <utility>
+
+#include "configuration/configuration.h"
+#include "configuration/preset.h"
+
+namespace sapphirecrank::configuration {
+
+CurrencyMonitor::CurrencyMonitor(base::Clock now) : now(std::move(now)) {}
+
+void CurrencyMonitor::Confirm(base::TimePoint current_as_of) {
+  base::Duration::rep time = current_as_of.time_since_epoch().count();
+  if (time > this->confirmed.load()) {
+    this->confirmed.store(time);
+  }
+}
+
+bool CurrencyMonitor::IsCurrent() const {
+  base::TimePoint confirmed_time(base::Duration(this->confirmed.load()));
+  // The clock of the machine starts at zero when it boots.
+  return confirmed_time != base::TimePoint() && this->now() - confirmed_time <= kLimit;
+}
+
+limits::AutomaticActions CurrencyMonitor::Allowed(const Configuration& configuration) const {
+  return this->IsCurrent() ? configuration.preset().actions : Preset::NoActions();
+}
+
+}  // namespace sapphirecrank::configuration
--- /dev/null
+++ b/src/configuration/currency_monitor.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <atomic>
+
+#include "base/time.h"
+#include "limits/automatic_actions.h"
+
+namespace sapphirecrank::configuration {
+
+struct Configuration;
+
+/// Says whether this host's configuration is confirmed to be the current one.
+///
+/// Thread safety: `Confirm` belongs to the thread that drives the group's `RaftNode`; the other
+/// methods may be called from any thread.
+class CurrencyMonitor {
+ public:
+  /// Longest time for which a configuration counts as current without a confirmation.
+  static constexpr base::Duration kLimit = std::chrono::seconds(3);
+
+  explicit CurrencyMonitor(base::Clock now);
+
+  /// Takes `RaftStatus::current_as_of`: all that was committed before this time is applied here.
+  void Confirm(base::TimePoint current_as_of);
+
+  /// Tells whether the configuration was current at most `kLimit` ago.
+  bool IsCurrent() const;
+
+  /// Returns the automatic actions that may be taken: those of the preset in force, or none while
+  /// the configuration isn't confirmed, because an operator may have switched them off.
+  limits::AutomaticActions Allowed(const Configuration& configuration) const;
+
+ private:
+  base::Clock now;
+  std::atomic<base::Duration::rep> confirmed{0};
+};
+
+}  // namespace sapphirecrank::configuration
--- /dev/null
+++ b/src/configuration/preset.cc
@@ -0,0 +1,38 @@
+#include "configuration/preset.h"
+
+namespace sapphirecrank::configuration {
+namespace {
+
+ClassParameters Class(int reserved_slots, int long_task_slots, int64_t queue_limit) {
+  return {Percent(reserved_slots), Percent(long_task_slots), base::TaskCount(queue_limit)};
+}
+
+}  // namespace
+
+std::map<PresetName, Preset> Preset::Standard() {
+  Preset ordinary;
+  ordinary.classes = {Class(10, 50, 10'000), Class(0, 50, 10'000), Class(0, 50, 10'000)};
+  Preset peak;
+  peak.classes = {Class(30, 30, 10'000), Class(0, 30, 5'000), Class(0, 10, 1'000)};
+  Preset maintenance = ordinary;
+  // Targets that restart would be taken for failing ones.
+  maintenance.actions.ejection = false;
+  Preset off = ordinary;
+  off.actions = NoActions();
+  return {{Ordinary(), ordinary},
+          {PresetName("peak"), peak},
+          {PresetName("maintenance"), maintenance},
+          {AllActionsOff(), off}};
+}
+
+limits::AutomaticActions Preset::NoActions() {
+  limits::AutomaticActions actions;
+  actions.ejection = false;
+  actions.hedging = false;
+  actions.throttling = false;
+  actions.bulk_shedding = false;
+  actions.retry = false;
+  return actions;
+}
+
+}  // namespace sapphirecrank::configuration
--- /dev/null
+++ b/src/configuration/preset.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <array>
+#include <map>
+
+#include "base/work_class.h"
+#include "configuration/class_parameters.h"
+#include "configuration/preset_name.h"
+#include "limits/automatic_actions.h"
+
+namespace sapphirecrank::configuration {
+
+/// A named set of parameters that operators choose as a whole.
+struct Preset {
+  limits::AutomaticActions actions;
+  /// By `base::WorkClass`.
+  std::array<ClassParameters, base::kWorkClassCount> classes;
+
+  /// Returns the presets of a new group: "ordinary", "peak", "maintenance" and
+  /// "all-automatic-actions-off".
+  static std::map<PresetName, Preset> Standard();
+
+  /// Returns the name of the preset that is in force in a new group.
+  static PresetName Ordinary() { return PresetName("ordinary"); }
+
+  /// Returns the name of the preset that has every automatic action off and can't be changed.
+  static PresetName AllActionsOff() { return PresetName("all-automatic-actions-off"); }
+
+  /// Returns a set with every action off.
+  static limits::AutomaticActions NoActions();
+};
+
+}  // namespace sapphirecrank::configuration
--- /dev/null
+++ b/tests/configuration/configuration_store_test.cc
@@ -0,0 +1,114 @@
+#include "configuration/configuration_store.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "configuration/configuration_codec.h"
+
+using sapphirecrank::base::ChangeId;
+using sapphirecrank::base::HostId;
+using sapphirecrank::base::SlotCount;
+using sapphirecrank::base::TargetId;
+using sapphirecrank::base::TeamId;
+using sapphirecrank::base::Version;
+using sapphirecrank::base::Weight;
+using sapphirecrank::configuration::ChangeMemory;
+using sapphirecrank::configuration::ChangeOutcome;
+using sapphirecrank::configuration::ConfigurationChange;
+using sapphirecrank::configuration::ConfigurationCodec;
+using sapphirecrank::configuration::ConfigurationStore;
+using sapphirecrank::configuration::Percent;
+using sapphirecrank::configuration::Preset;
+using sapphirecrank::configuration::PresetName;
+
+TEST_GROUP(ConfigurationStore) {
+  ConfigurationStore store;
+
+  ChangeOutcome Apply(const std::string& id, uint64_t expected,
+                      const ConfigurationChange::Action& action) {
+    ConfigurationChange change{ChangeId(id), Version(expected), action};
+    return store.Apply(ConfigurationCodec::EncodeChange(change));
+  }
+
+  ChangeOutcome Choose(const std::string& id, uint64_t expected, const std::string& preset) {
+    return Apply(id, expected, ConfigurationChange::ChoosePreset{PresetName(preset)});
+  }
+};
+
+// Guards against two operators with equal versions who both believe that their change holds.
+TEST(ConfigurationStore, RacingChangesHaveOneWinnerAndOneConflict) {
+  ChangeOutcome first = Choose("a", 1, "peak");
+  ChangeOutcome second = Choose("b", 1, "maintenance");
+  CHECK(first.kind == ChangeOutcome::Kind::kAccepted);
+  CHECK(second.kind == ChangeOutcome::Kind::kConflict);
+  CHECK(second.version == Version(2));
+  CHECK(store.Current()->preset_in_force == PresetName("peak"));
+}
+
+// Guards against a resend after a lost answer that is applied again or reported as a conflict with
+// itself, and against a resend after a restart from a snapshot.
+TEST(ConfigurationStore, ResendGetsTheFirstOutcome) {
+  ChangeOutcome accepted = Choose("a", 1, "peak");
+  ChangeOutcome conflict = Choose("b", 1, "maintenance");
+  CHECK(Choose("c", 2, "maintenance").kind == ChangeOutcome::Kind::kAccepted);
+  ConfigurationStore restored;
+  CHECK(restored.Restore(store.Snapshot()).has_value());
+  ConfigurationChange change{ChangeId("a"), Version(1),
+                             ConfigurationChange::ChoosePreset{PresetName("peak")}};
+  for (ConfigurationStore* each : {&store, &restored}) {
+    CHECK(each->Apply(ConfigurationCodec::EncodeChange(change)) == accepted);
+    CHECK(each->Current()->preset_in_force == PresetName("maintenance"));
+  }
+  CHECK(Choose("b", 3, "maintenance") == conflict);
+}
+
+// Guards against memory that grows with each change, and against a forgotten change id that is
+// applied a second time.
+TEST(ConfigurationStore, ForgottenChangeIdIsAConflict) {
+  CHECK(Choose("first", 1, "peak").kind == ChangeOutcome::Kind::kAccepted);
+  for (uint64_t i = 0; i < ChangeMemory::kCapacity; ++i) {
+    Choose(std::to_string(i), i + 2, "ordinary");
+  }
+  CHECK(Choose("first", 1, "peak").kind == ChangeOutcome::Kind::kConflict);
+  CHECK(store.Current()->preset_in_force == PresetName("ordinary"));
+}
+
+// Guards against state that is lost in a snapshot: each field is changed once.
+TEST(ConfigurationStore, SnapshotKeepsEveryField) {
+  Preset preset;
+  preset.actions.hedging = false;
+  preset.classes[1].long_task_slots = Percent(7);
+  Apply("1", 1, ConfigurationChange::PutPreset{PresetName("own"), preset});
+  Apply("2", 2, ConfigurationChange::ChoosePreset{PresetName("own")});
+  Apply("3", 3, ConfigurationChange::PutTeam{TeamId("tags"), {Weight(3), SlotCount(40)}});
+  Apply("4", 4, ConfigurationChange::DrainHost{HostId("h1"), true});
+  Apply("5", 5, ConfigurationChange::DrainTarget{TargetId("t1"), true});
+  CHECK(store.Current()->version == Version(6));
+  ConfigurationStore restored;
+  CHECK(restored.Restore(store.Snapshot()).has_value());
+  auto now = restored.Current();
+  CHECK(now->version == Version(6));
+  CHECK(now->preset_in_force == PresetName("own"));
+  CHECK_FALSE(now->preset().actions.hedging);
+  CHECK(now->preset().actions.retry);
+  CHECK(now->preset().classes[1].long_task_slots == Percent(7));
+  CHECK(now->teams.at(TeamId("tags")).slot_quota == SlotCount(40));
+  LONGS_EQUAL(1, now->drained_hosts.count(HostId("h1")));
+  LONGS_EQUAL(1, now->drained_targets.count(TargetId("t1")));
+  STRCMP_EQUAL(store.Snapshot().c_str(), restored.Snapshot().c_str());
+}
+
+// Guards against a change that leaves the configuration without a valid preset in force, and
+// against changes with faulty fields that count as accepted.
+TEST(ConfigurationStore, FaultyChangesAreRefusedWithTheField) {
+  STRCMP_EQUAL("preset", Choose("1", 1, "unknown").field.c_str());
+  STRCMP_EQUAL("preset",
+               Apply("2", 1, ConfigurationChange::PutPreset{Preset::AllActionsOff(), Preset()})
+                   .field.c_str());
+  STRCMP_EQUAL(
+      "weight",
+      Apply("3", 1, ConfigurationChange::PutTeam{TeamId("t"), {Weight(0), {}}}).field.c_str());
+  STRCMP_EQUAL("team", Apply("4", 1, ConfigurationChange::RemoveTeam{TeamId("t")}).field.c_str());
+  CHECK(store.Apply("no change").kind == ChangeOutcome::Kind::kInvalid);
+  CHECK_FALSE(store.Restore("no state").has_value());
+  CHECK(store.Current()->version == Version(1));
+}
--- /dev/null
+++ b/tests/configuration/currency_monitor_test.cc
@@ -0,0 +1,33 @@
+#include "configuration/currency_monitor.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "base/manual_clock.h"
+#include "configuration/configuration.h"
+
+using sapphirecrank::base::ManualClock;
+using sapphirecrank::configuration::Configuration;
+using sapphirecrank::configuration::CurrencyMonitor;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(CurrencyMonitor){};
+
+// Guards against an isolated host that goes on with automatic actions which an operator may have
+// switched off, and against an old confirmation that hides a newer one.
+TEST(CurrencyMonitor, UnconfirmedConfigurationHasAllActionsOff) {
+  ManualClock clock;
+  Configuration configuration;
+  CurrencyMonitor monitor(clock.Hook());
+  CHECK_FALSE(monitor.Allowed(configuration).retry);
+  auto asked = clock.Now();
+  clock.Advance(milliseconds(100));
+  monitor.Confirm(asked);
+  monitor.Confirm(asked - seconds(1));
+  CHECK_TRUE(monitor.Allowed(configuration).retry);
+  clock.Advance(milliseconds(2900));
+  CHECK_TRUE(monitor.IsCurrent());
+  clock.Advance(milliseconds(1));
+  CHECK_FALSE(monitor.IsCurrent());
+  CHECK_FALSE(monitor.Allowed(configuration).ejection);
+}
