protocol: Add messages for the replicated log and for job records

Views of a data centre and copies of jobs travel between entry hosts; the codec takes the plain structs of consensus and jobs, so that decisions stay free of encoding. Not measured.

--- /dev/null
+++ b/src/protocol/cancel_submission.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/ids.h"
+
+namespace sapphirecrank::protocol {
+
+/// Asks the owner of a job to cancel it.
+struct CancelSubmission {
+  base::SubmissionId submission;
+};
+
+}  // namespace sapphirecrank::protocol
--- /dev/null
+++ b/src/protocol/group_message.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "consensus/raft_message.h"
+
+namespace sapphirecrank::protocol {
+
+/// A message of the group that agrees on the view of the sender's data centre. May be lost.
+struct GroupMessage {
+  consensus::RaftMessage raft;
+};
+
+}  // namespace sapphirecrank::protocol
--- /dev/null
+++ b/src/protocol/job_codec.cc
@@ -0,0 +1,224 @@
+#include "protocol/job_codec.h"
+
+#include <memory>
+#include <utility>
+
+#include "protocol/json_fields.h"
+
+namespace sapphirecrank::protocol {
+
+using jobs::JobAnswer;
+using jobs::JobRecord;
+using jobs::RecordAck;
+using jobs::Submission;
+using nlohmann::json;
+
+namespace {
+
+json EncodeError(const base::Error& error) {
+  return {{"code", Number(error.code)},
+          {"field", error.field},
+          {"message", error.message},
+          {"verdict", Number(error.verdict)}};
+}
+
+base::Error DecodeError(FieldReader& parent, const char* name) {
+  FieldReader reader(parent.Map(name));
+  base::Error error;
+  error.code = reader.Choice("code", base::ErrorCode::kInternal);
+  error.field = reader.Text("field");
+  error.message = reader.Text("message");
+  error.verdict = reader.Choice("verdict", base::Verdict::kRan);
+  if (!reader.fault().empty()) {
+    parent.SetFault(name);
+  }
+  return error;
+}
+
+json EncodeResults(const std::vector<jobs::TaskResult>& results) {
+  json array = json::array();
+  for (const jobs::TaskResult& result : results) {
+    array.push_back({{"index", Value(result.index)},
+                     {"verdict", Number(result.verdict)},
+                     {"ok", result.ok},
+                     {"body", Bytes(result.body)}});
+  }
+  return array;
+}
+
+std::vector<jobs::TaskResult> DecodeResults(FieldReader& reader, const char* name) {
+  return DecodeArray<jobs::TaskResult>(reader, name, [](FieldReader& item) {
+    jobs::TaskResult result;
+    item.Read("index", result.index);
+    result.verdict = item.Choice("verdict", base::Verdict::kRan);
+    result.ok = item.Flag("ok");
+    result.body = item.Bytes("body");
+    return result;
+  });
+}
+
+json EncodeSubmission(const Submission& submission) {
+  json tasks = json::array();
+  for (const Submission::Task& task : submission.tasks) {
+    tasks.push_back({{"kind", Value(task.kind)},
+                     {"payload", Bytes(task.payload)},
+                     {"declared", EncodeResources(task.declared)},
+                     {"run_time", Value(task.declared_run_time)},
+                     {"idempotent", task.idempotent}});
+  }
+  return {{"id", Value(submission.id)},
+          {"team", Value(submission.team)},
+          {"class", Number(submission.work_class)},
+          {"time_left", Value(submission.time_left)},
+          {"tasks", std::move(tasks)}};
+}
+
+Submission DecodeSubmission(FieldReader& parent, const char* name) {
+  FieldReader reader(parent.Map(name));
+  Submission submission;
+  reader.Read("id", submission.id);
+  reader.Read("team", submission.team);
+  submission.work_class = reader.Choice("class", base::WorkClass::kBulk);
+  submission.time_left = ReadDuration(reader, "time_left");
+  submission.tasks = DecodeArray<Submission::Task>(reader, "tasks", [](FieldReader& item) {
+    Submission::Task task;
+    item.Read("kind", task.kind);
+    task.payload = item.Bytes("payload");
+    task.declared = DecodeResources(item, "declared");
+    task.declared_run_time = ReadDuration(item, "run_time");
+    task.idempotent = item.Flag("idempotent");
+    return task;
+  });
+  if (!reader.fault().empty()) {
+    parent.SetFault(name);
+  }
+  return submission;
+}
+
+json EncodeIndices(const std::vector<base::TaskIndex>& indices) {
+  json array = json::array();
+  for (const base::TaskIndex index : indices) {
+    array.push_back(Value(index));
+  }
+  return array;
+}
+
+std::vector<base::TaskIndex> DecodeIndices(FieldReader& reader, const char* name) {
+  std::vector<base::TaskIndex> indices;
+  for (const json& index : reader.Array(name)) {
+    if (!index.is_number_unsigned() || index.get<uint64_t>() > UINT32_MAX) {
+      reader.SetFault(name);
+      break;
+    }
+    indices.emplace_back(index.get<uint32_t>());
+  }
+  return indices;
+}
+
+}  // namespace
+
+json EncodeBody(const JobRecord& record) {
+  json map = {{"type", kJobRecord},
+              {"epoch", Value(record.epoch)},
+              {"owner", Value(record.owner.host)},
+              {"owner_incarnation", Value(record.owner.incarnation)},
+              {"acceptance", Value(record.acceptance)},
+              {"sequence", Value(record.sequence)},
+              {"id", Value(record.id)},
+              {"full", record.submission != nullptr},
+              {"unproven", record.unproven},
+              {"time_left", Value(record.time_left)},
+              {"starts", EncodeIndices(record.starts)},
+              {"results", EncodeResults(record.results)},
+              {"ended", record.ended},
+              {"complete", record.complete},
+              {"error", EncodeError(record.error)}};
+  if (record.submission != nullptr) {
+    map["submission"] = EncodeSubmission(*record.submission);
+  }
+  return map;
+}
+
+Message DecodeJobRecord(FieldReader& reader) {
+  JobRecord record;
+  reader.Read("epoch", record.epoch);
+  reader.Read("owner", record.owner.host);
+  reader.Read("owner_incarnation", record.owner.incarnation);
+  reader.Read("acceptance", record.acceptance);
+  reader.Read("sequence", record.sequence);
+  reader.Read("id", record.id);
+  if (reader.Flag("full")) {
+    record.submission = std::make_shared<Submission>(DecodeSubmission(reader, "submission"));
+  }
+  record.unproven = reader.Flag("unproven");
+  record.time_left = ReadDuration(reader, "time_left");
+  record.starts = DecodeIndices(reader, "starts");
+  record.results = DecodeResults(reader, "results");
+  record.ended = reader.Flag("ended");
+  record.complete = reader.Flag("complete");
+  record.error = DecodeError(reader, "error");
+  return record;
+}
+
+json EncodeBody(const RecordAck& ack) {
+  return {{"type", kRecordAck},
+          {"epoch", Value(ack.epoch)},
+          {"owner_incarnation", Value(ack.owner_incarnation)},
+          {"sequence", Value(ack.sequence)},
+          {"id", Value(ack.id)},
+          {"known_owner", Value(ack.known_owner)},
+          {"outcome", Number(ack.outcome)}};
+}
+
+Message DecodeRecordAck(FieldReader& reader) {
+  RecordAck ack;
+  reader.Read("epoch", ack.epoch);
+  reader.Read("owner_incarnation", ack.owner_incarnation);
+  reader.Read("sequence", ack.sequence);
+  reader.Read("id", ack.id);
+  reader.Read("known_owner", ack.known_owner);
+  ack.outcome = reader.Choice("outcome", RecordAck::Outcome::kFenced);
+  return ack;
+}
+
+json EncodeBody(const ForwardSubmission& message) {
+  return {{"type", kForwardSubmission},
+          {"request", Value(message.request)},
+          {"submission", EncodeSubmission(message.submission)}};
+}
+
+Message DecodeForwardSubmission(FieldReader& reader) {
+  ForwardSubmission message;
+  reader.Read("request", message.request);
+  message.submission = DecodeSubmission(reader, "submission");
+  return message;
+}
+
+json EncodeBody(const SubmissionAnswer& message) {
+  const JobAnswer& answer = message.answer;
+  return {{"type", kSubmissionAnswer},    {"request", Value(message.request)},
+          {"complete", answer.complete},  {"error", EncodeError(answer.error)},
+          {"owner", Value(answer.owner)}, {"tasks", EncodeResults(answer.tasks)}};
+}
+
+Message DecodeSubmissionAnswer(FieldReader& reader) {
+  SubmissionAnswer message;
+  reader.Read("request", message.request);
+  message.answer.complete = reader.Flag("complete");
+  message.answer.error = DecodeError(reader, "error");
+  reader.Read("owner", message.answer.owner);
+  message.answer.tasks = DecodeResults(reader, "tasks");
+  return message;
+}
+
+json EncodeBody(const CancelSubmission& message) {
+  return {{"type", kCancelSubmission}, {"submission", Value(message.submission)}};
+}
+
+Message DecodeCancelSubmission(FieldReader& reader) {
+  CancelSubmission message;
+  reader.Read("submission", message.submission);
+  return message;
+}
+
+}  // namespace sapphirecrank::protocol
--- /dev/null
+++ b/src/protocol/json_fields.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/resources.h"
+#include "base/strong_id.h"
+#include "base/strong_number.h"
+#include "base/task_key.h"
+#include "base/time.h"
+#include "protocol/field_reader.h"
+
+namespace sapphirecrank::protocol {
+
+// Conversion of vocabulary types to and from JSON values, shared by the codecs. Thread safety:
+// pure.
+
+template <typename Tag>
+nlohmann::json Value(const base::StrongId<Tag>& id) {
+  return id.value();
+}
+
+template <typename Tag, typename Rep>
+nlohmann::json Value(base::StrongNumber<Tag, Rep> number) {
+  return number.value();
+}
+
+inline nlohmann::json Value(base::Duration duration) { return duration.count(); }
+
+inline nlohmann::json Bytes(const std::string& text) {
+  return nlohmann::json::binary(std::vector<uint8_t>(text.begin(), text.end()));
+}
+
+template <typename Enum>
+nlohmann::json Number(Enum value) {
+  return static_cast<int64_t>(value);
+}
+
+inline base::Duration ReadDuration(FieldReader& reader, const char* name) {
+  return base::Duration(reader.Integer(name, INT64_MIN / 2, INT64_MAX / 2));
+}
+
+inline nlohmann::json EncodeResources(const base::Resources& resources) {
+  return {{"processors", Value(resources.processors)},
+          {"memory", Value(resources.memory)},
+          {"accelerators", Value(resources.accelerators)}};
+}
+
+inline base::Resources DecodeResources(FieldReader& parent, const char* name) {
+  FieldReader reader(parent.Map(name));
+  base::Resources resources;
+  reader.Read("processors", resources.processors);
+  reader.Read("memory", resources.memory);
+  reader.Read("accelerators", resources.accelerators);
+  if (!reader.fault().empty()) {
+    parent.SetFault(std::string(name) + "." + reader.fault());
+  }
+  return resources;
+}
+
+inline void EncodeKey(const base::TaskKey& key, nlohmann::json& map) {
+  map["submission"] = Value(key.submission);
+  map["index"] = Value(key.index);
+}
+
+inline void DecodeKey(FieldReader& reader, base::TaskKey& key) {
+  reader.Read("submission", key.submission);
+  reader.Read("index", key.index);
+}
+
+/// Decodes each element of an array with `decode(FieldReader&)`.
+template <typename Element, typename Function>
+std::vector<Element> DecodeArray(FieldReader& parent, const char* name, Function decode) {
+  std::vector<Element> elements;
+  for (const nlohmann::json& item : parent.Array(name)) {
+    FieldReader reader(item);
+    elements.push_back(decode(reader));
+    if (!reader.fault().empty()) {
+      parent.SetFault(std::string(name) + "." + reader.fault());
+      break;
+    }
+  }
+  return elements;
+}
+
+}  // namespace sapphirecrank::protocol
--- a/src/protocol/message_codec.cc
+++ b/src/protocol/message_codec.cc
@@ -5,6 +5,9 @@
 
 #include "protocol/depth_limited_builder.h"
 #include "protocol/field_reader.h"
+#include "protocol/job_codec.h"
+#include "protocol/json_fields.h"
+#include "protocol/raft_codec.h"
 
 namespace sapphirecrank::protocol {
 
@@ -15,74 +18,6 @@
 
 namespace {
 
-template <typename Tag>
-json Value(const base::StrongId<Tag>& id) {
-  return id.value();
-}
-
-template <typename Tag, typename Rep>
-json Value(base::StrongNumber<Tag, Rep> number) {
-  return number.value();
-}
-
-json Value(base::Duration duration) { return duration.count(); }
-
-json Bytes(const std::string& text) {
-  return json::binary(std::vector<uint8_t>(text.begin(), text.end()));
-}
-
-template <typename Enum>
-json Number(Enum value) {
-  return static_cast<int64_t>(value);
-}
-
-base::Duration ReadDuration(FieldReader& reader, const char* name) {
-  return base::Duration(reader.Integer(name, INT64_MIN / 2, INT64_MAX / 2));
-}
-
-json EncodeResources(const Resources& resources) {
-  return {{"processors", Value(resources.processors)},
-          {"memory", Value(resources.memory)},
-          {"accelerators", Value(resources.accelerators)}};
-}
-
-Resources DecodeResources(FieldReader& parent, const char* name) {
-  FieldReader reader(parent.Map(name));
-  Resources resources;
-  reader.Read("processors", resources.processors);
-  reader.Read("memory", resources.memory);
-  reader.Read("accelerators", resources.accelerators);
-  if (!reader.fault().empty()) {
-    parent.SetFault(std::string(name) + "." + reader.fault());
-  }
-  return resources;
-}
-
-void EncodeKey(const TaskKey& key, json& map) {
-  map["submission"] = Value(key.submission);
-  map["index"] = Value(key.index);
-}
-
-void DecodeKey(FieldReader& reader, TaskKey& key) {
-  reader.Read("submission", key.submission);
-  reader.Read("index", key.index);
-}
-
-/// Decodes each element of an array with `decode(FieldReader&)`.
-template <typename Element, typename Function>
-std::vector<Element> DecodeArray(FieldReader& parent, const char* name, Function decode) {
-  std::vector<Element> elements;
-  for (const json& item : parent.Array(name)) {
-    FieldReader reader(item);
-    elements.push_back(decode(reader));
-    if (!reader.fault().empty()) {
-      parent.SetFault(std::string(name) + "." + reader.fault());
-      break;
-    }
-  }
-  return elements;
-}
-
 // Each message has a name and a pair of functions. A field that is added needs a new protocol
 // version unless the reader treats it as optional.
 
@@ -302,6 +237,12 @@
     {kTaskResults, DecodeTaskResults},
     {kCancelTasks, DecodeCancelTasks},
     {kForwardAnnouncement, DecodeForwardAnnouncement},
+    {kGroupMessage, DecodeGroupMessage},
+    {kJobRecord, DecodeJobRecord},
+    {kRecordAck, DecodeRecordAck},
+    {kForwardSubmission, DecodeForwardSubmission},
+    {kSubmissionAnswer, DecodeSubmissionAnswer},
+    {kCancelSubmission, DecodeCancelSubmission},
 };
 
 const Decoder* FindDecoder(const std::string& type) {
--- /dev/null
+++ b/src/protocol/raft_codec.cc
@@ -0,0 +1,238 @@
+#include "protocol/raft_codec.h"
+
+#include <set>
+#include <utility>
+
+#include "protocol/json_fields.h"
+
+namespace sapphirecrank::protocol {
+
+using consensus::AppendAnswer;
+using consensus::AppendRequest;
+using consensus::LogEntry;
+using consensus::ProbeToken;
+using consensus::RaftMembership;
+using consensus::RaftMessage;
+using consensus::SnapshotAnswer;
+using consensus::SnapshotChunk;
+using consensus::TimeoutNow;
+using consensus::VoteAnswer;
+using consensus::VoteRequest;
+using nlohmann::json;
+
+namespace {
+
+json EncodeHosts(const std::set<base::HostId>& hosts) {
+  json array = json::array();
+  for (const base::HostId& host : hosts) {
+    array.push_back(Value(host));
+  }
+  return array;
+}
+
+std::set<base::HostId> DecodeHosts(FieldReader& reader, const char* name) {
+  std::set<base::HostId> hosts;
+  for (const json& host : reader.Array(name)) {
+    if (!host.is_string()) {
+      reader.SetFault(name);
+      break;
+    }
+    hosts.insert(base::HostId(host.get<std::string>()));
+  }
+  return hosts;
+}
+
+json EncodeMembership(const RaftMembership& membership) {
+  return {{"voters", EncodeHosts(membership.voters)},
+          {"learners", EncodeHosts(membership.learners)}};
+}
+
+RaftMembership DecodeMembership(FieldReader& parent, const char* name) {
+  FieldReader reader(parent.Map(name));
+  RaftMembership membership;
+  membership.voters = DecodeHosts(reader, "voters");
+  membership.learners = DecodeHosts(reader, "learners");
+  if (!reader.fault().empty()) {
+    parent.SetFault(name);
+  }
+  return membership;
+}
+
+json EncodeToken(const ProbeToken& token) {
+  return {{"incarnation", Value(token.incarnation)},
+          {"asked", Value(token.asked.time_since_epoch())}};
+}
+
+ProbeToken DecodeToken(FieldReader& parent, const char* name) {
+  FieldReader reader(parent.Map(name));
+  ProbeToken token;
+  reader.Read("incarnation", token.incarnation);
+  token.asked = base::TimePoint(ReadDuration(reader, "asked"));
+  if (!reader.fault().empty()) {
+    parent.SetFault(name);
+  }
+  return token;
+}
+
+json EncodeEntry(const LogEntry& entry) {
+  return {{"index", Value(entry.index)},
+          {"term", Value(entry.term)},
+          {"kind", Number(entry.kind)},
+          {"command", Bytes(entry.command)},
+          {"membership", EncodeMembership(entry.membership)}};
+}
+
+LogEntry DecodeEntry(FieldReader& reader) {
+  LogEntry entry;
+  reader.Read("index", entry.index);
+  reader.Read("term", entry.term);
+  entry.kind = reader.Choice("kind", LogEntry::Kind::kNoOperation);
+  entry.command = reader.Bytes("command");
+  entry.membership = DecodeMembership(reader, "membership");
+  return entry;
+}
+
+json EncodeRaft(const VoteRequest& body) {
+  return {{"pre_vote", body.pre_vote},
+          {"transfer", body.transfer},
+          {"last_index", Value(body.last_index)},
+          {"last_term", Value(body.last_term)}};
+}
+
+RaftMessage::Body DecodeVoteRequest(FieldReader& reader) {
+  VoteRequest body;
+  body.pre_vote = reader.Flag("pre_vote");
+  body.transfer = reader.Flag("transfer");
+  reader.Read("last_index", body.last_index);
+  reader.Read("last_term", body.last_term);
+  return body;
+}
+
+json EncodeRaft(const VoteAnswer& body) {
+  return {{"pre_vote", body.pre_vote}, {"granted", body.granted}};
+}
+
+RaftMessage::Body DecodeVoteAnswer(FieldReader& reader) {
+  VoteAnswer body;
+  body.pre_vote = reader.Flag("pre_vote");
+  body.granted = reader.Flag("granted");
+  return body;
+}
+
+json EncodeRaft(const AppendRequest& body) {
+  json entries = json::array();
+  for (const LogEntry& entry : body.entries) {
+    entries.push_back(EncodeEntry(entry));
+  }
+  return {{"previous_index", Value(body.previous_index)},
+          {"previous_term", Value(body.previous_term)},
+          {"entries", std::move(entries)},
+          {"commit", Value(body.commit)},
+          {"round", Value(body.round)},
+          {"confirmed", EncodeToken(body.confirmed)}};
+}
+
+RaftMessage::Body DecodeAppendRequest(FieldReader& reader) {
+  AppendRequest body;
+  reader.Read("previous_index", body.previous_index);
+  reader.Read("previous_term", body.previous_term);
+  body.entries = DecodeArray<LogEntry>(reader, "entries", DecodeEntry);
+  reader.Read("commit", body.commit);
+  reader.Read("round", body.round);
+  body.confirmed = DecodeToken(reader, "confirmed");
+  return body;
+}
+
+json EncodeRaft(const AppendAnswer& body) {
+  return {{"accepted", body.accepted},
+          {"index", Value(body.index)},
+          {"durable", body.durable},
+          {"round", Value(body.round)},
+          {"probe", EncodeToken(body.probe)}};
+}
+
+RaftMessage::Body DecodeAppendAnswer(FieldReader& reader) {
+  AppendAnswer body;
+  body.accepted = reader.Flag("accepted");
+  reader.Read("index", body.index);
+  body.durable = reader.Flag("durable");
+  reader.Read("round", body.round);
+  body.probe = DecodeToken(reader, "probe");
+  return body;
+}
+
+json EncodeRaft(const SnapshotChunk& body) {
+  return {{"index", Value(body.index)},
+          {"entry_term", Value(body.term)},
+          {"membership", EncodeMembership(body.membership)},
+          {"offset", Value(body.offset)},
+          {"bytes", Bytes(body.bytes)},
+          {"last", body.last},
+          {"round", Value(body.round)}};
+}
+
+RaftMessage::Body DecodeSnapshotChunk(FieldReader& reader) {
+  SnapshotChunk body;
+  reader.Read("index", body.index);
+  reader.Read("entry_term", body.term);
+  body.membership = DecodeMembership(reader, "membership");
+  reader.Read("offset", body.offset);
+  body.bytes = reader.Bytes("bytes");
+  body.last = reader.Flag("last");
+  reader.Read("round", body.round);
+  return body;
+}
+
+json EncodeRaft(const SnapshotAnswer& body) {
+  return {{"index", Value(body.index)},
+          {"received", Value(body.received)},
+          {"installed", body.installed},
+          {"durable", body.durable},
+          {"round", Value(body.round)}};
+}
+
+RaftMessage::Body DecodeSnapshotAnswer(FieldReader& reader) {
+  SnapshotAnswer body;
+  reader.Read("index", body.index);
+  reader.Read("received", body.received);
+  body.installed = reader.Flag("installed");
+  body.durable = reader.Flag("durable");
+  reader.Read("round", body.round);
+  return body;
+}
+
+json EncodeRaft(const TimeoutNow& /*body*/) { return json::object(); }
+
+RaftMessage::Body DecodeTimeoutNow(FieldReader& /*reader*/) { return TimeoutNow(); }
+
+// In the order of the alternatives of `RaftMessage::Body`.
+using BodyDecoder = RaftMessage::Body (*)(FieldReader&);
+constexpr BodyDecoder kBodyDecoders[] = {
+    DecodeVoteRequest,   DecodeVoteAnswer,     DecodeAppendRequest, DecodeAppendAnswer,
+    DecodeSnapshotChunk, DecodeSnapshotAnswer, DecodeTimeoutNow};
+constexpr int64_t kBodyCount = std::variant_size_v<RaftMessage::Body>;
+static_assert(std::size(kBodyDecoders) == kBodyCount);
+
+}  // namespace
+
+json EncodeBody(const GroupMessage& message) {
+  json map = std::visit([](const auto& body) { return EncodeRaft(body); }, message.raft.body);
+  map["type"] = kGroupMessage;
+  map["body"] = message.raft.body.index();
+  map["from"] = Value(message.raft.from);
+  map["to"] = Value(message.raft.to);
+  map["term"] = Value(message.raft.term);
+  return map;
+}
+
+Message DecodeGroupMessage(FieldReader& reader) {
+  GroupMessage message;
+  reader.Read("from", message.raft.from);
+  reader.Read("to", message.raft.to);
+  reader.Read("term", message.raft.term);
+  const int64_t body = reader.Integer("body", 0, kBodyCount - 1);
+  message.raft.body = kBodyDecoders[body](reader);
+  return message;
+}
+
+}  // namespace sapphirecrank::protocol
--- /dev/null
+++ b/src/protocol/raft_codec.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include "protocol/field_reader.h"
+#include "protocol/message.h"
+
+namespace sapphirecrank::protocol {
+
+// Encoding of the messages of a replicated log. Thread safety: pure.
+
+constexpr const char* kGroupMessage = "group_message";
+
+/// Encodes a message with its type.
+nlohmann::json EncodeBody(const GroupMessage& message);
+
+/// Decodes the message; faults are noted in `reader`.
+Message DecodeGroupMessage(FieldReader& reader);
+
+}  // namespace sapphirecrank::protocol
--- /dev/null
+++ b/src/protocol/submission_answer.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "base/ids.h"
+#include "jobs/job_answer.h"
+
+namespace sapphirecrank::protocol {
+
+/// The answer to `ForwardSubmission`.
+struct SubmissionAnswer {
+  base::Sequence request;
+  jobs::JobAnswer answer;
+};
+
+}  // namespace sapphirecrank::protocol
