membership, dispatch: Agree on views and place the tasks of ledger jobs

Two hosts that saw different members could both own a target. The group of a data centre now agrees on views by its replicated log, and a host starts work on a target only under a view lease.

--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -99,6 +99,11 @@
   if (this->hooks.on_start) {
     this->hooks.on_start(spec, now - queued_at);
   }
+  if (!this->hooks.may_start(decision.target)) {
+    this->OnAnswer(decision, call.attempt, now,
+                   Refused({ErrorCode::kFenced, "", "this entry host may not use the target now"}));
+    return;
+  }
   const auto address = this->registry.Address(decision.target);
   if (!address) {
     this->OnAnswer(decision, call.attempt, now,
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -29,7 +29,9 @@
   struct Hooks {
     base::Clock now;
     /// See `targets::TargetRegistry::Hooks::usable_from`.
-    std::function<base::TimePoint()> usable_from;
+    std::function<base::TimePoint(const base::TargetId&)> usable_from;
+    /// Tells whether this host may start work on a target at this moment.
+    std::function<bool(const base::TargetId&)> may_start;
     /// Calls a target; must call the second argument exactly once, on any thread.
     std::function<void(const TargetCall&, std::function<void(const TargetAnswer&)>)> call_target;
     /// Sends a report to the host that assigned the task.
--- /dev/null
+++ b/src/dispatch/job_placer.cc
@@ -0,0 +1,148 @@
+#include "dispatch/job_placer.h"
+
+#include <map>
+#include <set>
+#include <utility>
+
+#include "dispatch/host_choice.h"
+#include "jobs/submission.h"
+
+namespace sapphirecrank::dispatch {
+
+using base::ErrorCode;
+using base::HostId;
+using base::PlacementNumber;
+using base::TargetKind;
+using base::TaskKey;
+using base::Verdict;
+
+namespace {
+
+constexpr size_t kShardCount = 64;
+
+Assignment AssignmentOf(const jobs::TaskStart& start) {
+  const jobs::Submission& submission = *start.submission;
+  const jobs::Submission::Task& task = submission.tasks[start.key.index.value()];
+  Assignment assignment;
+  assignment.spec.key = start.key;
+  assignment.spec.team = submission.team;
+  assignment.spec.kind = task.kind;
+  assignment.spec.work_class = submission.work_class;
+  assignment.spec.target_kind = TargetKind::kWorker;
+  assignment.spec.declared = task.declared;
+  assignment.spec.declared_run_time = task.declared_run_time;
+  assignment.spec.deadline = start.deadline;
+  assignment.spec.idempotent = task.idempotent;
+  assignment.placement = PlacementNumber(start.placement.value());
+  assignment.payload = task.payload;
+  return assignment;
+}
+
+jobs::TaskReport ToJobReport(base::Epoch epoch, const TaskReport& report) {
+  jobs::TaskReport result;
+  result.epoch = epoch;
+  result.key = report.key;
+  result.placement = jobs::PlacementNumber(report.placement.value());
+  result.verdict = report.verdict;
+  result.ok = report.succeeded;
+  result.body = report.succeeded ? report.body : report.error.message;
+  result.code = report.error.code;
+  return result;
+}
+
+}  // namespace
+
+JobPlacer::JobPlacer(Hooks hooks) : hooks(std::move(hooks)), shards(kShardCount) {}
+
+void JobPlacer::Start(const std::vector<jobs::TaskStart>& starts) {
+  HostChoice choice(this->hooks.loads(TargetKind::kWorker));
+  std::map<HostId, std::vector<Assignment>> batches;
+  for (const jobs::TaskStart& start : starts) {
+    Assignment assignment = AssignmentOf(start);
+    const HostId host = choice.Next(assignment.spec.declared);
+    this->shards.With(start.key, [&](Shard& shard) {
+      shard[start.key] = {host, assignment.placement, start.epoch};
+    });
+    batches[host].push_back(std::move(assignment));
+  }
+  for (const auto& [host, tasks] : batches) {
+    if (host.empty()) {
+      this->EndNotRun(host, tasks,
+                      {ErrorCode::kUnavailable, "", "no known target could hold the task"});
+    } else if (!this->hooks.assign(host, tasks)) {
+      this->EndNotRun(host, tasks,
+                      {ErrorCode::kUnavailable, "", "no link to the entry host of the target"});
+    }
+  }
+}
+
+void JobPlacer::Cancel(const std::vector<jobs::TaskStart>& starts) {
+  std::set<std::pair<HostId, base::SubmissionId>> hosts;
+  for (const jobs::TaskStart& start : starts) {
+    this->shards.With(start.key, [&](Shard& shard) {
+      auto found = shard.find(start.key);
+      if (found != shard.end()) {
+        hosts.emplace(found->second.host, start.key.submission);
+      }
+    });
+  }
+  for (const auto& [host, submission] : hosts) {
+    this->hooks.cancel(host, submission);
+  }
+}
+
+bool JobPlacer::OnReport(const HostId& host, const TaskReport& report) {
+  Placement taken;
+  if (!this->Take(host, report.key, report.placement, taken)) {
+    return false;
+  }
+  this->hooks.report(ToJobReport(taken.epoch, report));
+  return true;
+}
+
+void JobPlacer::OnHostLost(const HostId& host) {
+  std::vector<TaskReport> lost;
+  this->shards.ForEach([&](Shard& shard) {
+    for (const auto& [key, placement] : shard) {
+      if (placement.host == host) {
+        TaskReport report;
+        report.key = key;
+        report.placement = placement.number;
+        report.verdict = Verdict::kMayHaveRun;
+        report.error = {ErrorCode::kUnavailable, "", "the entry host that ran the task was lost",
+                        Verdict::kMayHaveRun};
+        lost.push_back(std::move(report));
+      }
+    }
+  });
+  for (const TaskReport& report : lost) {
+    this->OnReport(host, report);
+  }
+}
+
+bool JobPlacer::Take(const HostId& host, const TaskKey& key, PlacementNumber number,
+                     Placement& taken) {
+  return this->shards.With(key, [&](Shard& shard) {
+    auto found = shard.find(key);
+    if (found == shard.end() || found->second.host != host || found->second.number != number) {
+      return false;
+    }
+    taken = found->second;
+    shard.erase(found);
+    return true;
+  });
+}
+
+void JobPlacer::EndNotRun(const HostId& host, const std::vector<Assignment>& tasks,
+                          const base::Error& error) {
+  for (const Assignment& task : tasks) {
+    TaskReport report;
+    report.key = task.spec.key;
+    report.placement = task.placement;
+    report.verdict = Verdict::kNotRun;
+    report.error = error;
+    this->OnReport(host, report);
+  }
+}
+
+}  // namespace sapphirecrank::dispatch
--- /dev/null
+++ b/src/membership/view_agreement.cc
@@ -0,0 +1,89 @@
+#include "membership/view_agreement.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "storage/byte_reader.h"
+#include "storage/byte_writer.h"
+
+namespace sapphirecrank::membership {
+
+using base::Duration;
+using base::Epoch;
+
+namespace {
+
+// One view for hosts that start or fail within a short time.
+constexpr Duration kSettleTime = std::chrono::milliseconds(200);
+constexpr Duration kProposeAgain = std::chrono::milliseconds(500);
+
+std::string EncodeView(Epoch epoch, const std::vector<ViewAgreement::Member>& members) {
+  storage::ByteWriter writer;
+  writer.PutU64(epoch.value());
+  writer.PutU32(static_cast<uint32_t>(members.size()));
+  for (const ViewAgreement::Member& member : members) {
+    writer.PutString(member.host.value());
+    writer.PutU64(member.incarnation.value());
+  }
+  return writer.Take();
+}
+
+/// Decodes a view; false if the bytes are not one.
+bool DecodeView(const std::string& bytes, Epoch& epoch,
+                std::vector<ViewAgreement::Member>& members) {
+  storage::ByteReader reader(bytes);
+  epoch = Epoch(reader.TakeU64());
+  const uint32_t count = reader.TakeU32();
+  for (uint32_t i = 0; i < count && reader.ok(); ++i) {
+    const base::HostId host(reader.TakeString());
+    members.push_back({host, base::Incarnation(reader.TakeU64())});
+  }
+  return reader.ok() && reader.remaining() == 0;
+}
+
+}  // namespace
+
+ViewAgreement::ViewAgreement(Hooks hooks) : hooks(std::move(hooks)) {}
+
+void ViewAgreement::Tick() {
+  const base::TimePoint now = this->hooks.now();
+  std::vector<Member> live = this->hooks.live_members();
+  std::sort(live.begin(), live.end());
+  if (live != this->reached) {
+    this->reached = std::move(live);
+    this->reached_since = now;
+  }
+  const bool is_due = this->reached != this->members && now - this->reached_since >= kSettleTime &&
+                      now >= this->propose_after;
+  if (is_due && this->hooks.is_leader()) {
+    this->propose_after = now + kProposeAgain;
+    this->hooks.propose(EncodeView(this->epoch, this->reached));
+  }
+}
+
+void ViewAgreement::Apply(const std::string& command) {
+  Epoch replaced;
+  std::vector<Member> proposed;
+  if (!DecodeView(command, replaced, proposed) || replaced != this->epoch) {
+    return;
+  }
+  this->Install(this->epoch.Next(), std::move(proposed));
+}
+
+std::string ViewAgreement::TakeSnapshot() const { return EncodeView(this->epoch, this->members); }
+
+void ViewAgreement::Restore(const std::string& state) {
+  Epoch stored;
+  std::vector<Member> agreed;
+  if (DecodeView(state, stored, agreed) && stored > this->epoch) {
+    this->Install(stored, std::move(agreed));
+  }
+}
+
+void ViewAgreement::Install(Epoch next, std::vector<Member> agreed) {
+  this->epoch = next;
+  this->members = std::move(agreed);
+  this->hooks.on_view(this->epoch, this->members);
+}
+
+}  // namespace sapphirecrank::membership
--- a/src/targets/target_registry.cc
+++ b/src/targets/target_registry.cc
@@ -105,7 +105,7 @@
   state.capacity = announcement.capacity;
   state.foreign_slots = SlotCount(static_cast<int32_t>(foreign + target.uncertain.size()));
   state.leaving = announcement.leaving;
-  state.usable_from = this->hooks.usable_from();
+  state.usable_from = this->hooks.usable_from(announcement.id);
   state.lease_end = target.announced + kLease;
   return state;
 }
--- a/src/targets/target_registry.h
+++ b/src/targets/target_registry.h
@@ -26,8 +26,8 @@
   /// Behaviour handed in; all members must be set.
   struct Hooks {
     base::Clock now;
-    /// Earliest time at which this host may start work on its targets (see ownership changes).
-    std::function<base::TimePoint()> usable_from;
+    /// Earliest time at which this host may start work on a target (see ownership changes).
+    std::function<base::TimePoint(const base::TargetId&)> usable_from;
     /// Called with the new state of a target.
     std::function<void(const scheduling::TargetState&)> update;
     /// Called when a target is forgotten.
