entryhost: Run jobs through the submission ledger under agreed views

Jobs were kept in one host's memory, so that a resubmission could start tasks twice and an owner's death lost them. They now belong to one owner by epoch, with start records at a backup before a task leaves; a host that doesn't own an id passes the submission on.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -21,9 +21,10 @@
   trap stop_host EXIT
   # An entry host refuses a secret that others can read.
   (umask 077 && head -c 32 /dev/urandom | base64 >"$work/secret")
+  mkdir "$work/data"
   cat >"$work/host.json" <<EOJ
 {"host": "bench-0", "data_centre": "ba", "http_listen": "127.0.0.1:18401",
- "peer_listen": "127.0.0.1:18402", "secret_file": "$work/secret", "teams": [{"id": "load"}]}
+ "peer_listen": "127.0.0.1:18402", "secret_file": "$work/secret", "data_folder": "$work/data", "teams": [{"id": "load"}]}
 EOJ
   build/release/src/sapphirecrank run --settings "$work/host.json" 2>"$work/host.log" &
   processes+=($!)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -22,9 +22,10 @@
   for j in 0 1 2; do
     [ "$i" = "$j" ] || peers+=("{\"host\":\"ba-$j\",\"data_centre\":\"ba\",\"address\":\"127.0.0.1:1820$j\"}")
   done
+  mkdir "$work/data-$i"
   cat >"$work/host-$i.json" <<EOJ
 {"host": "ba-$i", "data_centre": "ba", "http_listen": "127.0.0.1:${ports[$i]}",
- "peer_listen": "127.0.0.1:1820$i", "secret_file": "$work/secret",
+ "peer_listen": "127.0.0.1:1820$i", "secret_file": "$work/secret", "data_folder": "$work/data-$i",
  "peers": [$(IFS=,; echo "${peers[*]}")], "teams": [{"id": "tags"}]}
 EOJ
   build/release/src/sapphirecrank run --settings "$work/host-$i.json" 2>"$work/host-$i.log" &
@@ -56,8 +57,8 @@
 done
 
 python3 - >"$work/job.json" <<'EOP'
-import json
-print(json.dumps({"submission": "ba:demo", "team": "tags", "class": "ordinary", "deadline_ms": 20000,
+import json, time
+print(json.dumps({"submission": f"ba:{int(time.time() * 1000)}-demo", "team": "tags", "class": "ordinary", "deadline_ms": 20000,
                   "tasks": [{"kind": "tag", "payload": {"sleep_ms": 100, "echo": i}} for i in range(200)]}))
 EOP
 echo "submitting a job of 200 tasks of 100 ms to ${hosts[0]}"
--- a/src/configuration/host_address.h
+++ b/src/configuration/host_address.h
@@ -9,6 +9,8 @@
   base::HostId host;
   base::DataCentreId data_centre;
   base::NetworkAddress address;
+  /// The host has a data folder and takes part in votes.
+  bool has_disk = true;
 };
 
 }  // namespace sapphirecrank::configuration
--- a/src/configuration/settings.cc
+++ b/src/configuration/settings.cc
@@ -53,12 +53,13 @@
   settings.http_listen = base::NetworkAddress(document.at("http_listen"));
   settings.peer_listen = base::NetworkAddress(document.at("peer_listen"));
   settings.secret_file = document.at("secret_file");
+  settings.data_folder = document.value("data_folder", "");
   settings.http = ReadHttp(document.value("http", none));
   settings.authentication = ReadAuthentication(document.value("authentication", none));
   for (const Json& peer : document.value("peers", empty)) {
-    settings.peers.push_back({base::HostId(peer.at("host")),
-                              base::DataCentreId(peer.at("data_centre")),
-                              base::NetworkAddress(peer.at("address"))});
+    settings.peers.push_back(
+        {base::HostId(peer.at("host")), base::DataCentreId(peer.at("data_centre")),
+         base::NetworkAddress(peer.at("address")), peer.value("has_disk", true)});
   }
   for (const Json& team : document.at("teams")) {
     settings.teams.push_back({base::TeamId(team.at("id")), base::Weight(team.value("weight", 1))});
--- a/src/configuration/settings.h
+++ b/src/configuration/settings.h
@@ -22,6 +22,8 @@
   base::NetworkAddress peer_listen;
   /// File with the secret that all entry hosts share.
   std::string secret_file;
+  /// Folder for the host's state; empty for a host without a disk, which doesn't vote.
+  std::string data_folder;
   HttpSettings http;
   AuthenticationSettings authentication;
   std::vector<HostAddress> peers;
--- a/src/entryhost/entry_host.cc
+++ b/src/entryhost/entry_host.cc
@@ -11,17 +11,24 @@
 #include <thread>
 #include <utility>
 
-#include "base/rendezvous_hash.h"
+#include "base/mutex.h"
+#include "base/mutex_lock.h"
 #include "base/timer_queue.h"
 #include "base/worker_pool.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/load_table.h"
 #include "dispatch/request_router.h"
 #include "dispatch/result_batcher.h"
+#include "entryhost/job_service.h"
 #include "entryhost/message_translation.h"
+#include "entryhost/view_group.h"
 #include "frontend/access_control.h"
 #include "frontend/api_router.h"
 #include "frontend/http_server.h"
+#include "membership/owner_selector.h"
+#include "membership/owners.h"
+#include "membership/view.h"
+#include "membership/view_lease.h"
 #include "observability/metrics.h"
 #include "outbound/target_client.h"
 #include "peers/peer_network.h"
@@ -46,10 +53,9 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(5);
+constexpr Duration kViewTick = std::chrono::milliseconds(20);
 constexpr Duration kResultWindow = std::chrono::milliseconds(2);
 constexpr size_t kWorkerThreads = 4;
-// A new owner of a target waits for the end of the previous owner's lease.
-constexpr Duration kOwnershipDelay = std::chrono::seconds(2);
 // Long enough for peers to learn by two heartbeats that this host takes no new work.
 constexpr Duration kDrainNotice = std::chrono::milliseconds(500);
 constexpr Duration kDrainPoll = std::chrono::milliseconds(10);
@@ -117,6 +123,32 @@
 
 }  // namespace
 
+/// Translates a job's answer; the job fails with one reason and a verdict for each task.
+WorkAnswer ToAnswer(const jobs::JobAnswer& job) {
+  WorkAnswer answer;
+  if (!job.complete) {
+    answer.error = job.error;
+  }
+  for (const jobs::TaskResult& task : job.tasks) {
+    const base::Error error{ErrorCode::kTargetFailed, "", task.body, task.verdict};
+    answer.tasks.push_back({task.ok, task.verdict, task.body, task.ok ? base::Error() : error});
+  }
+  return answer;
+}
+
+jobs::Submission ToSubmission(CallerWork& work) {
+  jobs::Submission submission;
+  submission.id = work.submission;
+  submission.team = work.team;
+  submission.work_class = work.work_class;
+  submission.time_left = work.deadline;
+  for (frontend::CallerTask& task : work.tasks) {
+    submission.tasks.push_back({task.kind, std::move(task.payload), task.declared,
+                                task.declared_run_time, task.idempotent});
+  }
+  return submission;
+}
+
 class EntryHost::Impl {
  public:
   Impl(const configuration::Settings& settings, const std::string& secret,
@@ -135,6 +167,17 @@
   frontend::ApiRouter::Hooks ApiHooks();
   frontend::AccessControl::Hooks AccessHooks();
   peers::PeerSettings MakePeerSettings(const std::string& secret) const;
+  JobService::Hooks JobHooks();
+  ViewGroup::Hooks ViewHooks();
+  consensus::RaftMembership FirstMembership() const;
+
+  void RunRequest(CallerWork work, const frontend::ApiRouter::OnAnswer& on_answer);
+  void RunJob(CallerWork work, const frontend::ApiRouter::OnAnswer& on_answer);
+  void OnView(base::Epoch epoch, const std::vector<ViewGroup::Member>& members);
+  void OnPeerUp(const HostId& host, base::Incarnation peer_incarnation);
+  void OnPeerLost(const HostId& host);
+  bool TakeReport(const HostId& host, const TaskReport& report);
+  HostId HostIn(const base::DataCentreId& data_centre) const;
 
   void Run(CallerWork work, const frontend::ApiRouter::OnAnswer& on_answer);
   void Refuse(const base::Error& error, const frontend::ApiRouter::OnAnswer& on_answer);
@@ -143,7 +186,7 @@
   void NoteAssignment(const HostId& host, const std::vector<Assignment>& tasks);
   void NoteTargetAnswer(const dispatch::TargetAnswer& answer);
   base::Result<HostId> Announce(const targets::TargetAnnouncement& announcement);
-  HostId OwnerOf(const TargetId& target) const;
+  HostId OwnerOf(const TargetId& target);
   std::vector<dispatch::HostLoad> Loads(TargetKind kind);
   bool Assign(const HostId& host, const std::vector<Assignment>& tasks);
   void Cancel(const HostId& host, const SubmissionId& submission);
@@ -151,7 +194,6 @@
   void OnMessage(const HostId& host, const protocol::Message& message);
   void OnAssignTasks(const HostId& host, const protocol::AssignTasks& message);
   void OnHeartbeat(const HostId& host, const protocol::Heartbeat& heartbeat);
-  void OnMembersChanged();
   protocol::Heartbeat MakeHeartbeat();
   std::string Status();
   size_t InFlight();
@@ -162,15 +204,18 @@
   base::Incarnation incarnation;
   std::atomic<bool> leaving{false};
   std::atomic<uint64_t> next_request{1};
-  // Time from which this host may start work on its targets.
-  std::atomic<Duration::rep> usable_from;
+  base::Mutex live_mutex;
+  std::map<HostId, base::Incarnation> live GUARDED_BY(live_mutex);
+  membership::ViewLease lease;
   std::set<base::TeamId> teams;
   observability::Metrics metrics;
   dispatch::LoadTable loads;
   outbound::TargetClient client;
   dispatch::Dispatcher dispatcher;
   dispatch::RequestRouter router;
+  JobService jobs;
   dispatch::ResultBatcher batcher;
+  ViewGroup view_group;
   frontend::ApiRouter api;
   frontend::AccessControl access;
   // The threads of what follows call what is above; the destructor stops them first.
@@ -186,13 +231,16 @@
       logger(logger),
       now(base::SteadyClock()),
       incarnation(RandomIncarnation()),
-      usable_from((this->now() + kOwnershipDelay).time_since_epoch().count()),
+      lease(settings.host, {this->now}),
       metrics(TeamIds(settings)),
       client(outbound::TargetClientSettings()),
       dispatcher(settings.host.value() + "/" + std::to_string(this->incarnation.value()) + "/",
                  this->DispatcherHooks()),
       router(this->RouterHooks()),
+      jobs({settings.host, this->incarnation}, settings.data_centre, this->JobHooks()),
       batcher(kResultWindow, this->BatcherHooks()),
+      view_group({settings.host, this->incarnation}, settings.data_centre, this->FirstMembership(),
+                 this->lease, this->ViewHooks()),
       api(this->ApiHooks()),
       access(std::move(authenticator), this->AccessHooks()),
       network(this->MakePeerSettings(secret), this->PeerHooks()),
@@ -209,14 +257,20 @@
 EntryHost::Impl::~Impl() {
   this->leaving = true;
   this->router.EndAll(Stopped());
-  this->http.Stop();
+  this->jobs.EndAll();
+  this->http.Abort();
   this->network.Stop();
   this->timers.reset();
   this->pool.reset();
+  this->view_group.Stop();
   this->client.Stop();
 }
 
 base::Result<void> EntryHost::Impl::Start() {
+  const auto group_opened = this->view_group.Open(this->settings.data_folder);
+  if (!group_opened) {
+    return group_opened;
+  }
   const auto network_started = this->network.Start();
   if (!network_started) {
     return network_started;
@@ -224,7 +278,9 @@
   this->timers->RunEvery(kTick, [this] {
     this->dispatcher.Tick();
     this->router.Tick();
+    this->jobs.Tick();
   });
+  this->timers->RunEvery(kViewTick, [this] { this->view_group.Tick(); });
   this->timers->RunEvery(kResultWindow, [this] { this->batcher.Flush(); });
   return this->http.Start();
 }
@@ -242,7 +298,12 @@
 dispatch::Dispatcher::Hooks EntryHost::Impl::DispatcherHooks() {
   dispatch::Dispatcher::Hooks hooks;
   hooks.now = this->now;
-  hooks.usable_from = [this] { return TimePoint(Duration(this->usable_from.load())); };
+  hooks.usable_from = [this](const TargetId& target) {
+    return this->lease.UsableFrom(target.value()).value_or(TimePoint::max());
+  };
+  hooks.may_start = [this](const TargetId& target) {
+    return this->lease.MayActOn(target.value()).has_value();
+  };
   hooks.call_target = [this](const auto& call, auto on_done) {
     this->metrics.OnMessage(MessageKind::kTargetCall);
     this->client.Start(call, [this, on_done = std::move(on_done)](const auto& answer) {
@@ -289,18 +350,10 @@
     this->pool->Run(key,
                     [this, host, message = std::move(message)] { this->OnMessage(host, message); });
   };
-  hooks.on_up = [this](const HostId& host) {
-    this->logger.Info("peer is up", {{"peer", host.value()}});
-    this->pool->Run(std::hash<HostId>()(host), [this] { this->OnMembersChanged(); });
-  };
-  hooks.on_lost = [this](const HostId& host) {
-    this->logger.Warning("peer is lost", {{"peer", host.value()}});
-    this->pool->Run(std::hash<HostId>()(host), [this, host] {
-      this->loads.Remove(host);
-      this->router.OnHostLost(host);
-      this->OnMembersChanged();
-    });
+  hooks.on_up = [this](const HostId& host, base::Incarnation peer_incarnation) {
+    this->OnPeerUp(host, peer_incarnation);
   };
+  hooks.on_lost = [this](const HostId& host) { this->OnPeerLost(host); };
   hooks.heartbeat = [this] { return this->MakeHeartbeat(); };
   hooks.on_fault = [this](const HostId& host, const std::string& reason) {
     this->logger.Warning("peer link fault", {{"peer", host.value()}, {"reason", reason}});
@@ -314,11 +367,7 @@
     this->Run(std::move(work), on_answer);
   };
   hooks.cancel = [this](const SubmissionId& submission) -> base::Result<void> {
-    if (!this->router.Cancel(submission)) {
-      return base::Fail(ErrorCode::kNotFound, "no such job is under way here", "submission",
-                        Verdict::kMayHaveRun);
-    }
-    return {};
+    return this->jobs.Cancel(submission);
   };
   hooks.announce = [this](const auto& announcement) { return this->Announce(announcement); };
   hooks.team_of = [this](const auto& submission) { return this->router.TeamOf(submission); };
@@ -375,12 +424,35 @@
                  on_answer);
     return;
   }
-  const bool is_request = work.submission.empty();
-  const SubmissionId submission =
-      is_request ? SubmissionId("request/" + this->settings.host.value() + "/" +
+  if (work.submission.empty()) {
+    this->RunRequest(std::move(work), on_answer);
+  } else {
+    this->RunJob(std::move(work), on_answer);
+  }
+}
+
+void EntryHost::Impl::RunJob(CallerWork work, const frontend::ApiRouter::OnAnswer& on_answer) {
+  const TimePoint arrived = this->now();
+  const jobs::Submission submission = ToSubmission(work);
+  this->jobs.Submit(
+      submission, [this, arrived, team = submission.team, work_class = submission.work_class,
+                   on_answer](const jobs::JobAnswer& job) {
+        const WorkAnswer answer = ToAnswer(job);
+        if (answer.error) {
+          this->metrics.OnRefused(*answer.error);
+        } else {
+          // FIXME: run times of tasks don't travel with a job's answer, so that jobs have no
+          // slowdown.
+          this->metrics.OnComplete(team, work_class, this->now() - arrived, Duration(0));
+        }
+        on_answer(answer);
+      });
+}
+
+void EntryHost::Impl::RunRequest(CallerWork work, const frontend::ApiRouter::OnAnswer& on_answer) {
+  const SubmissionId submission("request/" + this->settings.host.value() + "/" +
                                 std::to_string(this->incarnation.value()) + "/" +
-                                std::to_string(this->next_request++))
-                 : work.submission;
+                                std::to_string(this->next_request++));
   const TimePoint arrived = this->now();
   const TimePoint deadline = arrived + work.deadline;
   std::vector<Assignment> tasks;
@@ -455,6 +527,9 @@
         "data_centre");
   }
   const HostId owner = this->OwnerOf(announcement.id);
+  if (owner.empty()) {
+    return base::Fail(ErrorCode::kUnavailable, "the data centre has no agreed view yet");
+  }
   if (owner == this->settings.host) {
     this->dispatcher.Announce(announcement);
   } else {
@@ -464,20 +539,12 @@
   return owner;
 }
 
-HostId EntryHost::Impl::OwnerOf(const TargetId& target) const {
-  HostId best = this->settings.host;
-  uint64_t best_score = base::RendezvousScore(best.value(), target.value());
-  for (const configuration::HostAddress& peer : this->settings.peers) {
-    if (peer.data_centre != this->settings.data_centre || !this->network.IsUp(peer.host)) {
-      continue;
-    }
-    const uint64_t score = base::RendezvousScore(peer.host.value(), target.value());
-    if (score > best_score) {
-      best = peer.host;
-      best_score = score;
-    }
+HostId EntryHost::Impl::OwnerOf(const TargetId& target) {
+  const auto view = this->lease.Current();
+  if (!view || view->members.empty()) {
+    return HostId();
   }
-  return best;
+  return membership::OwnerSelector::Select(*view, target.value()).owner.value_or(HostId());
 }
 
 std::vector<dispatch::HostLoad> EntryHost::Impl::Loads(TargetKind kind) {
@@ -518,7 +585,7 @@
 
 void EntryHost::Impl::Report(const HostId& host, const TaskReport& report) {
   if (host == this->settings.host) {
-    this->router.OnReport(host, report);
+    this->TakeReport(host, report);
     return;
   }
   this->batcher.Add(host, report);
@@ -529,7 +596,7 @@
     this->OnAssignTasks(host, *assign);
   } else if (const auto* results = std::get_if<protocol::TaskResults>(&message)) {
     for (const TaskReport& report : FromMessage(*results)) {
-      if (!this->router.OnReport(host, report)) {
+      if (!this->TakeReport(host, report)) {
         this->metrics.OnWasted(WastedMessage::kLateResult);
       } else if (report.verdict == Verdict::kNotRun) {
         this->metrics.OnWasted(WastedMessage::kRefusedAssignment);
@@ -539,6 +606,18 @@
     this->dispatcher.Cancel(cancel->submission);
   } else if (const auto* heartbeat = std::get_if<protocol::Heartbeat>(&message)) {
     this->OnHeartbeat(host, *heartbeat);
+  } else if (const auto* group = std::get_if<protocol::GroupMessage>(&message)) {
+    this->view_group.Receive(group->raft);
+  } else if (const auto* record = std::get_if<jobs::JobRecord>(&message)) {
+    this->jobs.OnRecord(host, *record);
+  } else if (const auto* ack = std::get_if<jobs::RecordAck>(&message)) {
+    this->jobs.OnRecordAck(host, *ack);
+  } else if (const auto* submission = std::get_if<protocol::ForwardSubmission>(&message)) {
+    this->jobs.OnForwarded(host, *submission);
+  } else if (const auto* answer = std::get_if<protocol::SubmissionAnswer>(&message)) {
+    this->jobs.OnAnswered(host, *answer);
+  } else if (const auto* cancel_job = std::get_if<protocol::CancelSubmission>(&message)) {
+    this->jobs.OnCancel(cancel_job->submission);
   } else if (const auto* forwarded = std::get_if<protocol::ForwardAnnouncement>(&message)) {
     const targets::TargetAnnouncement announcement = FromMessage(*forwarded);
     if (this->OwnerOf(announcement.id) == this->settings.host) {
@@ -573,14 +652,109 @@
   this->loads.Update(host, heartbeat.leaving, summaries);
 }
 
-void EntryHost::Impl::OnMembersChanged() {
-  // FIXME: the members are what this host sees. Two hosts that disagree can both own a target and
-  // overcommit its slots until the view of a data centre is agreed on by its group.
-  this->usable_from = (this->now() + kOwnershipDelay).time_since_epoch().count();
+void EntryHost::Impl::OnPeerUp(const HostId& host, base::Incarnation peer_incarnation) {
+  this->logger.Info("peer is up", {{"peer", host.value()}});
+  base::MutexLock lock(this->live_mutex);
+  this->live[host] = peer_incarnation;
+}
+
+void EntryHost::Impl::OnPeerLost(const HostId& host) {
+  this->logger.Warning("peer is lost", {{"peer", host.value()}});
+  {
+    base::MutexLock lock(this->live_mutex);
+    this->live.erase(host);
+  }
+  this->pool->Run(std::hash<HostId>()(host), [this, host] {
+    this->loads.Remove(host);
+    this->router.OnHostLost(host);
+    this->jobs.OnHostLost(host);
+  });
+}
+
+void EntryHost::Impl::OnView(base::Epoch epoch, const std::vector<ViewGroup::Member>& members) {
+  jobs::MemberView view;
+  view.epoch = epoch;
+  std::string names;
+  for (const ViewGroup::Member& member : members) {
+    view.members.push_back({member.host, member.incarnation});
+    names += (names.empty() ? "" : ",") + member.host.value();
+  }
+  this->logger.Info("view agreed", {{"epoch", std::to_string(epoch.value())}, {"members", names}});
+  this->jobs.SetView(view);
   this->dispatcher.RetainTargets(
       [this](const TargetId& target) { return this->OwnerOf(target) == this->settings.host; });
 }
 
+JobService::Hooks EntryHost::Impl::JobHooks() {
+  JobService::Hooks hooks;
+  hooks.now = this->now;
+  hooks.may_act = [this] { return this->lease.MayAct().has_value(); };
+  hooks.send = [this](const HostId& host, protocol::Message message) {
+    return this->network.Send(host, std::move(message));
+  };
+  hooks.host_in = [this](const base::DataCentreId& data_centre) {
+    return this->HostIn(data_centre);
+  };
+  hooks.loads = [this](TargetKind kind) { return this->Loads(kind); };
+  hooks.assign = [this](const HostId& host, const auto& tasks) {
+    return this->Assign(host, tasks);
+  };
+  hooks.cancel = [this](const HostId& host, const SubmissionId& submission) {
+    this->Cancel(host, submission);
+  };
+  return hooks;
+}
+
+ViewGroup::Hooks EntryHost::Impl::ViewHooks() {
+  ViewGroup::Hooks hooks;
+  hooks.now = this->now;
+  hooks.live_members = [this] {
+    std::vector<ViewGroup::Member> members = {{this->settings.host, this->incarnation}};
+    base::MutexLock lock(this->live_mutex);
+    for (const configuration::HostAddress& peer : this->settings.peers) {
+      auto found = this->live.find(peer.host);
+      if (peer.data_centre == this->settings.data_centre && found != this->live.end()) {
+        members.push_back({peer.host, found->second});
+      }
+    }
+    return members;
+  };
+  hooks.send = [this](const consensus::RaftMessage& message) {
+    this->network.SendUnnumbered(message.to, protocol::GroupMessage{message});
+  };
+  hooks.on_view = [this](base::Epoch epoch, const auto& members) { this->OnView(epoch, members); };
+  return hooks;
+}
+
+consensus::RaftMembership EntryHost::Impl::FirstMembership() const {
+  // FIXME: a data centre of two hosts needs a witness in a neighbouring data centre as third voter;
+  // until then the loss of either host stops changes of its view.
+  consensus::RaftMembership membership;
+  const auto add = [&](const HostId& host, bool has_disk) {
+    (has_disk ? membership.voters : membership.learners).insert(host);
+  };
+  add(this->settings.host, !this->settings.data_folder.empty());
+  for (const configuration::HostAddress& peer : this->settings.peers) {
+    if (peer.data_centre == this->settings.data_centre) {
+      add(peer.host, peer.has_disk);
+    }
+  }
+  return membership;
+}
+
+HostId EntryHost::Impl::HostIn(const base::DataCentreId& data_centre) const {
+  for (const configuration::HostAddress& peer : this->settings.peers) {
+    if (peer.data_centre == data_centre && this->network.IsUp(peer.host)) {
+      return peer.host;
+    }
+  }
+  return HostId();
+}
+
+bool EntryHost::Impl::TakeReport(const HostId& host, const TaskReport& report) {
+  return this->jobs.OnReport(host, report) || this->router.OnReport(host, report);
+}
+
 protocol::Heartbeat EntryHost::Impl::MakeHeartbeat() {
   protocol::Heartbeat heartbeat;
   heartbeat.leaving = this->leaving;
@@ -626,7 +800,8 @@
 }
 
 size_t EntryHost::Impl::InFlight() {
-  return this->router.InFlight() + static_cast<size_t>(this->dispatcher.InFlight().value());
+  return this->router.InFlight() + this->jobs.InFlight() +
+         static_cast<size_t>(this->dispatcher.InFlight().value());
 }
 
 EntryHost::EntryHost(const configuration::Settings& settings, const std::string& secret,
--- /dev/null
+++ b/src/entryhost/job_service.cc
@@ -0,0 +1,236 @@
+#include "entryhost/job_service.h"
+
+#include <utility>
+
+#include "base/mutex_lock.h"
+#include "jobs/rendezvous_holders.h"
+#include "jobs/submission_id_time.h"
+
+namespace sapphirecrank::entryhost {
+
+using base::DataCentreId;
+using base::ErrorCode;
+using base::HostId;
+using base::Sequence;
+using base::SubmissionId;
+using base::Verdict;
+using jobs::JobAnswer;
+using jobs::Submission;
+using jobs::SubmissionLedger;
+
+namespace {
+
+// An owner answers by the deadline and a bounded wait for the record of the end.
+constexpr base::Duration kAnswerMargin = std::chrono::seconds(3);
+
+std::optional<base::Duration> AgeOf(const SubmissionId& id) {
+  const auto created = jobs::CreationTimeOf(id);
+  if (!created) {
+    return std::nullopt;
+  }
+  return std::chrono::system_clock::now().time_since_epoch() - *created;
+}
+
+}  // namespace
+
+JobService::JobService(jobs::MemberView::Member self, DataCentreId data_centre, Hooks hooks)
+    : self(std::move(self)),
+      data_centre(std::move(data_centre)),
+      hooks(std::move(hooks)),
+      placer(this->PlacerHooks()),
+      ledger(this->self, jobs::LedgerSettings(), this->LedgerHooks()) {}
+
+void JobService::Submit(const Submission& submission, const OnAnswer& on_answer) {
+  const OnAnswer counted = this->Counted(on_answer);
+  const DataCentreId home = this->HomeOf(submission.id);
+  if (home == this->data_centre) {
+    this->SubmitHere(submission, counted);
+    return;
+  }
+  const HostId host = this->hooks.host_in(home);
+  if (host.empty()) {
+    this->AnswerUnknown(counted, "no entry host of the id's home data centre '" + home.value() +
+                                     "' answers; use an id with the home '" +
+                                     this->data_centre.value() + "' for new work");
+    return;
+  }
+  this->Forward(host, submission, false, counted);
+}
+
+base::Result<void> JobService::Cancel(const SubmissionId& submission) {
+  if (this->ledger.Cancel(submission)) {
+    return {};
+  }
+  const DataCentreId home = this->HomeOf(submission);
+  const HostId host =
+      home == this->data_centre ? this->ledger.OwnerOf(submission) : this->hooks.host_in(home);
+  const bool is_sent = !host.empty() && host != this->self.host &&
+                       this->hooks.send(host, protocol::CancelSubmission{submission});
+  if (!is_sent) {
+    return base::Fail(ErrorCode::kNotFound, "no such job runs here", "submission",
+                      Verdict::kMayHaveRun);
+  }
+  return {};
+}
+
+void JobService::OnForwarded(const HostId& from, const protocol::ForwardSubmission& message) {
+  const OnAnswer answer =
+      this->Counted([this, from, request = message.request](const JobAnswer& job_answer) {
+        // If the other host was lost meanwhile, its caller asks again elsewhere with the same id.
+        this->hooks.send(from, protocol::SubmissionAnswer{request, job_answer});
+      });
+  this->ledger.Submit(std::make_shared<Submission>(message.submission), answer);
+}
+
+void JobService::OnAnswered(const HostId& from, const protocol::SubmissionAnswer& message) {
+  Forwarded entry;
+  {
+    base::MutexLock lock(this->mutex);
+    auto found = this->forwarded.find(message.request);
+    if (found == this->forwarded.end() || found->second.host != from) {
+      return;
+    }
+    entry = std::move(found->second);
+    this->forwarded.erase(found);
+  }
+  const JobAnswer& answer = message.answer;
+  const bool has_other_owner = !answer.complete && answer.error.code == ErrorCode::kFenced &&
+                               !answer.owner.empty() && answer.owner != from;
+  if (!has_other_owner || entry.is_second) {
+    entry.on_answer(answer);
+  } else if (answer.owner == this->self.host) {
+    this->ledger.Submit(std::make_shared<Submission>(entry.submission), entry.on_answer);
+  } else {
+    this->Forward(answer.owner, entry.submission, true, entry.on_answer);
+  }
+}
+
+void JobService::OnRecord(const HostId& from, const jobs::JobRecord& record) {
+  this->ledger.OnRecord(from, record);
+}
+
+void JobService::OnRecordAck(const HostId& from, const jobs::RecordAck& ack) {
+  this->ledger.OnRecordAck(from, ack);
+}
+
+void JobService::OnCancel(const SubmissionId& submission) { this->ledger.Cancel(submission); }
+
+bool JobService::OnReport(const HostId& host, const dispatch::TaskReport& report) {
+  return this->placer.OnReport(host, report);
+}
+
+void JobService::OnHostLost(const HostId& host) {
+  this->placer.OnHostLost(host);
+  this->EndIf([&](const Forwarded& entry) { return entry.host == host; },
+              "the entry host that owns the job was lost");
+}
+
+void JobService::SetView(const jobs::MemberView& view) { this->ledger.SetView(view); }
+
+void JobService::Tick() {
+  this->ledger.Tick();
+  const base::TimePoint now = this->hooks.now();
+  this->EndIf([now](const Forwarded& entry) { return entry.give_up_at <= now; },
+              "the entry host that owns the job didn't answer in time");
+}
+
+void JobService::EndAll() {
+  this->EndIf([](const Forwarded&) { return true; }, "the entry host stopped");
+}
+
+size_t JobService::InFlight() const { return this->open_answers; }
+
+SubmissionLedger::Hooks JobService::LedgerHooks() {
+  SubmissionLedger::Hooks ledger_hooks;
+  ledger_hooks.now = this->hooks.now;
+  ledger_hooks.may_act = this->hooks.may_act;
+  ledger_hooks.holders = jobs::RendezvousHolders;
+  ledger_hooks.id_age = AgeOf;
+  ledger_hooks.send_record = [this](const HostId& host, const jobs::JobRecord& record) {
+    this->hooks.send(host, record);
+  };
+  ledger_hooks.send_ack = [this](const HostId& host, const jobs::RecordAck& ack) {
+    this->hooks.send(host, ack);
+  };
+  ledger_hooks.start_tasks = [this](const auto& starts) { this->placer.Start(starts); };
+  ledger_hooks.cancel_tasks = [this](const auto& starts) { this->placer.Cancel(starts); };
+  // FIXME: without `write_disk` a host that is alone in its view refuses new jobs, although its
+  // disk could hold the record.
+  return ledger_hooks;
+}
+
+dispatch::JobPlacer::Hooks JobService::PlacerHooks() {
+  return {this->hooks.loads, this->hooks.assign, this->hooks.cancel,
+          [this](const jobs::TaskReport& report) { this->ledger.OnTaskReport(report); }};
+}
+
+DataCentreId JobService::HomeOf(const SubmissionId& submission) const {
+  const std::string& text = submission.value();
+  const size_t colon = text.find(':');
+  return colon == std::string::npos ? this->data_centre : DataCentreId(text.substr(0, colon));
+}
+
+void JobService::SubmitHere(const Submission& submission, const OnAnswer& on_answer) {
+  const HostId owner = this->ledger.OwnerOf(submission.id);
+  if (owner.empty() || owner == this->self.host) {
+    this->ledger.Submit(std::make_shared<Submission>(submission), on_answer);
+    return;
+  }
+  this->Forward(owner, submission, false, on_answer);
+}
+
+void JobService::Forward(const HostId& host, const Submission& submission, bool is_second,
+                         const OnAnswer& on_answer) {
+  const Sequence request(this->next_request++);
+  {
+    base::MutexLock lock(this->mutex);
+    this->forwarded[request] = {host, submission,
+                                this->hooks.now() + submission.time_left + kAnswerMargin, is_second,
+                                on_answer};
+  }
+  if (!this->hooks.send(host, protocol::ForwardSubmission{request, submission})) {
+    this->OnAnswered(
+        host, {request,
+               {false,
+                {ErrorCode::kUnavailable, "", "the entry host that owns the job doesn't answer",
+                 Verdict::kMayHaveRun},
+                HostId(),
+                {}}});
+  }
+}
+
+void JobService::AnswerUnknown(const OnAnswer& on_answer, const std::string& reason) const {
+  // The id may be known at its owner from an earlier submission, whose tasks may have run.
+  JobAnswer answer;
+  answer.error = {ErrorCode::kUnavailable, "submission", reason, Verdict::kMayHaveRun};
+  on_answer(answer);
+}
+
+void JobService::EndIf(const std::function<bool(const Forwarded&)>& condition,
+                       const std::string& reason) {
+  std::vector<OnAnswer> ended;
+  {
+    base::MutexLock lock(this->mutex);
+    for (auto it = this->forwarded.begin(); it != this->forwarded.end();) {
+      if (condition(it->second)) {
+        ended.push_back(std::move(it->second.on_answer));
+        it = this->forwarded.erase(it);
+      } else {
+        ++it;
+      }
+    }
+  }
+  for (const OnAnswer& on_answer : ended) {
+    this->AnswerUnknown(on_answer, reason);
+  }
+}
+
+JobService::OnAnswer JobService::Counted(const OnAnswer& on_answer) {
+  ++this->open_answers;
+  return [this, on_answer](const JobAnswer& answer) {
+    on_answer(answer);
+    --this->open_answers;
+  };
+}
+
+}  // namespace sapphirecrank::entryhost
--- /dev/null
+++ b/src/entryhost/job_service.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/mutex.h"
+#include "base/result.h"
+#include "base/time.h"
+#include "dispatch/job_placer.h"
+#include "dispatch/task_report.h"
+#include "jobs/job_answer.h"
+#include "jobs/submission.h"
+#include "jobs/submission_ledger.h"
+#include "protocol/forward_submission.h"
+#include "protocol/message.h"
+#include "protocol/submission_answer.h"
+
+namespace sapphirecrank::entryhost {
+
+/// Takes jobs of callers to the entry host that owns them, and serves those that this host owns.
+///
+/// Thread safety: all methods may be called from any thread; hooks run with no lock held.
+class JobService {
+ public:
+  using OnAnswer = std::function<void(const jobs::JobAnswer&)>;
+
+  /// Behaviour handed in; all members must be set.
+  struct Hooks {
+    base::Clock now;
+    /// Tells whether this host's view lease runs.
+    std::function<bool()> may_act;
+    /// Sends a message that arrives unless the other process is lost; false if it surely won't.
+    std::function<bool(const base::HostId&, protocol::Message)> send;
+    /// Returns an entry host of another data centre that answers, or an empty id.
+    std::function<base::HostId(const base::DataCentreId&)> host_in;
+    /// See `dispatch::JobPlacer::Hooks`.
+    std::function<std::vector<dispatch::HostLoad>(base::TargetKind)> loads;
+    std::function<bool(const base::HostId&, const std::vector<dispatch::Assignment>&)> assign;
+    std::function<void(const base::HostId&, const base::SubmissionId&)> cancel;
+  };
+
+  JobService(jobs::MemberView::Member self, base::DataCentreId data_centre, Hooks hooks);
+
+  /// Runs a job or joins the one with the same id and content, at its owner. `on_answer` is called
+  /// exactly once.
+  void Submit(const jobs::Submission& submission, const OnAnswer& on_answer);
+
+  /// Asks the job's owner to cancel it. `kNotFound` if no owner can be asked.
+  base::Result<void> Cancel(const base::SubmissionId& submission);
+
+  /// Takes a submission that another entry host passed on.
+  void OnForwarded(const base::HostId& from, const protocol::ForwardSubmission& message);
+
+  /// Takes the answer to a submission that this host passed on.
+  void OnAnswered(const base::HostId& from, const protocol::SubmissionAnswer& message);
+
+  void OnRecord(const base::HostId& from, const jobs::JobRecord& record);
+  void OnRecordAck(const base::HostId& from, const jobs::RecordAck& ack);
+  void OnCancel(const base::SubmissionId& submission);
+
+  /// Takes the end of a task. False if it isn't about a placement of a job that this host owns.
+  bool OnReport(const base::HostId& host, const dispatch::TaskReport& report);
+
+  /// Ends what waits for a host that was lost.
+  void OnHostLost(const base::HostId& host);
+
+  /// Puts the next view in force; one call at a time.
+  void SetView(const jobs::MemberView& view);
+
+  /// To be called every few milliseconds.
+  void Tick();
+
+  /// Answers what is open with "may have run", before the process stops without having drained.
+  void EndAll();
+
+  /// Returns how many answers are open here, to callers and to other entry hosts.
+  size_t InFlight() const;
+
+ private:
+  struct Forwarded {
+    base::HostId host;
+    jobs::Submission submission;
+    base::TimePoint give_up_at;
+    // The host was named as the owner by another one, which isn't asked for another.
+    bool is_second = false;
+    OnAnswer on_answer;
+  };
+
+  jobs::SubmissionLedger::Hooks LedgerHooks();
+  dispatch::JobPlacer::Hooks PlacerHooks();
+  base::DataCentreId HomeOf(const base::SubmissionId& submission) const;
+  void SubmitHere(const jobs::Submission& submission, const OnAnswer& on_answer);
+  void Forward(const base::HostId& host, const jobs::Submission& submission, bool is_second,
+               const OnAnswer& on_answer);
+  void AnswerUnknown(const OnAnswer& on_answer, const std::string& reason) const;
+  void EndIf(const std::function<bool(const Forwarded&)>& condition, const std::string& reason);
+  OnAnswer Counted(const OnAnswer& on_answer);
+
+  jobs::MemberView::Member self;
+  base::DataCentreId data_centre;
+  Hooks hooks;
+  std::atomic<size_t> open_answers{0};
+  std::atomic<uint64_t> next_request{1};
+  base::Mutex mutex;
+  std::unordered_map<base::Sequence, Forwarded> forwarded GUARDED_BY(mutex);
+  dispatch::JobPlacer placer;
+  jobs::SubmissionLedger ledger;
+};
+
+}  // namespace sapphirecrank::entryhost
--- a/src/frontend/http_server.cc
+++ b/src/frontend/http_server.cc
@@ -10,7 +10,9 @@
 #include <cstring>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <utility>
+#include <vector>
 
 namespace sapphirecrank::frontend {
 
@@ -22,6 +24,10 @@
     R"({"error":{"code":"too_large","field":"body","message":"the body exceeds the limit",)"
     R"("verdict":"not run"}})";
 
+constexpr const char* kAborted =
+    R"({"error":{"code":"shutting_down","field":"","message":"the entry host stopped",)"
+    R"("verdict":"may have run"}})";
+
 /// One request between its first byte and its answer. Shared with the handler's answer function.
 struct Exchange {
   HttpRequest request;
@@ -60,6 +66,13 @@
   return result;
 }
 
+HttpResponse AbortedResponse() {
+  HttpResponse response;
+  response.status = 503;
+  response.body = kAborted;
+  return response;
+}
+
 std::string RemoteAddress(MHD_Connection* connection) {
   const MHD_ConnectionInfo* info =
       MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
@@ -95,6 +108,7 @@
   base::Result<void> Start();
   base::NetworkAddress Address() const;
   void StopListening();
+  void Abort();
   void Stop();
 
  private:
@@ -117,6 +131,9 @@
   std::mutex mutex;
   std::condition_variable idle;
   size_t open_exchanges = 0;
+  bool is_aborted = false;
+  // Requests that the handler has and whose connection is still open.
+  std::set<ExchangePointer> suspended;
 };
 
 base::Result<void> HttpServer::Impl::Start() {
@@ -156,6 +173,23 @@
   }
 }
 
+void HttpServer::Impl::Abort() {
+  if (this->daemon == nullptr) {
+    return;
+  }
+  this->StopListening();
+  std::vector<ExchangePointer> unanswered;
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->is_aborted = true;
+    unanswered.assign(this->suspended.begin(), this->suspended.end());
+  }
+  for (const ExchangePointer& exchange : unanswered) {
+    Answer(exchange, AbortedResponse());
+  }
+  this->Stop();
+}
+
 void HttpServer::Impl::Stop() {
   if (this->daemon == nullptr) {
     return;
@@ -207,9 +241,11 @@
     std::lock_guard<std::mutex> lock((*pointer)->mutex);
     (*pointer)->connection = nullptr;
   }
+  const ExchangePointer exchange = *pointer;
   delete pointer;
   *context = nullptr;
   std::lock_guard<std::mutex> lock(server->mutex);
+  server->suspended.erase(exchange);
   --server->open_exchanges;
   server->idle.notify_all();
 }
@@ -246,6 +282,16 @@
   exchange->is_handled = true;
   exchange->connection = connection;
   MHD_suspend_connection(connection);
+  bool is_refused = false;
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->suspended.insert(exchange);
+    is_refused = this->is_aborted;
+  }
+  if (is_refused) {
+    Answer(exchange, AbortedResponse());
+    return MHD_YES;
+  }
   this->handler(exchange->request,
                 [exchange](const HttpResponse& response) { Answer(exchange, response); });
   return MHD_YES;
@@ -271,6 +317,8 @@
 
 base::NetworkAddress HttpServer::Address() const { return this->impl->Address(); }
 
+void HttpServer::Abort() { this->impl->Abort(); }
+
 void HttpServer::StopListening() { this->impl->StopListening(); }
 
 void HttpServer::Stop() { this->impl->Stop(); }
--- a/src/frontend/http_server.h
+++ b/src/frontend/http_server.h
@@ -36,6 +36,10 @@
   /// Closes the listening socket; open connections go on.
   void StopListening();
 
+  /// Answers what is open with "may have run" and closes all. The handler's later answers are
+  /// dropped.
+  void Abort();
+
   /// Waits until each request has its answer, then closes all. Precondition: the handler's open
   /// answers still come.
   void Stop();
--- a/src/peers/peer_network.cc
+++ b/src/peers/peer_network.cc
@@ -320,7 +320,7 @@
 void PeerNetwork::Impl::OnAnswer(Peer& peer) {
   peer.last_answer = this->hooks.now();
   if (!peer.is_up.exchange(true)) {
-    this->hooks.on_up(peer.address.host);
+    this->hooks.on_up(peer.address.host, peer.incarnation);
   }
 }
 
--- a/src/peers/peer_network.h
+++ b/src/peers/peer_network.h
@@ -24,8 +24,8 @@
     base::Clock now;
     /// A message has arrived, in order and once for each live sender.
     std::function<void(const base::HostId&, protocol::Message)> on_message;
-    /// A host answers again, after start, loss or restart.
-    std::function<void(const base::HostId&)> on_up;
+    /// A host answers again, after start, loss or restart, as this process.
+    std::function<void(const base::HostId&, base::Incarnation)> on_up;
     /// A host has answered nothing for the host timeout, or was restarted.
     std::function<void(const base::HostId&)> on_lost;
     /// Returns the next heartbeat; its number is filled in here.
--- a/tests/peers/peer_network_test.cc
+++ b/tests/peers/peer_network_test.cc
@@ -36,7 +36,7 @@
         this->Note([&] { this->received.push_back(cancel->submission.value()); });
       }
     };
-    hooks.on_up = [this](const HostId&) { this->Note([&] { ++this->ups; }); };
+    hooks.on_up = [this](const HostId&, base::Incarnation) { this->Note([&] { ++this->ups; }); };
     hooks.on_lost = [this](const HostId&) { this->Note([&] { ++this->losses; }); };
     hooks.heartbeat = [] { return protocol::Heartbeat(); };
     hooks.on_fault = [this](const HostId&, const std::string& reason) {
