jobs: Handle a restart of a host without a change of view

A host that restarts faster than its silence is noticed stays in the view, but has lost its jobs and copies. OnRestart tells the ledger, which takes over or copies the jobs concerned as after a change of view. A report on a task that an earlier owner started is now accepted by its verdict alone, because the earlier owner may have been of the same epoch.

The rule that nothing was accepted before epoch 1 is replaced by a flag of the view: a host that restarts within epoch 1 had taken all ids for new. The new unit test showed this.

--- a/src/jobs/member_view.h
+++ b/src/jobs/member_view.h
@@ -19,9 +19,13 @@
     friend bool operator!=(const Member& a, const Member& b) { return !(a == b); }
   };
 
-  /// 1 for the first view that the data centre ever had.
+  /// Above 0.
   base::Epoch epoch;
   std::vector<Member> members;
+  /// The receiving process knows that nothing was accepted in the data centre before: this is its
+  /// first view, and this process is the first start of its host in it. Without it, ids created
+  /// until a settle time after a process's first view are accepted only through their backup.
+  bool founding = false;
 };
 
 }  // namespace sapphirecrank::jobs
--- a/src/jobs/submission_ledger.cc
+++ b/src/jobs/submission_ledger.cc
@@ -71,13 +71,16 @@
   history->Add(view, moment.now,
                this->settings.max_new_age + this->settings.view_settle_time +
                    2 * this->settings.clock_tolerance);
-  this->latest_view = history;
-  for (size_t i = 0; i < this->shards.size(); ++i) {
-    Effects effects;
-    this->shards.WithIndex(
-        i, [&](Shard& shard) { this->ChangeView(shard, this->latest_view, moment, effects); });
-    this->Apply(effects);
+  this->PutInForce(history, moment);
+}
+
+void SubmissionLedger::OnRestart(const MemberView::Member& member) {
+  if (member.host == this->self.host || !this->latest_view->HasEarlierStartOf(member)) {
+    return;
   }
+  auto history = std::make_shared<ViewHistory>(*this->latest_view);
+  history->Replace(member);
+  this->PutInForce(history, this->TakeMoment());
 }
 
 void SubmissionLedger::Submit(std::shared_ptr<const Submission> submission, OnAnswer on_answer,
@@ -162,8 +165,7 @@
     if (!this->IsOwn(job) || !IsRunning(job)) {
       return false;
     }
-    TaskTable::ReportOutcome outcome =
-        job.tasks.Report(report, job.takeover_epoch, this->settings.max_placements);
+    TaskTable::ReportOutcome outcome = job.tasks.Report(report, this->settings.max_placements);
     if (outcome == TaskTable::ReportOutcome::kIgnored) {
       return false;
     }
@@ -363,7 +365,6 @@
   job.created = this->CreationTime(request.age, moment.now);
   job.unproven = !shard.view->HeldSince(job.id, job.created);
   job.deadline = moment.now + submission.time_left;
-  job.takeover_epoch = shard.view->epoch();
   job.answer_waiters.push_back(std::move(request.on_answer));
   if (request.on_accepted) {
     job.accept_waiters.push_back(std::move(request.on_accepted));
@@ -508,9 +509,20 @@
   this->Schedule(shard, job);
 }
 
+void SubmissionLedger::PutInForce(const std::shared_ptr<const ViewHistory>& view,
+                                  const Moment& moment) {
+  this->latest_view = view;
+  for (size_t i = 0; i < this->shards.size(); ++i) {
+    Effects effects;
+    this->shards.WithIndex(i,
+                           [&](Shard& shard) { this->ChangeView(shard, view, moment, effects); });
+    this->Apply(effects);
+  }
+}
+
 void SubmissionLedger::ChangeView(Shard& shard, const std::shared_ptr<const ViewHistory>& view,
                                   const Moment& moment, Effects& effects) {
-  bool contiguous = view->IsNextAfter(shard.view->epoch());
+  bool contiguous = view->ContinuesFrom(shard.view->epoch());
   shard.view = view;
   std::vector<Job*> jobs;
   for (auto& [id, job] : shard.jobs) {
@@ -552,7 +564,6 @@
   job.acceptance = base::Sequence(this->next_sequence++);
   job.backup = shard.view->BackupOf(job.id, this->self.host);
   job.copied = false;
-  job.takeover_epoch = shard.view->epoch();
   job.tasks.ReturnAllResults();
   AddRunning(shard, job);
   if (job.tasks.has_failure()) {
--- a/src/jobs/submission_ledger.h
+++ b/src/jobs/submission_ledger.h
@@ -117,6 +117,12 @@
   /// Must be called by one thread at a time, with each view in turn. Cost: linear in known jobs.
   void SetView(const MemberView& view);
 
+  /// Tells that a host of the view in force was started again without a change of view, so that its
+  /// earlier start is dead and has lost its jobs and copies. A restart of this host itself, or one
+  /// that the view knows, changes nothing. Must not run at the same time as `SetView`. Cost: linear
+  /// in known jobs.
+  void OnRestart(const MemberView::Member& member);
+
   /// Accepts a submission or joins the job with the same id and content. `on_answer` is called
   /// exactly once, also for a refusal; `on_accepted` (optional) at most once, before it, when the
   /// job is recorded. Other content under a known id is refused with `kConflict`, "not run". If
@@ -183,7 +189,6 @@
     base::Error error;
     base::TimePoint created;
     base::TimePoint deadline;
-    base::Epoch takeover_epoch;
     base::TimePoint takeover_until = base::TimePoint::max();
     base::TimePoint place_again_at = base::TimePoint::max();
     base::TimePoint results_due = base::TimePoint::max();
@@ -266,6 +271,7 @@
   Job& AddCopy(Shard& shard, const IncomingRecord& incoming, base::TimePoint now) const;
   void MergeIntoCopy(Shard& shard, Job& job, const JobRecord& record, base::TimePoint now);
 
+  void PutInForce(const std::shared_ptr<const ViewHistory>& view, const Moment& moment);
   void ChangeView(Shard& shard, const std::shared_ptr<const ViewHistory>& view,
                   const Moment& moment, Effects& effects);
   bool SurvivesView(const ViewHistory& view, const Job& job) const;
@@ -313,7 +319,7 @@
   LedgerSettings settings;
   Hooks hooks;
   std::atomic<uint64_t> next_sequence{1};
-  // Touched only by the thread in `SetView`.
+  // Touched only by the thread in `SetView` or `OnRestart`.
   std::shared_ptr<const ViewHistory> latest_view;
   base::Sharded<base::SubmissionId, Shard> shards;
 };
--- a/src/jobs/task_table.cc
+++ b/src/jobs/task_table.cc
@@ -89,8 +89,7 @@
   return placed;
 }
 
-TaskTable::ReportOutcome TaskTable::Report(const TaskReport& report, base::Epoch takeover_epoch,
-                                           uint32_t max_placements) {
+TaskTable::ReportOutcome TaskTable::Report(const TaskReport& report, uint32_t max_placements) {
   base::TaskIndex index = report.key.index;
   if (index.value() >= this->tasks.size()) {
     return ReportOutcome::kIgnored;
@@ -100,8 +99,7 @@
       task.placement == report.placement) {
     return this->ReportPlaced(report, max_placements);
   }
-  if (task.phase == Phase::kInherited && report.epoch < takeover_epoch &&
-      report.verdict == base::Verdict::kRan) {
+  if (task.phase == Phase::kInherited && report.verdict == base::Verdict::kRan) {
     return this->ReportRan(report);
   }
   return ReportOutcome::kIgnored;
--- a/src/jobs/task_table.h
+++ b/src/jobs/task_table.h
@@ -51,10 +51,9 @@
   std::vector<base::TaskIndex> PlaceAgain(base::Epoch epoch);
 
   /// Takes a report. One on an older placement is ignored, because that placement is known not to
-  /// run. For a task that an earlier owner started, only "ran" of an epoch before
-  /// `takeover_epoch` counts: after "not run" that owner may have placed the task again.
-  ReportOutcome Report(const TaskReport& report, base::Epoch takeover_epoch,
-                       uint32_t max_placements);
+  /// run. For a task that an earlier owner started, only "ran" counts: after "not run" that owner
+  /// may have placed the task again.
+  ReportOutcome Report(const TaskReport& report, uint32_t max_placements);
 
   /// Ends all tasks that are not done, each with a true verdict, and returns those that may be
   /// running under a placement of this host.
--- a/src/jobs/view_history.h
+++ b/src/jobs/view_history.h
@@ -12,8 +12,8 @@
 
 /// The views that one entry host has been told, without gaps, up to the one in force.
 ///
-/// Immutable but for `Add`. Thread safety: const methods may be called from any thread as long as
-/// no thread calls `Add`.
+/// Immutable but for `Add` and `Replace`. Thread safety: const methods may be called from any
+/// thread as long as no thread calls these.
 class ViewHistory {
  public:
   /// Returns the first two hosts for an id among the given ones. Must be pure.
@@ -28,14 +28,21 @@
   /// `epoch()`.
   void Add(const MemberView& view, base::TimePoint now, base::Duration keep);
 
+  /// Tells whether the view in force has this member's host with another incarnation.
+  bool HasEarlierStartOf(const MemberView::Member& member) const;
+
+  /// Puts a member into the view in force in place of the earlier start of the same host.
+  /// Precondition: `HasEarlierStartOf` holds.
+  void Replace(const MemberView::Member& member);
+
   /// Returns the epoch in force, or 0 if there is no view yet.
   base::Epoch epoch() const;
 
   /// Returns the number of hosts in the view in force.
   size_t size() const;
 
-  /// Tells whether the view in force follows directly on the one of `earlier`.
-  bool IsNextAfter(base::Epoch earlier) const;
+  /// Tells whether no view is missing between the one of `earlier` and the one in force.
+  bool ContinuesFrom(base::Epoch earlier) const;
 
   /// Tells whether `member` is in the view in force.
   bool Contains(const MemberView::Member& member) const;
@@ -59,6 +66,7 @@
   struct Entry {
     base::Epoch epoch;
     bool has_self = false;
+    bool founding = false;
     std::vector<MemberView::Member> members;
     std::vector<base::HostId> hosts;
     base::TimePoint learned;
--- a/tests/jobs/ledger_cluster.cc
+++ b/tests/jobs/ledger_cluster.cc
@@ -184,9 +184,27 @@
   restarted.ledger = std::make_unique<SubmissionLedger>(self, this->settings, this->HooksOf(host));
 }
 
+void LedgerCluster::RestartInView(size_t host) {
+  this->Restart(host);
+  this->views.back().founding = false;
+  for (MemberView::Member& member : this->views.back().members) {
+    if (IndexOf(member.host) != host) {
+      continue;
+    }
+    member.incarnation = this->hosts[host].incarnation;
+    this->hosts[host].ledger->SetView(this->views.back());
+    for (Host& other : this->hosts) {
+      if (other.ledger && !other.isolated && other.known_views == this->views.size()) {
+        other.ledger->OnRestart(member);
+      }
+    }
+  }
+}
+
 void LedgerCluster::DecideView() {
   MemberView view;
   view.epoch = base::Epoch(this->views.size() + 1);
+  view.founding = this->views.empty();
   for (size_t host = 0; host < this->hosts.size(); ++host) {
     if (this->hosts[host].ledger && !this->hosts[host].isolated) {
       view.members.push_back({NameOf(host), this->hosts[host].incarnation});
--- a/tests/jobs/ledger_cluster.h
+++ b/tests/jobs/ledger_cluster.h
@@ -65,6 +65,8 @@
 
   void Kill(size_t host);
   void Restart(size_t host);
+  /// Restarts a dead host that is in the latest view, and tells the members that know this view.
+  void RestartInView(size_t host);
   /// Moves a host to the side that is cut off from the views and from the other hosts.
   void Isolate(size_t host) { this->hosts[host].isolated = true; }
   void Heal(size_t host) { this->hosts[host].isolated = false; }
--- a/tests/jobs/submission_ledger_property_test.cc
+++ b/tests/jobs/submission_ledger_property_test.cc
@@ -170,8 +170,10 @@
   bool alive = this->cluster.hosts[host].ledger != nullptr;
   if (event.kind == EventKind::kKill && alive && this->cluster.alive_count() > 2) {
     this->cluster.Kill(host);
-  } else if (event.kind == EventKind::kRestart && !alive) {
+  } else if (event.kind == EventKind::kRestart && !alive && event.b % 2 == 0) {
     this->cluster.Restart(host);
+  } else if (event.kind == EventKind::kRestart && !alive) {
+    this->cluster.RestartInView(host);
   } else if (event.kind == EventKind::kIsolate) {
     this->cluster.Isolate(host);
   } else if (event.kind == EventKind::kHeal) {
--- a/tests/jobs/submission_ledger_test.cc
+++ b/tests/jobs/submission_ledger_test.cc
@@ -330,6 +330,26 @@
   CHECK(this->cluster.IsKnown(id));
 }
 
+// Guards against jobs and copies that are taken for held by a host that has lost them.
+TEST(SubmissionLedger, RestartWithoutNewViewRenewsCopies) {
+  SubmissionId id = this->cluster.NewId();
+  size_t owner = this->cluster.OwnerOf(id);
+  this->cluster.SubmitToOwner(id);
+  this->cluster.DeliverAll();
+  this->cluster.Kill(owner);
+  this->cluster.RestartInView(owner);
+  CHECK(this->cluster.OwnerOf(id) != owner);
+  LedgerCluster::Call& again = this->cluster.Submit(owner, id);
+  this->cluster.DeliverAll();
+  CHECK(again.answer.error.code == ErrorCode::kFenced);
+  size_t successor = this->cluster.OwnerOf(id);
+  this->cluster.Kill(owner);
+  this->cluster.RestartInView(owner);
+  this->cluster.DeliverAll();
+  this->FailOver(successor);
+  CHECK(this->cluster.IsKnown(id));
+}
+
 // Guards against acceptance without any copy, and against a refusal although a disk holds one.
 TEST(SubmissionLedger, LastHostNeedsDisk) {
   this->cluster.Kill(1);
