--- /dev/null
+++ b/src/entryhost/entry_host.cc
@@ -0,0 +1,819 @@
+#include "entryhost/entry_host.h"
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+#include <thread>
+#include <utility>
+
+#include "base/mutex.h"
+#include "base/mutex_lock.h"
+#include "base/timer_queue.h"
+#include "base/worker_pool.h"
+#include "dispatch/dispatcher.h"
+#include "dispatch/load_table.h"
+#include "dispatch/request_router.h"
+#include "dispatch/result_batcher.h"
+#include "entryhost/job_service.h"
+#include "entryhost/message_translation.h"
+#include "entryhost/view_group.h"
+#include "frontend/access_control.h"
+#include "frontend/api_router.h"
+#include "frontend/http_server.h"
+#include "membership/owner_selector.h"
+#include "membership/owners.h"
+#include "membership/view.h"
+#include "membership/view_lease.h"
+#include "observability/metrics.h"
+#include "outbound/target_client.h"
+#include "peers/peer_network.h"
+
+namespace sapphirecrank::entryhost {
+
+using base::Duration;
+using base::ErrorCode;
+using base::HostId;
+using base::SubmissionId;
+using base::TargetId;
+using base::TargetKind;
+using base::TimePoint;
+using base::Verdict;
+using dispatch::Assignment;
+using dispatch::TaskReport;
+using frontend::CallerWork;
+using frontend::WorkAnswer;
+using observability::MessageKind;
+using observability::WastedMessage;
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(5);
+constexpr Duration kViewTick = std::chrono::milliseconds(20);
+constexpr Duration kResultWindow = std::chrono::milliseconds(2);
+constexpr size_t kWorkerThreads = 4;
+// Long enough for peers to learn by two heartbeats that this host takes no new work.
+constexpr Duration kDrainNotice = std::chrono::milliseconds(500);
+constexpr Duration kDrainPoll = std::chrono::milliseconds(10);
+constexpr Duration kDeliveryLimit = std::chrono::seconds(2);
+constexpr TargetKind kTargetKinds[] = {TargetKind::kRunner, TargetKind::kWorker};
+
+base::Incarnation RandomIncarnation() {
+  std::random_device device;
+  return base::Incarnation((static_cast<uint64_t>(device()) << 32) | device());
+}
+
+base::Error ShuttingDown() {
+  return {ErrorCode::kShuttingDown, "", "the entry host is shutting down", Verdict::kNotRun};
+}
+
+base::Error Stopped() {
+  return {ErrorCode::kShuttingDown, "", "the entry host stopped", Verdict::kMayHaveRun};
+}
+
+std::vector<base::TeamId> TeamIds(const configuration::Settings& settings) {
+  std::vector<base::TeamId> teams;
+  teams.reserve(settings.teams.size());
+  for (const configuration::TeamSettings& team : settings.teams) {
+    teams.push_back(team.id);
+  }
+  return teams;
+}
+
+frontend::HttpServerSettings ToHttpServerSettings(const configuration::Settings& settings) {
+  const configuration::HttpSettings& http = settings.http;
+  return {settings.http_listen,
+          http.threads,
+          http.maximum_body,
+          http.maximum_connections,
+          http.maximum_connections_per_address,
+          http.idle_timeout};
+}
+
+Duration LongestRunTime(const std::vector<TaskReport>& reports) {
+  Duration longest{0};
+  for (const TaskReport& report : reports) {
+    longest = std::max(longest, report.run_time);
+  }
+  return longest;
+}
+
+/// Combines the reports of all tasks into one answer: complete or failed.
+WorkAnswer ToAnswer(const std::vector<TaskReport>& reports) {
+  WorkAnswer answer;
+  Verdict verdict = reports.front().verdict;
+  for (const TaskReport& report : reports) {
+    verdict = base::CombineParts(verdict, report.verdict);
+    // The first failure that isn't a consequence of another one is the reason.
+    const bool is_better = !answer.error || answer.error->code == ErrorCode::kCancelled;
+    if (!report.succeeded && is_better) {
+      answer.error = report.error;
+    }
+    answer.tasks.push_back({report.succeeded, report.verdict, report.body, report.error});
+  }
+  if (answer.error) {
+    answer.error->verdict = verdict;
+  }
+  return answer;
+}
+
+}  // namespace
+
+/// Translates a job's answer; the job fails with one reason and a verdict for each task.
+WorkAnswer ToAnswer(const jobs::JobAnswer& job) {
+  WorkAnswer answer;
+  if (!job.complete) {
+    answer.error = job.error;
+  }
+  for (const jobs::TaskResult& task : job.tasks) {
+    const base::Error error{ErrorCode::kTargetFailed, "", task.body, task.verdict};
+    answer.tasks.push_back({task.ok, task.verdict, task.body, task.ok ? base::Error() : error});
+  }
+  return answer;
+}
+
+jobs::Submission ToSubmission(CallerWork& work) {
+  jobs::Submission submission;
+  submission.id = work.submission;
+  submission.team = work.team;
+  submission.work_class = work.work_class;
+  submission.time_left = work.deadline;
+  for (frontend::CallerTask& task : work.tasks) {
+    submission.tasks.push_back({task.kind, std::move(task.payload), task.declared,
+                                task.declared_run_time, task.idempotent});
+  }
+  return submission;
+}
+
+class EntryHost::Impl {
+ public:
+  Impl(const configuration::Settings& settings, const std::string& secret,
+       observability::Logger& logger, frontend::Authenticator authenticator);
+  ~Impl();
+
+  base::Result<void> Start();
+  void Drain();
+  base::NetworkAddress HttpAddress() const { return this->http.Address(); }
+
+ private:
+  dispatch::Dispatcher::Hooks DispatcherHooks();
+  dispatch::RequestRouter::Hooks RouterHooks();
+  dispatch::ResultBatcher::Hooks BatcherHooks();
+  peers::PeerNetwork::Hooks PeerHooks();
+  frontend::ApiRouter::Hooks ApiHooks();
+  frontend::AccessControl::Hooks AccessHooks();
+  peers::PeerSettings MakePeerSettings(const std::string& secret) const;
+  JobService::Hooks JobHooks();
+  ViewGroup::Hooks ViewHooks();
+  consensus::RaftMembership FirstMembership() const;
+
+  void RunRequest(CallerWork work, const frontend::ApiRouter::OnAnswer& on_answer);
+  void RunJob(CallerWork work, const frontend::ApiRouter::OnAnswer& on_answer);
+  void OnView(base::Epoch epoch, const std::vector<ViewGroup::Member>& members);
+  void OnPeerUp(const HostId& host, base::Incarnation peer_incarnation);
+  void OnPeerLost(const HostId& host);
+  bool TakeReport(const HostId& host, const TaskReport& report);
+  HostId HostIn(const base::DataCentreId& data_centre) const;
+
+  void Run(CallerWork work, const frontend::ApiRouter::OnAnswer& on_answer);
+  void Refuse(const base::Error& error, const frontend::ApiRouter::OnAnswer& on_answer);
+  void NoteAnswer(const scheduling::TaskSpec& task, TimePoint arrived,
+                  const std::vector<TaskReport>& reports, const WorkAnswer& answer);
+  void NoteAssignment(const HostId& host, const std::vector<Assignment>& tasks);
+  void NoteTargetAnswer(const dispatch::TargetAnswer& answer);
+  base::Result<HostId> Announce(const targets::TargetAnnouncement& announcement);
+  HostId OwnerOf(const TargetId& target);
+  std::vector<dispatch::HostLoad> Loads(TargetKind kind);
+  bool Assign(const HostId& host, const std::vector<Assignment>& tasks);
+  void Cancel(const HostId& host, const SubmissionId& submission);
+  void Report(const HostId& host, const TaskReport& report);
+  void OnMessage(const HostId& host, const protocol::Message& message);
+  void OnAssignTasks(const HostId& host, const protocol::AssignTasks& message);
+  void OnHeartbeat(const HostId& host, const protocol::Heartbeat& heartbeat);
+  protocol::Heartbeat MakeHeartbeat();
+  std::string Status();
+  size_t InFlight();
+
+  configuration::Settings settings;
+  observability::Logger& logger;
+  base::Clock now;
+  base::Incarnation incarnation;
+  std::atomic<bool> leaving{false};
+  std::atomic<uint64_t> next_request{1};
+  base::Mutex live_mutex;
+  std::map<HostId, base::Incarnation> live GUARDED_BY(live_mutex);
+  membership::ViewLease lease;
+  std::set<base::TeamId> teams;
+  observability::Metrics metrics;
+  dispatch::LoadTable loads;
+  outbound::TargetClient client;
+  dispatch::Dispatcher dispatcher;
+  dispatch::RequestRouter router;
+  JobService jobs;
+  dispatch::ResultBatcher batcher;
+  ViewGroup view_group;
+  frontend::ApiRouter api;
+  frontend::AccessControl access;
+  // The threads of what follows call what is above; the destructor stops them first.
+  peers::PeerNetwork network;
+  std::unique_ptr<base::WorkerPool> pool;
+  std::unique_ptr<base::TimerQueue> timers;
+  frontend::HttpServer http;
+};
+
+EntryHost::Impl::Impl(const configuration::Settings& settings, const std::string& secret,
+                      observability::Logger& logger, frontend::Authenticator authenticator)
+    : settings(settings),
+      logger(logger),
+      now(base::SteadyClock()),
+      incarnation(RandomIncarnation()),
+      lease(settings.host, {this->now}),
+      metrics(TeamIds(settings)),
+      client(outbound::TargetClientSettings()),
+      dispatcher(settings.host.value() + "/" + std::to_string(this->incarnation.value()) + "/",
+                 this->DispatcherHooks()),
+      router(this->RouterHooks()),
+      jobs({settings.host, this->incarnation}, settings.data_centre, this->JobHooks()),
+      batcher(kResultWindow, this->BatcherHooks()),
+      view_group({settings.host, this->incarnation}, settings.data_centre, this->FirstMembership(),
+                 this->lease, this->ViewHooks()),
+      api(this->ApiHooks()),
+      access(std::move(authenticator), this->AccessHooks()),
+      network(this->MakePeerSettings(secret), this->PeerHooks()),
+      pool(std::make_unique<base::WorkerPool>("worker", kWorkerThreads)),
+      timers(std::make_unique<base::TimerQueue>("timers")),
+      http(ToHttpServerSettings(settings), [this](const auto& request, const auto& respond) {
+        this->access.Handle(request, respond);
+      }) {
+  for (const configuration::TeamSettings& team : settings.teams) {
+    this->teams.insert(team.id);
+  }
+}
+
+EntryHost::Impl::~Impl() {
+  this->leaving = true;
+  this->router.EndAll(Stopped());
+  this->jobs.EndAll();
+  this->http.Abort();
+  this->network.Stop();
+  this->timers.reset();
+  this->pool.reset();
+  this->view_group.Stop();
+  this->client.Stop();
+}
+
+base::Result<void> EntryHost::Impl::Start() {
+  const auto group_opened = this->view_group.Open(this->settings.data_folder);
+  if (!group_opened) {
+    return group_opened;
+  }
+  const auto network_started = this->network.Start();
+  if (!network_started) {
+    return network_started;
+  }
+  this->timers->RunEvery(kTick, [this] {
+    this->dispatcher.Tick();
+    this->router.Tick();
+    this->jobs.Tick();
+  });
+  this->timers->RunEvery(kViewTick, [this] { this->view_group.Tick(); });
+  this->timers->RunEvery(kResultWindow, [this] { this->batcher.Flush(); });
+  return this->http.Start();
+}
+
+void EntryHost::Impl::Drain() {
+  this->leaving = true;
+  const TimePoint notice_end = this->now() + kDrainNotice;
+  while (this->now() < notice_end || this->InFlight() > 0) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  this->http.Stop();
+  this->network.WaitUntilDelivered(kDeliveryLimit);
+}
+
+dispatch::Dispatcher::Hooks EntryHost::Impl::DispatcherHooks() {
+  dispatch::Dispatcher::Hooks hooks;
+  hooks.now = this->now;
+  hooks.usable_from = [this](const TargetId& target) {
+    return this->lease.UsableFrom(target.value()).value_or(TimePoint::max());
+  };
+  hooks.may_start = [this](const TargetId& target) {
+    return this->lease.MayActOn(target.value()).has_value();
+  };
+  hooks.call_target = [this](const auto& call, auto on_done) {
+    this->metrics.OnMessage(MessageKind::kTargetCall);
+    this->client.Start(call, [this, on_done = std::move(on_done)](const auto& answer) {
+      this->NoteTargetAnswer(answer);
+      on_done(answer);
+    });
+  };
+  hooks.on_start = [this](const scheduling::TaskSpec& task, Duration queue_wait) {
+    this->metrics.OnTaskStart(task.team, task.work_class, queue_wait);
+  };
+  hooks.report = [this](const HostId& host, const TaskReport& report) {
+    this->Report(host, report);
+  };
+  return hooks;
+}
+
+dispatch::RequestRouter::Hooks EntryHost::Impl::RouterHooks() {
+  dispatch::RequestRouter::Hooks hooks;
+  hooks.now = this->now;
+  hooks.loads = [this](TargetKind kind) { return this->Loads(kind); };
+  hooks.assign = [this](const HostId& host, const auto& tasks) {
+    return this->Assign(host, tasks);
+  };
+  hooks.cancel = [this](const HostId& host, const SubmissionId& submission) {
+    this->Cancel(host, submission);
+  };
+  return hooks;
+}
+
+dispatch::ResultBatcher::Hooks EntryHost::Impl::BatcherHooks() {
+  return {this->now, [this](const HostId& host, const std::vector<TaskReport>& reports) {
+            // A report that can't be sent is for a host that has already ended these tasks with
+            // "may have run" because this host was lost to it.
+            this->metrics.OnMessage(MessageKind::kResults);
+            this->network.Send(host, ToMessage(reports));
+          }};
+}
+
+peers::PeerNetwork::Hooks EntryHost::Impl::PeerHooks() {
+  peers::PeerNetwork::Hooks hooks;
+  hooks.now = this->now;
+  hooks.on_message = [this](const HostId& host, protocol::Message message) {
+    const size_t key = std::hash<HostId>()(host);
+    this->pool->Run(key,
+                    [this, host, message = std::move(message)] { this->OnMessage(host, message); });
+  };
+  hooks.on_up = [this](const HostId& host, base::Incarnation peer_incarnation) {
+    this->OnPeerUp(host, peer_incarnation);
+  };
+  hooks.on_lost = [this](const HostId& host) { this->OnPeerLost(host); };
+  hooks.heartbeat = [this] { return this->MakeHeartbeat(); };
+  hooks.on_fault = [this](const HostId& host, const std::string& reason) {
+    this->logger.Warning("peer link fault", {{"peer", host.value()}, {"reason", reason}});
+  };
+  return hooks;
+}
+
+frontend::ApiRouter::Hooks EntryHost::Impl::ApiHooks() {
+  frontend::ApiRouter::Hooks hooks;
+  hooks.run = [this](CallerWork work, const auto& on_answer) {
+    this->Run(std::move(work), on_answer);
+  };
+  hooks.cancel = [this](const SubmissionId& submission) -> base::Result<void> {
+    return this->jobs.Cancel(submission);
+  };
+  hooks.announce = [this](const auto& announcement) { return this->Announce(announcement); };
+  hooks.team_of = [this](const auto& submission) { return this->router.TeamOf(submission); };
+  hooks.refused = [this](const auto& error) { this->metrics.OnRefused(error); };
+  // The main thread waits for this signal and then drains.
+  hooks.drain = [] { kill(getpid(), SIGTERM); };
+  hooks.status = [this] { return this->Status(); };
+  hooks.metrics = [this] { return this->metrics.Text(); };
+  return hooks;
+}
+
+frontend::AccessControl::Hooks EntryHost::Impl::AccessHooks() {
+  frontend::AccessControl::Hooks hooks;
+  hooks.handle = [this](const auto& request, const auto& respond) {
+    this->api.Handle(request, respond);
+  };
+  hooks.audit = [this](const auto& request, const std::string& name, int status) {
+    this->logger.Info("audit", {{"operator", name},
+                                {"remote", request.remote},
+                                {"method", request.method},
+                                {"path", request.path},
+                                {"status", std::to_string(status)}});
+  };
+  hooks.refused = [this](const auto& request, const base::Error& error) {
+    this->metrics.OnRefused(error);
+    this->logger.Warning(
+        "request without the right credential",
+        {{"remote", request.remote}, {"path", request.path}, {"reason", error.message}});
+  };
+  return hooks;
+}
+
+peers::PeerSettings EntryHost::Impl::MakePeerSettings(const std::string& secret) const {
+  peers::PeerSettings peer_settings;
+  peer_settings.host = this->settings.host;
+  peer_settings.data_centre = this->settings.data_centre;
+  peer_settings.incarnation = this->incarnation;
+  peer_settings.listen = this->settings.peer_listen;
+  peer_settings.secret = secret;
+  for (const configuration::HostAddress& peer : this->settings.peers) {
+    peer_settings.peers.push_back({peer.host, peer.data_centre, peer.address});
+  }
+  return peer_settings;
+}
+
+void EntryHost::Impl::Run(CallerWork work, const frontend::ApiRouter::OnAnswer& on_answer) {
+  if (this->leaving) {
+    this->Refuse(ShuttingDown(), on_answer);
+    return;
+  }
+  if (this->teams.count(work.team) == 0) {
+    this->Refuse(base::Error{ErrorCode::kInvalidArgument, "team",
+                             "unknown team '" + work.team.value() + "'", Verdict::kNotRun},
+                 on_answer);
+    return;
+  }
+  if (work.submission.empty()) {
+    this->RunRequest(std::move(work), on_answer);
+  } else {
+    this->RunJob(std::move(work), on_answer);
+  }
+}
+
+void EntryHost::Impl::RunJob(CallerWork work, const frontend::ApiRouter::OnAnswer& on_answer) {
+  const TimePoint arrived = this->now();
+  const jobs::Submission submission = ToSubmission(work);
+  this->jobs.Submit(
+      submission, [this, arrived, team = submission.team, work_class = submission.work_class,
+                   on_answer](const jobs::JobAnswer& job) {
+        const WorkAnswer answer = ToAnswer(job);
+        if (answer.error) {
+          this->metrics.OnRefused(*answer.error);
+        } else {
+          // FIXME: run times of tasks don't travel with a job's answer, so that jobs have no
+          // slowdown.
+          this->metrics.OnComplete(team, work_class, this->now() - arrived, Duration(0));
+        }
+        on_answer(answer);
+      });
+}
+
+void EntryHost::Impl::RunRequest(CallerWork work, const frontend::ApiRouter::OnAnswer& on_answer) {
+  const SubmissionId submission("request/" + this->settings.host.value() + "/" +
+                                std::to_string(this->incarnation.value()) + "/" +
+                                std::to_string(this->next_request++));
+  const TimePoint arrived = this->now();
+  const TimePoint deadline = arrived + work.deadline;
+  std::vector<Assignment> tasks;
+  tasks.reserve(work.tasks.size());
+  for (size_t i = 0; i < work.tasks.size(); ++i) {
+    frontend::CallerTask& task = work.tasks[i];
+    Assignment assignment;
+    assignment.spec = {{submission, base::TaskIndex(static_cast<uint32_t>(i))},
+                       work.team,
+                       task.kind,
+                       work.work_class,
+                       work.target_kind,
+                       task.declared,
+                       task.declared_run_time,
+                       deadline,
+                       task.idempotent};
+    assignment.payload = std::move(task.payload);
+    tasks.push_back(std::move(assignment));
+  }
+  const scheduling::TaskSpec first = tasks.front().spec;
+  const bool is_started =
+      this->router.Submit(std::move(tasks), [this, first, arrived, on_answer](const auto& reports) {
+        const WorkAnswer answer = ToAnswer(reports);
+        this->NoteAnswer(first, arrived, reports, answer);
+        on_answer(answer);
+      });
+  if (!is_started) {
+    this->Refuse(base::Error{ErrorCode::kConflict, "submission", "this job is under way",
+                             Verdict::kMayHaveRun},
+                 on_answer);
+  }
+}
+
+void EntryHost::Impl::Refuse(const base::Error& error,
+                             const frontend::ApiRouter::OnAnswer& on_answer) {
+  this->metrics.OnRefused(error);
+  on_answer({error, {}});
+}
+
+void EntryHost::Impl::NoteAnswer(const scheduling::TaskSpec& task, TimePoint arrived,
+                                 const std::vector<TaskReport>& reports, const WorkAnswer& answer) {
+  if (answer.error) {
+    this->metrics.OnRefused(*answer.error);
+    return;
+  }
+  this->metrics.OnComplete(task.team, task.work_class, this->now() - arrived,
+                           LongestRunTime(reports));
+}
+
+void EntryHost::Impl::NoteAssignment(const HostId& host, const std::vector<Assignment>& tasks) {
+  if (host != this->settings.host) {
+    this->metrics.OnMessage(MessageKind::kAssignment);
+  }
+  for (const Assignment& task : tasks) {
+    if (task.placement > base::PlacementNumber(1)) {
+      this->metrics.OnRetry();
+    }
+  }
+}
+
+void EntryHost::Impl::NoteTargetAnswer(const dispatch::TargetAnswer& answer) {
+  if (answer.is_crossed) {
+    this->metrics.OnWasted(WastedMessage::kCrossedAnswer);
+  }
+}
+
+base::Result<HostId> EntryHost::Impl::Announce(const targets::TargetAnnouncement& announcement) {
+  if (announcement.data_centre != this->settings.data_centre) {
+    return base::Fail(
+        ErrorCode::kInvalidArgument,
+        "this entry host belongs to data centre '" + this->settings.data_centre.value() + "'",
+        "data_centre");
+  }
+  const HostId owner = this->OwnerOf(announcement.id);
+  if (owner.empty()) {
+    return base::Fail(ErrorCode::kUnavailable, "the data centre has no agreed view yet");
+  }
+  if (owner == this->settings.host) {
+    this->dispatcher.Announce(announcement);
+  } else {
+    this->metrics.OnMessage(MessageKind::kAnnouncement);
+    this->network.SendUnnumbered(owner, ToMessage(announcement));
+  }
+  return owner;
+}
+
+HostId EntryHost::Impl::OwnerOf(const TargetId& target) {
+  const auto view = this->lease.Current();
+  if (!view || view->members.empty()) {
+    return HostId();
+  }
+  return membership::OwnerSelector::Select(*view, target.value()).owner.value_or(HostId());
+}
+
+std::vector<dispatch::HostLoad> EntryHost::Impl::Loads(TargetKind kind) {
+  std::vector<dispatch::HostLoad> all = {{this->settings.host, this->dispatcher.Load(kind)}};
+  std::set<HostId> local;
+  for (const configuration::HostAddress& peer : this->settings.peers) {
+    if (peer.data_centre == this->settings.data_centre && this->network.IsUp(peer.host)) {
+      local.insert(peer.host);
+    }
+  }
+  // FIXME: work that no target of this data centre could hold waits here until its deadline instead
+  // of going to another data centre.
+  for (const dispatch::HostLoad& load : this->loads.Loads(kind)) {
+    if (local.count(load.host) > 0) {
+      all.push_back(load);
+    }
+  }
+  return all;
+}
+
+bool EntryHost::Impl::Assign(const HostId& host, const std::vector<Assignment>& tasks) {
+  this->NoteAssignment(host, tasks);
+  if (host == this->settings.host) {
+    this->dispatcher.Assign(host, tasks);
+    return true;
+  }
+  return this->network.Send(host, ToMessage(tasks, this->now()));
+}
+
+void EntryHost::Impl::Cancel(const HostId& host, const SubmissionId& submission) {
+  if (host == this->settings.host) {
+    this->dispatcher.Cancel(submission);
+    return;
+  }
+  this->metrics.OnMessage(MessageKind::kCancellation);
+  this->network.Send(host, protocol::CancelTasks{submission});
+}
+
+void EntryHost::Impl::Report(const HostId& host, const TaskReport& report) {
+  if (host == this->settings.host) {
+    this->TakeReport(host, report);
+    return;
+  }
+  this->batcher.Add(host, report);
+}
+
+void EntryHost::Impl::OnMessage(const HostId& host, const protocol::Message& message) {
+  if (const auto* assign = std::get_if<protocol::AssignTasks>(&message)) {
+    this->OnAssignTasks(host, *assign);
+  } else if (const auto* results = std::get_if<protocol::TaskResults>(&message)) {
+    for (const TaskReport& report : FromMessage(*results)) {
+      if (!this->TakeReport(host, report)) {
+        this->metrics.OnWasted(WastedMessage::kLateResult);
+      } else if (report.verdict == Verdict::kNotRun) {
+        this->metrics.OnWasted(WastedMessage::kRefusedAssignment);
+      }
+    }
+  } else if (const auto* cancel = std::get_if<protocol::CancelTasks>(&message)) {
+    this->dispatcher.Cancel(cancel->submission);
+  } else if (const auto* heartbeat = std::get_if<protocol::Heartbeat>(&message)) {
+    this->OnHeartbeat(host, *heartbeat);
+  } else if (const auto* group = std::get_if<protocol::GroupMessage>(&message)) {
+    this->view_group.Receive(group->raft);
+  } else if (const auto* record = std::get_if<jobs::JobRecord>(&message)) {
+    this->jobs.OnRecord(host, *record);
+  } else if (const auto* ack = std::get_if<jobs::RecordAck>(&message)) {
+    this->jobs.OnRecordAck(host, *ack);
+  } else if (const auto* submission = std::get_if<protocol::ForwardSubmission>(&message)) {
+    this->jobs.OnForwarded(host, *submission);
+  } else if (const auto* answer = std::get_if<protocol::SubmissionAnswer>(&message)) {
+    this->jobs.OnAnswered(host, *answer);
+  } else if (const auto* cancel_job = std::get_if<protocol::CancelSubmission>(&message)) {
+    this->jobs.OnCancel(cancel_job->submission);
+  } else if (const auto* forwarded = std::get_if<protocol::ForwardAnnouncement>(&message)) {
+    const targets::TargetAnnouncement announcement = FromMessage(*forwarded);
+    if (this->OwnerOf(announcement.id) == this->settings.host) {
+      this->dispatcher.Announce(announcement);
+    } else {
+      this->metrics.OnWasted(WastedMessage::kMisdirectedAnnouncement);
+    }
+  }
+}
+
+void EntryHost::Impl::OnAssignTasks(const HostId& host, const protocol::AssignTasks& message) {
+  std::vector<Assignment> tasks = FromMessage(message, this->now());
+  if (!this->leaving) {
+    this->dispatcher.Assign(host, std::move(tasks));
+    return;
+  }
+  for (const Assignment& task : tasks) {
+    TaskReport refusal;
+    refusal.key = task.spec.key;
+    refusal.placement = task.placement;
+    refusal.verdict = Verdict::kNotRun;
+    refusal.error = ShuttingDown();
+    this->batcher.Add(host, refusal);
+  }
+}
+
+void EntryHost::Impl::OnHeartbeat(const HostId& host, const protocol::Heartbeat& heartbeat) {
+  std::map<TargetKind, scheduling::LoadSummary> summaries;
+  for (const protocol::KindLoad& load : heartbeat.loads) {
+    summaries[load.kind] = FromMessage(load);
+  }
+  this->loads.Update(host, heartbeat.leaving, summaries);
+}
+
+void EntryHost::Impl::OnPeerUp(const HostId& host, base::Incarnation peer_incarnation) {
+  this->logger.Info("peer is up", {{"peer", host.value()}});
+  base::MutexLock lock(this->live_mutex);
+  this->live[host] = peer_incarnation;
+}
+
+void EntryHost::Impl::OnPeerLost(const HostId& host) {
+  this->logger.Warning("peer is lost", {{"peer", host.value()}});
+  {
+    base::MutexLock lock(this->live_mutex);
+    this->live.erase(host);
+  }
+  this->pool->Run(std::hash<HostId>()(host), [this, host] {
+    this->loads.Remove(host);
+    this->router.OnHostLost(host);
+    this->jobs.OnHostLost(host);
+  });
+}
+
+void EntryHost::Impl::OnView(base::Epoch epoch, const std::vector<ViewGroup::Member>& members) {
+  jobs::MemberView view;
+  view.epoch = epoch;
+  std::string names;
+  for (const ViewGroup::Member& member : members) {
+    view.members.push_back({member.host, member.incarnation});
+    names += (names.empty() ? "" : ",") + member.host.value();
+  }
+  this->logger.Info("view agreed", {{"epoch", std::to_string(epoch.value())}, {"members", names}});
+  this->jobs.SetView(view);
+  this->dispatcher.RetainTargets(
+      [this](const TargetId& target) { return this->OwnerOf(target) == this->settings.host; });
+}
+
+JobService::Hooks EntryHost::Impl::JobHooks() {
+  JobService::Hooks hooks;
+  hooks.now = this->now;
+  hooks.may_act = [this] { return this->lease.MayAct().has_value(); };
+  hooks.send = [this](const HostId& host, protocol::Message message) {
+    return this->network.Send(host, std::move(message));
+  };
+  hooks.host_in = [this](const base::DataCentreId& data_centre) {
+    return this->HostIn(data_centre);
+  };
+  hooks.loads = [this](TargetKind kind) { return this->Loads(kind); };
+  hooks.assign = [this](const HostId& host, const auto& tasks) {
+    return this->Assign(host, tasks);
+  };
+  hooks.cancel = [this](const HostId& host, const SubmissionId& submission) {
+    this->Cancel(host, submission);
+  };
+  return hooks;
+}
+
+ViewGroup::Hooks EntryHost::Impl::ViewHooks() {
+  ViewGroup::Hooks hooks;
+  hooks.now = this->now;
+  hooks.live_members = [this] {
+    std::vector<ViewGroup::Member> members = {{this->settings.host, this->incarnation}};
+    base::MutexLock lock(this->live_mutex);
+    for (const configuration::HostAddress& peer : this->settings.peers) {
+      auto found = this->live.find(peer.host);
+      if (peer.data_centre == this->settings.data_centre && found != this->live.end()) {
+        members.push_back({peer.host, found->second});
+      }
+    }
+    return members;
+  };
+  hooks.send = [this](const consensus::RaftMessage& message) {
+    this->network.SendUnnumbered(message.to, protocol::GroupMessage{message});
+  };
+  hooks.on_view = [this](base::Epoch epoch, const auto& members) { this->OnView(epoch, members); };
+  return hooks;
+}
+
+consensus::RaftMembership EntryHost::Impl::FirstMembership() const {
+  // FIXME: a data centre of two hosts needs a witness in a neighbouring data centre as third voter;
+  // until then the loss of either host stops changes of its view.
+  consensus::RaftMembership membership;
+  const auto add = [&](const HostId& host, bool has_disk) {
+    (has_disk ? membership.voters : membership.learners).insert(host);
+  };
+  add(this->settings.host, !this->settings.data_folder.empty());
+  for (const configuration::HostAddress& peer : this->settings.peers) {
+    if (peer.data_centre == this->settings.data_centre) {
+      add(peer.host, peer.has_disk);
+    }
+  }
+  return membership;
+}
+
+HostId EntryHost::Impl::HostIn(const base::DataCentreId& data_centre) const {
+  for (const configuration::HostAddress& peer : this->settings.peers) {
+    if (peer.data_centre == data_centre && this->network.IsUp(peer.host)) {
+      return peer.host;
+    }
+  }
+  return HostId();
+}
+
+bool EntryHost::Impl::TakeReport(const HostId& host, const TaskReport& report) {
+  return this->jobs.OnReport(host, report) || this->router.OnReport(host, report);
+}
+
+protocol::Heartbeat EntryHost::Impl::MakeHeartbeat() {
+  protocol::Heartbeat heartbeat;
+  heartbeat.leaving = this->leaving;
+  for (TargetKind kind : kTargetKinds) {
+    heartbeat.loads.push_back(ToMessage(kind, this->dispatcher.Load(kind)));
+  }
+  return heartbeat;
+}
+
+std::string EntryHost::Impl::Status() {
+  using Json = nlohmann::json;
+  Json peers = Json::array();
+  for (const configuration::HostAddress& peer : this->settings.peers) {
+    peers.push_back({{"host", peer.host.value()},
+                     {"data_centre", peer.data_centre.value()},
+                     {"up", this->network.IsUp(peer.host)}});
+  }
+  Json targets = Json::array();
+  for (const targets::TargetAnnouncement& target : this->dispatcher.Targets()) {
+    targets.push_back({{"id", target.id.value()},
+                       {"kind", base::TargetKindName(target.kind)},
+                       {"address", target.address.value()},
+                       {"slots", target.slots.value()},
+                       {"leaving", target.leaving},
+                       {"running", target.running.size()}});
+  }
+  Json loads = Json::object();
+  for (TargetKind kind : kTargetKinds) {
+    const scheduling::LoadSummary load = this->dispatcher.Load(kind);
+    loads[std::string(base::TargetKindName(kind))] = {{"free_slots", load.free_slots.value()},
+                                                      {"slots", load.total_slots.value()},
+                                                      {"queued", load.queued.value()}};
+  }
+  return Json({{"host", this->settings.host.value()},
+               {"data_centre", this->settings.data_centre.value()},
+               {"leaving", this->leaving.load()},
+               {"work_in_flight", this->router.InFlight()},
+               {"tasks_in_flight", this->dispatcher.InFlight().value()},
+               {"load", std::move(loads)},
+               {"peers", std::move(peers)},
+               {"targets", std::move(targets)}})
+      .dump();
+}
+
+size_t EntryHost::Impl::InFlight() {
+  return this->router.InFlight() + this->jobs.InFlight() +
+         static_cast<size_t>(this->dispatcher.InFlight().value());
+}
+
+EntryHost::EntryHost(const configuration::Settings& settings, const std::string& secret,
+                     observability::Logger& logger, frontend::Authenticator authenticator)
+    : impl(std::make_unique<Impl>(settings, secret, logger, std::move(authenticator))) {}
+
+EntryHost::~EntryHost() = default;
+
+base::Result<void> EntryHost::Start() { return this->impl->Start(); }
+
+void EntryHost::Drain() { this->impl->Drain(); }
+
+base::NetworkAddress EntryHost::HttpAddress() const { return this->impl->HttpAddress(); }
+
+}  // namespace sapphirecrank::entryhost
--- /dev/null
+++ b/src/frontend/http_request.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "base/ids.h"
+
+namespace sapphirecrank::frontend {
+
+/// One HTTP request, read completely.
+struct HttpRequest {
+  std::string method;
+  std::string path;
+  std::map<std::string, std::string> query;
+  /// By name in lower case.
+  std::map<std::string, std::string> headers;
+  /// IP number of the other side.
+  std::string remote;
+  std::string body;
+  /// The team that the caller has proved to belong to; empty if callers aren't checked.
+  base::TeamId team;
+};
+
+}  // namespace sapphirecrank::frontend
--- /dev/null
+++ b/src/main/main.cc
@@ -0,0 +1,25 @@
+#include <curl/curl.h>
+#include <fmt/format.h>
+
+#include <string>
+#include <vector>
+
+#include "cli/command_line.h"
+#include "cli/http_client.h"
+#include "configuration/secret_file.h"
+#include "configuration/settings.h"
+#include "main/host_process.h"
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+
+int main(int argc, const char** argv) {
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  cli::CommandLine::Hooks hooks;
+  hooks.files = {configuration::ReadFile, configuration::ReadSecretFile};
+  hooks.call = cli::CallEntryHost;
+  hooks.run = RunHostProcess;
+  hooks.print = [](const std::string& text) { fmt::print("{}", text); };
+  hooks.print_error = [](const std::string& text) { fmt::print(stderr, "{}", text); };
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  return static_cast<int>(cli::CommandLine(hooks).Run(arguments));
+}
