--- a/tests/jobs/submission_ledger_test.cc
+++ b/tests/jobs/submission_ledger_test.cc
@@ -330,12 +330,37 @@
   CHECK(this->cluster.IsKnown(id));
 }
 
+// Guards against jobs and copies that are taken for held by a host that has lost them.
+TEST(SubmissionLedger, RestartWithoutNewViewRenewsCopies) {
+  SubmissionId id = this->cluster.NewId();
+  size_t owner = this->cluster.OwnerOf(id);
+  this->cluster.SubmitToOwner(id);
+  this->cluster.DeliverAll();
+  this->cluster.Kill(owner);
+  this->cluster.RestartInView(owner);
+  CHECK(this->cluster.OwnerOf(id) != owner);
+  LedgerCluster::Call& again = this->cluster.Submit(owner, id);
+  this->cluster.DeliverAll();
+  CHECK(again.answer.error.code == ErrorCode::kFenced);
+  size_t successor = this->cluster.OwnerOf(id);
+  this->cluster.Kill(owner);
+  this->cluster.RestartInView(owner);
+  this->cluster.DeliverAll();
+  this->FailOver(successor);
+  CHECK(this->cluster.IsKnown(id));
+}
+
 // Guards against acceptance without any copy, and against a refusal although a disk holds one.
 TEST(SubmissionLedger, LastHostNeedsDisk) {
   this->cluster.Kill(1);
   this->FailOver(2);
+  this->cluster.Advance(seconds(3));
   LedgerCluster::Call& refused = this->cluster.Submit(0, this->cluster.NewId());
-  CHECK(refused.answers == 1);
+  CHECK(refused.answer.error.code == ErrorCode::kUnavailable);
+  CHECK(refused.answer.error.verdict == Verdict::kNotRun);
+  this->cluster.run_unreplicated = true;
+  CHECK(this->cluster.Submit(0, this->cluster.NewId()).accepted);
+  this->cluster.pending.clear();
   std::vector<std::function<void(bool)>> writes;
   this->cluster.write_disk = [&](const auto&, std::function<void(bool)> done) {
     writes.push_back(std::move(done));
