consensus: Fix two faults that random sequences found

RaftDisk now finishes the interrupted step when it opens. A host now campaigns until its removal is committed.

LeaderThatRemovesItselfCrashes was seen to fail without its fix.

--- a/src/consensus/raft_disk.cc
+++ b/src/consensus/raft_disk.cc
@@ -98,7 +98,8 @@
   }
   this->journal = std::move(*opened);
   if (!empty) {
-    return this->CheckEntries();
+    auto checked = this->CheckEntries();
+    return checked ? this->FinishSnapshot() : checked;
   }
   if (this->state.snapshot.index > LogIndex()) {
     return base::Fail(ErrorCode::kCorrupted,
@@ -197,6 +198,15 @@
   return {};
 }
 
+// Entries written from now on follow the snapshot, and the journal must say so.
+Result<void> RaftDisk::FinishSnapshot() {
+  if (this->needed_snapshot == this->state.snapshot.index) {
+    return {};
+  }
+  return this->StartJournal(this->state.snapshot.index, this->state.hard_state,
+                            this->state.entries);
+}
+
 Result<void> RaftDisk::Append(const HardState& hard_state, const std::vector<LogEntry>& entries) {
   return this->journal->Append(Records(hard_state, entries));
 }
@@ -209,8 +219,13 @@
   if (!saved) {
     return saved;
   }
+  return this->StartJournal(snapshot.index, hard_state, entries);
+}
+
+Result<void> RaftDisk::StartJournal(LogIndex base, const HardState& hard_state,
+                                    const std::vector<LogEntry>& entries) {
   ByteWriter index;
-  index.PutU64(snapshot.index.value());
+  index.PutU64(base.value());
   std::vector<JournalRecord> records = Records(hard_state, entries);
   records.insert(records.begin(), JournalRecord{kBaseRecord, index.Take()});
   return this->journal->StartOver(records);
--- a/src/consensus/raft_disk.h
+++ b/src/consensus/raft_disk.h
@@ -45,6 +45,9 @@
   base::Result<void> LoadSnapshot(const RaftMembership& initial);
   void Replay(const storage::JournalRecord& record);
   base::Result<void> CheckEntries();
+  base::Result<void> FinishSnapshot();
+  base::Result<void> StartJournal(base::LogIndex base, const HardState& hard_state,
+                                  const std::vector<LogEntry>& entries);
   base::Result<void> Append(const HardState& hard_state, const std::vector<LogEntry>& entries);
   base::Result<void> SaveSnapshot(const RaftSnapshot& snapshot, const HardState& hard_state,
                                   const std::vector<LogEntry>& entries);
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -332,7 +332,11 @@
 bool RaftNode::HasStorage() const { return this->hooks.storage.append && !this->storage_failed; }
 
 bool RaftNode::CanCampaign() const {
-  return this->HasStorage() && this->raft_log.membership().voters.count(this->self) != 0;
+  // A leader that removes itself may hold the only log that the rest can vote for; it is needed
+  // until its removal is committed.
+  bool is_voter = this->raft_log.membership().voters.count(this->self) != 0 ||
+                  this->raft_log.MembershipAt(this->commit).voters.count(this->self) != 0;
+  return this->HasStorage() && is_voter;
 }
 
 bool RaftNode::IsUpToDate(const VoteRequest& request) const {
--- a/tests/consensus/raft_cluster_test.cc
+++ b/tests/consensus/raft_cluster_test.cc
@@ -100,6 +100,27 @@
   CheckSafe();
 }
 
+// Guards against a group that never leads again, because a leader crashed after it had started its
+// own removal: its log is the longest, and it doesn't count itself as a voter any more.
+TEST(RaftCluster, LeaderThatRemovesItselfCrashes) {
+  Start(2, 2);
+  int removed = cluster->Leader();
+  cluster->Isolate(removed);
+  CHECK(Change(MembershipChange::Kind::kRemove, removed));
+  cluster->Run(milliseconds(20));
+  cluster->Crash(removed);
+  cluster->Heal();
+  cluster->Restart(removed);
+  CHECK(cluster->RunUntil(
+      [&] {
+        int leader = cluster->Leader();
+        return leader == 1 - removed && cluster->node(leader)->HasLease();
+      },
+      seconds(10)));
+  CHECK(Commit({1 - removed}));
+  CheckSafe();
+}
+
 // Guards against a host that is far behind and never catches up, or catches up by one huge message.
 TEST(RaftCluster, SlowHostGetsTheSnapshotInChunks) {
   Start(3, 3, RaftCluster::ShortLogs());
--- /dev/null
+++ b/tests/consensus/raft_disk_test.cc
@@ -0,0 +1,97 @@
+#include "consensus/raft_disk.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+
+#include "tests/storage/faulty_file_system.h"
+
+using sapphirecrank::base::ErrorCode;
+using sapphirecrank::base::HostId;
+using sapphirecrank::base::LogIndex;
+using sapphirecrank::base::Term;
+using sapphirecrank::consensus::HardState;
+using sapphirecrank::consensus::LogEntry;
+using sapphirecrank::consensus::RaftDisk;
+using sapphirecrank::consensus::RaftMembership;
+using sapphirecrank::consensus::RaftSnapshot;
+using sapphirecrank::storage::FaultyFileSystem;
+
+namespace {
+
+constexpr int kMaxOperations = 20;
+
+std::vector<LogEntry> Entries(uint64_t first, uint64_t last, uint64_t term) {
+  std::vector<LogEntry> entries;
+  for (uint64_t i = first; i <= last; ++i) {
+    LogEntry entry;
+    entry.index = LogIndex(i);
+    entry.term = Term(term);
+    entry.command = std::to_string(i);
+    entries.push_back(entry);
+  }
+  return entries;
+}
+
+}  // namespace
+
+TEST_GROUP(RaftDisk) {
+  RaftMembership membership{{HostId("h0"), HostId("h1"), HostId("h2")}, {}};
+  HardState old_state{Term(1), HostId("h1")};
+  HardState new_state{Term(3), HostId("h2")};
+
+  std::unique_ptr<RaftDisk> Open(FaultyFileSystem & files) {
+    auto opened = RaftDisk::Open(files.Hooks(), "data", membership);
+    CHECK(opened.has_value());
+    return std::move(*opened);
+  }
+};
+
+// Guards against a crash at any operation of storing a snapshot, after which entries that are
+// acknowledged later are dropped at the next restart, or entries that don't follow the snapshot are
+// kept.
+TEST(RaftDisk, CrashWhileStoringASnapshot) {
+  for (uint64_t last : {5, 30}) {
+    for (int operations = 0; operations < kMaxOperations; ++operations) {
+      FaultyFileSystem files(static_cast<uint64_t>(operations));
+      {
+        auto disk = Open(files);
+        CHECK(disk->Storage().append(old_state, Entries(1, last, 1)).has_value());
+        files.CrashAfter(operations);
+        (void)disk->Storage().save_snapshot({LogIndex(20), Term(3), membership, "state"}, new_state,
+                                            {});
+      }
+      files.Crash();
+      auto disk = Open(files);
+      bool stored = disk->recovered().snapshot.index == LogIndex(20);
+      LONGS_EQUAL(stored ? 0 : last, disk->recovered().entries.size());
+      CHECK(stored || disk->recovered().hard_state == old_state);
+      CHECK_FALSE(stored && disk->recovered().hard_state.term < Term(3));
+      uint64_t next = stored ? 21 : last + 1;
+      CHECK(disk->Storage().append(new_state, Entries(next, next + 2, 3)).has_value());
+      disk.reset();
+      files.Crash();
+      disk = Open(files);
+      CHECK(disk->recovered().hard_state == new_state);
+      CHECK(disk->recovered().entries.back() == Entries(next + 2, next + 2, 3).back());
+      LONGS_EQUAL(stored ? 3 : last + 3, disk->recovered().entries.size());
+    }
+  }
+}
+
+// Guards against a start without the snapshot that the journal continues, and with a journal that
+// lacks entries.
+TEST(RaftDisk, MissingSnapshotOrEntriesAreRefused) {
+  FaultyFileSystem files(1);
+  auto disk = Open(files);
+  RaftSnapshot snapshot{LogIndex(20), Term(3), membership, "state"};
+  CHECK(disk->Storage().save_snapshot(snapshot, new_state, Entries(21, 25, 3)).has_value());
+  std::string content = files.Content("data/snapshot");
+  files.Delete("data/snapshot");
+  auto refused = RaftDisk::Open(files.Hooks(), "data", membership);
+  CHECK(!refused.has_value() && refused.error().code == ErrorCode::kCorrupted);
+  files.SetContent("data/snapshot", content);
+  CHECK(disk->Storage().append(new_state, Entries(27, 28, 3)).has_value());
+  refused = RaftDisk::Open(files.Hooks(), "data", membership);
+  CHECK(!refused.has_value() && refused.error().code == ErrorCode::kCorrupted);
+}
--- a/tests/consensus/raft_node_test.cc
+++ b/tests/consensus/raft_node_test.cc
@@ -227,3 +227,26 @@
   const auto* answer = std::get_if<AppendAnswer>(&messages.at(0).body);
   CHECK(answer != nullptr && answer->accepted && !answer->durable);
 }
+
+// Guards against entries that were never committed and stay behind a received snapshot.
+TEST(RaftNode, SnapshotReplacesAConflictingLog) {
+  Start();
+  AppendRequest request;
+  for (uint64_t i = 1; i <= 30; ++i) {
+    LogEntry entry;
+    entry.index = LogIndex(i);
+    entry.term = Term(1);
+    request.entries.push_back(entry);
+  }
+  Receive(host1, 1, request);
+  CHECK(node->Status().last_index == LogIndex(30));
+  SnapshotChunk chunk;
+  chunk.index = LogIndex(20);
+  chunk.term = Term(2);
+  chunk.membership = node->Status().membership;
+  chunk.last = true;
+  Receive(host2, 3, chunk);
+  CHECK(node->Status().last_index == LogIndex(20));
+  Start();
+  CHECK(node->Status().last_index == LogIndex(20));
+}
