--- a/tests/consensus/raft_cluster_test.cc
+++ b/tests/consensus/raft_cluster_test.cc
@@ -29,6 +29,9 @@
 
   // Commits a command and returns whether every one of `hosts` has it within a second.
   bool Commit(const std::vector<int>& hosts) {
+    if (cluster->Leader() < 0) {
+      return false;
+    }
     size_t expected = cluster->applied(cluster->Leader()).size() + 1;
     cluster->Propose();
     return cluster->RunUntil(
@@ -46,7 +49,10 @@
   bool Change(MembershipChange::Kind kind, int host) {
     MembershipChange change{kind, RaftCluster::Name(host)};
     return cluster->RunUntil(
-        [&] { return cluster->node(cluster->Leader())->ChangeMembership(change).has_value(); },
+        [&] {
+          int leader = cluster->Leader();
+          return leader >= 0 && cluster->node(leader)->ChangeMembership(change).has_value();
+        },
         seconds(5));
   }
 
@@ -92,9 +98,11 @@
   cluster->Run(seconds(600));
   auto behind = cluster->clock().Now() - cluster->node(isolated)->Status().current_as_of;
   CHECK(behind > seconds(600));
+  CHECK(Elect());
   Term term = cluster->node(cluster->Leader())->Status().term;
   cluster->Heal();
   cluster->Run(seconds(2));
+  CHECK(Elect());
   CHECK(cluster->node(isolated)->Status().term == term);
   CHECK(cluster->applied(isolated) == cluster->applied(cluster->Leader()));
   CheckSafe();
@@ -131,7 +139,11 @@
   }
   cluster->Heal();
   CHECK(cluster->RunUntil(
-      [&] { return cluster->applied(slow) == cluster->applied(cluster->Leader()); }, seconds(2)));
+      [&] {
+        int leader = cluster->Leader();
+        return leader >= 0 && cluster->applied(slow) == cluster->applied(leader);
+      },
+      seconds(2)));
   CHECK(cluster->sent_snapshot_chunks() > 2);
   CheckSafe();
 }
--- a/tests/consensus/raft_disk_test.cc
+++ b/tests/consensus/raft_disk_test.cc
@@ -73,12 +73,26 @@
       files.Crash();
       disk = Open(files);
       CHECK(disk->recovered().hard_state == new_state);
-      CHECK(disk->recovered().entries.back() == Entries(next + 2, next + 2, 3).back());
       LONGS_EQUAL(stored ? 3 : last + 3, disk->recovered().entries.size());
+      CHECK(disk->recovered().entries.back() == Entries(next + 2, next + 2, 3).back());
     }
   }
 }
 
+// Guards against a vote that is forgotten because the journal that held it was replaced.
+TEST(RaftDisk, SnapshotKeepsTheHardState) {
+  FaultyFileSystem files(1);
+  auto disk = Open(files);
+  CHECK(disk->Storage().append(new_state, Entries(1, 30, 3)).has_value());
+  RaftSnapshot snapshot{LogIndex(20), Term(3), membership, "state"};
+  CHECK(disk->Storage().save_snapshot(snapshot, new_state, Entries(21, 30, 3)).has_value());
+  disk.reset();
+  files.Crash();
+  disk = Open(files);
+  CHECK(disk->recovered().hard_state == new_state);
+  LONGS_EQUAL(10, disk->recovered().entries.size());
+}
+
 // Guards against a start without the snapshot that the journal continues, and with a journal that
 // lacks entries.
 TEST(RaftDisk, MissingSnapshotOrEntriesAreRefused) {
