--- /dev/null
+++ b/bench/state/main.cc
@@ -0,0 +1,275 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/manual_clock.h"
+#include "bench/state/simulated_group.h"
+#include "configuration/configuration_codec.h"
+#include "configuration/configuration_store.h"
+#include "consensus/raft_disk.h"
+#include "consensus/raft_node.h"
+#include "storage/journal.h"
+#include "storage/posix_file_system.h"
+
+namespace {
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+using Milliseconds = std::chrono::duration<double, std::milli>;
+using WallClock = std::chrono::steady_clock;
+
+Milliseconds Since(WallClock::time_point start) { return WallClock::now() - start; }
+
+double Quantile(std::vector<double> values, double share) {
+  std::sort(values.begin(), values.end());
+  return values[static_cast<size_t>(share * static_cast<double>(values.size() - 1))];
+}
+
+std::string FreshDirectory(const std::string& parent, const std::string& name) {
+  std::string path = parent + "/" + name;
+  std::filesystem::remove_all(path);
+  std::filesystem::create_directories(path);
+  return path;
+}
+
+void MeasureAppends(const std::string& parent) {
+  constexpr int kRounds = 300;
+  constexpr size_t kRecordBytes = 200;
+  fmt::print("synced append of records of {} bytes, {} batches\n", kRecordBytes, kRounds);
+  for (int batch : {1, 10, 100}) {
+    storage::Journal::Options options;
+    options.directory = FreshDirectory(parent, "append");
+    auto journal = storage::Journal::Open(storage::PosixFileSystem(), options, [](const auto&) {});
+    std::vector<storage::JournalRecord> records(static_cast<size_t>(batch),
+                                                {1, std::string(kRecordBytes, 'x')});
+    std::vector<double> times;
+    for (int i = 0; i < kRounds; ++i) {
+      auto start = WallClock::now();
+      (void)(*journal)->Append(records);
+      times.push_back(Since(start).count());
+    }
+    fmt::print("  batch {:4}: p50 {:.3f} ms, p99 {:.3f} ms, p50 for each record {:.4f} ms\n", batch,
+               Quantile(times, 0.5), Quantile(times, 0.99), Quantile(times, 0.5) / batch);
+  }
+}
+
+// A group of one host on real files.
+class SingleHost {
+ public:
+  SingleHost(const std::string& directory, size_t snapshot_interval) {
+    consensus::RaftMembership membership{{base::HostId("only")}, {}};
+    this->disk =
+        std::move(*consensus::RaftDisk::Open(storage::PosixFileSystem(), directory, membership));
+    consensus::RaftNode::Hooks hooks;
+    hooks.now = this->clock.Hook();
+    hooks.random_duration = [](base::Duration low, base::Duration) { return low; };
+    hooks.send = [](const auto&) {};
+    hooks.storage = this->disk->Storage();
+    hooks.apply = [this](const auto& entry) { this->store.Apply(entry.command); };
+    hooks.take_snapshot = [this] { return this->store.Snapshot(); };
+    hooks.restore = [this](const auto& snapshot) { (void)this->store.Restore(snapshot.state); };
+    consensus::RaftSettings settings;
+    settings.snapshot_interval = snapshot_interval;
+    this->node = std::make_unique<consensus::RaftNode>(base::HostId("only"), base::Incarnation(1),
+                                                       settings, this->disk->recovered(), hooks);
+    this->clock.Advance(std::chrono::seconds(2));
+    this->node->Tick();
+    this->node->Flush();
+    this->node->Flush();
+  }
+
+  void Propose(int number) {
+    configuration::ConfigurationChange change;
+    change.id = base::ChangeId("change-" + std::to_string(number));
+    change.expected = base::Version(static_cast<uint64_t>(number) + 1);
+    change.action = configuration::ConfigurationChange::PutTeam{
+        base::TeamId("team-" + std::to_string(number % 550)), {}};
+    (void)this->node->Propose(configuration::ConfigurationCodec::EncodeChange(change));
+  }
+
+  base::ManualClock clock;
+  std::unique_ptr<consensus::RaftDisk> disk;
+  configuration::ConfigurationStore store;
+  std::unique_ptr<consensus::RaftNode> node;
+};
+
+// Returns the restart time after 10,000 changes with snapshots.
+double MeasureRestarts(const std::string& parent) {
+  constexpr int kBatch = 50;
+  constexpr size_t kNoSnapshots = 1'000'000;
+  double last = 0;
+  fmt::print("snapshot and restart of one host, 550 teams\n");
+  for (size_t interval : {kNoSnapshots, consensus::RaftSettings().snapshot_interval}) {
+    for (int changes : {100, 1'000, 10'000}) {
+      std::string directory = FreshDirectory(parent, "restart");
+      size_t snapshot_bytes = 0;
+      Milliseconds snapshot_time{0};
+      {
+        SingleHost host(directory, interval);
+        for (int i = 0; i < changes; ++i) {
+          host.Propose(i);
+          if (i % kBatch == kBatch - 1) {
+            host.node->Flush();
+          }
+        }
+        host.node->Flush();
+        auto start = WallClock::now();
+        snapshot_bytes = host.store.Snapshot().size();
+        snapshot_time = Since(start);
+      }
+      auto start = WallClock::now();
+      SingleHost restarted(directory, interval);
+      last = Since(start).count();
+      bool exact =
+          restarted.store.Current()->version == base::Version(static_cast<uint64_t>(changes) + 1);
+      fmt::print(
+          "  {:6} changes, {}: encode snapshot {:.2f} ms ({} bytes), restart {:.2f} ms, version "
+          "{}\n",
+          changes, interval == kNoSnapshots ? "journal only" : "snapshot every 1000",
+          snapshot_time.count(), snapshot_bytes, last, exact ? "exact" : "WRONG");
+    }
+  }
+  return last;
+}
+
+struct GroupFigures {
+  double worst_change_ms = 0;
+  double worst_age_ms = 0;
+};
+
+GroupFigures MeasureGroups() {
+  constexpr int kChanges = 100;
+  constexpr double kSecondsPerChange = 86'400.0 / 96'000.0;
+  GroupFigures figures;
+  fmt::print(
+      "96,000 changes a day, 5 voters, the rest learners without disks, virtual time (1.5 ms one "
+      "way, 5 ms a synced write), {} changes; bytes are estimated\n",
+      kChanges);
+  for (int hosts : {8, 24, 57}) {
+    bench::SimulatedGroup group(hosts);
+    group.messages = group.bytes = group.leader_messages = group.leader_bytes = 0;
+    group.processor_time = group.leader_processor_time = base::Duration(0);
+    std::vector<double> times;
+    double worst_age = 0;
+    for (int i = 0; i < kChanges; ++i) {
+      base::Duration taken = group.Change();
+      times.push_back(Milliseconds(taken).count());
+      group.Run(std::chrono::duration_cast<base::Duration>(
+                    std::chrono::duration<double>(kSecondsPerChange)) -
+                taken);
+      worst_age = std::max(worst_age, Milliseconds(group.WorstAge()).count());
+    }
+    double seconds = kChanges * kSecondsPerChange;
+    auto rate = [seconds](uint64_t count) { return static_cast<double>(count) / seconds; };
+    auto core = [seconds](base::Duration time) {
+      return std::chrono::duration<double>(time).count() / seconds * 100;
+    };
+    double others = hosts - 1;
+    fmt::print(
+        "  {:2} hosts: all {:.0f} messages/s {:.1f} KB/s; leader sends {:.0f} messages/s {:.1f} "
+        "KB/s, {:.3f} % of a core; each other host sends {:.1f} messages/s {:.2f} KB/s, {:.4f} % "
+        "of a core; change in force on all hosts p50 {:.0f} ms worst {:.0f} ms; oldest "
+        "confirmation {:.0f} ms\n",
+        hosts, rate(group.messages), rate(group.bytes) / 1000, rate(group.leader_messages),
+        rate(group.leader_bytes) / 1000, core(group.leader_processor_time),
+        rate(group.messages - group.leader_messages) / others,
+        rate(group.bytes - group.leader_bytes) / 1000 / others,
+        core(group.processor_time - group.leader_processor_time) / others, Quantile(times, 0.5),
+        Quantile(times, 1), worst_age);
+    figures.worst_change_ms = std::max(figures.worst_change_ms, Quantile(times, 1));
+    figures.worst_age_ms = std::max(figures.worst_age_ms, worst_age);
+  }
+  return figures;
+}
+
+// Commits through three hosts by passing messages at once; on files if `directory` is not empty.
+void MeasureCommits(const std::string& parent, bool on_disk) {
+  constexpr int kHosts = 3;
+  constexpr int kCommits = 200;
+  base::ManualClock clock;
+  consensus::RaftMembership membership{{base::HostId("0"), base::HostId("1"), base::HostId("2")},
+                                       {}};
+  std::vector<consensus::RaftMessage> sent;
+  std::vector<std::unique_ptr<consensus::RaftDisk>> disks;
+  std::vector<std::unique_ptr<consensus::RaftNode>> nodes;
+  std::vector<int> applied(kHosts);
+  for (int i = 0; i < kHosts; ++i) {
+    consensus::RecoveredState recovered;
+    recovered.snapshot.membership = membership;
+    consensus::RaftNode::Hooks hooks;
+    hooks.now = clock.Hook();
+    hooks.random_duration = [i](base::Duration low, base::Duration) { return low * (i + 1); };
+    hooks.send = [&sent](const auto& message) { sent.push_back(message); };
+    hooks.apply = [&applied, i](const auto&) { ++applied[static_cast<size_t>(i)]; };
+    hooks.take_snapshot = [] { return std::string(); };
+    hooks.restore = [](const auto&) {};
+    if (on_disk) {
+      std::string directory = FreshDirectory(parent, "commit-" + std::to_string(i));
+      disks.push_back(
+          std::move(*consensus::RaftDisk::Open(storage::PosixFileSystem(), directory, membership)));
+      hooks.storage = disks.back()->Storage();
+    } else {
+      hooks.storage.append = [](const auto&, const auto&) { return base::Result<void>(); };
+      hooks.storage.save_snapshot = [](const auto&, const auto&, const auto&) {
+        return base::Result<void>();
+      };
+    }
+    nodes.push_back(std::make_unique<consensus::RaftNode>(
+        base::HostId(std::to_string(i)), base::Incarnation(1), consensus::RaftSettings(), recovered,
+        std::move(hooks)));
+  }
+  auto deliver = [&] {
+    while (!sent.empty()) {
+      std::vector<consensus::RaftMessage> arriving = std::exchange(sent, {});
+      for (const auto& message : arriving) {
+        nodes[std::stoul(message.to.value())]->Receive(message);
+      }
+      for (auto& node : nodes) {
+        node->Flush();
+      }
+    }
+  };
+  clock.Advance(std::chrono::milliseconds(600));
+  nodes[0]->Tick();
+  nodes[0]->Flush();
+  deliver();
+  std::vector<double> times;
+  for (int i = 0; i < kCommits; ++i) {
+    auto start = WallClock::now();
+    (void)nodes[0]->Propose(std::string(200, 'x'));
+    nodes[0]->Flush();
+    deliver();
+    times.push_back(Since(start).count());
+  }
+  fmt::print(
+      "commit on three hosts in one thread, {}: p50 {:.4f} ms, p99 {:.4f} ms, applied on all "
+      "hosts {} of {}\n",
+      on_disk ? "synced files" : "no files", Quantile(times, 0.5), Quantile(times, 0.99),
+      *std::min_element(applied.begin(), applied.end()), kCommits);
+}
+
+void PrintTarget(const std::string& name, double figure, double bound) {
+  fmt::print("TARGET {} {:.1f} {:.1f} {}\n", name, figure, bound, figure < bound ? "ok" : "short");
+}
+
+}  // namespace
+
+// Measures durable state and the replicated configuration: bench_state [data folder]
+int main(int argc, char** argv) {
+  std::string parent = argc > 1 ? argv[1] : "build/bench_state_data";
+  std::filesystem::create_directories(parent);
+  MeasureAppends(parent);
+  MeasureRestarts(parent);
+  MeasureCommits(parent, false);
+  MeasureCommits(parent, true);
+  GroupFigures figures = MeasureGroups();
+  std::filesystem::remove_all(parent);
+  PrintTarget("preset_change_in_force_everywhere_ms_57_hosts_virtual", figures.worst_change_ms,
+              1000);
+  PrintTarget("configuration_confirmed_age_ms_57_hosts_virtual", figures.worst_age_ms, 3000);
+  return 0;
+}
--- /dev/null
+++ b/bench/state/simulated_group.cc
@@ -0,0 +1,181 @@
+#include "bench/state/simulated_group.h"
+
+#include <time.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "configuration/configuration_codec.h"
+
+namespace sapphirecrank::bench {
+namespace {
+
+using base::Duration;
+using base::HostId;
+using consensus::RaftMessage;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kStep{1};
+constexpr microseconds kOneWay{1500};
+constexpr milliseconds kSyncedWrite{5};
+constexpr int kVoters = 5;
+
+Duration ThreadTime() {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+// The codec is another package's; this counts payloads and a fixed size for the rest.
+uint64_t EstimatedBytes(const RaftMessage& message) {
+  constexpr uint64_t kMessageBytes = 120;
+  constexpr uint64_t kEntryBytes = 40;
+  uint64_t bytes = kMessageBytes;
+  if (const auto* append = std::get_if<consensus::AppendRequest>(&message.body)) {
+    for (const consensus::LogEntry& entry : append->entries) {
+      bytes += kEntryBytes + entry.command.size();
+    }
+  } else if (const auto* chunk = std::get_if<consensus::SnapshotChunk>(&message.body)) {
+    bytes += chunk->bytes.size();
+  }
+  return bytes;
+}
+
+}  // namespace
+
+SimulatedGroup::SimulatedGroup(int hosts) {
+  consensus::RaftMembership membership;
+  for (int i = 0; i < hosts; ++i) {
+    (i < kVoters ? membership.voters : membership.learners).insert(HostId(std::to_string(i)));
+  }
+  for (int i = 0; i < hosts; ++i) {
+    this->hosts.push_back(std::make_unique<Host>());
+    this->Start(i, membership, i < kVoters);
+  }
+  this->Run(std::chrono::seconds(5));
+}
+
+void SimulatedGroup::Start(int number, const consensus::RaftMembership& membership,
+                           bool with_disk) {
+  Host& host = *this->hosts.back();
+  consensus::RaftNode::Hooks hooks;
+  hooks.now = this->clock.Hook();
+  hooks.random_duration = [this](Duration low, Duration high) {
+    return low + Duration(this->random() % static_cast<uint64_t>((high - low).count()));
+  };
+  hooks.send = [&host](const RaftMessage& message) { host.sent.push_back(message); };
+  hooks.apply = [&host](const consensus::LogEntry& entry) { host.store.Apply(entry.command); };
+  hooks.take_snapshot = [&host] { return host.store.Snapshot(); };
+  hooks.restore = [&host](const consensus::RaftSnapshot& snapshot) {
+    (void)host.store.Restore(snapshot.state);
+  };
+  if (with_disk) {
+    hooks.storage.append = [&host](const auto&, const auto&) -> base::Result<void> {
+      host.wrote = true;
+      return {};
+    };
+    hooks.storage.save_snapshot = [](const auto&, const auto&, const auto&) -> base::Result<void> {
+      return {};
+    };
+  }
+  consensus::RecoveredState recovered;
+  recovered.snapshot.membership = membership;
+  host.node = std::make_unique<consensus::RaftNode>(
+      HostId(std::to_string(number)), base::Incarnation(static_cast<uint64_t>(number) + 1),
+      consensus::RaftSettings(), recovered, std::move(hooks));
+}
+
+void SimulatedGroup::Run(Duration duration) {
+  base::TimePoint end = this->clock.Now() + duration;
+  while (this->clock.Now() < end) {
+    this->Step();
+  }
+}
+
+Duration SimulatedGroup::Change() {
+  Host* leader = this->Leader();
+  base::Version expected = leader->store.Current()->version;
+  configuration::ConfigurationChange change;
+  change.id = base::ChangeId("change-" + std::to_string(this->next_change++));
+  change.expected = expected;
+  change.action = configuration::ConfigurationChange::PutTeam{
+      base::TeamId("team-" + std::to_string(this->next_change % 550)), {}};
+  base::TimePoint start = this->clock.Now();
+  (void)leader->node->Propose(configuration::ConfigurationCodec::EncodeChange(change));
+  while (!this->AllApplied(expected.Next())) {
+    this->Step();
+  }
+  return this->clock.Now() - start;
+}
+
+Duration SimulatedGroup::WorstAge() {
+  Duration worst{0};
+  for (auto& host : this->hosts) {
+    worst = std::max(worst, this->clock.Now() - host->node->Status().current_as_of);
+  }
+  return worst;
+}
+
+void SimulatedGroup::Step() {
+  this->clock.Advance(kStep);
+  std::map<HostId, std::vector<RaftMessage>> arrived;
+  while (!this->network.empty() && this->network.begin()->first <= this->clock.Now()) {
+    RaftMessage message = std::move(this->network.begin()->second);
+    this->network.erase(this->network.begin());
+    arrived[message.to].push_back(std::move(message));
+  }
+  Host* leader = this->Leader();
+  for (size_t i = 0; i < this->hosts.size(); ++i) {
+    Host& host = *this->hosts[i];
+    bool is_leader = &host == leader;
+    Duration before = ThreadTime();
+    this->Drive(host, arrived[HostId(std::to_string(i))]);
+    Duration used = ThreadTime() - before;
+    this->processor_time += used;
+    this->leader_processor_time += is_leader ? used : Duration(0);
+    this->Transmit(host, is_leader);
+  }
+}
+
+void SimulatedGroup::Drive(Host& host, const std::vector<RaftMessage>& arrived) {
+  constexpr int kTickSteps = 10;
+  bool ticks = this->clock.Now().time_since_epoch() / kStep % kTickSteps == 0;
+  if (arrived.empty() && !ticks && &host != this->Leader()) {
+    return;
+  }
+  for (const RaftMessage& message : arrived) {
+    host.node->Receive(message);
+  }
+  host.node->Tick();
+  host.node->Flush();
+}
+
+void SimulatedGroup::Transmit(Host& host, bool is_leader) {
+  Duration delay = kOneWay + (std::exchange(host.wrote, false) ? kSyncedWrite : Duration(0));
+  for (RaftMessage& message : host.sent) {
+    uint64_t size = EstimatedBytes(message);
+    this->messages += 1;
+    this->bytes += size;
+    this->leader_messages += is_leader ? 1 : 0;
+    this->leader_bytes += is_leader ? size : 0;
+    this->network.emplace(this->clock.Now() + delay, std::move(message));
+  }
+  host.sent.clear();
+}
+
+SimulatedGroup::Host* SimulatedGroup::Leader() {
+  for (size_t i = 0; i < kVoters && i < this->hosts.size(); ++i) {
+    if (this->hosts[i]->node->HasLease()) {
+      return this->hosts[i].get();
+    }
+  }
+  return nullptr;
+}
+
+bool SimulatedGroup::AllApplied(base::Version version) {
+  return std::all_of(this->hosts.begin(), this->hosts.end(),
+                     [&](const auto& host) { return host->store.Current()->version >= version; });
+}
+
+}  // namespace sapphirecrank::bench
--- /dev/null
+++ b/bench/state/simulated_group.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "base/manual_clock.h"
+#include "configuration/configuration_store.h"
+#include "consensus/raft_node.h"
+
+namespace sapphirecrank::bench {
+
+/// A configuration group in virtual time: five voters and learners without disks, messages of
+/// 1.5 ms one way, synced writes of 5 ms.
+class SimulatedGroup {
+ public:
+  explicit SimulatedGroup(int hosts);
+
+  /// Advances virtual time.
+  void Run(base::Duration duration);
+
+  /// Proposes a change and returns the virtual time until all hosts have applied it.
+  base::Duration Change();
+
+  /// Returns the longest time since a host was last known to be current.
+  base::Duration WorstAge();
+
+  /// Messages and estimated bytes sent by all hosts, and by the leader.
+  uint64_t messages = 0;
+  uint64_t bytes = 0;
+  uint64_t leader_messages = 0;
+  uint64_t leader_bytes = 0;
+  /// Processor time of all hosts, and of the leader.
+  base::Duration processor_time{0};
+  base::Duration leader_processor_time{0};
+
+ private:
+  struct Host {
+    std::unique_ptr<consensus::RaftNode> node;
+    configuration::ConfigurationStore store;
+    std::vector<consensus::RaftMessage> sent;
+    bool wrote = false;
+  };
+
+  void Start(int number, const consensus::RaftMembership& membership, bool with_disk);
+  void Step();
+  void Drive(Host& host, const std::vector<consensus::RaftMessage>& arrived);
+  void Transmit(Host& host, bool is_leader);
+  Host* Leader();
+  bool AllApplied(base::Version version);
+
+  std::mt19937_64 random{1};
+  base::ManualClock clock;
+  std::vector<std::unique_ptr<Host>> hosts;
+  std::multimap<base::TimePoint, consensus::RaftMessage> network;
+  int next_change = 0;
+};
+
+}  // namespace sapphirecrank::bench
--- /dev/null
+++ b/bench/torture/main.cc
@@ -0,0 +1,83 @@
+#include <fmt/format.h>
+
+#include <atomic>
+#include <cstdint>
+#include <cstdlib>
+#include <map>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "tests/consensus/random_events.h"
+
+namespace {
+
+using sapphirecrank::consensus::RandomEvents;
+
+constexpr int kThreads = 4;
+constexpr int kEvents = 60;
+constexpr uint32_t kEventRange = 1U << 24;
+
+struct Totals {
+  std::mutex mutex;
+  uint64_t faults = 0;
+  std::map<uint64_t, std::vector<std::string>> violations;
+};
+
+void PlaySequence(uint64_t seed, Totals& totals) {
+  std::mt19937_64 random(seed);
+  RandomEvents sequence(seed);
+  for (int i = 0; i < kEvents; ++i) {
+    sequence.Play(static_cast<uint32_t>(random() % kEventRange));
+  }
+  bool safe = sequence.Finish();
+  std::lock_guard<std::mutex> lock(totals.mutex);
+  totals.faults += static_cast<uint64_t>(sequence.faults());
+  if (!safe) {
+    totals.violations[seed] = sequence.violations();
+  }
+}
+
+int Usage() {
+  fmt::print(stderr, "usage: bench_torture --sequences N --seed S\n");
+  return 2;
+}
+
+}  // namespace
+
+// Plays N sequences of random events; sequence number i has the seed S + i.
+int main(int argc, char** argv) {
+  uint64_t sequences = 1000;
+  uint64_t seed = 1;
+  for (int i = 1; i < argc; i += 2) {
+    std::string option = argv[i];
+    if (i + 1 == argc || (option != "--sequences" && option != "--seed")) {
+      return Usage();
+    }
+    (option == "--seed" ? seed : sequences) = std::strtoull(argv[i + 1], nullptr, 10);
+  }
+  Totals totals;
+  std::atomic<uint64_t> next{0};
+  std::vector<std::thread> threads;
+  threads.reserve(kThreads);
+  for (int i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&] {
+      for (uint64_t number = next++; number < sequences; number = next++) {
+        PlaySequence(seed + number, totals);
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  for (const auto& [failed, violations] : totals.violations) {
+    for (const std::string& violation : violations) {
+      fmt::print("violation: seed {}: {}\n", failed, violation);
+    }
+  }
+  fmt::print("sequences {} events {} faults {} sequences with violations {}\n", sequences,
+             sequences * kEvents, totals.faults, totals.violations.size());
+  return totals.violations.empty() ? 0 : 1;
+}
--- /dev/null
+++ b/scripts/torture.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Plays random event sequences on the replicated log: torture.sh --sequences N --seed S
+# A violation prints the seed of its sequence; repeat it with --sequences 1 --seed THAT_SEED.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cmake -S . -B build/release -G Ninja >/dev/null
+ninja -C build/release --quiet bench_torture
+exec build/release/bench/bench_torture "$@"
