--- /dev/null
+++ b/src/configuration/settings.cc
@@ -0,0 +1,89 @@
+#include "configuration/settings.h"
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+#include "configuration/settings_checker.h"
+
+namespace sapphirecrank::configuration {
+
+using Json = nlohmann::json;
+
+namespace {
+
+base::Error ToError(const std::vector<SettingsFault>& faults) {
+  std::string message;
+  for (const SettingsFault& fault : faults) {
+    message += message.empty() ? "" : "; ";
+    message += (fault.path.empty() ? "the document" : fault.path) + ": " + fault.message;
+  }
+  return {base::ErrorCode::kInvalidArgument, faults.front().path, message, base::Verdict::kNotRun};
+}
+
+HttpSettings ReadHttp(const Json& http) {
+  const HttpSettings defaults;
+  HttpSettings settings;
+  settings.threads = http.value("threads", defaults.threads);
+  settings.maximum_body =
+      base::ByteCount(http.value("maximum_body_bytes", defaults.maximum_body.value()));
+  settings.maximum_connections = base::ConnectionCount(
+      http.value("maximum_connections", defaults.maximum_connections.value()));
+  settings.maximum_connections_per_address = base::ConnectionCount(http.value(
+      "maximum_connections_per_address", defaults.maximum_connections_per_address.value()));
+  const auto idle = std::chrono::duration_cast<std::chrono::milliseconds>(defaults.idle_timeout);
+  settings.idle_timeout = std::chrono::milliseconds(http.value("idle_timeout_ms", idle.count()));
+  return settings;
+}
+
+AuthenticationSettings ReadAuthentication(const Json& authentication) {
+  return {authentication.value("operator_tokens_file", ""),
+          authentication.value("team_keys_file", "")};
+}
+
+/// Precondition: the document has no faults.
+Settings ReadSettings(const Json& document) {
+  const Json none = Json::object();
+  const Json empty = Json::array();
+  Settings settings;
+  settings.host = base::HostId(document.at("host"));
+  settings.data_centre = base::DataCentreId(document.at("data_centre"));
+  settings.http_listen = base::NetworkAddress(document.at("http_listen"));
+  settings.peer_listen = base::NetworkAddress(document.at("peer_listen"));
+  settings.secret_file = document.at("secret_file");
+  settings.data_folder = document.value("data_folder", "");
+  settings.http = ReadHttp(document.value("http", none));
+  settings.authentication = ReadAuthentication(document.value("authentication", none));
+  for (const Json& peer : document.value("peers", empty)) {
+    settings.peers.push_back(
+        {base::HostId(peer.at("host")), base::DataCentreId(peer.at("data_centre")),
+         base::NetworkAddress(peer.at("address")), peer.value("has_disk", true)});
+  }
+  for (const Json& team : document.at("teams")) {
+    settings.teams.push_back({base::TeamId(team.at("id")), base::Weight(team.value("weight", 1))});
+  }
+  return settings;
+}
+
+}  // namespace
+
+base::Result<Settings> ParseSettings(const std::string& text) {
+  const std::vector<SettingsFault> faults = SettingsChecker().Check(text);
+  if (!faults.empty()) {
+    return tl::make_unexpected(ToError(faults));
+  }
+  return ReadSettings(Json::parse(text));
+}
+
+base::Result<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return base::Fail(base::ErrorCode::kNotFound,
+                      "can't read '" + path + "': " + std::strerror(errno), "file");
+  }
+  return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
+}
+
+}  // namespace sapphirecrank::configuration
