scheduling: Give up ordinary work's reserve and shed standing queues sooner

Cause: at the crest ordinary work left 2 % of the slots idle, and tasks admitted behind a queue that stood for 500 ms expired in it. Change: no reserve above ordinary work, a queue counts as standing after 300 ms and then admits ordinary work up to 100 ms of wait (200 ms before), long work holds at most 40 % (50 % before).

--- a/src/scheduling/scheduler_settings.h
+++ b/src/scheduling/scheduler_settings.h
@@ -17,11 +17,11 @@
   /// Work that is expected to take longer is long.
   base::Duration longest_short_run_time = std::chrono::milliseconds(1500);
   /// Share that long work of all classes may hold.
-  double long_share = 0.5;
+  double long_share = 0.4;
   /// Share that one class may hold.
   std::array<double, base::kWorkClassCount> class_share = {1.0, 1.0, 0.7};
   /// Share that a class leaves free for the classes above it.
-  std::array<double, base::kWorkClassCount> reserve = {0, 0.02, 0.1};
+  std::array<double, base::kWorkClassCount> reserve = {0, 0, 0.1};
   /// Share that long work leaves free in addition.
   double long_reserve = 0.03;
   /// Share that a class may hold, for short and for long work each, ahead of all other work once
@@ -32,8 +32,8 @@
   /// Expected wait up to which work is admitted to a queue that has not been empty for
   /// `standing_age`. Long work may also wait for half its expected run time.
   std::array<base::Duration, base::kWorkClassCount> standing_wait = {
-      std::chrono::milliseconds(200), std::chrono::milliseconds(200), std::chrono::seconds(2)};
-  base::Duration standing_age = std::chrono::milliseconds(500);
+      std::chrono::milliseconds(200), std::chrono::milliseconds(100), std::chrono::seconds(2)};
+  base::Duration standing_age = std::chrono::milliseconds(300);
   /// Queued tasks of one class, and of one team in one class.
   size_t largest_class_queue = 100000;
   size_t largest_team_queue = 20000;
