scheduling: Bound the wait that a burst builds up and avoid slow targets

Cause: in the first 300 ms of a crest work was admitted up to half its slack, and everything after it waited behind that backlog for over a second; on targets that take four times as long nothing kept work away. Change: until a queue counts as standing it admits work up to 500 ms of wait (10 s for bulk); of the drawn targets one that is learned to be slower by half is passed over, then the tightest fit decides. The property of FitTree read past its model, as RapidCheck evaluates both sides of an or (found by the address sanitizer); it now checks the second side only if the first holds.

--- a/bench/decisions/rule_sets.cc
+++ b/bench/decisions/rule_sets.cc
@@ -74,8 +74,8 @@
                 s.placement = PlacementRule::kLeastLoaded;
                 s.placement_choices = 2;
               }),
-      Changed("completion-time",
-              [](SchedulerSettings& s) { s.placement = PlacementRule::kCompletionTime; }),
+      Changed("tightest-fit",
+              [](SchedulerSettings& s) { s.placement = PlacementRule::kTightestFit; }),
   };
 }
 
--- a/src/scheduling/placement_rule.h
+++ b/src/scheduling/placement_rule.h
@@ -9,7 +9,7 @@
   /// The larger share of processors or memory in use, which keeps other targets free for large
   /// tasks; without these, the smaller share of slots in use.
   kTightestFit,
-  /// The smaller learned ratio of run time to expected run time, then the smaller load.
+  /// The smaller learned ratio of run time to expected run time, then the tightest fit.
   kCompletionTime,
 };
 
--- a/src/scheduling/scheduler_settings.h
+++ b/src/scheduling/scheduler_settings.h
@@ -33,6 +33,9 @@
   /// `standing_age`. Long work may also wait for half its expected run time.
   std::array<base::Duration, base::kWorkClassCount> standing_wait = {
       std::chrono::milliseconds(200), std::chrono::milliseconds(100), std::chrono::seconds(2)};
+  /// Expected wait up to which work is admitted before.
+  std::array<base::Duration, base::kWorkClassCount> burst_wait = {
+      std::chrono::milliseconds(500), std::chrono::milliseconds(500), std::chrono::seconds(10)};
   base::Duration standing_age = std::chrono::milliseconds(300);
   /// Queued tasks of one class, and of one team in one class.
   size_t largest_class_queue = 100000;
@@ -40,7 +43,7 @@
 
   /// Targets that are drawn at random for a placement, of which the best is chosen.
   int placement_choices = 4;
-  PlacementRule placement = PlacementRule::kTightestFit;
+  PlacementRule placement = PlacementRule::kCompletionTime;
   /// Keeps a target free for a task that found no room for this time.
   std::array<base::Duration, base::kWorkClassCount> hold_target_after = {
       std::chrono::milliseconds(0), std::chrono::milliseconds(20), std::chrono::milliseconds(100)};
--- a/src/scheduling/scheduler_shard.cc
+++ b/src/scheduling/scheduler_shard.cc
@@ -307,11 +307,12 @@
   if (wait > slack / 2) {
     return base::Fail(ErrorCode::kOverloaded, "the queue is too long for the deadline", "class");
   }
-  const Duration allowed = this->settings.standing_wait[number] +
-                           (task.long_work ? task.estimate.expected / 2 : Duration(0));
+  const bool standing = queue.LaneAt(task.lane).Standing(now, this->settings.standing_age);
+  const Duration allowed =
+      (standing ? this->settings.standing_wait : this->settings.burst_wait)[number] +
+      (task.long_work ? task.estimate.expected / 2 : Duration(0));
   // The rest of an admitted submission only adds to the wait of work that comes after it.
-  if (!first || wait <= allowed ||
-      !queue.LaneAt(task.lane).Standing(now, this->settings.standing_age)) {
+  if (!first || wait <= allowed) {
     return {};
   }
   return this->RefuseStanding(spec.work_class);
--- a/src/scheduling/target_index.cc
+++ b/src/scheduling/target_index.cc
@@ -1,7 +1,6 @@
 #include "scheduling/target_index.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace sapphirecrank::scheduling {
 
@@ -119,7 +118,7 @@
 
 void TargetIndex::LearnSlowness(TargetEntry& target, double ratio) {
   const double sample = std::clamp(ratio, 1 / kLargestSlowness, kLargestSlowness);
-  target.slowness *= std::exp(kSlownessGain * std::log(sample / target.slowness));
+  target.slowness += kSlownessGain * (sample - target.slowness);
 }
 
 TargetEntry* TargetIndex::Hold(const Resources& need, double largest_share, TimePoint now) {
@@ -271,14 +270,6 @@
 }
 
 bool TargetIndex::Better(const TargetEntry& a, const TargetEntry& b) const {
-  if (this->rule == PlacementRule::kTightestFit) {
-    // Only resources are packed tightly; targets that have none are filled evenly.
-    const double share_a = a.used.ResourceShareOf(a.state.capacity);
-    const double share_b = b.used.ResourceShareOf(b.state.capacity);
-    if (share_a != share_b) {
-      return share_a > share_b;
-    }
-  }
   if (this->rule == PlacementRule::kCompletionTime) {
     if (a.slowness * kSlownessNoise < b.slowness) {
       return true;
@@ -287,6 +278,14 @@
       return false;
     }
   }
+  if (this->rule != PlacementRule::kLeastLoaded) {
+    // Only resources are packed tightly; targets that have none are filled evenly.
+    const double share_a = a.used.ResourceShareOf(a.state.capacity);
+    const double share_b = b.used.ResourceShareOf(b.state.capacity);
+    if (share_a != share_b) {
+      return share_a > share_b;
+    }
+  }
   return static_cast<int64_t>(a.used.slots.value()) * b.state.slots.value() <
          static_cast<int64_t>(b.used.slots.value()) * a.state.slots.value();
 }
--- a/tests/scheduling/fit_tree_test.cc
+++ b/tests/scheduling/fit_tree_test.cc
@@ -41,7 +41,10 @@
     const size_t found = tree.Find(need, start % 16);
     RC_ASSERT((found != FitTree::kNone) == any);
     RC_ASSERT(tree.Holds(need) == any);
-    RC_ASSERT(!any || fits(found));
+    // RapidCheck evaluates both sides of "or".
+    if (any) {
+      RC_ASSERT(fits(found));
+    }
   });
   CHECK_TRUE(holds);
 }
