--- a/tests/scheduling/scheduler_test.cc
+++ b/tests/scheduling/scheduler_test.cc
@@ -2,8 +2,12 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <atomic>
+#include <functional>
 #include <set>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "tests/scheduling/scheduler_fixture.h"
 
@@ -12,6 +16,7 @@
 using sapphirecrank::base::Weight;
 using sapphirecrank::base::WorkClass;
 using sapphirecrank::limits::AutomaticActions;
+using sapphirecrank::scheduling::Scheduler;
 using sapphirecrank::scheduling::SchedulerFixture;
 using sapphirecrank::scheduling::SchedulerSettings;
 using sapphirecrank::scheduling::StartDecision;
@@ -330,3 +335,49 @@
   }
   CHECK_TRUE(large_started);
 }
+
+// Guards against data races and slots given away twice when several threads use the scheduler and
+// hooks call back into it (thread sanitizer).
+TEST(Scheduler, ThreadsMayShareIt) {
+  constexpr int kThreads = 4;
+  constexpr int kTasks = 200;
+  sapphirecrank::base::ManualClock clock;
+  std::atomic<int> started{0};
+  std::function<void(const StartDecision&)> end;
+  Scheduler scheduler(Scheduler::Hooks{clock.Hook(),
+                                       [&](const StartDecision& decision) {
+                                         ++started;
+                                         end(decision);
+                                       },
+                                       [](const sapphirecrank::scheduling::TaskRefusal&) {}},
+                      WithoutAdmission());
+  end = [&](const StartDecision& decision) {
+    scheduler.OnTaskEnded(decision.task, decision.target,
+                          {sapphirecrank::base::Verdict::kRan, true, kRunTime});
+  };
+  TargetState target;
+  target.id = TargetId("a");
+  target.slots = sapphirecrank::base::SlotCount(2);
+  target.lease_end = clock.Now() + seconds(10);
+  scheduler.UpdateTarget(target);
+  std::vector<std::thread> threads;
+  threads.reserve(kThreads);
+  for (int thread = 0; thread < kThreads; ++thread) {
+    threads.emplace_back([&, thread] {
+      for (int i = 0; i < kTasks; ++i) {
+        TaskSpec task;
+        task.key.submission = sapphirecrank::base::SubmissionId(std::to_string(thread));
+        task.key.index = sapphirecrank::base::TaskIndex(static_cast<uint32_t>(i));
+        task.team = sapphirecrank::base::TeamId(std::to_string(thread));
+        task.deadline = clock.Now() + seconds(100);
+        scheduler.Enqueue(task);
+        scheduler.ExpireDue();
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  CHECK_EQUAL(kThreads * kTasks, started.load());
+  CHECK_EQUAL(0, scheduler.Status().queued);
+}
