--- a/tests/observability/metrics_test.cc
+++ b/tests/observability/metrics_test.cc
@@ -62,6 +62,19 @@
       Has(metrics, "sapphirecrank_refusals_total{code=\"overloaded\",verdict=\"may have run\"} 0"));
 }
 
+// Guards against events that end up in another counter.
+TEST(Metrics, EventsAreCountedByKind) {
+  Metrics metrics({});
+  metrics.OnMessage(observability::MessageKind::kTargetCall);
+  metrics.OnWasted(observability::WastedMessage::kLateResult);
+  metrics.OnRetry();
+  metrics.OnEjection();
+  CHECK_TRUE(Has(metrics, "sapphirecrank_messages_total{kind=\"target_call\"} 1"));
+  CHECK_TRUE(Has(metrics, "sapphirecrank_wasted_messages_total{cause=\"late_result\"} 1"));
+  CHECK_TRUE(Has(metrics, "sapphirecrank_retries_total 1"));
+  CHECK_TRUE(Has(metrics, "sapphirecrank_ejections_total 1"));
+}
+
 // Guards against lost or doubled counts when threads create the same series at once.
 TEST(Metrics, ThreadsThatCreateTheSameSeriesLoseNothing) {
   constexpr int kThreads = 4;
