--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds and runs one measurement: bench.sh overhead | load [options] | metrics
+# Builds and runs one measurement: bench.sh decisions [options] | overhead | load [options] | metrics | limits | jobs
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -36,6 +36,15 @@
 }
 
 case "${1:-}" in
+  decisions)
+    shift
+    build_target bench_decisions
+    exec build/release/bench/bench_decisions "$@"
+    ;;
+  limits | jobs)
+    build_target "bench_$1"
+    exec "build/release/bench/bench_$1"
+    ;;
   overhead)
     build_target bench_overhead
     start_host
@@ -53,7 +62,7 @@
     exec build/release/bench/bench_metrics
     ;;
   *)
-    echo "usage: bench.sh overhead | load [options] | metrics" >&2
+    echo "usage: bench.sh decisions [options] | overhead | load [options] | metrics | limits | jobs" >&2
     exit 2
     ;;
 esac
--- /dev/null
+++ b/src/scheduling/class_queue.cc
@@ -0,0 +1,126 @@
+#include "scheduling/class_queue.h"
+
+#include <algorithm>
+#include <array>
+
+#include "scheduling/seconds.h"
+
+namespace sapphirecrank::scheduling {
+
+using base::Duration;
+using base::Resources;
+using base::SlotCount;
+using base::TimePoint;
+
+namespace {
+constexpr SlotCount kOneSlot{1};
+constexpr uint8_t kSmallLane = 0;
+constexpr uint8_t kMediumLane = 1;
+constexpr uint8_t kLargeLane = 2;
+constexpr uint8_t kAcceleratorLane = 3;
+/// A need up to one part in this many of the largest target is small, or medium.
+constexpr int64_t kSmallParts = 16;
+constexpr int64_t kMediumParts = 4;
+/// A team is charged at most this many times the expected run time more than expected, so that one
+/// straggler doesn't keep its team from being served.
+constexpr int kLargestCorrection = 3;
+
+bool IsPart(const Resources& need, const Resources& largest, int64_t parts) {
+  return need.processors.value() * parts <= largest.processors.value() &&
+         need.memory.value() <= largest.memory.value() / parts;
+}
+}  // namespace
+
+uint8_t ClassQueue::LaneOf(const Resources& need, const Resources& largest) {
+  if (need.accelerators > base::AcceleratorCount(0)) {
+    return kAcceleratorLane;
+  }
+  if (largest == Resources() || IsPart(need, largest, kSmallParts)) {
+    return kSmallLane;
+  }
+  return IsPart(need, largest, kMediumParts) ? kMediumLane : kLargeLane;
+}
+
+void ClassQueue::Push(TaskRecord& task, TimePoint now) {
+  Lane& lane = this->lanes[task.lane];
+  if (lane.queue.empty()) {
+    lane.filled_since = now;
+    lane.served = now;
+  }
+  ++this->queued;
+  lane.queue.Push(task);
+  // The new task may be the head and smaller than the one that found no room.
+  lane.blocked_version = 0;
+}
+
+void ClassQueue::Remove(TaskRecord& task) {
+  this->lanes[task.lane].queue.Remove(task);
+  this->CountOut(task);
+}
+
+void ClassQueue::Start(TaskRecord& task, TimePoint now) {
+  this->lanes[task.lane].queue.Start(task);
+  this->CountOut(task);
+  this->held += Usage{kOneSlot, task.declared};
+  this->lanes[task.lane].starts.Add(Seconds(task.estimate.expected), now);
+  this->lanes[task.lane].served = now;
+}
+
+void ClassQueue::End(const TaskRecord& task, Duration elapsed) {
+  this->held -= Usage{kOneSlot, task.declared};
+  if (elapsed > Duration(0)) {
+    const Duration expected = task.estimate.expected;
+    const Duration correction = std::min(elapsed - expected, kLargestCorrection * expected);
+    this->lanes[task.lane].queue.Correct(*task.team, correction);
+  }
+}
+
+ClassQueue::LaneOrder ClassQueue::LanesToTry(TimePoint now, uint64_t room_version) {
+  LaneOrder order;
+  std::array<TimePoint, kLanes> enqueued;
+  for (Lane& lane : this->lanes) {
+    if (lane.queue.empty() || lane.blocked_version == room_version) {
+      continue;
+    }
+    const TimePoint head = lane.queue.Head(now)->enqueued;
+    size_t place = order.count;
+    const auto before = [&](size_t other) {
+      // Of lanes whose heads arrived together, the one that was served longest ago goes first.
+      return head < enqueued[other] ||
+             (head == enqueued[other] && lane.served < order.lanes[other]->served);
+    };
+    while (place > 0 && before(place - 1)) {
+      order.lanes[place] = order.lanes[place - 1];
+      enqueued[place] = enqueued[place - 1];
+      --place;
+    }
+    order.lanes[place] = &lane;
+    enqueued[place] = head;
+    ++order.count;
+  }
+  return order;
+}
+
+Duration ClassQueue::ExpectedWait(const TeamRecord& team, uint8_t lane_number, double more_work,
+                                  double floor_rate, TimePoint now) const {
+  const Lane& lane = this->lanes[lane_number];
+  if (lane.queue.empty()) {
+    return Duration(0);
+  }
+  const double ahead = lane.queue.WorkAhead(team) + more_work;
+  const double rate = std::max(lane.starts.Rate(now), floor_rate);
+  constexpr double kLongestSeconds = 3600;
+  const double seconds = rate > 0 ? std::min(kLongestSeconds, ahead / rate) : kLongestSeconds;
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+void ClassQueue::CountOut(const TaskRecord& task) {
+  --this->queued;
+  Lane& lane = this->lanes[task.lane];
+  lane.blocked_version = 0;
+  if (lane.queue.empty()) {
+    lane.blocked_since = TimePoint();
+  }
+}
+
+}  // namespace sapphirecrank::scheduling
