entryhost: Test access control and metrics on a running host

Guards against access control or metrics that are not wired: a request is run on a fake runner, a reading token tries to drain the host.

--- /dev/null
+++ b/tests/entryhost/operator_access_test.cc
@@ -0,0 +1,115 @@
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "cli/http_client.h"
+#include "entryhost/entry_host.h"
+#include "tests/support/fake_target.h"
+#include "tests/support/free_port.h"
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+using cli::HttpReply;
+using frontend::OperatorRole;
+
+namespace {
+
+constexpr const char* kReader = "monitor:reading-secret-0001";
+constexpr const char* kTeam = "tags:team-secret-000003";
+constexpr const char* kRequest = R"({"team": "tags", "class": "urgent", "payload": {"echo": 7}})";
+
+}  // namespace
+
+TEST_GROUP(OperatorAccess) {
+  void setup() override {
+    configuration::Settings settings;
+    settings.host = base::HostId("ba-0");
+    settings.data_centre = base::DataCentreId("ba");
+    settings.http_listen = base::NetworkAddress("127.0.0.1:0");
+    settings.peer_listen = base::NetworkAddress(testing::FreeAddress());
+    settings.teams = {{base::TeamId("tags"), base::Weight(1)}};
+    const frontend::Authenticator authenticator(
+        {{"monitor", OperatorRole::kReading, "reading-secret-0001"}},
+        {{base::TeamId("tags"), "team-secret-000003"}});
+    this->logger = std::make_unique<observability::Logger>(
+        observability::LogLevel::kInfo,
+        observability::Logger::Hooks{base::SteadyClock(), [this](const std::string& line) {
+                                       std::lock_guard<std::mutex> lock(this->mutex);
+                                       this->log += line + "\n";
+                                     }});
+    this->host = std::make_unique<entryhost::EntryHost>(settings, "0123456789abcdef", *this->logger,
+                                                        authenticator);
+    CHECK_TRUE(this->host->Start().has_value());
+    testing::FakeTargetSettings target;
+    target.announcement.id = base::TargetId("runner-0");
+    target.announcement.kind = base::TargetKind::kRunner;
+    target.announcement.data_centre = settings.data_centre;
+    target.announcement.slots = base::SlotCount(1);
+    target.announcement.connections = base::ConnectionCount(8);
+    target.announcement.rack = base::RackId("rack-0");
+    target.entry_hosts = {this->host->HttpAddress().value()};
+    target.choose = [](const std::string&, const std::string& payload) {
+      return testing::EchoAction(payload);
+    };
+    this->target = std::make_unique<testing::FakeTarget>(target);
+  }
+
+  void teardown() override {
+    this->target.reset();
+    this->host.reset();
+  }
+
+  HttpReply Send(const std::string& method, const std::string& path, const std::string& credential,
+                 const std::string& body = "") {
+    cli::HttpCall call;
+    call.entry_host = this->host->HttpAddress();
+    call.method = method;
+    call.path = path;
+    call.body = body;
+    call.credential = credential;
+    call.timeout = std::chrono::seconds(30);
+    const auto reply = cli::CallEntryHost(call, [](base::Duration) {});
+    CHECK_TRUE_TEXT(reply.has_value(), reply.has_value() ? "" : reply.error().message.c_str());
+    return *reply;
+  }
+
+  bool Logged(const std::string& part) {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->log.find(part) != std::string::npos;
+  }
+
+  std::mutex mutex;
+  std::string log;
+  std::unique_ptr<observability::Logger> logger;
+  std::unique_ptr<entryhost::EntryHost> host;
+  std::unique_ptr<testing::FakeTarget> target;
+};
+
+// Guards against access control that is not in force on the running host, against a refused change
+// that takes place or leaves no audit line, and against metrics that miss what the host does.
+TEST(OperatorAccess, RefusedChangesAreAuditedAndWorkIsCounted) {
+  LONGS_EQUAL(401, this->Send("POST", "/v1/requests", "", kRequest).status);
+  LONGS_EQUAL(401, this->Send("GET", "/metrics", "").status);
+  LONGS_EQUAL(401, this->Send("POST", "/v1/drain", "").status);
+  LONGS_EQUAL(403, this->Send("POST", "/v1/drain", kReader).status);
+  CHECK_TRUE(this->Logged("message=\"audit\" operator=\"\" remote=127.0.0.1 method=POST"));
+  CHECK_TRUE(this->Logged("operator=monitor remote=127.0.0.1 method=POST path=/v1/drain"));
+  CHECK_FALSE(this->Logged("reading-secret"));
+  const HttpReply answer = this->Send("POST", "/v1/requests", kTeam, kRequest);
+  LONGS_EQUAL(200, answer.status);
+  STRCMP_EQUAL("7", answer.body.c_str());
+  const std::string status = this->Send("GET", "/v1/status", kReader).body;
+  CHECK_TRUE(status.find("\"leaving\":false,\"load\"") != std::string::npos);
+  const std::string metrics = this->Send("GET", "/metrics", kReader).body;
+  for (const char* line :
+       {"sapphirecrank_task_starts_total{class=\"urgent\",team=\"tags\"} 1\n",
+        "sapphirecrank_response_seconds_count{class=\"urgent\",team=\"tags\"} 1\n",
+        "sapphirecrank_slowdown_ratio_count{class=\"urgent\",team=\"tags\"} 1\n",
+        "sapphirecrank_messages_total{kind=\"target_call\"} 1\n",
+        "sapphirecrank_refusals_total{code=\"unauthenticated\",verdict=\"not run\"} 2\n"}) {
+    CHECK_TRUE_TEXT(metrics.find(line) != std::string::npos, line);
+  }
+}
