tests: Parenthesise conditions with || in RC_ASSERT

RapidCheck's expression capture overloads || and &&, so that both sides are evaluated: the assertion read the error of a result that had a value. With a second pair of parentheses the condition is evaluated as written; it is as strict as before.

--- a/tests/cli/command_line_test.cc
+++ b/tests/cli/command_line_test.cc
@@ -195,7 +195,7 @@
                                               R"({"error":{},"tasks":5})"};
     this->reply = HttpReply{*rc::gen::inRange(200, 600), *rc::gen::elementOf(answers)};
     const int code = this->Run(arguments);
-    RC_ASSERT(code >= 0 && code <= 6);
+    RC_ASSERT((code >= 0 && code <= 6));
   });
   CHECK_TRUE(holds);
 }
--- a/tests/configuration/settings_checker_test.cc
+++ b/tests/configuration/settings_checker_test.cc
@@ -129,7 +129,7 @@
       text[*rc::gen::inRange<size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
     }
     const auto settings = configuration::ParseSettings(text);
-    RC_ASSERT(settings.has_value() || !settings.error().message.empty());
+    RC_ASSERT((settings.has_value() || !settings.error().message.empty()));
   });
   CHECK_TRUE(holds);
 }
--- a/tests/frontend/credential_parser_test.cc
+++ b/tests/frontend/credential_parser_test.cc
@@ -53,9 +53,9 @@
     std::string text = kTokens;
     text.insert(*rc::gen::inRange<size_t>(0, text.size()), noise);
     const auto tokens = ParseOperatorTokens(text);
-    RC_ASSERT(tokens.has_value() || !tokens.error().field.empty());
+    RC_ASSERT((tokens.has_value() || !tokens.error().field.empty()));
     const auto keys = ParseTeamKeys(noise);
-    RC_ASSERT(keys.has_value() || !keys.error().field.empty());
+    RC_ASSERT((keys.has_value() || !keys.error().field.empty()));
   });
   CHECK_TRUE(holds);
 }
