--- /dev/null
+++ b/bench/capacity/main.cc
@@ -0,0 +1,238 @@
+// Measures the slopes that docs/CAPACITY.md uses: memory and processor time for each target,
+// processor time and bytes for each task on the way through one entry host, at three or more sizes
+// each.
+
+#include <fmt/format.h>
+#include <malloc.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <cstdint>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/manual_clock.h"
+#include "dispatch/dispatcher.h"
+#include "observability/metrics.h"
+#include "protocol/message_codec.h"
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr double kMicrosecondsOfSecond = 1e6;
+constexpr double kBytesOfMegabyte = 1e6;
+constexpr int kTasksPerMeasurement = 20000;
+constexpr int kTeams = 550;
+constexpr int kMemoryTargets = 5000;
+constexpr double kMemoryBoundMegabytes = 128;
+
+double ProcessorMicroseconds() {
+  timespec now{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) * kMicrosecondsOfSecond +
+         static_cast<double>(now.tv_nsec) / 1e3;
+}
+
+/// Bytes in use on the heap; unlike the resident size it doesn't count what was freed before.
+double HeapBytes() {
+  const struct mallinfo2 information = mallinfo2();
+  return static_cast<double>(information.uordblks + information.hblkhd);
+}
+
+double ResidentBytes() {
+  std::ifstream file("/proc/self/statm");
+  double total = 0;
+  double resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+base::TeamId TeamName(int index) { return base::TeamId(fmt::format("team-{}", index)); }
+
+targets::TargetAnnouncement Announcement(int index) {
+  targets::TargetAnnouncement announcement;
+  announcement.id = base::TargetId(fmt::format("worker-{}", index));
+  announcement.address = base::NetworkAddress("10.0.0.1:8080");
+  announcement.data_centre = base::DataCentreId("ba");
+  announcement.rack = base::RackId(fmt::format("rack-{}", index / 8));
+  announcement.slots = base::SlotCount(16);
+  announcement.connections = base::ConnectionCount(64);
+  announcement.capacity = {base::MilliCores(16000), base::ByteCount(32LL << 30),
+                           base::AcceleratorCount(1)};
+  return announcement;
+}
+
+/// A dispatcher whose targets answer at once when `AnswerAll` is called.
+class Host {
+ public:
+  Host() {
+    dispatch::Dispatcher::Hooks hooks;
+    hooks.now = this->clock.Hook();
+    hooks.usable_from = [](const base::TargetId&) { return base::TimePoint(); };
+    hooks.may_start = [](const base::TargetId&) { return true; };
+    hooks.on_start = [](const scheduling::TaskSpec&, base::Duration) {};
+    hooks.call_target = [this](const dispatch::TargetCall&, auto on_done) {
+      this->open_calls.push_back(std::move(on_done));
+    };
+    hooks.report = [this](const base::HostId&, const dispatch::TaskReport&) { ++this->reports; };
+    this->dispatcher = std::make_unique<dispatch::Dispatcher>("a/1/", hooks);
+  }
+
+  void AnswerAll() {
+    dispatch::TargetAnswer answer;
+    answer.succeeded = true;
+    answer.verdict = base::Verdict::kRan;
+    answer.body = "null";
+    while (!this->open_calls.empty()) {
+      auto calls = std::move(this->open_calls);
+      this->open_calls.clear();
+      this->clock.Advance(std::chrono::milliseconds(1));
+      for (const auto& on_done : calls) {
+        on_done(answer);
+      }
+    }
+  }
+
+  base::ManualClock clock;
+  std::vector<std::function<void(const dispatch::TargetAnswer&)>> open_calls;
+  std::unique_ptr<dispatch::Dispatcher> dispatcher;
+  int reports = 0;
+};
+
+std::vector<dispatch::Assignment> Tasks(int first, int count, int teams, base::TimePoint now) {
+  std::vector<dispatch::Assignment> tasks(static_cast<size_t>(count));
+  for (int i = 0; i < count; ++i) {
+    dispatch::Assignment& task = tasks[static_cast<size_t>(i)];
+    task.spec.key = {base::SubmissionId(fmt::format("ba:1764842400000-{}", (first + i) / 200)),
+                     base::TaskIndex(static_cast<uint32_t>((first + i) % 200))};
+    task.spec.team = TeamName((first + i) / 200 % teams);
+    task.spec.kind = base::TaskKind("check");
+    task.spec.declared = {base::MilliCores(1000), base::ByteCount(1 << 30),
+                          base::AcceleratorCount(0)};
+    task.spec.declared_run_time = std::chrono::milliseconds(100);
+    task.spec.deadline = now + std::chrono::seconds(30);
+    task.placement = base::PlacementNumber(1);
+    task.payload = R"({"tag":123456,"hook":17})";
+  }
+  return tasks;
+}
+
+void MeasureTargets() {
+  for (const int count : {500, 5000, 20000}) {
+    const double before = HeapBytes();
+    Host host;
+    for (int i = 0; i < count; ++i) {
+      host.dispatcher->Announce(Announcement(i));
+    }
+    const double memory = HeapBytes() - before;
+    std::vector<targets::TargetAnnouncement> again;
+    again.reserve(static_cast<size_t>(count));
+    for (int i = 0; i < count; ++i) {
+      again.push_back(Announcement(i));
+    }
+    const double start = ProcessorMicroseconds();
+    for (const auto& announcement : again) {
+      host.dispatcher->Announce(announcement);
+    }
+    const double time = ProcessorMicroseconds() - start;
+    fmt::print("targets {:6}: {:8.0f} bytes and {:6.2f} us an announcement for each target\n",
+               count, memory / count, time / count);
+  }
+}
+
+void MeasureTaskPath() {
+  for (const int teams : {1, 55, kTeams}) {
+    for (const int count : {50, 500, 5000}) {
+      Host host;
+      for (int i = 0; i < count; ++i) {
+        host.dispatcher->Announce(Announcement(i));
+      }
+      double time = 0;
+      for (int first = 0; first < kTasksPerMeasurement; first += 200) {
+        auto tasks = Tasks(first, 200, teams, host.clock.Now());
+        const double start = ProcessorMicroseconds();
+        host.dispatcher->Assign(base::HostId("b"), std::move(tasks));
+        host.AnswerAll();
+        time += ProcessorMicroseconds() - start;
+      }
+      fmt::print("task path, {:3} teams, {:5} targets: {:6.2f} us a task, {} of {} reported\n",
+                 teams, count, time / kTasksPerMeasurement, host.reports, kTasksPerMeasurement);
+    }
+  }
+}
+
+void MeasureCodec() {
+  for (const int count : {1, 20, 200}) {
+    protocol::AssignTasks assign;
+    protocol::TaskResults results;
+    for (int i = 0; i < count; ++i) {
+      protocol::AssignedTask task;
+      task.key = {base::SubmissionId("ba:1764842400000-demo"),
+                  base::TaskIndex(static_cast<uint32_t>(i))};
+      task.team = TeamName(i);
+      task.kind = base::TaskKind("check");
+      task.payload = R"({"tag":123456,"hook":17})";
+      assign.tasks.push_back(task);
+      protocol::TaskResult result;
+      result.key = task.key;
+      result.body = "null";
+      results.results.push_back(result);
+    }
+    const int rounds = kTasksPerMeasurement / count;
+    size_t bytes = 0;
+    const double start = ProcessorMicroseconds();
+    for (int round = 0; round < rounds; ++round) {
+      const std::string there = protocol::Encode({base::Sequence(1), base::Sequence(1), assign});
+      const std::string back = protocol::Encode({base::Sequence(1), base::Sequence(1), results});
+      bytes = there.size() + back.size();
+      if (!protocol::Decode(there) || !protocol::Decode(back)) {
+        std::abort();
+      }
+    }
+    const double time = ProcessorMicroseconds() - start;
+    fmt::print(
+        "inner messages, {:3} tasks: {:6.0f} bytes and {:6.2f} us a task for assignment and "
+        "result, "
+        "written and read\n",
+        count, static_cast<double>(bytes) / count, time / (rounds * count));
+  }
+}
+
+void MeasureMemoryBound() {
+  std::vector<base::TeamId> teams;
+  for (int i = 0; i < kTeams; ++i) {
+    teams.push_back(TeamName(i));
+  }
+  observability::Metrics metrics(teams);
+  Host host;
+  for (int i = 0; i < kMemoryTargets; ++i) {
+    host.dispatcher->Announce(Announcement(i));
+  }
+  for (int first = 0; first < kTeams * 200; first += 200) {
+    host.dispatcher->Assign(base::HostId("b"), Tasks(first, 200, kTeams, host.clock.Now()));
+    host.AnswerAll();
+  }
+  for (const base::TeamId& team : teams) {
+    for (const auto work_class :
+         {base::WorkClass::kUrgent, base::WorkClass::kOrdinary, base::WorkClass::kBulk}) {
+      metrics.OnTaskStart(team, work_class, std::chrono::milliseconds(1));
+    }
+  }
+  const double megabytes = ResidentBytes() / kBytesOfMegabyte;
+  fmt::print("TARGET memory_550_teams_5000_targets_mb {:.1f} {:.0f} {}\n", megabytes,
+             kMemoryBoundMegabytes, megabytes <= kMemoryBoundMegabytes ? "ok" : "short");
+}
+
+}  // namespace
+
+int main() {
+  // The resident size counts freed memory too, so it is read first.
+  MeasureMemoryBound();
+  MeasureTargets();
+  MeasureTaskPath();
+  MeasureCodec();
+  return 0;
+}
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds and runs one measurement: bench.sh decisions [options] | overhead | load [options] | metrics | limits | jobs | state [data folder]
+# Builds and runs one measurement: bench.sh decisions [options] | overhead | load [options] | metrics | capacity | limits | jobs | state [data folder]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -42,6 +42,13 @@
     build_target bench_decisions
     exec build/release/bench/bench_decisions "$@"
     ;;
+  capacity)
+    build_target bench_capacity bench_jobs bench_limits bench_state
+    for program in capacity jobs limits state; do
+      echo "== bench_$program"
+      "build/release/bench/bench_$program"
+    done
+    ;;
   limits | jobs)
     build_target "bench_$1"
     exec "build/release/bench/bench_$1"
@@ -68,7 +75,7 @@
     exec build/release/bench/bench_metrics
     ;;
   *)
-    echo "usage: bench.sh decisions [options] | overhead | load [options] | metrics | limits | jobs | state [data folder]" >&2
+    echo "usage: bench.sh decisions [options] | overhead | load [options] | metrics | capacity | limits | jobs | state [data folder]" >&2
     exit 2
     ;;
 esac
--- a/src/dispatch/dispatcher.cc
+++ b/src/dispatch/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace sapphirecrank::dispatch {
@@ -35,25 +36,33 @@
            [this](const auto& refusal) { this->Finish(refusal.task, Refused(refusal.error)); }}) {}
 
 void Dispatcher::Assign(const HostId& origin, std::vector<Assignment> assignments) {
+  std::map<base::TargetKind, std::vector<scheduling::TaskSpec>> accepted;
   for (Assignment& assignment : assignments) {
-    this->AssignOne(origin, std::move(assignment));
+    const scheduling::TaskSpec spec = assignment.spec;
+    if (this->AddPending(origin, std::move(assignment))) {
+      accepted[spec.target_kind].push_back(spec);
+    }
+  }
+  for (const auto& [kind, specs] : accepted) {
+    const base::Result<void> queued = this->scheduler.EnqueueAll(specs);
+    if (queued) {
+      continue;
+    }
+    for (const scheduling::TaskSpec& spec : specs) {
+      this->Finish(spec.key, Refused(queued.error()));
+    }
   }
 }
 
-void Dispatcher::AssignOne(const HostId& origin, Assignment assignment) {
-  const scheduling::TaskSpec spec = assignment.spec;
-  const bool is_new = this->pending.With(spec.key, [&](Shard& shard) {
-    return shard.try_emplace(spec.key, Pending{origin, std::move(assignment), this->hooks.now()})
-        .second;
+bool Dispatcher::AddPending(const HostId& origin, Assignment assignment) {
+  const TaskKey key = assignment.spec.key;
+  const bool is_new = this->pending.With(key, [&](Shard& shard) {
+    return shard.try_emplace(key, Pending{origin, std::move(assignment), this->hooks.now()}).second;
   });
-  if (!is_new) {
-    return;
-  }
-  ++this->in_flight;
-  const base::Result<void> queued = this->scheduler.Enqueue(spec);
-  if (!queued) {
-    this->Finish(spec.key, Refused(queued.error()));
+  if (is_new) {
+    ++this->in_flight;
   }
+  return is_new;
 }
 
 void Dispatcher::Cancel(const base::SubmissionId& submission) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -43,7 +43,8 @@
   /// `own_prefix` begins each attempt id and must differ for each start of a process.
   Dispatcher(const std::string& own_prefix, Hooks hooks);
 
-  /// Queues the tasks for `origin`. A placement that is already known is ignored.
+  /// Queues the tasks of one job for `origin`, or refuses all with "not run". A placement that is
+  /// already known is ignored.
   void Assign(const base::HostId& origin, std::vector<Assignment> assignments);
 
   /// Refuses the queued tasks of a submission with "not run"; running ones go on.
@@ -77,7 +78,8 @@
 
   using Shard = std::unordered_map<base::TaskKey, Pending>;
 
-  void AssignOne(const base::HostId& origin, Assignment assignment);
+  /// Notes a task until its report. False if a placement of it is known.
+  bool AddPending(const base::HostId& origin, Assignment assignment);
   void Start(const scheduling::StartDecision& decision);
   void OnAnswer(const scheduling::StartDecision& decision, const base::AttemptId& attempt,
                 base::TimePoint started, TargetAnswer answer);
--- a/src/dispatch/request_router.cc
+++ b/src/dispatch/request_router.cc
@@ -144,13 +144,6 @@
   return this->Change(submission, [&](Work& work, Effects& effects) { this->Fail(work, effects); });
 }
 
-base::TeamId RequestRouter::TeamOf(const SubmissionId& submission) {
-  return this->shards.With(submission, [&](Shard& shard) {
-    const auto found = shard.find(submission);
-    return found == shard.end() ? base::TeamId() : found->second.tasks.front().assignment.spec.team;
-  });
-}
-
 void RequestRouter::Tick() {
   const TimePoint now = this->hooks.now();
   Choices choices = this->CurrentChoices();
--- a/src/dispatch/request_router.h
+++ b/src/dispatch/request_router.h
@@ -55,9 +55,6 @@
   /// False if the submission isn't under way here.
   bool Cancel(const base::SubmissionId& submission);
 
-  /// Returns the team of a piece of work, empty if it isn't under way here.
-  base::TeamId TeamOf(const base::SubmissionId& submission);
-
   /// Places delayed tasks and ends work whose deadline has passed. Call every few milliseconds.
   void Tick();
 
--- a/src/entryhost/job_service.cc
+++ b/src/entryhost/job_service.cc
@@ -41,7 +41,7 @@
       ledger(this->self, jobs::LedgerSettings(), this->LedgerHooks()) {}
 
 void JobService::Submit(const Submission& submission, const OnAnswer& on_answer) {
-  const OnAnswer counted = this->Counted(on_answer);
+  const OnAnswer counted = this->Counted(this->WithTeam(submission, on_answer));
   const DataCentreId home = this->HomeOf(submission.id);
   if (home == this->data_centre) {
     this->SubmitHere(submission, counted);
@@ -57,6 +57,12 @@
   this->Forward(host, submission, false, counted);
 }
 
+base::TeamId JobService::TeamOf(const SubmissionId& submission) {
+  base::MutexLock lock(this->mutex);
+  auto found = this->teams.find(submission);
+  return found == this->teams.end() ? base::TeamId() : found->second;
+}
+
 base::Result<void> JobService::Cancel(const SubmissionId& submission) {
   if (this->ledger.Cancel(submission)) {
     return {};
@@ -225,6 +231,23 @@
   }
 }
 
+JobService::OnAnswer JobService::WithTeam(const Submission& submission, const OnAnswer& on_answer) {
+  {
+    base::MutexLock lock(this->mutex);
+    this->teams.emplace(submission.id, submission.team);
+  }
+  return [this, id = submission.id, on_answer](const JobAnswer& answer) {
+    {
+      base::MutexLock lock(this->mutex);
+      auto found = this->teams.find(id);
+      if (found != this->teams.end()) {
+        this->teams.erase(found);
+      }
+    }
+    on_answer(answer);
+  };
+}
+
 JobService::OnAnswer JobService::Counted(const OnAnswer& on_answer) {
   ++this->open_answers;
   return [this, on_answer](const JobAnswer& answer) {
--- a/src/entryhost/job_service.h
+++ b/src/entryhost/job_service.h
@@ -49,6 +49,9 @@
   /// exactly once.
   void Submit(const jobs::Submission& submission, const OnAnswer& on_answer);
 
+  /// Returns the team of a job whose answer is open on this host, otherwise an empty id.
+  base::TeamId TeamOf(const base::SubmissionId& submission);
+
   /// Asks the job's owner to cancel it. `kNotFound` if no owner can be asked.
   base::Result<void> Cancel(const base::SubmissionId& submission);
 
@@ -99,6 +102,7 @@
   void AnswerUnknown(const OnAnswer& on_answer, const std::string& reason) const;
   void EndIf(const std::function<bool(const Forwarded&)>& condition, const std::string& reason);
   OnAnswer Counted(const OnAnswer& on_answer);
+  OnAnswer WithTeam(const jobs::Submission& submission, const OnAnswer& on_answer);
 
   jobs::MemberView::Member self;
   base::DataCentreId data_centre;
@@ -107,6 +111,7 @@
   std::atomic<uint64_t> next_request{1};
   base::Mutex mutex;
   std::unordered_map<base::Sequence, Forwarded> forwarded GUARDED_BY(mutex);
+  std::unordered_multimap<base::SubmissionId, base::TeamId> teams GUARDED_BY(mutex);
   dispatch::JobPlacer placer;
   jobs::SubmissionLedger ledger;
 };
--- a/src/frontend/api_router.cc
+++ b/src/frontend/api_router.cc
@@ -102,7 +102,13 @@
 void ApiRouter::CancelJob(const HttpRequest& request, const Respond& respond) const {
   const base::SubmissionId submission(request.path.substr(std::string(kJobPrefix).size()));
   const base::TeamId team = this->hooks.team_of(submission);
-  if (!request.team.empty() && !team.empty() && team != request.team) {
+  // A team may cancel only where its job is known: elsewhere nobody can tell whose job it is.
+  if (!request.team.empty() && team.empty()) {
+    respond(ErrorResponse({ErrorCode::kNotFound, "submission", "no such job is under way here",
+                           base::Verdict::kMayHaveRun}));
+    return;
+  }
+  if (!request.team.empty() && team != request.team) {
     respond(ErrorResponse(ForeignTeam(request.team)));
     return;
   }
--- a/tests/frontend/api_router_test.cc
+++ b/tests/frontend/api_router_test.cc
@@ -23,7 +23,7 @@
       this->cancelled.push_back(submission.value());
       return base::Result<void>();
     };
-    hooks.team_of = [](const SubmissionId&) { return TeamId("tags"); };
+    hooks.team_of = [this](const SubmissionId&) { return this->job_team; };
     hooks.refused = [this](const base::Error& error) { this->refused.push_back(error); };
     hooks.drain = [this] { ++this->drains; };
     return ApiRouter(hooks);
@@ -42,6 +42,7 @@
     return status;
   }
 
+  TeamId job_team{"tags"};
   std::vector<std::string> run;
   std::vector<std::string> cancelled;
   std::vector<base::Error> refused;
@@ -70,6 +71,16 @@
   STRCMP_EQUAL("ba:1", this->cancelled.at(0).c_str());
 }
 
+// Guards against a team that cancels another team's job through a host that doesn't know whose it
+// is.
+TEST(ApiRouter, JobsOfUnknownTeamsAreCancelledOnlyByOperators) {
+  this->job_team = TeamId();
+  LONGS_EQUAL(404, this->Send("DELETE", "/v1/jobs/ba:1", "maps"));
+  LONGS_EQUAL(0, this->cancelled.size());
+  LONGS_EQUAL(200, this->Send("DELETE", "/v1/jobs/ba:1", ""));
+  LONGS_EQUAL(1, this->cancelled.size());
+}
+
 // Guards against refusals of malformed work that the metrics don't see.
 TEST(ApiRouter, MalformedWorkIsCounted) {
   LONGS_EQUAL(400, this->Send("POST", "/v1/jobs", "", "{"));
