tests: Let the death of a host wait for the first starts

The thread sanitizer build once killed the host before any task had started, so that the count of starts was 0 where the check wants exactly 1. The host now dies after as many starts as there are jobs; the check stays.

--- a/tests/entryhost/entry_host_test.cc
+++ b/tests/entryhost/entry_host_test.cc
@@ -94,7 +94,9 @@
       }
     });
   }
-  std::this_thread::sleep_for(std::chrono::milliseconds(80));
+  while (cluster.Started().size() < kJobs) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
   cluster.Kill(0);
   for (std::thread& caller : callers) {
     caller.join();
