entryhost, bench: Run jobs of a single-host data centre and date the ids of benches

bench.sh overhead and load failed since jobs go through the ledger: their ids carried no creation time, and one host alone refused jobs for want of a copy.

--- a/bench/load/main.cc
+++ b/bench/load/main.cc
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 #include <popt.h>
 
+#include <chrono>
 #include <random>
 #include <string>
 
@@ -35,7 +36,10 @@
   settings.run_time = std::chrono::milliseconds(options.run_time_ms);
   settings.seed = static_cast<uint64_t>(options.seed);
   settings.team = options.team == nullptr ? settings.team : options.team;
-  settings.run_name = fmt::format("load-{}", std::random_device()());
+  // Ids of jobs begin with the time of their creation.
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  settings.run_name = fmt::format("{}-load-{}", now.count(), std::random_device()());
   settings.data_centre = options.data_centre == nullptr ? "" : options.data_centre;
   while (const char* host = poptGetArg(context)) {
     settings.entry_hosts.emplace_back(host);
--- a/bench/overhead/main.cc
+++ b/bench/overhead/main.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <chrono>
 #include <cstdlib>
 #include <map>
 #include <sstream>
@@ -19,6 +20,12 @@
 
 namespace {
 
+/// Returns the time since 1970, with which the ids of jobs begin.
+int64_t CreationTime() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 constexpr int kWarmUpPairs = 200;
 constexpr int kPairs = 5000;
 constexpr int kJobThreads = 4;
@@ -134,8 +141,8 @@
   for (int i = 0; i < kTasksInJob; ++i) {
     tasks += i == 0 ? "{\"milli_processors\":1}" : ",{\"milli_processors\":1}";
   }
-  return fmt::format(R"({{"submission":"overhead-{}-{}","team":"{}","tasks":[{}]}})", getpid(),
-                     number, team, tasks);
+  return fmt::format(R"({{"submission":"{}-overhead-{}-{}","team":"{}","tasks":[{}]}})",
+                     CreationTime(), getpid(), number, team, tasks);
 }
 
 /// Submits jobs of empty tasks from several threads, and prints starts a second and messages.
--- a/src/entryhost/entry_host.cc
+++ b/src/entryhost/entry_host.cc
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -696,6 +697,13 @@
   hooks.send = [this](const HostId& host, protocol::Message message) {
     return this->network.Send(host, std::move(message));
   };
+  // A data centre with one configured entry host can never have a second copy.
+  hooks.may_run_unreplicated = [this] {
+    const auto& peers = this->settings.peers;
+    return std::none_of(peers.begin(), peers.end(), [this](const auto& peer) {
+      return peer.data_centre == this->settings.data_centre;
+    });
+  };
   hooks.host_in = [this](const base::DataCentreId& data_centre) {
     return this->HostIn(data_centre);
   };
--- a/src/entryhost/job_service.cc
+++ b/src/entryhost/job_service.cc
@@ -160,6 +160,9 @@
   };
   ledger_hooks.start_tasks = [this](const auto& starts) { this->placer.Start(starts); };
   ledger_hooks.cancel_tasks = [this](const auto& starts) { this->placer.Cancel(starts); };
+  ledger_hooks.may_run_unreplicated = [this](const Submission&) {
+    return this->hooks.may_run_unreplicated();
+  };
   // FIXME: without `write_disk` a host that is alone in its view refuses new jobs, although its
   // disk could hold the record.
   return ledger_hooks;
