--- a/bench/capacity/main.cc
+++ b/bench/capacity/main.cc
@@ -203,6 +203,7 @@
 
 void MeasureMemoryBound() {
   std::vector<base::TeamId> teams;
+  teams.reserve(kTeams);
   for (int i = 0; i < kTeams; ++i) {
     teams.push_back(TeamName(i));
   }
--- a/bench/decisions/analysis.cc
+++ b/bench/decisions/analysis.cc
@@ -13,9 +13,9 @@
 /// Run times up to this are short: the workload has none between 1.2 s and 1.6 s or so.
 constexpr Duration kLongestShort = std::chrono::milliseconds(1500);
 constexpr Duration kRecoveryWindow = std::chrono::milliseconds(500);
-/// A window is served as before the crest if neither the 95th percentile of the slowdown of short
+/// A window is served as before the surge if neither the 95th percentile of the slowdown of short
 /// urgent and ordinary work nor the refused share of it is above these figures and above those of
-/// the worst window before the crest.
+/// the worst window before the surge.
 constexpr double kRecoveredSlowdown = 2;
 constexpr double kRecoveredRefusals = 0.02;
 /// A start and its answer.
@@ -54,7 +54,7 @@
     this->figures.lost += measured.end == End::kNone ? 1 : 0;
     this->figures.untrue_refusals += measured.untrue_refusal ? 1 : 0;
     this->CountMessages(task, measured);
-    this->CountCrestWork(task, measured);
+    this->CountSurgeWork(task, measured);
     if (measured.arrival < this->start + this->scenario.measured_from) {
       return;
     }
@@ -100,8 +100,8 @@
       this->short_waits.push_back(Milliseconds(measured.started - measured.arrival));
     }
     const Duration at = measured.arrival - this->start;
-    if (at >= this->scenario.crest_start && at < this->scenario.crest_end) {
-      this->crest_slowdowns[number].push_back(slowdown);
+    if (at >= this->scenario.surge_start && at < this->scenario.surge_end) {
+      this->surge_slowdowns[number].push_back(slowdown);
     }
   }
 
@@ -110,12 +110,12 @@
     (useful ? this->useful_messages : this->wasted_messages) += kMessagesPerStart * measured.starts;
   }
 
-  void CountCrestWork(const WorkloadTask& task, const MeasuredTask& measured) {
-    if (measured.starts == 0 || this->scenario.crest_end == this->scenario.crest_start) {
+  void CountSurgeWork(const WorkloadTask& task, const MeasuredTask& measured) {
+    if (measured.starts == 0 || this->scenario.surge_end == this->scenario.surge_start) {
       return;
     }
-    const TimePoint from = std::max(measured.started, this->start + this->scenario.crest_start);
-    const TimePoint to = std::min(measured.ended, this->start + this->scenario.crest_end);
+    const TimePoint from = std::max(measured.started, this->start + this->scenario.surge_start);
+    const TimePoint to = std::min(measured.ended, this->start + this->scenario.surge_end);
     if (to <= from) {
       return;
     }
@@ -132,20 +132,20 @@
             ? static_cast<double>(need.memory.value()) / static_cast<double>(whole.memory.value())
             : 0};
     for (size_t i = 0; i < parts.size(); ++i) {
-      this->crest_busy[i] += seconds * parts[i];
-      this->crest_useful[i] += useful ? seconds * parts[i] : 0;
+      this->surge_busy[i] += seconds * parts[i];
+      this->surge_useful[i] += useful ? seconds * parts[i] : 0;
     }
   }
 
   void CountRecovery(const WorkloadTask& task, const MeasuredTask& measured, bool ran,
                      bool not_run) {
-    const Duration after = measured.arrival - this->start - this->scenario.crest_end;
-    const bool before = measured.arrival < this->start + this->scenario.crest_start;
-    if (this->scenario.crest_end == this->scenario.crest_start ||
+    const Duration after = measured.arrival - this->start - this->scenario.surge_end;
+    const bool before = measured.arrival < this->start + this->scenario.surge_start;
+    if (this->scenario.surge_end == this->scenario.surge_start ||
         (!before && after < Duration(0))) {
       return;
     }
-    // Windows before the crest have negative numbers.
+    // Windows before the surge have negative numbers.
     Window& window = this->windows[after / kRecoveryWindow];
     ++window.total;
     window.refused += not_run && !measured.unsatisfiable ? 1 : 0;
@@ -162,7 +162,7 @@
       this->figures.not_run[i] = static_cast<double>(this->not_run[i]) / total;
       this->figures.slowdown[i] = Percentiles::Of(this->slowdowns[i]);
       this->figures.short_slowdown[i] = Percentiles::Of(this->short_slowdowns[i]);
-      this->figures.crest_short_slowdown[i] = Percentiles::Of(this->crest_slowdowns[i]);
+      this->figures.surge_short_slowdown[i] = Percentiles::Of(this->surge_slowdowns[i]);
     }
     this->figures.short_wait_ms = Percentiles::Of(this->short_waits);
     this->figures.refusal_p99_ms = Percentiles::Of(this->refusal_ms).p99;
@@ -173,20 +173,20 @@
     this->figures.failing_share =
         static_cast<double>(this->simulation.late_failing_starts()) /
         static_cast<double>(std::max<int64_t>(1, this->simulation.starts_after_detection()));
-    this->SummariseCrest();
+    this->SummariseSurge();
   }
 
-  void SummariseCrest() {
+  void SummariseSurge() {
     const double seconds =
-        std::chrono::duration<double>(this->scenario.crest_end - this->scenario.crest_start)
+        std::chrono::duration<double>(this->scenario.surge_end - this->scenario.surge_start)
             .count();
     if (seconds <= 0) {
       return;
     }
-    const auto scarcest = std::max_element(this->crest_busy.begin(), this->crest_busy.end()) -
-                          this->crest_busy.begin();
-    this->figures.crest_busy = this->crest_busy[scarcest] / (seconds * this->scenario.targets);
-    this->figures.crest_useful = this->crest_useful[scarcest] / (seconds * this->scenario.targets);
+    const auto scarcest = std::max_element(this->surge_busy.begin(), this->surge_busy.end()) -
+                          this->surge_busy.begin();
+    this->figures.surge_busy = this->surge_busy[scarcest] / (seconds * this->scenario.targets);
+    this->figures.surge_useful = this->surge_useful[scarcest] / (seconds * this->scenario.targets);
     double normal_slowdown = kRecoveredSlowdown;
     double normal_refusals = kRecoveredRefusals;
     for (const auto& [number, window] : this->windows) {
@@ -217,14 +217,14 @@
   ScenarioFigures figures;
   ByClass slowdowns;
   ByClass short_slowdowns;
-  ByClass crest_slowdowns;
+  ByClass surge_slowdowns;
   std::vector<double> short_waits;
   std::vector<double> refusal_ms;
   std::array<int64_t, base::kWorkClassCount> totals{};
   std::array<int64_t, base::kWorkClassCount> in_time{};
   std::array<int64_t, base::kWorkClassCount> not_run{};
-  std::array<double, 3> crest_busy{};
-  std::array<double, 3> crest_useful{};
+  std::array<double, 3> surge_busy{};
+  std::array<double, 3> surge_useful{};
   std::map<int64_t, Window> windows;
   int64_t useful_messages = 0;
   int64_t wasted_messages = 0;
--- a/bench/decisions/report.cc
+++ b/bench/decisions/report.cc
@@ -25,7 +25,7 @@
   double best = 0;
   for (const ScenarioFigures& figures : all) {
     if (figures.scenario == scenario && figures.rules.rfind("fifo", 0) == 0) {
-      const double p99 = figures.crest_short_slowdown[kUrgent].p99;
+      const double p99 = figures.surge_short_slowdown[kUrgent].p99;
       best = best == 0 ? p99 : std::min(best, p99);
     }
   }
@@ -54,10 +54,10 @@
   }
 }
 
-void PrintCrest(const std::vector<ScenarioFigures>& all, const ScenarioFigures& figures) {
+void PrintSurge(const std::vector<ScenarioFigures>& all, const ScenarioFigures& figures) {
   const std::string& name = figures.scenario;
-  const double urgent = figures.crest_short_slowdown[kUrgent].p99;
-  PrintAtLeast(name + ".useful_share", figures.crest_useful, 0.95);
+  const double urgent = figures.surge_short_slowdown[kUrgent].p99;
+  PrintAtLeast(name + ".useful_share", figures.surge_useful, 0.95);
   PrintAtMost(name + ".urgent_short_p99_slowdown", urgent, IsRunner(figures) ? 1.5 : 2);
   PrintAtMost(name + ".urgent_p99_to_better_baseline", urgent / BetterBaseline(all, name), 0.1);
   PrintAtMost(name + ".recovery_seconds", figures.recovery_seconds, 2);
@@ -86,10 +86,10 @@
     fmt::print(" refused {} expired {} untrue {} never {} wasted {:.4f} excess {}",
                f.refused_at_once, f.expired, f.untrue_refusals, f.unsatisfiable, f.wasted_messages,
                f.behind_excess);
-    if (f.crest_busy > 0) {
-      fmt::print(" crest[busy {:.3f} useful {:.3f} us {} os {} recovery {:.2f}s]", f.crest_busy,
-                 f.crest_useful, Triple(f.crest_short_slowdown[0]),
-                 Triple(f.crest_short_slowdown[1]), f.recovery_seconds);
+    if (f.surge_busy > 0) {
+      fmt::print(" surge[busy {:.3f} useful {:.3f} us {} os {} recovery {:.2f}s]", f.surge_busy,
+                 f.surge_useful, Triple(f.surge_short_slowdown[0]),
+                 Triple(f.surge_short_slowdown[1]), f.recovery_seconds);
     }
     if (f.failing_share > 0) {
       fmt::print(" failing {:.5f}", f.failing_share);
@@ -107,10 +107,10 @@
       continue;
     }
     PrintSteady(figures);
-    if (figures.crest_busy > 0) {
-      PrintCrest(all, figures);
+    if (figures.surge_busy > 0) {
+      PrintSurge(all, figures);
     }
-    if (EndsWith(figures.scenario, "-failer")) {
+    if (EndsWith(figures.scenario, "-faulty")) {
       PrintAtMost(figures.scenario + ".failing_worker_share", figures.failing_share, 0.01);
       PrintAtMost(figures.scenario + ".wasted_messages", figures.wasted_messages, 0.1);
     }
--- a/bench/decisions/scenario.cc
+++ b/bench/decisions/scenario.cc
@@ -10,12 +10,12 @@
 namespace {
 constexpr double kOrdinaryLoad = 0.8;
 constexpr double kHighLoad = 0.95;
-constexpr double kCrestLoad = 5;
+constexpr double kSurgeLoad = 5;
 /// Demand of urgent work at the peak, which alone fits.
-constexpr double kUrgentCrestLoad = 0.5;
+constexpr double kUrgentSurgeLoad = 0.5;
 constexpr seconds kSteadyLength{100};
-constexpr seconds kCrestStart{20};
-constexpr seconds kCrestEnd{30};
+constexpr seconds kSurgeStart{20};
+constexpr seconds kSurgeEnd{30};
 constexpr int64_t kGibibyte = int64_t{1} << 30;
 
 using Shares = std::array<double, base::kWorkClassCount>;
@@ -58,14 +58,14 @@
   return base;
 }
 
-Scenario Crest(Scenario base, const Shares& shares) {
-  base.name += "-crest";
-  const double rest = (kCrestLoad - kUrgentCrestLoad) / (shares[1] + shares[2]);
+Scenario Surge(Scenario base, const Shares& shares) {
+  base.name += "-surge";
+  const double rest = (kSurgeLoad - kUrgentSurgeLoad) / (shares[1] + shares[2]);
   base.phases = {{Duration(0), Scaled(shares, kOrdinaryLoad)},
-                 {kCrestStart, {kUrgentCrestLoad, rest * shares[1], rest * shares[2]}},
-                 {kCrestEnd, Scaled(shares, kOrdinaryLoad)}};
-  base.crest_start = kCrestStart;
-  base.crest_end = kCrestEnd;
+                 {kSurgeStart, {kUrgentSurgeLoad, rest * shares[1], rest * shares[2]}},
+                 {kSurgeEnd, Scaled(shares, kOrdinaryLoad)}};
+  base.surge_start = kSurgeStart;
+  base.surge_end = kSurgeEnd;
   return base;
 }
 
@@ -83,7 +83,7 @@
 
 Scenario Failing(Scenario base, const Shares& shares) {
   base = Steady(base, shares, kOrdinaryLoad);
-  base.name += "-failer";
+  base.name += "-faulty";
   base.failing_targets = 1;
   return base;
 }
@@ -113,14 +113,14 @@
       scenarios.push_back(Steady(base, shares, kOrdinaryLoad));
       scenarios.push_back(Steady(base, shares, kHighLoad));
     }
-    scenarios.push_back(Crest(base, shares));
+    scenarios.push_back(Surge(base, shares));
   }
   scenarios.push_back(Swing(Runners(), shares));
   scenarios.push_back(Swing(Workers(16, 32), shares));
   scenarios.push_back(Failing(Runners(), shares));
   scenarios.push_back(Failing(Workers(16, 32), shares));
   scenarios.push_back(Wide(Steady(Workers(16, 32), shares, kOrdinaryLoad)));
-  scenarios.push_back(Wide(Crest(Workers(16, 32), shares)));
+  scenarios.push_back(Wide(Surge(Workers(16, 32), shares)));
   scenarios.push_back(Slow(Runners(), shares));
   return scenarios;
 }
--- a/bench/decisions/scenario.h
+++ b/bench/decisions/scenario.h
@@ -32,8 +32,8 @@
   /// Tasks that arrive before are not measured, as run times are not learned yet.
   base::Duration measured_from = std::chrono::seconds(10);
   /// Time of the demand peak; equal if there is none.
-  base::Duration crest_start{0};
-  base::Duration crest_end{0};
+  base::Duration surge_start{0};
+  base::Duration surge_end{0};
   /// Targets that fail everything they start from `measured_from` on.
   int failing_targets = 0;
   /// Targets on which all work takes four times as long.
--- a/bench/decisions/scenario_figures.h
+++ b/bench/decisions/scenario_figures.h
@@ -21,13 +21,13 @@
   std::array<double, base::kWorkClassCount> not_run{};
   /// Wait of short urgent and ordinary tasks in milliseconds.
   Percentiles short_wait_ms;
-  /// The same at the crest, by class.
-  std::array<Percentiles, base::kWorkClassCount> crest_short_slowdown;
-  /// Share of the capacity that did work at the crest which ended in time in a whole job.
-  double crest_useful = 0;
-  /// Share of the capacity in use at the crest.
-  double crest_busy = 0;
-  /// Seconds after the crest until short urgent and ordinary work is served as before.
+  /// The same during the surge, by class.
+  std::array<Percentiles, base::kWorkClassCount> surge_short_slowdown;
+  /// Share of the capacity that did work during the surge which ended in time in a whole job.
+  double surge_useful = 0;
+  /// Share of the capacity in use during the surge.
+  double surge_busy = 0;
+  /// Seconds after the surge until short urgent and ordinary work is served as before.
   double recovery_seconds = 0;
   int64_t refused_at_once = 0;
   /// Refused after waiting in the queue.
--- a/tests/scheduling/scheduler_test.cc
+++ b/tests/scheduling/scheduler_test.cc
@@ -266,7 +266,7 @@
 
 // Guards against a worker that fails at once and so draws work, and against ejection while the
 // action is switched off.
-TEST(Scheduler, EjectsFastFailersUnlessSwitchedOff) {
+TEST(Scheduler, EjectsTargetThatFailsFastUnlessSwitchedOff) {
   for (const bool enabled : {true, false}) {
     SchedulerFixture fixture;
     AutomaticActions actions;
