entryhost: Refuse new forwarded jobs while shutting down, and test what carries views and jobs

New jobs that other hosts passed on kept a draining host from ever finishing; they are now refused with "may have run" and the advice to submit again.

--- a/src/entryhost/entry_host.cc
+++ b/src/entryhost/entry_host.cc
@@ -697,6 +697,7 @@
   hooks.send = [this](const HostId& host, protocol::Message message) {
     return this->network.Send(host, std::move(message));
   };
+  hooks.is_leaving = [this] { return this->leaving.load(); };
   // A data centre with one configured entry host can never have a second copy.
   hooks.may_run_unreplicated = [this] {
     const auto& peers = this->settings.peers;
--- a/src/entryhost/job_service.cc
+++ b/src/entryhost/job_service.cc
@@ -85,6 +85,14 @@
         // If the other host was lost meanwhile, its caller asks again elsewhere with the same id.
         this->hooks.send(from, protocol::SubmissionAnswer{request, job_answer});
       });
+  const bool is_new =
+      this->ledger.Status(message.submission.id).state == jobs::JobStatus::State::kUnknown;
+  if (is_new && this->hooks.is_leaving()) {
+    // Otherwise new jobs from other hosts would keep this one from ever finishing its shutdown.
+    this->AnswerUnknown(answer,
+                        "the entry host that owns the id is shutting down; submit it again");
+    return;
+  }
   this->ledger.Submit(std::make_shared<Submission>(message.submission), answer);
 }
 
--- a/src/entryhost/job_service.h
+++ b/src/entryhost/job_service.h
@@ -35,6 +35,8 @@
     std::function<bool()> may_act;
     /// Sends a message that arrives unless the other process is lost; false if it surely won't.
     std::function<bool(const base::HostId&, protocol::Message)> send;
+    /// Tells whether this host is shutting down.
+    std::function<bool()> is_leaving;
     /// Tells whether jobs may run without a copy on a second host, if no other is in the view.
     std::function<bool()> may_run_unreplicated;
     /// Returns an entry host of another data centre that answers, or an empty id.
--- /dev/null
+++ b/tests/dispatch/job_placer_test.cc
@@ -0,0 +1,88 @@
+#include "dispatch/job_placer.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <vector>
+
+#include "jobs/submission.h"
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+using base::HostId;
+using base::Verdict;
+using dispatch::Assignment;
+using dispatch::JobPlacer;
+
+TEST_GROUP(JobPlacer) {
+  bool is_linked = true;
+  base::SlotCount slots{4};
+  std::vector<std::pair<HostId, Assignment>> assigned;
+  std::vector<jobs::TaskReport> reports;
+  JobPlacer placer{{[this](base::TargetKind) {
+                      scheduling::LoadSummary load;
+                      load.free_slots = this->slots;
+                      load.total_slots = this->slots;
+                      return std::vector<dispatch::HostLoad>{{HostId("a"), load}};
+                    },
+                    [this](const HostId& host, const std::vector<Assignment>& tasks) {
+                      for (const Assignment& task : tasks) {
+                        this->assigned.emplace_back(host, task);
+                      }
+                      return this->is_linked;
+                    },
+                    [](const HostId&, const base::SubmissionId&) {},
+                    [this](const jobs::TaskReport& report) { this->reports.push_back(report); }}};
+
+  void Start() {
+    auto submission = std::make_shared<jobs::Submission>();
+    submission->id = base::SubmissionId("ba:1-1");
+    submission->tasks.resize(1);
+    jobs::TaskStart start;
+    start.epoch = base::Epoch(7);
+    start.key = {submission->id, base::TaskIndex(0)};
+    start.placement = base::PlacementNumber(2);
+    start.submission = submission;
+    this->placer.Start({start});
+  }
+
+  dispatch::TaskReport Report(uint32_t placement) const {
+    dispatch::TaskReport report;
+    report.key = {base::SubmissionId("ba:1-1"), base::TaskIndex(0)};
+    report.placement = base::PlacementNumber(placement);
+    report.verdict = Verdict::kRan;
+    report.succeeded = true;
+    return report;
+  }
+};
+
+// Guards against a result that is dropped, counted twice, or taken from another placement or host.
+TEST(JobPlacer, OnlyTheOpenPlacementIsReportedAndOnce) {
+  this->Start();
+  LONGS_EQUAL(1, this->assigned.size());
+  CHECK_FALSE(this->placer.OnReport(HostId("a"), this->Report(1)));
+  CHECK_FALSE(this->placer.OnReport(HostId("b"), this->Report(2)));
+  CHECK_TRUE(this->placer.OnReport(HostId("a"), this->Report(2)));
+  CHECK_FALSE(this->placer.OnReport(HostId("a"), this->Report(2)));
+  LONGS_EQUAL(1, this->reports.size());
+  LONGS_EQUAL(7, this->reports[0].epoch.value());
+}
+
+// Guards against "may have run" for tasks that were surely not handed over.
+TEST(JobPlacer, TaskThatNoHostTookIsNotRun) {
+  this->is_linked = false;
+  this->Start();
+  this->slots = base::SlotCount(0);
+  this->Start();
+  LONGS_EQUAL(2, this->reports.size());
+  CHECK(this->reports[0].verdict == Verdict::kNotRun);
+  CHECK(this->reports[1].verdict == Verdict::kNotRun);
+}
+
+// Guards against a false "not run", and against a job that waits for a lost host.
+TEST(JobPlacer, TaskOnALostHostMayHaveRun) {
+  this->Start();
+  this->placer.OnHostLost(HostId("a"));
+  LONGS_EQUAL(1, this->reports.size());
+  CHECK(this->reports[0].verdict == Verdict::kMayHaveRun);
+  CHECK_FALSE(this->placer.OnReport(HostId("a"), this->Report(2)));
+}
--- a/tests/protocol/message_codec_test.cc
+++ b/tests/protocol/message_codec_test.cc
@@ -3,7 +3,9 @@
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
+#include <memory>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -27,6 +29,10 @@
   return {base::Sequence(7), base::Sequence(5), AssignTasks{base::Epoch(3), {task}}};
 }
 
+consensus::RaftMessage RaftMessageWith(consensus::RaftMessage::Body body) {
+  return {base::HostId("a"), base::HostId("b"), base::Term(2), std::move(body)};
+}
+
 }  // namespace
 
 TEST_GROUP(MessageCodec){};
@@ -54,7 +60,19 @@
       protocol::HeartbeatAck{},
       protocol::TaskResults{{protocol::TaskResult{}}},
       protocol::CancelTasks{base::SubmissionId("x")},
-      protocol::ForwardAnnouncement{}};
+      protocol::ForwardAnnouncement{},
+      protocol::GroupMessage{RaftMessageWith(consensus::VoteRequest{})},
+      protocol::GroupMessage{RaftMessageWith(consensus::VoteAnswer{})},
+      protocol::GroupMessage{RaftMessageWith(consensus::AppendRequest{})},
+      protocol::GroupMessage{RaftMessageWith(consensus::AppendAnswer{})},
+      protocol::GroupMessage{RaftMessageWith(consensus::SnapshotChunk{})},
+      protocol::GroupMessage{RaftMessageWith(consensus::SnapshotAnswer{})},
+      protocol::GroupMessage{RaftMessageWith(consensus::TimeoutNow{})},
+      jobs::JobRecord{},
+      jobs::RecordAck{},
+      protocol::ForwardSubmission{},
+      protocol::SubmissionAnswer{},
+      protocol::CancelSubmission{}};
   for (const protocol::Message& message : messages) {
     const auto decoded = Decode(Encode({base::Sequence(0), base::Sequence(0), message}));
     CHECK_TRUE(decoded.has_value());
@@ -62,6 +80,53 @@
   }
 }
 
+// Guards against entries of the replicated log that change between voters.
+TEST(MessageCodec, LogEntriesSurviveEncoding) {
+  consensus::LogEntry entry;
+  entry.index = base::LogIndex(~0ULL);
+  entry.term = base::Term(3);
+  entry.kind = consensus::LogEntry::Kind::kMembership;
+  entry.command = std::string("\x00\xff", 2);
+  entry.membership.voters = {base::HostId("a"), base::HostId("b")};
+  entry.membership.learners = {base::HostId("c")};
+  consensus::AppendRequest request;
+  request.entries = {entry};
+  request.confirmed = {base::Incarnation(9), base::TimePoint(std::chrono::seconds(7))};
+  const auto decoded = Decode(Encode(
+      {base::Sequence(0), base::Sequence(0), protocol::GroupMessage{RaftMessageWith(request)}}));
+  CHECK_TRUE(decoded.has_value());
+  const auto& body = std::get<consensus::AppendRequest>(
+      std::get<protocol::GroupMessage>(decoded->message).raft.body);
+  CHECK(body.entries == request.entries);
+  CHECK(body.confirmed == request.confirmed);
+}
+
+// Guards against a backup that keeps another job than its owner accepted: a new owner would start
+// other tasks, or tasks that have started.
+TEST(MessageCodec, JobRecordsSurviveEncoding) {
+  auto submission = std::make_shared<jobs::Submission>();
+  submission->id = base::SubmissionId("ba:1-1");
+  submission->team = base::TeamId("tags");
+  submission->time_left = std::chrono::seconds(3);
+  submission->tasks = {{base::TaskKind("check"), std::string("\x00{", 2), {}, {}, true}};
+  jobs::JobRecord record;
+  record.epoch = base::Epoch(4);
+  record.owner = {base::HostId("a"), base::Incarnation(~0ULL)};
+  record.acceptance = base::Sequence(5);
+  record.id = submission->id;
+  record.submission = submission;
+  record.starts = {base::TaskIndex(0), base::TaskIndex(199)};
+  record.results = {{base::TaskIndex(1), base::Verdict::kRan, true, "x"}};
+  const auto decoded = Decode(Encode({base::Sequence(1), base::Sequence(0), record}));
+  CHECK_TRUE(decoded.has_value());
+  const auto& copy = std::get<jobs::JobRecord>(decoded->message);
+  CHECK(copy.owner == record.owner);
+  CHECK(copy.starts == record.starts);
+  CHECK(jobs::ContentHash(*copy.submission) == jobs::ContentHash(*submission));
+  CHECK(copy.submission->time_left == submission->time_left);
+  CHECK(copy.results.at(0).body == "x");
+}
+
 // Guards against a stack overflow by nested arrays from an unauthenticated connection.
 TEST(MessageCodec, DeepNestingIsRefused) {
   CHECK_FALSE(Decode(std::string(4UL * 1024 * 1024, '\x81')).has_value());
