--- a/bench/fake_target/main.cc
+++ b/bench/fake_target/main.cc
@@ -5,6 +5,8 @@
 #include <signal.h>
 
 #include <cstdio>
+#include <cstdlib>
+#include <fstream>
 #include <memory>
 #include <string>
 #include <vector>
@@ -65,7 +67,13 @@
   int signal = 0;
   sigwait(&signals, &signal);
   size_t started = 0;
+  // With this variable, the payload of each start is written to the file that it names.
+  const char* starts_file = std::getenv("FAKE_TARGET_STARTS");
+  std::ofstream starts(starts_file == nullptr ? "" : starts_file);
   for (const auto& target : targets) {
+    for (const std::string& payload : target->Started()) {
+      starts << payload << "\n";
+    }
     started += target->Started().size();
     fmt::print("{} started {} tasks, at most {} at once\n", target->Address(),
                target->Started().size(), target->MostAtOnce());
