tests: Make an open link between entry hosts silent

An open connection that a device between two hosts has lost track of must be replaced. A proxy in the tests keeps it open and passes nothing.

--- a/tests/peers/peer_network_test.cc
+++ b/tests/peers/peer_network_test.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "tests/support/free_port.h"
+#include "tests/support/silent_proxy.h"
 
 using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
 using base::HostId;
@@ -21,13 +22,15 @@
 class End {
  public:
   End(const std::string& name, uint64_t incarnation, const std::string& secret,
-      const std::string& listen, const std::string& other, const std::string& other_address) {
+      const std::string& listen, const std::string& other, const std::string& other_address,
+      base::Duration host_timeout = std::chrono::seconds(1)) {
     peers::PeerSettings settings;
     settings.host = HostId(name);
     settings.data_centre = base::DataCentreId("ba");
     settings.incarnation = base::Incarnation(incarnation);
     settings.listen = base::NetworkAddress(listen);
     settings.secret = secret;
+    settings.host_timeout = host_timeout;
     settings.peers = {{HostId(other), settings.data_centre, base::NetworkAddress(other_address)}};
     PeerNetwork::Hooks hooks;
     hooks.now = base::SteadyClock();
@@ -139,3 +142,29 @@
   first->WaitFor([&] { return first->HasFault("wrong shared secret"); });
   LONGS_EQUAL(0, first->ups);
 }
+
+// Guards against a host that waits for ever on an open connection that has gone silent while new
+// ones work, and against messages that are lost or doubled when it is replaced.
+TEST(PeerNetwork, SilentLinkIsReplacedAndLosesNothing) {
+  constexpr int kMessages = 100;
+  testing::SilentProxy proxy(this->second_address);
+  // Long enough that a busy machine doesn't count the other host as lost in between.
+  End first("a", 1, "secret", this->first_address, "b", proxy.Address(), std::chrono::minutes(5));
+  auto second = this->Second(2);
+  first.WaitFor([&] { return first.ups == 1; });
+  for (int i = 0; i < kMessages; ++i) {
+    if (i == kMessages / 2) {
+      proxy.Silence();
+    }
+    CHECK_TRUE(first.network->Send(HostId("b"),
+                                   protocol::CancelTasks{base::SubmissionId(std::to_string(i))}));
+  }
+  second->WaitFor([&] { return second->received.size() >= kMessages; });
+  first.network->WaitUntilDelivered(std::chrono::minutes(1));
+  LONGS_EQUAL(kMessages, second->received.size());
+  for (int i = 0; i < kMessages; ++i) {
+    CHECK(second->received[i] == std::to_string(i));
+  }
+  CHECK_TRUE(proxy.Accepted() >= 2);
+  LONGS_EQUAL(0, first.losses);
+}
--- /dev/null
+++ b/tests/support/silent_proxy.cc
@@ -0,0 +1,107 @@
+#include "tests/support/silent_proxy.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace sapphirecrank::testing {
+
+namespace {
+
+constexpr int kPollMilliseconds = 20;
+constexpr int kBacklog = 16;
+constexpr size_t kBufferSize = 65536;
+
+sockaddr_in LoopbackAddress(int port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<uint16_t>(port));
+  return address;
+}
+
+}  // namespace
+
+SilentProxy::SilentProxy(const std::string& forward_to)
+    : forward_to(forward_to), listener(socket(AF_INET, SOCK_STREAM, 0)) {
+  sockaddr_in address = LoopbackAddress(0);
+  socklen_t length = sizeof(address);
+  (void)bind(this->listener, reinterpret_cast<sockaddr*>(&address), length);
+  (void)listen(this->listener, kBacklog);
+  getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &length);
+  this->port = ntohs(address.sin_port);
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+SilentProxy::~SilentProxy() {
+  this->stopping = true;
+  this->thread.join();
+  for (const Pair& pair : this->pairs) {
+    close(pair.client);
+    close(pair.server);
+  }
+  close(this->listener);
+}
+
+std::string SilentProxy::Address() const { return "127.0.0.1:" + std::to_string(this->port); }
+
+void SilentProxy::Silence() {
+  std::lock_guard<std::mutex> lock(this->mutex);
+  for (Pair& pair : this->pairs) {
+    pair.is_silent = true;
+  }
+}
+
+void SilentProxy::Run() {
+  while (!this->stopping) {
+    std::vector<pollfd> waiting = {{this->listener, POLLIN, 0}};
+    {
+      std::lock_guard<std::mutex> lock(this->mutex);
+      for (const Pair& pair : this->pairs) {
+        if (!pair.is_silent) {
+          waiting.push_back({pair.client, POLLIN, 0});
+          waiting.push_back({pair.server, POLLIN, 0});
+        }
+      }
+    }
+    poll(waiting.data(), waiting.size(), kPollMilliseconds);
+    if ((waiting[0].revents & POLLIN) != 0) {
+      this->Accept();
+    }
+    std::lock_guard<std::mutex> lock(this->mutex);
+    for (Pair& pair : this->pairs) {
+      const bool is_open = pair.is_silent ||
+                           (Forward(pair.client, pair.server) && Forward(pair.server, pair.client));
+      // An ended pair is only closed with the proxy; until then nothing passes.
+      pair.is_silent = pair.is_silent || !is_open;
+    }
+  }
+}
+
+void SilentProxy::Accept() {
+  const int client = accept(this->listener, nullptr, nullptr);
+  const int server = socket(AF_INET, SOCK_STREAM, 0);
+  const sockaddr_in address =
+      LoopbackAddress(std::stoi(this->forward_to.substr(this->forward_to.rfind(':') + 1)));
+  if (connect(server, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+    close(client);
+    close(server);
+    return;
+  }
+  ++this->accepted;
+  std::lock_guard<std::mutex> lock(this->mutex);
+  this->pairs.push_back({client, server});
+}
+
+bool SilentProxy::Forward(int from, int to) {
+  char buffer[kBufferSize];
+  const ssize_t length = recv(from, buffer, sizeof(buffer), MSG_DONTWAIT);
+  if (length < 0) {
+    return errno == EAGAIN || errno == EWOULDBLOCK;
+  }
+  return length > 0 && send(to, buffer, static_cast<size_t>(length), MSG_NOSIGNAL) == length;
+}
+
+}  // namespace sapphirecrank::testing
--- /dev/null
+++ b/tests/support/silent_proxy.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sapphirecrank::testing {
+
+/// Forwards TCP connections to an address, and can make the open ones silent for good: they stay
+/// open, but nothing passes any more, as when a device between two hosts has lost track of them.
+///
+/// Thread safety: all methods may be called from any thread.
+class SilentProxy {
+ public:
+  /// Listens on a free loopback port.
+  explicit SilentProxy(const std::string& forward_to);
+  ~SilentProxy();
+
+  SilentProxy(const SilentProxy&) = delete;
+  SilentProxy& operator=(const SilentProxy&) = delete;
+
+  /// Returns the address that it listens on.
+  std::string Address() const;
+
+  /// Makes all open connections silent; later ones work.
+  void Silence();
+
+  /// Returns how many connections were accepted.
+  int Accepted() const { return this->accepted; }
+
+ private:
+  struct Pair {
+    int client;
+    int server;
+    bool is_silent = false;
+  };
+
+  void Run();
+  void Accept();
+  /// Moves what can be read from one side to the other. False if a side has ended.
+  static bool Forward(int from, int to);
+
+  std::string forward_to;
+  int listener;
+  int port = 0;
+  std::atomic<bool> stopping{false};
+  std::atomic<int> accepted{0};
+  std::mutex mutex;
+  std::vector<Pair> pairs;
+  std::thread thread;
+};
+
+}  // namespace sapphirecrank::testing
