protocol: Forward announcements with the targets' own struct

ForwardAnnouncement repeated each field of targets::TargetAnnouncement, and two functions copied between them. It now holds that struct, as GroupMessage and ForwardSubmission do; the encoding is the same.

--- a/src/entryhost/entry_host.cc
+++ b/src/entryhost/entry_host.cc
@@ -535,7 +535,7 @@
     this->dispatcher.Announce(announcement);
   } else {
     this->metrics.OnMessage(MessageKind::kAnnouncement);
-    this->network.SendUnnumbered(owner, ToMessage(announcement));
+    this->network.SendUnnumbered(owner, protocol::ForwardAnnouncement{announcement});
   }
   return owner;
 }
@@ -620,7 +620,7 @@
   } else if (const auto* cancel_job = std::get_if<protocol::CancelSubmission>(&message)) {
     this->jobs.OnCancel(cancel_job->submission);
   } else if (const auto* forwarded = std::get_if<protocol::ForwardAnnouncement>(&message)) {
-    const targets::TargetAnnouncement announcement = FromMessage(*forwarded);
+    const targets::TargetAnnouncement& announcement = forwarded->announcement;
     if (this->OwnerOf(announcement.id) == this->settings.host) {
       this->dispatcher.Announce(announcement);
     } else {
--- a/src/entryhost/message_translation.cc
+++ b/src/entryhost/message_translation.cc
@@ -4,7 +4,6 @@
 
 using dispatch::Assignment;
 using dispatch::TaskReport;
-using targets::TargetAnnouncement;
 
 protocol::AssignTasks ToMessage(const std::vector<Assignment>& tasks, base::TimePoint now) {
   protocol::AssignTasks message;
@@ -59,19 +58,6 @@
   return reports;
 }
 
-protocol::ForwardAnnouncement ToMessage(const TargetAnnouncement& announcement) {
-  return {announcement.id,          announcement.kind,     announcement.address,
-          announcement.data_centre, announcement.rack,     announcement.slots,
-          announcement.connections, announcement.capacity, announcement.leaving,
-          announcement.running};
-}
-
-TargetAnnouncement FromMessage(const protocol::ForwardAnnouncement& message) {
-  return {message.id,      message.kind,   message.address,     message.data_centre,
-          message.rack,    message.slots,  message.connections, message.capacity,
-          message.leaving, message.running};
-}
-
 protocol::KindLoad ToMessage(base::TargetKind kind, const scheduling::LoadSummary& load) {
   return {kind,
           load.free_slots,
--- a/src/entryhost/message_translation.h
+++ b/src/entryhost/message_translation.h
@@ -6,11 +6,9 @@
 #include "dispatch/assignment.h"
 #include "dispatch/task_report.h"
 #include "protocol/assign_tasks.h"
-#include "protocol/forward_announcement.h"
 #include "protocol/heartbeat.h"
 #include "protocol/task_results.h"
 #include "scheduling/load_summary.h"
-#include "targets/target_announcement.h"
 
 namespace sapphirecrank::entryhost {
 
@@ -25,9 +23,6 @@
 protocol::TaskResults ToMessage(const std::vector<dispatch::TaskReport>& reports);
 std::vector<dispatch::TaskReport> FromMessage(const protocol::TaskResults& message);
 
-protocol::ForwardAnnouncement ToMessage(const targets::TargetAnnouncement& announcement);
-targets::TargetAnnouncement FromMessage(const protocol::ForwardAnnouncement& message);
-
 protocol::KindLoad ToMessage(base::TargetKind kind, const scheduling::LoadSummary& load);
 scheduling::LoadSummary FromMessage(const protocol::KindLoad& load);
 
--- a/src/protocol/message_codec.cc
+++ b/src/protocol/message_codec.cc
@@ -186,41 +186,42 @@
 
 constexpr const char* kForwardAnnouncement = "forward_announcement";
 json EncodeBody(const ForwardAnnouncement& message) {
+  const targets::TargetAnnouncement& announcement = message.announcement;
   json running = json::array();
-  for (const base::AttemptId& attempt : message.running) {
+  for (const base::AttemptId& attempt : announcement.running) {
     running.push_back(Value(attempt));
   }
   return {{"type", kForwardAnnouncement},
-          {"id", Value(message.id)},
-          {"kind", Number(message.kind)},
-          {"address", Value(message.address)},
-          {"data_centre", Value(message.data_centre)},
-          {"rack", Value(message.rack)},
-          {"slots", Value(message.slots)},
-          {"connections", Value(message.connections)},
-          {"capacity", EncodeResources(message.capacity)},
-          {"leaving", message.leaving},
+          {"id", Value(announcement.id)},
+          {"kind", Number(announcement.kind)},
+          {"address", Value(announcement.address)},
+          {"data_centre", Value(announcement.data_centre)},
+          {"rack", Value(announcement.rack)},
+          {"slots", Value(announcement.slots)},
+          {"connections", Value(announcement.connections)},
+          {"capacity", EncodeResources(announcement.capacity)},
+          {"leaving", announcement.leaving},
           {"running", std::move(running)}};
 }
 Message DecodeForwardAnnouncement(FieldReader& reader) {
-  ForwardAnnouncement message;
-  reader.Read("id", message.id);
-  message.kind = reader.Choice("kind", base::TargetKind::kWorker);
-  reader.Read("address", message.address);
-  reader.Read("data_centre", message.data_centre);
-  reader.Read("rack", message.rack);
-  reader.Read("slots", message.slots);
-  reader.Read("connections", message.connections);
-  message.capacity = DecodeResources(reader, "capacity");
-  message.leaving = reader.Flag("leaving");
+  targets::TargetAnnouncement announcement;
+  reader.Read("id", announcement.id);
+  announcement.kind = reader.Choice("kind", base::TargetKind::kWorker);
+  reader.Read("address", announcement.address);
+  reader.Read("data_centre", announcement.data_centre);
+  reader.Read("rack", announcement.rack);
+  reader.Read("slots", announcement.slots);
+  reader.Read("connections", announcement.connections);
+  announcement.capacity = DecodeResources(reader, "capacity");
+  announcement.leaving = reader.Flag("leaving");
   for (const json& attempt : reader.Array("running")) {
     if (!attempt.is_string()) {
       reader.SetFault("running");
       break;
     }
-    message.running.emplace_back(attempt.get<std::string>());
+    announcement.running.emplace_back(attempt.get<std::string>());
   }
-  return message;
+  return ForwardAnnouncement{std::move(announcement)};
 }
 
 struct Decoder {
