--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -21,10 +21,29 @@
 /// IP number and port, for example "127.0.0.1:8080".
 using NetworkAddress = StrongId<struct NetworkAddressTag>;
 
+/// A pool of targets that run the same sort of tasks.
+using ServiceId = StrongId<struct ServiceIdTag>;
+/// A named entrance for jobs, with its own priority and bounds.
+using QueueId = StrongId<struct QueueIdTag>;
 /// Position of a task in its job, from 0.
 using TaskIndex = StrongNumber<struct TaskIndexTag, uint32_t>;
 /// Number of an agreed view of a data centre; fences records and assignments of older views.
 using Epoch = StrongNumber<struct EpochTag, uint64_t>;
+/// Orders the owners of a target: the target does nothing for an owner with a lower token than it
+/// has seen.
+using FencingToken = StrongNumber<struct FencingTokenTag, uint64_t>;
+/// Numbers the starts of one task, from 1.
+using RunNumber = StrongNumber<struct RunNumberTag, uint32_t>;
+/// Numbers the repetitions of a job, from 0.
+using OccurrenceNumber = StrongNumber<struct OccurrenceNumberTag, uint32_t>;
+/// Position of a step in its job, from 0.
+using StepIndex = StrongNumber<struct StepIndexTag, uint32_t>;
+/// Numbers the parts into which a gateway divides one job.
+using PartNumber = StrongNumber<struct PartNumberTag, uint32_t>;
+/// Rank of a queue; 0 comes first.
+using Priority = StrongNumber<struct PriorityTag, int32_t>;
+/// How often a task may be tried.
+using AttemptCount = StrongNumber<struct AttemptCountTag, int32_t>;
 /// Election term of a replicated log.
 using Term = StrongNumber<struct TermTag, uint64_t>;
 /// Position in a replicated log, from 1.
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -3,6 +3,17 @@
 namespace sapphirecrank::cli {
 
 /// Subcommands of the program.
-enum class Command { kNone, kRun, kCheck, kSubmit, kCancel, kStatus, kDrain, kVersion };
+enum class Command {
+  kNone,
+  kRun,
+  kGateway,
+  kAllocator,
+  kCheck,
+  kSubmit,
+  kCancel,
+  kStatus,
+  kDrain,
+  kVersion
+};
 
 }  // namespace sapphirecrank::cli
--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -71,6 +71,10 @@
   switch (options->command) {
     case Command::kRun:
       return this->RunHost(*options);
+    case Command::kGateway:
+      return this->RunClusterHost(*options, this->hooks.run_gateway);
+    case Command::kAllocator:
+      return this->RunClusterHost(*options, this->hooks.run_allocator);
     case Command::kCheck:
       return this->Check(*options);
     case Command::kSubmit:
@@ -99,6 +103,18 @@
   return ended ? ExitCode::kOk : this->Fault(options, ended.error(), ExitCode::kFailed);
 }
 
+ExitCode CommandLine::RunClusterHost(
+    const CommandOptions& options,
+    const std::function<base::Result<void>(const std::string&)>& run) const {
+  const auto ended = run(options.settings_file);
+  if (ended) {
+    return ExitCode::kOk;
+  }
+  const bool is_faulty = ended.error().code == base::ErrorCode::kInvalidArgument;
+  return this->Fault(options, ended.error(),
+                     is_faulty ? ExitCode::kFaultySettings : ExitCode::kFailed);
+}
+
 ExitCode CommandLine::Check(const CommandOptions& options) const {
   const auto configuration = ConfigurationLoader(this->hooks.files).Load(options.argument);
   if (!configuration) {
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -28,6 +28,9 @@
         call;
     /// Runs an entry host until it is stopped.
     std::function<base::Result<void>(const HostConfiguration&)> run;
+    /// Run a gateway or an allocator with the settings file at a path until it is stopped.
+    std::function<base::Result<void>(const std::string&)> run_gateway;
+    std::function<base::Result<void>(const std::string&)> run_allocator;
     /// Writes to standard output and standard error.
     std::function<void(const std::string&)> print;
     std::function<void(const std::string&)> print_error;
@@ -40,6 +43,8 @@
 
  private:
   ExitCode RunHost(const CommandOptions& options) const;
+  ExitCode RunClusterHost(const CommandOptions& options,
+                          const std::function<base::Result<void>(const std::string&)>& run) const;
   ExitCode Check(const CommandOptions& options) const;
   ExitCode Submit(const CommandOptions& options) const;
   ExitCode Cancel(const CommandOptions& options) const;
--- a/src/cli/option_parser.cc
+++ b/src/cli/option_parser.cc
@@ -28,6 +28,10 @@
 
 constexpr CommandForm kForms[] = {
     {"run", Command::kRun, "", true, false, "run an entry host until SIGTERM, then drain it"},
+    {"gateway", Command::kGateway, "", true, false,
+     "run a gateway of the users' platform until SIGTERM, then drain it"},
+    {"allocator", Command::kAllocator, "", true, false,
+     "run an allocator of the users' platform until SIGTERM, then drain it"},
     {"check", Command::kCheck, "FILE", false, false,
      "check a settings file and the files that it names; list all faults"},
     {"submit", Command::kSubmit, "FILE", false, true,
--- /dev/null
+++ b/src/cluster/catalog.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "cluster/queue.h"
+
+namespace sapphirecrank::cluster {
+
+/// The queues and services of one version of the configuration.
+struct Catalog {
+  base::Version version;
+  std::vector<Queue> queues;
+  std::vector<base::ServiceId> services;
+
+  /// Returns the queue with the longest prefix that fits, or null. Thread safety: pure.
+  const Queue* Find(const std::string& host, const std::string& path) const;
+};
+
+}  // namespace sapphirecrank::cluster
--- /dev/null
+++ b/src/cluster/cluster_state.cc
@@ -0,0 +1,91 @@
+#include "cluster/cluster_state.h"
+
+#include <utility>
+
+#include "storage/byte_reader.h"
+#include "storage/byte_writer.h"
+
+namespace sapphirecrank::cluster {
+
+namespace {
+
+// First byte of a command.
+constexpr char kConfigurationCommand = 'c';
+constexpr char kViewCommand = 'v';
+
+std::string EncodeRecord(const ConfigurationRecord& record) {
+  storage::ByteWriter writer;
+  writer.PutU64(record.version.value());
+  writer.PutString(record.document);
+  return writer.Take();
+}
+
+ConfigurationRecord TakeRecord(storage::ByteReader& reader) {
+  ConfigurationRecord record;
+  record.version = base::Version(reader.TakeU64());
+  record.document = reader.TakeString();
+  return record;
+}
+
+}  // namespace
+
+ClusterState::ClusterState(Hooks hooks)
+    : hooks(std::move(hooks)),
+      agreement(
+          {this->hooks.now, this->hooks.live_members, this->hooks.is_leader,
+           [this](const std::string& command) { this->hooks.propose(kViewCommand + command); },
+           [this](base::Epoch epoch, const std::vector<ClusterView::Member>& members) {
+             this->current = {epoch, members};
+             this->hooks.on_change();
+           }}) {}
+
+std::string ClusterState::CommandFor(const ConfigurationRecord& record) {
+  return kConfigurationCommand + EncodeRecord(record);
+}
+
+void ClusterState::Tick() { this->agreement.Tick(); }
+
+void ClusterState::Apply(const std::string& command) {
+  if (command.empty()) {
+    return;
+  }
+  if (command.front() == kViewCommand) {
+    this->agreement.Apply(command.substr(1));
+    return;
+  }
+  const std::string body = command.substr(1);
+  storage::ByteReader reader(body);
+  ConfigurationRecord proposed = TakeRecord(reader);
+  if (reader.ok() && proposed.version > this->record.version) {
+    this->record = std::move(proposed);
+    this->hooks.on_change();
+  }
+}
+
+std::string ClusterState::TakeSnapshot() const {
+  storage::ByteWriter writer;
+  writer.PutString(EncodeRecord(this->record));
+  writer.PutString(this->agreement.TakeSnapshot());
+  return writer.Take();
+}
+
+void ClusterState::Restore(const std::string& state) {
+  if (state.empty()) {
+    return;
+  }
+  storage::ByteReader reader(state);
+  const std::string stored = reader.TakeString();
+  const std::string agreed = reader.TakeString();
+  if (!reader.ok()) {
+    return;
+  }
+  storage::ByteReader record_reader(stored);
+  ConfigurationRecord kept = TakeRecord(record_reader);
+  if (record_reader.ok() && kept.version > this->record.version) {
+    this->record = std::move(kept);
+    this->hooks.on_change();
+  }
+  this->agreement.Restore(agreed);
+}
+
+}  // namespace sapphirecrank::cluster
--- /dev/null
+++ b/src/cluster/cluster_state.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "cluster/cluster_view.h"
+#include "cluster/configuration_record.h"
+#include "membership/view_agreement.h"
+
+namespace sapphirecrank::cluster {
+
+/// The replicated state of a cluster: the configuration in force and the view of its allocators.
+///
+/// Of configurations the highest version wins; one that isn't higher changes nothing. Thread
+/// safety: none.
+class ClusterState {
+ public:
+  /// Behaviour handed in; all members must be set.
+  struct Hooks {
+    base::Clock now;
+    /// Allocators that this host reaches, itself among them.
+    std::function<std::vector<ClusterView::Member>()> live_members;
+    std::function<bool()> is_leader;
+    /// Proposes a command; it may be lost.
+    std::function<void(std::string)> propose;
+    /// The state has changed.
+    std::function<void()> on_change;
+  };
+
+  explicit ClusterState(Hooks hooks);
+
+  /// Returns the command that puts a configuration in force.
+  static std::string CommandFor(const ConfigurationRecord& record);
+
+  /// Proposes a view if one is due. To be called several times a second.
+  void Tick();
+
+  /// Applies a committed command. One that can't be decoded is ignored.
+  void Apply(const std::string& command);
+
+  std::string TakeSnapshot() const;
+  void Restore(const std::string& state);
+
+  const ConfigurationRecord& configuration() const { return this->record; }
+  const ClusterView& view() const { return this->current; }
+
+ private:
+  Hooks hooks;
+  ConfigurationRecord record;
+  ClusterView current;
+  membership::ViewAgreement agreement;
+};
+
+}  // namespace sapphirecrank::cluster
--- /dev/null
+++ b/src/cluster/cluster_view.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <vector>
+
+#include "base/ids.h"
+#include "membership/view_agreement.h"
+
+namespace sapphirecrank::cluster {
+
+/// The allocators that own targets, as agreed. The epoch is the fencing token of all of them.
+struct ClusterView {
+  using Member = membership::ViewAgreement::Member;
+
+  base::Epoch epoch;
+  std::vector<Member> members;
+
+  /// Returns the owner of a target of `data_centre`, or null if there are no members: one of the
+  /// members in that data centre, or one of all if it has none. Thread safety: pure.
+  const Member* OwnerOf(const base::TargetId& target, const base::DataCentreId& data_centre) const;
+};
+
+}  // namespace sapphirecrank::cluster
--- /dev/null
+++ b/src/cluster/membership_planner.cc
@@ -0,0 +1,79 @@
+#include "cluster/membership_planner.h"
+
+#include "cluster/member_name.h"
+
+namespace sapphirecrank::cluster {
+
+using base::HostId;
+using base::TimePoint;
+using consensus::MembershipChange;
+
+namespace {
+
+// A host repeats its request every second while it isn't a member.
+constexpr base::Duration kRequestLifetime = std::chrono::seconds(3);
+
+}  // namespace
+
+MembershipPlanner::MembershipPlanner(size_t voters, base::Duration replace_after)
+    : voters(voters), replace_after(replace_after) {}
+
+void MembershipPlanner::OnJoinRequest(const HostId& member, TimePoint now) {
+  this->joining[member] = now;
+}
+
+bool MembershipPlanner::IsSuperseded(const HostId& member, TimePoint now) const {
+  for (const auto& [other, asked] : this->joining) {
+    if (other != member && MemberName::HostOf(other) == MemberName::HostOf(member) &&
+        now - asked < kRequestLifetime) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool MembershipPlanner::HasSpareLearner(const consensus::RaftMembership& membership,
+                                        const std::function<bool(const HostId&)>& is_up) const {
+  for (const HostId& learner : membership.learners) {
+    if (is_up(MemberName::HostOf(learner))) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::optional<MembershipChange> MembershipPlanner::Next(
+    const consensus::RaftMembership& membership, TimePoint now,
+    const std::function<bool(const HostId&)>& is_up) {
+  for (const HostId& voter : membership.voters) {
+    auto seen = this->last_up.try_emplace(voter, now).first;
+    if (is_up(MemberName::HostOf(voter))) {
+      seen->second = now;
+    }
+    const bool is_lost =
+        now - seen->second >= this->replace_after && this->HasSpareLearner(membership, is_up);
+    if (this->IsSuperseded(voter, now) || is_lost) {
+      return MembershipChange{MembershipChange::Kind::kRemove, voter};
+    }
+  }
+  for (const auto& [member, asked] : this->joining) {
+    const bool is_member =
+        membership.voters.count(member) > 0 || membership.learners.count(member) > 0;
+    if (!is_member && now - asked < kRequestLifetime) {
+      return MembershipChange{MembershipChange::Kind::kAddLearner, member};
+    }
+  }
+  for (const HostId& learner : membership.learners) {
+    if (this->IsSuperseded(learner, now)) {
+      return MembershipChange{MembershipChange::Kind::kRemove, learner};
+    }
+  }
+  for (const HostId& learner : membership.learners) {
+    if (membership.voters.size() < this->voters && is_up(MemberName::HostOf(learner))) {
+      return MembershipChange{MembershipChange::Kind::kPromote, learner};
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace sapphirecrank::cluster
--- /dev/null
+++ b/src/cluster/queue.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <string>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace sapphirecrank::cluster {
+
+/// An entrance for jobs of one sort, as operators configure it.
+struct Queue {
+  base::QueueId name;
+  /// Host name and beginning of the path of the requests that belong to the queue.
+  std::string host;
+  std::string path_prefix;
+  base::ServiceId service;
+  base::Priority priority;
+  /// Failed runs of a task after which its job fails.
+  base::AttemptCount attempts{1};
+  /// A job is in time if it ends within `stretch` times its longest chain of work and `objective`.
+  double stretch = 1;
+  base::Duration objective{0};
+  /// Longest time for a request.
+  base::Duration timeout{0};
+};
+
+}  // namespace sapphirecrank::cluster
--- /dev/null
+++ b/src/clusterhost/allocator_host.cc
@@ -0,0 +1,371 @@
+#include "clusterhost/allocator_host.h"
+
+#include <fmt/format.h>
+
+#include <thread>
+#include <utility>
+
+#include "base/mutex_lock.h"
+#include "cluster/cluster_update.h"
+#include "cluster/member_name.h"
+#include "clusterhost/peer_setup.h"
+#include "observability/log_field.h"
+#include "observability/logger.h"
+
+namespace sapphirecrank::clusterhost {
+
+using base::HostId;
+using base::MutexLock;
+using cluster::ClusterView;
+
+namespace {
+
+constexpr base::Duration kGroupTick = std::chrono::milliseconds(25);
+constexpr base::Duration kPoolTick = std::chrono::milliseconds(20);
+constexpr base::Duration kRoomInterval = std::chrono::milliseconds(50);
+constexpr base::Duration kDrainPoll = std::chrono::milliseconds(20);
+constexpr base::Duration kDeliveryLimit = std::chrono::milliseconds(500);
+
+std::string NameOf(const runs::RunKey& key) {
+  if (key.task.job.empty()) {
+    return "";
+  }
+  return fmt::format("{}.{}.{}.{}", key.task.job.value(), key.task.occurrence.value(),
+                     key.task.step.value(), key.task.index.value());
+}
+
+}  // namespace
+
+AllocatorHost::AllocatorHost(Settings settings, TargetCalls calls, observability::Logger& logger)
+    : settings(std::move(settings)),
+      self(this->settings.host.peer_listen.value()),
+      now(base::SteadyClock()),
+      logger(logger),
+      pool(this->settings.pool,
+           {this->now, std::move(calls.start), std::move(calls.stop), std::move(calls.look),
+            [this](const runs::PartEnd& end) { this->OnPartEnd(end); },
+            [this](const runs::RunDecision& decision) { this->OnDecision(decision); }}),
+      group(this->MakeGroup()),
+      network(std::make_unique<peers::PeerNetwork>(PeerSettingsOf(this->settings.host),
+                                                   this->PeerHooks())) {}
+
+AllocatorHost::~AllocatorHost() {
+  this->timers.reset();
+  this->network->Stop();
+  this->group->Stop();
+}
+
+std::unique_ptr<ClusterGroup> AllocatorHost::MakeGroup() {
+  ClusterGroup::Hooks hooks;
+  hooks.now = this->now;
+  hooks.live_member = [this](const HostId& host) { return this->LiveMember(host); };
+  hooks.is_up = [this](const HostId& host) {
+    return host == this->self || this->network->IsUp(host);
+  };
+  hooks.send = [this](const consensus::RaftMessage& message) {
+    this->network->SendUnnumbered(cluster::MemberName::HostOf(message.to),
+                                  protocol::GroupMessage{message});
+  };
+  hooks.ask_to_join = [this](const HostId& member) {
+    for (const HostId& host : this->network->UpPeers()) {
+      this->network->SendUnnumbered(host, cluster::JoinRequest{member});
+    }
+  };
+  hooks.on_change = [this](const cluster::ConfigurationRecord& record, const ClusterView& agreed) {
+    this->OnChange(record, agreed);
+  };
+  hooks.on_leader = [this](const HostId& leading) {
+    {
+      MutexLock lock(this->state_mutex);
+      this->leader = leading;
+    }
+    this->logger.Info("group leader changed", {{"leader", leading.value()}});
+  };
+  return std::make_unique<ClusterGroup>(this->settings.group, std::move(hooks));
+}
+
+peers::PeerNetwork::Hooks AllocatorHost::PeerHooks() {
+  peers::PeerNetwork::Hooks hooks;
+  hooks.now = this->now;
+  hooks.on_message = [this](const HostId& from, const protocol::Message& message) {
+    this->OnMessage(from, message);
+  };
+  hooks.on_up = [this](const HostId& host, base::Incarnation incarnation) {
+    this->OnPeerUp(host, incarnation);
+  };
+  hooks.on_lost = [this](const HostId& host) { this->OnPeerLost(host); };
+  hooks.heartbeat = [this] {
+    protocol::Heartbeat heartbeat;
+    MutexLock lock(this->state_mutex);
+    heartbeat.leaving = this->is_leaving;
+    return heartbeat;
+  };
+  hooks.on_fault = [this](const HostId& host, const std::string& reason) {
+    this->logger.Warning("link fault", {{"host", host.value()}, {"reason", reason}});
+  };
+  return hooks;
+}
+
+base::Result<void> AllocatorHost::Start() {
+  const auto opened = this->group->Open();
+  if (!opened) {
+    return opened;
+  }
+  const auto started = this->network->Start();
+  if (!started) {
+    return started;
+  }
+  this->timers = std::make_unique<base::TimerQueue>("timers");
+  this->timers->RunEvery(kGroupTick, [this] { this->group->Tick(); });
+  this->timers->RunEvery(kPoolTick, [this] { this->pool.Tick(); });
+  this->timers->RunEvery(kRoomInterval, [this] { this->ReportRoom(); });
+  return {};
+}
+
+void AllocatorHost::Drain() {
+  {
+    MutexLock lock(this->state_mutex);
+    this->is_leaving = true;
+  }
+  this->ReportRoom();
+  const base::TimePoint end = this->now() + this->settings.drain_limit;
+  while (this->pool.PartCount() > 0 && this->now() < end) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  this->group->Leave();
+  this->network->WaitUntilDelivered(kDeliveryLimit);
+}
+
+void AllocatorHost::AddSeeds(const std::vector<base::NetworkAddress>& seeds) {
+  for (const base::NetworkAddress& seed : seeds) {
+    this->network->AddPeer(PeerAt(seed));
+  }
+}
+
+std::optional<ClusterView::Member> AllocatorHost::LiveMember(const HostId& host) {
+  MutexLock lock(this->state_mutex);
+  if (host == this->self) {
+    if (this->is_leaving) {
+      return std::nullopt;
+    }
+    return ClusterView::Member{host, this->settings.host.incarnation,
+                               this->settings.host.data_centre};
+  }
+  auto found = this->up.find(host);
+  if (found == this->up.end() || this->leaving.count(host) > 0) {
+    return std::nullopt;
+  }
+  const base::DataCentreId data_centre = this->network->DataCentreOf(host);
+  if (data_centre.empty()) {
+    return std::nullopt;
+  }
+  return ClusterView::Member{host, found->second, data_centre};
+}
+
+bool AllocatorHost::IsSelf(const ClusterView::Member& member) const {
+  return member.host == this->self && member.incarnation == this->settings.host.incarnation;
+}
+
+const ClusterView::Member* AllocatorHost::OwnerOf(const runs::TargetReport& report) {
+  return this->view.OwnerOf(report.id, report.data_centre);
+}
+
+base::Result<HostId> AllocatorHost::OnReport(const runs::TargetReport& report) {
+  HostId owner;
+  bool is_self = false;
+  {
+    MutexLock lock(this->state_mutex);
+    const ClusterView::Member* found = this->OwnerOf(report);
+    if (found != nullptr) {
+      owner = found->host;
+      is_self = this->IsSelf(*found);
+    }
+  }
+  if (owner.empty()) {
+    return base::Fail(base::ErrorCode::kUnavailable, "no owner is agreed for the target");
+  }
+  this->TakeReport(report);
+  if (!is_self && !this->network->Send(owner, report)) {
+    return base::Fail(base::ErrorCode::kUnavailable, "the target's owner is out of reach");
+  }
+  return owner;
+}
+
+base::Result<void> AllocatorHost::OnLeave(const base::TargetId& target) {
+  runs::TargetReport report;
+  {
+    MutexLock lock(this->state_mutex);
+    auto found = this->targets.find(target);
+    if (found == this->targets.end()) {
+      return {};
+    }
+    report = found->second;
+  }
+  report.left = true;
+  report.draining = true;
+  report.number = report.number.Next();
+  const auto owner = this->OnReport(report);
+  if (!owner) {
+    return tl::make_unexpected(owner.error());
+  }
+  return {};
+}
+
+void AllocatorHost::TakeReport(const runs::TargetReport& report) {
+  bool is_mine = false;
+  base::FencingToken token;
+  {
+    MutexLock lock(this->state_mutex);
+    runs::TargetReport& known = this->targets[report.id];
+    if (report.born < known.born || (report.born == known.born && report.number < known.number)) {
+      return;
+    }
+    known = report;
+    const ClusterView::Member* owner = this->OwnerOf(report);
+    is_mine = owner != nullptr && this->IsSelf(*owner);
+    token = base::FencingToken(this->view.epoch.value());
+  }
+  if (is_mine) {
+    this->pool.OnReport(report, token);
+  }
+}
+
+void AllocatorHost::OnChange(const cluster::ConfigurationRecord& record,
+                             const ClusterView& agreed) {
+  std::vector<std::pair<runs::TargetReport, bool>> affected;
+  bool is_new_view = false;
+  {
+    MutexLock lock(this->state_mutex);
+    is_new_view = agreed.epoch != this->view.epoch;
+    this->configuration = record;
+    this->view = agreed;
+    if (is_new_view) {
+      for (const auto& [id, report] : this->targets) {
+        const ClusterView::Member* owner = this->OwnerOf(report);
+        affected.emplace_back(report, owner != nullptr && this->IsSelf(*owner));
+      }
+    }
+  }
+  if (is_new_view) {
+    this->logger.Info("view agreed", {{"epoch", std::to_string(agreed.epoch.value())},
+                                      {"members", std::to_string(agreed.members.size())}});
+    const base::FencingToken token(agreed.epoch.value());
+    this->pool.SetToken(token);
+    for (const auto& [report, is_mine] : affected) {
+      if (is_mine) {
+        this->pool.OnReport(report, token);
+      } else {
+        this->pool.Release(report.id, report.service);
+      }
+    }
+  } else {
+    this->logger.Info("configuration in force",
+                      {{"version", std::to_string(record.version.value())}});
+  }
+  for (const HostId& host : this->network->UpPeers()) {
+    this->SendUpdate(host);
+  }
+}
+
+void AllocatorHost::SendUpdate(const HostId& host) {
+  cluster::ClusterUpdate update;
+  {
+    MutexLock lock(this->state_mutex);
+    update.configuration = this->configuration;
+    update.view = this->view;
+  }
+  for (const ClusterView::Member& member : update.view.members) {
+    update.allocators.emplace_back(member.host.value());
+  }
+  // A host that counts as lost gets the state when it answers again.
+  (void)this->network->Send(host, std::move(update));
+}
+
+void AllocatorHost::OnPeerUp(const HostId& host, base::Incarnation incarnation) {
+  {
+    MutexLock lock(this->state_mutex);
+    this->up[host] = incarnation;
+    this->leaving.erase(host);
+    this->last_room = {};
+  }
+  this->logger.Info("host in reach", {{"host", host.value()}});
+  this->SendUpdate(host);
+}
+
+void AllocatorHost::OnPeerLost(const HostId& host) {
+  {
+    MutexLock lock(this->state_mutex);
+    this->up.erase(host);
+  }
+  this->logger.Warning("host out of reach", {{"host", host.value()}});
+  this->pool.CancelAllOf(host);
+}
+
+void AllocatorHost::OnMessage(const HostId& from, const protocol::Message& message) {
+  if (const auto* part = std::get_if<runs::TaskPart>(&message)) {
+    this->pool.Place(*part);
+  } else if (const auto* cancel = std::get_if<runs::PartCancel>(&message)) {
+    this->pool.Cancel(from, cancel->job);
+  } else if (const auto* raft = std::get_if<protocol::GroupMessage>(&message)) {
+    this->group->Receive(raft->raft);
+  } else if (const auto* report = std::get_if<runs::TargetReport>(&message)) {
+    this->TakeReport(*report);
+  } else if (const auto* join = std::get_if<cluster::JoinRequest>(&message)) {
+    this->group->OnJoinRequest(join->member);
+  } else if (const auto* heartbeat = std::get_if<protocol::Heartbeat>(&message)) {
+    MutexLock lock(this->state_mutex);
+    if (heartbeat->leaving) {
+      this->leaving.insert(from);
+    }
+  } else if (const auto* update = std::get_if<cluster::ClusterUpdate>(&message)) {
+    this->AddSeeds(update->allocators);
+  }
+}
+
+void AllocatorHost::OnPartEnd(const runs::PartEnd& end) {
+  this->logger.Info("part ended", {{"job", end.key.job.value()},
+                                   {"part", std::to_string(end.key.part.value())},
+                                   {"gateway", end.key.gateway.value()},
+                                   {"outcome", std::to_string(static_cast<int>(end.kind))},
+                                   {"reason", end.reason}});
+  // A gateway that is lost has no caller to answer any more.
+  (void)this->network->Send(end.key.gateway, end);
+}
+
+void AllocatorHost::OnDecision(const runs::RunDecision& decision) {
+  this->logger.Info(decision.what, {{"task", NameOf(decision.key)},
+                                    {"run", std::to_string(decision.key.run.value())},
+                                    {"target", decision.target.value()},
+                                    {"token", std::to_string(decision.token.value())},
+                                    {"reason", decision.reason}});
+}
+
+void AllocatorHost::ReportRoom() {
+  runs::RoomReport report;
+  report.data_centre = this->settings.host.data_centre;
+  report.services = this->pool.Room();
+  {
+    MutexLock lock(this->state_mutex);
+    report.leaving = this->is_leaving;
+    if (report == this->last_room) {
+      return;
+    }
+    this->last_room = report;
+  }
+  for (const HostId& host : this->network->UpPeers()) {
+    this->network->SendUnnumbered(host, report);
+  }
+}
+
+void AllocatorHost::Put(cluster::ConfigurationRecord record, ClusterGroup::OnPut on_put) {
+  this->group->Put(std::move(record), std::move(on_put));
+}
+
+void AllocatorHost::Read(ClusterGroup::OnRead on_read) { this->group->Read(std::move(on_read)); }
+
+HostId AllocatorHost::Leader() {
+  MutexLock lock(this->state_mutex);
+  return this->leader;
+}
+
+}  // namespace sapphirecrank::clusterhost
--- /dev/null
+++ b/src/clusterhost/allocator_host.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/mutex.h"
+#include "base/result.h"
+#include "base/sharded.h"
+#include "base/thread_annotations.h"
+#include "base/timer_queue.h"
+#include "cluster/cluster_view.h"
+#include "cluster/configuration_record.h"
+#include "clusterhost/cluster_group.h"
+#include "clusterhost/cluster_host_settings.h"
+#include "gateway/job.h"
+#include "peers/peer_network.h"
+#include "runs/run_pool.h"
+
+namespace sapphirecrank::observability {
+class Logger;
+}  // namespace sapphirecrank::observability
+
+namespace sapphirecrank::clusterhost {
+
+/// A host that owns targets, starts tasks on them, and takes part in the group that agrees on the
+/// configuration and on who owns which target.
+///
+/// Thread safety: all methods may be called from any thread, but `Start`, `Drain` and the
+/// destructor by one.
+class AllocatorHost {
+ public:
+  struct Settings {
+    ClusterHostSettings host;
+    ClusterGroup::Settings group;
+    runs::PoolSettings pool;
+    /// How long a host that is told to stop waits for its runs.
+    base::Duration drain_limit = std::chrono::seconds(4);
+  };
+
+  /// Calls of targets; see `runs::RunPool::Hooks`.
+  struct TargetCalls {
+    std::function<void(const runs::StartOrder&, std::function<void(const runs::OrderAnswer&)>)>
+        start;
+    std::function<void(const runs::StopOrder&, std::function<void(const runs::OrderAnswer&)>)> stop;
+    std::function<void(const runs::LookOrder&, std::function<void(const runs::LookAnswer&)>)> look;
+  };
+
+  AllocatorHost(Settings settings, TargetCalls calls, observability::Logger& logger);
+  ~AllocatorHost();
+
+  /// Errors: as `ClusterGroup::Open` and `peers::PeerNetwork::Start`.
+  base::Result<void> Start();
+
+  /// Finishes what runs, hands over leadership and stops the links.
+  void Drain();
+
+  /// Links with further allocators, after a change of the settings.
+  void AddSeeds(const std::vector<base::NetworkAddress>& seeds);
+
+  /// Takes what a target says of itself and returns the host that owns the target; an error
+  /// (`kUnavailable`) if the owner isn't known or out of reach, and the target has to tell another.
+  base::Result<base::HostId> OnReport(const runs::TargetReport& report);
+
+  /// Takes the leave of a target that may have reported elsewhere. Errors as `OnReport`.
+  base::Result<void> OnLeave(const base::TargetId& target);
+
+  void Put(cluster::ConfigurationRecord record, ClusterGroup::OnPut on_put);
+  void Read(ClusterGroup::OnRead on_read);
+
+  /// Returns the host that leads the group, or an empty id.
+  base::HostId Leader();
+
+ private:
+  void OnMessage(const base::HostId& from, const protocol::Message& message);
+  void OnPeerUp(const base::HostId& host, base::Incarnation incarnation);
+  void OnPeerLost(const base::HostId& host);
+  void OnChange(const cluster::ConfigurationRecord& record, const cluster::ClusterView& agreed);
+  void OnPartEnd(const runs::PartEnd& end);
+  void OnDecision(const runs::RunDecision& decision);
+  void TakeReport(const runs::TargetReport& report);
+  std::optional<cluster::ClusterView::Member> LiveMember(const base::HostId& host);
+  const cluster::ClusterView::Member* OwnerOf(const runs::TargetReport& report)
+      REQUIRES(state_mutex);
+  bool IsSelf(const cluster::ClusterView::Member& member) const;
+  void SendUpdate(const base::HostId& host);
+  void ReportRoom();
+  std::unique_ptr<ClusterGroup> MakeGroup();
+  peers::PeerNetwork::Hooks PeerHooks();
+
+  Settings settings;
+  base::HostId self;
+  base::Clock now;
+  observability::Logger& logger;
+
+  base::Mutex state_mutex;
+  cluster::ClusterView view GUARDED_BY(state_mutex);
+  cluster::ConfigurationRecord configuration GUARDED_BY(state_mutex);
+  base::HostId leader GUARDED_BY(state_mutex);
+  std::map<base::HostId, base::Incarnation> up GUARDED_BY(state_mutex);
+  std::set<base::HostId> leaving GUARDED_BY(state_mutex);
+  std::map<base::TargetId, runs::TargetReport> targets GUARDED_BY(state_mutex);
+  runs::RoomReport last_room GUARDED_BY(state_mutex);
+  bool is_leaving GUARDED_BY(state_mutex) = false;
+
+  runs::RunPool pool;
+  std::unique_ptr<ClusterGroup> group;
+  std::unique_ptr<peers::PeerNetwork> network;
+  std::unique_ptr<base::TimerQueue> timers;
+};
+
+}  // namespace sapphirecrank::clusterhost
--- /dev/null
+++ b/src/clusterhost/cluster_group.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "base/time.h"
+#include "base/worker_pool.h"
+#include "cluster/cluster_state.h"
+#include "cluster/membership_planner.h"
+#include "clusterhost/put_outcome.h"
+#include "consensus/raft_message.h"
+
+namespace sapphirecrank::consensus {
+class RaftDisk;
+class RaftNode;
+}  // namespace sapphirecrank::consensus
+
+namespace sapphirecrank::clusterhost {
+
+/// An allocator's part in the group that agrees on the configuration and the view.
+///
+/// The replicated log runs on one thread of its own, because it waits for synced writes. Thread
+/// safety: all methods may be called from any thread; hooks and answers run on the group's thread.
+class ClusterGroup {
+ public:
+  struct Settings {
+    base::HostId self;
+    base::Incarnation incarnation;
+    /// First members of a group that starts for the first time.
+    std::vector<base::HostId> seeds;
+    /// The whole cluster starts for the first time.
+    bool bootstrap = false;
+    std::string data_folder;
+    /// Voters to reach.
+    size_t voters = 3;
+    /// A voter that is out of reach for this long is replaced if another host can.
+    base::Duration replace_after = std::chrono::seconds(10);
+  };
+
+  /// Behaviour handed in; all members must be set.
+  struct Hooks {
+    base::Clock now;
+    /// Describes a host that is in reach and takes work; none if it isn't.
+    std::function<std::optional<cluster::ClusterView::Member>(const base::HostId&)> live_member;
+    std::function<bool(const base::HostId&)> is_up;
+    /// Sends a message to the host that `to` names; it may be lost.
+    std::function<void(const consensus::RaftMessage&)> send;
+    /// Sends a request to join to all allocators in reach.
+    std::function<void(const base::HostId& member)> ask_to_join;
+    std::function<void(const cluster::ConfigurationRecord&, const cluster::ClusterView&)> on_change;
+    /// This host follows another leader, or none if the id is empty.
+    std::function<void(const base::HostId& leader)> on_leader;
+  };
+
+  using OnPut = std::function<void(PutOutcome)>;
+  using OnRead = std::function<void(std::optional<cluster::ConfigurationRecord>)>;
+
+  ClusterGroup(Settings settings, Hooks hooks);
+  ~ClusterGroup();
+
+  /// Opens the stored state. Errors: as `consensus::RaftDisk::Open`. Precondition: called once,
+  /// before the other methods.
+  base::Result<void> Open();
+
+  void Receive(const consensus::RaftMessage& message);
+  void OnJoinRequest(const base::HostId& member);
+
+  /// Does what is due by time. To be called several times in 100 ms.
+  void Tick();
+
+  /// Puts a configuration in force. The outcome is given once it is agreed, or at the latest after
+  /// the time in which the sender turns to another host.
+  void Put(cluster::ConfigurationRecord record, OnPut on_put);
+
+  /// Gives the newest configuration once it is certain that none newer was agreed before the call;
+  /// nothing if that can't be found out in time.
+  void Read(OnRead on_read);
+
+  /// Hands leadership to another host, if this one leads, before it leaves.
+  void Leave();
+
+  /// Stops the thread. Later calls do nothing.
+  void Stop();
+
+ private:
+  struct PendingPut {
+    base::Term term;
+    base::TimePoint deadline;
+    OnPut on_put;
+  };
+  struct PendingRead {
+    base::TimePoint asked;
+    OnRead on_read;
+  };
+
+  base::Result<std::string> LoadStoreName();
+  void Run(std::function<void()> function);
+  void Step();
+  void Apply(const consensus::LogEntry& entry);
+  void ChangeMembership();
+  void AnswerPuts();
+  void AnswerReads();
+  std::vector<cluster::ClusterView::Member> LiveMembers() const;
+
+  Settings settings;
+  Hooks hooks;
+  // Only the group's thread uses what follows, once it is open.
+  base::HostId member;
+  cluster::ClusterState state;
+  cluster::MembershipPlanner planner;
+  std::map<base::LogIndex, PendingPut> puts;
+  std::vector<PendingRead> reads;
+  base::TimePoint next_join;
+  base::HostId leader;
+  std::unique_ptr<consensus::RaftDisk> disk;
+  std::unique_ptr<consensus::RaftNode> node;
+  std::unique_ptr<base::WorkerPool> thread;
+};
+
+}  // namespace sapphirecrank::clusterhost
--- /dev/null
+++ b/src/clusterhost/gateway_host.cc
@@ -0,0 +1,171 @@
+#include "clusterhost/gateway_host.h"
+
+#include <thread>
+#include <utility>
+
+#include "base/mutex_lock.h"
+#include "clusterhost/peer_setup.h"
+#include "observability/log_field.h"
+#include "observability/logger.h"
+#include "runs/part_cancel.h"
+
+namespace sapphirecrank::clusterhost {
+
+using base::HostId;
+using base::MutexLock;
+
+namespace {
+
+constexpr base::Duration kTableTick = std::chrono::milliseconds(25);
+constexpr base::Duration kDrainPoll = std::chrono::milliseconds(20);
+constexpr base::Duration kDeliveryLimit = std::chrono::milliseconds(300);
+
+const char* OutcomeName(gateway::JobAnswer::Kind kind) {
+  switch (kind) {
+    case gateway::JobAnswer::Kind::kCompleted:
+      return "completed";
+    case gateway::JobAnswer::Kind::kFailed:
+      return "failed";
+    case gateway::JobAnswer::Kind::kNotRun:
+      return "not_run";
+    case gateway::JobAnswer::Kind::kUnfinished:
+      return "unfinished";
+  }
+  return "unfinished";
+}
+
+int64_t Milliseconds(base::Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+}  // namespace
+
+GatewayHost::GatewayHost(ClusterHostSettings settings, DecodeCatalog decode,
+                         observability::Logger& logger)
+    : settings(std::move(settings)),
+      decode(std::move(decode)),
+      now(base::SteadyClock()),
+      logger(logger),
+      rooms(this->settings.data_centre),
+      table(HostId(this->settings.peer_listen.value()), this->TableHooks()),
+      network(std::make_unique<peers::PeerNetwork>(PeerSettingsOf(this->settings),
+                                                   this->PeerHooks())) {}
+
+GatewayHost::~GatewayHost() {
+  this->timers.reset();
+  this->network->Stop();
+}
+
+gateway::JobTable::Hooks GatewayHost::TableHooks() {
+  gateway::JobTable::Hooks hooks;
+  hooks.now = this->now;
+  hooks.choose = [this](const base::ServiceId& service, base::TaskCount count) {
+    return this->rooms.Choose(service, count);
+  };
+  hooks.place = [this](const HostId& host, const runs::TaskPart& part) {
+    return this->network->Send(host, part);
+  };
+  hooks.cancel = [this](const HostId& host, const base::SubmissionId& job) {
+    // An allocator that is out of reach stops the jobs of a lost gateway by itself.
+    (void)this->network->Send(host, runs::PartCancel{job});
+  };
+  hooks.on_end = [this](const gateway::Job& job, const gateway::JobAnswer& answer,
+                        base::Duration age) { this->OnJobEnd(job, answer, age); };
+  return hooks;
+}
+
+peers::PeerNetwork::Hooks GatewayHost::PeerHooks() {
+  peers::PeerNetwork::Hooks hooks;
+  hooks.now = this->now;
+  hooks.on_message = [this](const HostId& from, const protocol::Message& message) {
+    this->OnMessage(from, message);
+  };
+  hooks.on_up = [this](const HostId& host, base::Incarnation /*incarnation*/) {
+    this->logger.Info("allocator in reach", {{"host", host.value()}});
+  };
+  hooks.on_lost = [this](const HostId& host) { this->OnLost(host); };
+  hooks.heartbeat = [] { return protocol::Heartbeat(); };
+  hooks.on_fault = [this](const HostId& host, const std::string& reason) {
+    this->logger.Warning("link fault", {{"host", host.value()}, {"reason", reason}});
+  };
+  return hooks;
+}
+
+base::Result<void> GatewayHost::Start() {
+  const auto started = this->network->Start();
+  if (!started) {
+    return started;
+  }
+  this->timers = std::make_unique<base::TimerQueue>("timers");
+  this->timers->RunEvery(kTableTick, [this] { this->table.Tick(); });
+  return {};
+}
+
+void GatewayHost::Drain(base::Duration limit) {
+  const base::TimePoint end = this->now() + limit;
+  while (this->table.size() > 0 && this->now() < end) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  this->network->WaitUntilDelivered(kDeliveryLimit);
+}
+
+void GatewayHost::AddSeeds(const std::vector<base::NetworkAddress>& seeds) {
+  for (const base::NetworkAddress& seed : seeds) {
+    this->network->AddPeer(PeerAt(seed));
+  }
+}
+
+std::shared_ptr<const cluster::Catalog> GatewayHost::CurrentCatalog() {
+  MutexLock lock(this->catalog_mutex);
+  return this->catalog;
+}
+
+bool GatewayHost::IsReady() { return this->CurrentCatalog() != nullptr && this->rooms.HasAny(); }
+
+void GatewayHost::OnMessage(const HostId& from, const protocol::Message& message) {
+  if (const auto* end = std::get_if<runs::PartEnd>(&message)) {
+    this->table.OnPartEnd(from, *end);
+  } else if (const auto* report = std::get_if<runs::RoomReport>(&message)) {
+    this->rooms.OnReport(from, *report);
+  } else if (const auto* update = std::get_if<cluster::ClusterUpdate>(&message)) {
+    this->OnUpdate(*update);
+  }
+}
+
+void GatewayHost::OnUpdate(const cluster::ClusterUpdate& update) {
+  this->AddSeeds(update.allocators);
+  const auto current = this->CurrentCatalog();
+  const base::Version known = current == nullptr ? base::Version() : current->version;
+  if (update.configuration.version <= known) {
+    return;
+  }
+  auto decoded = this->decode(update.configuration);
+  const std::string version = std::to_string(update.configuration.version.value());
+  if (!decoded) {
+    this->logger.Error("configuration can't be read",
+                       {{"version", version}, {"reason", decoded.error().message}});
+    return;
+  }
+  {
+    MutexLock lock(this->catalog_mutex);
+    this->catalog = std::make_shared<const cluster::Catalog>(std::move(*decoded));
+  }
+  this->logger.Info("configuration in force", {{"version", version}});
+}
+
+void GatewayHost::OnLost(const HostId& host) {
+  this->logger.Warning("allocator out of reach", {{"host", host.value()}});
+  this->rooms.OnLost(host);
+  this->table.OnAllocatorLost(host);
+}
+
+void GatewayHost::OnJobEnd(const gateway::Job& job, const gateway::JobAnswer& answer,
+                           base::Duration age) {
+  this->logger.Info("job ended", {{"job", job.id.value()},
+                                  {"queue", job.queue.value()},
+                                  {"outcome", OutcomeName(answer.kind)},
+                                  {"age_ms", std::to_string(Milliseconds(age))},
+                                  {"reason", answer.reason}});
+}
+
+}  // namespace sapphirecrank::clusterhost
--- /dev/null
+++ b/src/clusterhost/gateway_host.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/mutex.h"
+#include "base/result.h"
+#include "base/thread_annotations.h"
+#include "base/timer_queue.h"
+#include "cluster/catalog.h"
+#include "cluster/cluster_update.h"
+#include "clusterhost/cluster_host_settings.h"
+#include "gateway/allocator_rooms.h"
+#include "gateway/job_table.h"
+#include "peers/peer_network.h"
+
+namespace sapphirecrank::observability {
+class Logger;
+}  // namespace sapphirecrank::observability
+
+namespace sapphirecrank::clusterhost {
+
+/// A host that takes jobs from callers and places their tasks with allocators.
+///
+/// Thread safety: all methods may be called from any thread, but `Start`, `Drain` and the
+/// destructor by one.
+class GatewayHost {
+ public:
+  /// Reads the queues and services from a configuration's document.
+  using DecodeCatalog =
+      std::function<base::Result<cluster::Catalog>(const cluster::ConfigurationRecord&)>;
+
+  GatewayHost(ClusterHostSettings settings, DecodeCatalog decode, observability::Logger& logger);
+  ~GatewayHost();
+
+  /// Errors: as `peers::PeerNetwork::Start`.
+  base::Result<void> Start();
+
+  /// Waits until all jobs have their answer, for `limit` at most.
+  void Drain(base::Duration limit);
+
+  /// Links with further allocators, after a change of the settings.
+  void AddSeeds(const std::vector<base::NetworkAddress>& seeds);
+
+  /// Returns the configuration in force, or null if there is none yet.
+  std::shared_ptr<const cluster::Catalog> CurrentCatalog();
+
+  /// Returns the jobs in hand.
+  gateway::JobTable& jobs() { return this->table; }
+
+  /// Tells whether jobs can be served: there is a configuration and an allocator.
+  bool IsReady();
+
+ private:
+  void OnMessage(const base::HostId& from, const protocol::Message& message);
+  void OnUpdate(const cluster::ClusterUpdate& update);
+  void OnLost(const base::HostId& host);
+  void OnJobEnd(const gateway::Job& job, const gateway::JobAnswer& answer, base::Duration age);
+  gateway::JobTable::Hooks TableHooks();
+  peers::PeerNetwork::Hooks PeerHooks();
+
+  ClusterHostSettings settings;
+  DecodeCatalog decode;
+  base::Clock now;
+  observability::Logger& logger;
+
+  base::Mutex catalog_mutex;
+  std::shared_ptr<const cluster::Catalog> catalog GUARDED_BY(catalog_mutex);
+
+  gateway::AllocatorRooms rooms;
+  gateway::JobTable table;
+  std::unique_ptr<peers::PeerNetwork> network;
+  std::unique_ptr<base::TimerQueue> timers;
+};
+
+}  // namespace sapphirecrank::clusterhost
--- /dev/null
+++ b/src/clusterhost/peer_setup.cc
@@ -0,0 +1,36 @@
+#include "clusterhost/peer_setup.h"
+
+namespace sapphirecrank::clusterhost {
+
+namespace {
+
+// A refused connection fails at once; without a pause each tick would try again.
+constexpr base::Duration kReconnectInterval = std::chrono::milliseconds(300);
+
+}  // namespace
+
+peers::PeerSettings PeerSettingsOf(const ClusterHostSettings& settings) {
+  peers::PeerSettings peer;
+  peer.host = base::HostId(settings.peer_listen.value());
+  peer.data_centre = settings.data_centre;
+  peer.incarnation = settings.incarnation;
+  peer.listen = settings.peer_listen;
+  peer.secret = settings.secret;
+  peer.admits_unknown = true;
+  peer.reconnect_interval = kReconnectInterval;
+  peer.heartbeat_interval = settings.heartbeat_interval;
+  peer.link_timeout = settings.link_timeout;
+  peer.host_timeout = settings.host_timeout;
+  for (const base::NetworkAddress& seed : settings.seeds) {
+    if (seed != settings.peer_listen) {
+      peer.peers.push_back(PeerAt(seed));
+    }
+  }
+  return peer;
+}
+
+peers::PeerAddress PeerAt(const base::NetworkAddress& address) {
+  return {base::HostId(address.value()), base::DataCentreId(), address};
+}
+
+}  // namespace sapphirecrank::clusterhost
--- /dev/null
+++ b/src/clusterhost/peer_setup.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "clusterhost/cluster_host_settings.h"
+#include "peers/peer_settings.h"
+
+namespace sapphirecrank::clusterhost {
+
+/// Returns the settings of the links of a cluster's host. Thread safety: pure.
+peers::PeerSettings PeerSettingsOf(const ClusterHostSettings& settings);
+
+/// Returns a cluster's host by its address for links, which is its name. Thread safety: pure.
+peers::PeerAddress PeerAt(const base::NetworkAddress& address);
+
+}  // namespace sapphirecrank::clusterhost
--- /dev/null
+++ b/src/clusterhost/put_outcome.h
@@ -0,0 +1,15 @@
+#pragma once
+
+namespace sapphirecrank::clusterhost {
+
+/// What became of a configuration that was sent.
+enum class PutOutcome {
+  /// It or a higher version is in force.
+  kAcknowledged,
+  /// Another host leads.
+  kNotLeader,
+  /// Not known; it may come in force later.
+  kUnknown,
+};
+
+}  // namespace sapphirecrank::clusterhost
--- /dev/null
+++ b/src/clusterhost/settings_file.cc
@@ -0,0 +1,61 @@
+#include "clusterhost/settings_file.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+
+#include "json/object_reader.h"
+
+namespace sapphirecrank::clusterhost {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr size_t kLongestText = 1000;
+constexpr size_t kMostSeeds = 64;
+constexpr int64_t kLargestPort = 65535;
+constexpr int64_t kMostLostDisks = 4;
+constexpr int64_t kLongestLeaseMs = 60000;
+constexpr int64_t kDefaultLeaseMs = 1000;
+
+}  // namespace
+
+base::Result<SettingsFile> SettingsFile::Parse(const std::string& text) {
+  const Json document = Json::parse(text, nullptr, false);
+  if (!document.is_object()) {
+    return base::Fail(base::ErrorCode::kInvalidArgument, "the settings are not a JSON object");
+  }
+  std::optional<base::Error> error;
+  json::ObjectReader reader(document, "", error);
+  SettingsFile settings;
+  settings.name = reader.Text("name", kLongestText);
+  settings.data_centre = base::DataCentreId(reader.Text("data_centre", kLongestText));
+  settings.caller_listen = base::NetworkAddress(reader.Text("caller_listen", kLongestText, ""));
+  settings.readiness_listen =
+      base::NetworkAddress(reader.Text("readiness_listen", kLongestText, ""));
+  settings.control_listen = base::NetworkAddress(reader.Text("control_listen", kLongestText, ""));
+  const std::string address = reader.Text("address", kLongestText);
+  const std::string peer_port = std::to_string(reader.Integer("peer_port", 1, kLargestPort));
+  settings.peer_listen = base::NetworkAddress(address + ":" + peer_port);
+  reader.Array("seeds", 1, kMostSeeds, [&](const Json& value, const std::string& path) {
+    if (!value.is_string()) {
+      reader.SetFault(path, "is not a text");
+      return;
+    }
+    // Seeds are given by another of their ports; the port for links is the same on all hosts.
+    const std::string seed = value.get<std::string>();
+    settings.seeds.emplace_back(seed.substr(0, seed.rfind(':')) + ":" + peer_port);
+  });
+  settings.bootstrap = reader.Flag("bootstrap", false);
+  settings.data_folder = reader.Text("data_folder", kLongestText, "");
+  settings.lost_disks_borne = reader.Integer("lost_disks_borne", 0, kMostLostDisks, 1);
+  settings.longest_lease = std::chrono::milliseconds(
+      reader.Integer("longest_lease_ms", 1, kLongestLeaseMs, kDefaultLeaseMs));
+  reader.Finish();
+  if (error) {
+    return tl::make_unexpected(*error);
+  }
+  return settings;
+}
+
+}  // namespace sapphirecrank::clusterhost
--- /dev/null
+++ b/src/clusterhost/settings_file.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "base/time.h"
+
+namespace sapphirecrank::clusterhost {
+
+/// The settings file of a gateway or an allocator.
+struct SettingsFile {
+  /// For logs.
+  std::string name;
+  base::DataCentreId data_centre;
+  /// Where callers connect; empty on an allocator.
+  base::NetworkAddress caller_listen;
+  /// Where the platform asks whether this host takes callers; empty on an allocator.
+  base::NetworkAddress readiness_listen;
+  /// Where targets and operators connect; empty on a gateway.
+  base::NetworkAddress control_listen;
+  /// Where other hosts link to this one.
+  base::NetworkAddress peer_listen;
+  std::vector<base::NetworkAddress> seeds;
+  /// The whole cluster starts for the first time.
+  bool bootstrap = false;
+  /// Empty on a host without a disk.
+  std::string data_folder;
+  /// Disks that may be lost at the same time.
+  int64_t lost_disks_borne = 1;
+  /// Longest lease that targets grant.
+  base::Duration longest_lease{0};
+
+  /// Reads the JSON text of a settings file. Errors: `kInvalidArgument` with the field's name.
+  /// Thread safety: pure.
+  static base::Result<SettingsFile> Parse(const std::string& text);
+};
+
+}  // namespace sapphirecrank::clusterhost
--- a/src/entryhost/entry_host.cc
+++ b/src/entryhost/entry_host.cc
@@ -234,7 +234,7 @@
       incarnation(RandomIncarnation()),
       lease(settings.host, {this->now}),
       metrics(TeamIds(settings)),
-      client(outbound::TargetClientSettings()),
+      client(outbound::HttpClientSettings()),
       dispatcher(settings.host.value() + "/" + std::to_string(this->incarnation.value()) + "/",
                  this->DispatcherHooks()),
       router(this->RouterHooks()),
--- /dev/null
+++ b/src/frontend/hangup_watcher.cc
@@ -0,0 +1,84 @@
+#include "frontend/hangup_watcher.h"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <array>
+#include <utility>
+
+#include "base/mutex_lock.h"
+#include "base/thread_name.h"
+
+namespace sapphirecrank::frontend {
+
+namespace {
+
+constexpr uint64_t kWakeNumber = 0;
+constexpr size_t kMostEvents = 64;
+
+}  // namespace
+
+HangupWatcher::HangupWatcher(OnHangup on_hangup)
+    : on_hangup(std::move(on_hangup)),
+      epoll_descriptor(epoll_create1(EPOLL_CLOEXEC)),
+      wake_descriptor(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.u64 = kWakeNumber;
+  epoll_ctl(this->epoll_descriptor, EPOLL_CTL_ADD, this->wake_descriptor, &event);
+  this->thread = std::thread([this] {
+    base::SetThreadName("hangups");
+    this->Run();
+  });
+}
+
+HangupWatcher::~HangupWatcher() {
+  this->Stop();
+  close(this->wake_descriptor);
+  close(this->epoll_descriptor);
+}
+
+void HangupWatcher::Stop() {
+  if (!this->thread.joinable()) {
+    return;
+  }
+  const uint64_t one = 1;
+  (void)!write(this->wake_descriptor, &one, sizeof(one));
+  this->thread.join();
+}
+
+void HangupWatcher::Add(int descriptor, uint64_t number) {
+  base::MutexLock lock(this->mutex);
+  epoll_event event{};
+  event.events = EPOLLRDHUP | EPOLLONESHOT;
+  event.data.u64 = number;
+  if (epoll_ctl(this->epoll_descriptor, EPOLL_CTL_ADD, descriptor, &event) == 0) {
+    this->descriptors[number] = descriptor;
+  }
+}
+
+void HangupWatcher::Remove(uint64_t number) {
+  base::MutexLock lock(this->mutex);
+  auto found = this->descriptors.find(number);
+  if (found != this->descriptors.end()) {
+    epoll_ctl(this->epoll_descriptor, EPOLL_CTL_DEL, found->second, nullptr);
+    this->descriptors.erase(found);
+  }
+}
+
+void HangupWatcher::Run() {
+  std::array<epoll_event, kMostEvents> events{};
+  while (true) {
+    const int count = epoll_wait(this->epoll_descriptor, events.data(), kMostEvents, -1);
+    for (int i = 0; i < count; ++i) {
+      const uint64_t number = events.at(static_cast<size_t>(i)).data.u64;
+      if (number == kWakeNumber) {
+        return;
+      }
+      this->on_hangup(number);
+    }
+  }
+}
+
+}  // namespace sapphirecrank::frontend
--- /dev/null
+++ b/src/frontend/hangup_watcher.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <thread>
+
+#include "base/mutex.h"
+#include "base/thread_annotations.h"
+
+namespace sapphirecrank::frontend {
+
+/// Notices that the other side of a connection has closed it while nobody reads from it.
+///
+/// Thread safety: all methods may be called from any thread, but `Stop` and the destructor by one.
+class HangupWatcher {
+ public:
+  using OnHangup = std::function<void(uint64_t number)>;
+
+  /// Starts the thread on which `on_hangup` runs, at most once for each number.
+  explicit HangupWatcher(OnHangup on_hangup);
+  ~HangupWatcher();
+
+  HangupWatcher(const HangupWatcher&) = delete;
+  HangupWatcher& operator=(const HangupWatcher&) = delete;
+
+  /// Watches a connection until `Remove`. Precondition: the descriptor stays open until then.
+  void Add(int descriptor, uint64_t number);
+
+  /// Stops watching. The hook may still be running when this returns.
+  void Remove(uint64_t number);
+
+  /// Ends the thread. Later calls of `Add` have no effect.
+  void Stop();
+
+ private:
+  void Run();
+
+  OnHangup on_hangup;
+  int epoll_descriptor;
+  int wake_descriptor;
+  base::Mutex mutex;
+  // By number.
+  std::map<uint64_t, int> descriptors GUARDED_BY(mutex);
+  std::thread thread;
+};
+
+}  // namespace sapphirecrank::frontend
--- a/src/frontend/http_request.h
+++ b/src/frontend/http_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -9,6 +10,8 @@
 
 /// One HTTP request, read completely.
 struct HttpRequest {
+  /// Names the request within its server.
+  uint64_t number = 0;
   std::string method;
   std::string path;
   std::map<std::string, std::string> query;
--- a/src/frontend/http_server.cc
+++ b/src/frontend/http_server.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <cstring>
 #include <mutex>
@@ -14,6 +15,8 @@
 #include <utility>
 #include <vector>
 
+#include "frontend/hangup_watcher.h"
+
 namespace sapphirecrank::frontend {
 
 using base::ErrorCode;
@@ -101,8 +104,12 @@
 
 class HttpServer::Impl {
  public:
-  Impl(const HttpServerSettings& settings, Handler handler)
-      : settings(settings), handler(std::move(handler)) {}
+  Impl(const HttpServerSettings& settings, Handler handler, OnDisconnect on_disconnect)
+      : settings(settings), handler(std::move(handler)) {
+    if (on_disconnect) {
+      this->hangups = std::make_unique<HangupWatcher>(std::move(on_disconnect));
+    }
+  }
   ~Impl() { this->Stop(); }
 
   base::Result<void> Start();
@@ -122,7 +129,7 @@
   MHD_Result Begin(MHD_Connection* connection, const char* url, const char* method, void** context);
   MHD_Result Receive(Exchange& exchange, const char* data, size_t* size) const;
   MHD_Result Handle(MHD_Connection* connection, const ExchangePointer& exchange);
-  static void Answer(const ExchangePointer& exchange, const HttpResponse& response);
+  void Answer(const ExchangePointer& exchange, const HttpResponse& response);
 
   HttpServerSettings settings;
   Handler handler;
@@ -134,6 +141,9 @@
   bool is_aborted = false;
   // Requests that the handler has and whose connection is still open.
   std::set<ExchangePointer> suspended;
+  std::atomic<uint64_t> next_number{1};
+  // Null if nobody wants to know of callers that leave.
+  std::unique_ptr<HangupWatcher> hangups;
 };
 
 base::Result<void> HttpServer::Impl::Start() {
@@ -199,6 +209,9 @@
     std::unique_lock<std::mutex> lock(this->mutex);
     this->idle.wait(lock, [this] { return this->open_exchanges == 0; });
   }
+  if (this->hangups != nullptr) {
+    this->hangups->Stop();
+  }
   MHD_stop_daemon(this->daemon);
   this->daemon = nullptr;
   if (this->listening != MHD_INVALID_SOCKET) {
@@ -253,6 +266,7 @@
 MHD_Result HttpServer::Impl::Begin(MHD_Connection* connection, const char* url, const char* method,
                                    void** context) {
   auto exchange = std::make_shared<Exchange>();
+  exchange->request.number = this->next_number++;
   exchange->request.method = method;
   exchange->request.path = url;
   exchange->request.remote = RemoteAddress(connection);
@@ -292,8 +306,14 @@
     Answer(exchange, AbortedResponse());
     return MHD_YES;
   }
-  this->handler(exchange->request,
-                [exchange](const HttpResponse& response) { Answer(exchange, response); });
+  if (this->hangups != nullptr) {
+    this->hangups->Add(
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd,
+        exchange->request.number);
+  }
+  this->handler(exchange->request, [this, exchange](const HttpResponse& response) {
+    this->Answer(exchange, response);
+  });
   return MHD_YES;
 }
 
@@ -304,12 +324,16 @@
   }
   exchange->response = response;
   if (exchange->connection != nullptr) {
+    if (this->hangups != nullptr) {
+      this->hangups->Remove(exchange->request.number);
+    }
     MHD_resume_connection(exchange->connection);
   }
 }
 
-HttpServer::HttpServer(const HttpServerSettings& settings, Handler handler)
-    : impl(std::make_unique<Impl>(settings, std::move(handler))) {}
+HttpServer::HttpServer(const HttpServerSettings& settings, Handler handler,
+                       OnDisconnect on_disconnect)
+    : impl(std::make_unique<Impl>(settings, std::move(handler), std::move(on_disconnect))) {}
 
 HttpServer::~HttpServer() = default;
 
--- a/src/frontend/http_server.h
+++ b/src/frontend/http_server.h
@@ -21,7 +21,13 @@
   /// thread. Runs on a server thread and must not wait.
   using Handler = std::function<void(const HttpRequest&, Respond)>;
 
-  HttpServer(const HttpServerSettings& settings, Handler handler);
+  /// Told the number of a request whose caller closed the connection before the answer, at most
+  /// once and perhaps while the answer is given. Runs on a thread of the server and must not wait.
+  using OnDisconnect = std::function<void(uint64_t)>;
+
+  /// Without `on_disconnect`, a caller that has left is noticed when its answer is sent.
+  HttpServer(const HttpServerSettings& settings, Handler handler,
+             OnDisconnect on_disconnect = nullptr);
 
   /// Stops as `Stop` does.
   ~HttpServer();
--- /dev/null
+++ b/src/gateway/allocator_rooms.cc
@@ -0,0 +1,60 @@
+#include "gateway/allocator_rooms.h"
+
+#include <tuple>
+#include <utility>
+
+#include "base/mutex_lock.h"
+
+namespace sapphirecrank::gateway {
+
+using base::HostId;
+using base::TaskCount;
+
+AllocatorRooms::AllocatorRooms(base::DataCentreId data_centre)
+    : data_centre(std::move(data_centre)) {}
+
+void AllocatorRooms::OnReport(const HostId& allocator, const runs::RoomReport& report) {
+  base::MutexLock lock(this->mutex);
+  this->reports[allocator] = report;
+}
+
+void AllocatorRooms::OnLost(const HostId& allocator) {
+  base::MutexLock lock(this->mutex);
+  this->reports.erase(allocator);
+}
+
+std::optional<HostId> AllocatorRooms::Choose(const base::ServiceId& service, TaskCount count) {
+  base::MutexLock lock(this->mutex);
+  std::optional<HostId> best;
+  runs::RoomReport::Service* best_room = nullptr;
+  // Room for the whole job first, then the own data centre, whose bytes cost least, then the
+  // least backlog for its size.
+  std::tuple<bool, bool, double> best_rank;
+  for (auto& [host, report] : this->reports) {
+    for (runs::RoomReport::Service& room : report.services) {
+      if (room.service != service || report.leaving || room.total <= TaskCount(0)) {
+        continue;
+      }
+      const auto backlog = static_cast<double>((room.waiting - room.free).value()) /
+                           static_cast<double>(room.total.value());
+      const auto rank = std::make_tuple(room.free >= count && room.waiting == TaskCount(0),
+                                        report.data_centre == this->data_centre, -backlog);
+      if (!best || rank > best_rank) {
+        best = host;
+        best_room = &room;
+        best_rank = rank;
+      }
+    }
+  }
+  if (best_room != nullptr) {
+    best_room->free -= count;
+  }
+  return best;
+}
+
+bool AllocatorRooms::HasAny() {
+  base::MutexLock lock(this->mutex);
+  return !this->reports.empty();
+}
+
+}  // namespace sapphirecrank::gateway
--- /dev/null
+++ b/src/gateway/allocator_rooms.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <map>
+#include <optional>
+
+#include "base/ids.h"
+#include "base/mutex.h"
+#include "base/thread_annotations.h"
+#include "base/time.h"
+#include "runs/room_report.h"
+
+namespace sapphirecrank::gateway {
+
+/// What the allocators have said they can start, and the choice among them.
+///
+/// Thread safety: all methods may be called from any thread.
+class AllocatorRooms {
+ public:
+  explicit AllocatorRooms(base::DataCentreId data_centre);
+
+  void OnReport(const base::HostId& allocator, const runs::RoomReport& report);
+  void OnLost(const base::HostId& allocator);
+
+  /// Returns where to place `count` tasks, or none if no allocator has targets of the service. The
+  /// room is taken off until the allocator's next report.
+  std::optional<base::HostId> Choose(const base::ServiceId& service, base::TaskCount count);
+
+  /// Tells whether any allocator has reported.
+  bool HasAny();
+
+ private:
+  base::DataCentreId data_centre;
+  base::Mutex mutex;
+  std::map<base::HostId, runs::RoomReport> reports GUARDED_BY(mutex);
+};
+
+}  // namespace sapphirecrank::gateway
--- /dev/null
+++ b/src/gateway/job.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "gateway/job_step.h"
+
+namespace sapphirecrank::gateway {
+
+/// A job as a caller submits it, with what its queue says of it.
+struct Job {
+  base::SubmissionId id;
+  base::QueueId queue;
+  base::ServiceId service;
+  base::Priority priority;
+  base::AttemptCount attempts{1};
+  double stretch = 1;
+  base::Duration objective{0};
+  /// Handed to each task.
+  std::string payload;
+  std::vector<JobStep> steps;
+  /// The caller waits this long for the answer.
+  base::Duration time_left{0};
+};
+
+}  // namespace sapphirecrank::gateway
--- /dev/null
+++ b/src/gateway/job_table.cc
@@ -0,0 +1,252 @@
+#include "gateway/job_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirecrank::gateway {
+
+using base::Duration;
+using base::HostId;
+using base::PartNumber;
+using base::StepIndex;
+using base::SubmissionId;
+
+namespace {
+
+constexpr size_t kShards = 16;
+// Share of the time that a job may wait beyond its run time after which it is refused, so that the
+// caller hears of it while it can still go elsewhere.
+constexpr double kWaitShare = 0.25;
+constexpr Duration kRetryAfter = std::chrono::seconds(1);
+
+JobAnswer Unfinished(const std::string& reason) {
+  return {JobAnswer::Kind::kUnfinished, kRetryAfter, reason};
+}
+
+JobAnswer NotRun(const std::string& reason) {
+  return {JobAnswer::Kind::kNotRun, kRetryAfter, reason};
+}
+
+}  // namespace
+
+JobTable::JobTable(HostId self, Hooks hooks)
+    : self(std::move(self)), hooks(std::move(hooks)), shards(kShards) {}
+
+bool JobTable::IsReady(const Entry& entry, StepIndex step) const {
+  const std::vector<StepIndex>& after = entry.job.steps[step.value()].after;
+  return entry.placed_steps.count(step) == 0 &&
+         std::all_of(after.begin(), after.end(),
+                     [&entry](StepIndex earlier) { return entry.done_steps.count(earlier) > 0; });
+}
+
+std::vector<JobTable::Placement> JobTable::PlaceReady(Entry& entry) {
+  std::vector<Placement> placements;
+  const Job& job = entry.job;
+  for (uint32_t i = 0; i < job.steps.size(); ++i) {
+    const StepIndex step(i);
+    if (!this->IsReady(entry, step)) {
+      continue;
+    }
+    const JobStep& wanted = job.steps[i];
+    const auto allocator = this->hooks.choose(job.service, wanted.count);
+    if (!allocator) {
+      return {};
+    }
+    entry.placed_steps.insert(step);
+    entry.last_part = entry.last_part.Next();
+    entry.parts[entry.last_part] = {*allocator, step};
+    runs::TaskPart part;
+    part.key = {this->self, job.id, entry.last_part};
+    part.service = job.service;
+    part.priority = job.priority;
+    part.attempts = job.attempts;
+    part.payload = job.payload;
+    for (uint32_t index = 0; index < wanted.count.value(); ++index) {
+      part.tasks.push_back(
+          {{job.id, base::OccurrenceNumber(), step, base::TaskIndex(index)}, wanted.need});
+    }
+    part.time_left = job.time_left - (this->hooks.now() - entry.arrived);
+    const Duration allowed = job.objective + std::chrono::duration_cast<Duration>(
+                                                 wanted.estimate * std::max(0.0, job.stretch - 1));
+    part.wait_limit =
+        std::min(part.time_left, std::chrono::duration_cast<Duration>(allowed * kWaitShare));
+    placements.push_back({*allocator, std::move(part)});
+  }
+  return placements;
+}
+
+uint64_t JobTable::Submit(Job job, Answer answer) {
+  const SubmissionId id = job.id;
+  const uint64_t caller = this->next_caller++;
+  std::vector<Placement> placements;
+  std::vector<Ending> endings;
+  this->shards.With(id, [&](Shard& shard) {
+    auto [found, is_new] = shard.try_emplace(id);
+    Entry& entry = found->second;
+    entry.callers.emplace(caller, std::move(answer));
+    if (!is_new) {
+      return;
+    }
+    entry.job = std::move(job);
+    entry.arrived = this->hooks.now();
+    placements = this->PlaceReady(entry);
+    if (placements.empty()) {
+      endings.push_back(this->End(shard, found, NotRun("no allocator has targets of the service")));
+    }
+  });
+  this->Send(placements);
+  this->Finish(endings);
+  return caller;
+}
+
+void JobTable::Send(const std::vector<Placement>& placements) {
+  for (const Placement& placement : placements) {
+    if (!this->hooks.place(placement.allocator, placement.part)) {
+      this->OnPartEnd(placement.allocator, {placement.part.key, runs::PartEnd::Kind::kNotRun,
+                                            "the allocator is not in reach"});
+    }
+  }
+}
+
+JobTable::Ending JobTable::End(Shard& shard, Shard::iterator found, JobAnswer answer) const {
+  Entry& entry = found->second;
+  Ending ending;
+  ending.age = this->hooks.now() - entry.arrived;
+  ending.answer = std::move(answer);
+  ending.job = std::move(entry.job);
+  for (auto& [caller, respond] : entry.callers) {
+    ending.answers.push_back(std::move(respond));
+  }
+  std::set<HostId> hosts;
+  for (const auto& [part, place] : entry.parts) {
+    hosts.insert(place.first);
+  }
+  ending.to_cancel.assign(hosts.begin(), hosts.end());
+  shard.erase(found);
+  return ending;
+}
+
+void JobTable::Finish(const std::vector<Ending>& endings) {
+  for (const Ending& ending : endings) {
+    for (const HostId& host : ending.to_cancel) {
+      this->hooks.cancel(host, ending.job.id);
+    }
+    for (const Answer& answer : ending.answers) {
+      answer(ending.answer);
+    }
+    this->hooks.on_end(ending.job, ending.answer, ending.age);
+  }
+}
+
+void JobTable::Abandon(const SubmissionId& id, uint64_t caller) {
+  std::vector<Ending> endings;
+  this->shards.With(id, [&](Shard& shard) {
+    auto found = shard.find(id);
+    if (found == shard.end() || found->second.callers.erase(caller) == 0 ||
+        !found->second.callers.empty()) {
+      return;
+    }
+    endings.push_back(this->End(shard, found, Unfinished("the caller has left")));
+  });
+  this->Finish(endings);
+}
+
+bool JobTable::Cancel(const SubmissionId& id) {
+  std::vector<Ending> endings;
+  this->shards.With(id, [&](Shard& shard) {
+    auto found = shard.find(id);
+    if (found != shard.end()) {
+      endings.push_back(this->End(shard, found, Unfinished("cancelled by a caller")));
+    }
+  });
+  this->Finish(endings);
+  return !endings.empty();
+}
+
+void JobTable::OnPartEnd(const HostId& allocator, const runs::PartEnd& end) {
+  std::vector<Placement> placements;
+  std::vector<Ending> endings;
+  const SubmissionId& id = end.key.job;
+  this->shards.With(id, [&](Shard& shard) {
+    auto found = shard.find(id);
+    if (found == shard.end()) {
+      return;
+    }
+    Entry& entry = found->second;
+    auto part = entry.parts.find(end.key.part);
+    if (part == entry.parts.end() || part->second.first != allocator) {
+      return;
+    }
+    const StepIndex step = part->second.second;
+    entry.parts.erase(part);
+    entry.may_have_run = entry.may_have_run || end.kind != runs::PartEnd::Kind::kNotRun;
+    switch (end.kind) {
+      case runs::PartEnd::Kind::kCompleted:
+        entry.done_steps.insert(step);
+        if (entry.done_steps.size() == entry.job.steps.size()) {
+          endings.push_back(this->End(shard, found, {JobAnswer::Kind::kCompleted, {}, end.reason}));
+          return;
+        }
+        placements = this->PlaceReady(entry);
+        if (placements.empty() && entry.parts.empty()) {
+          endings.push_back(this->End(shard, found, Unfinished("no allocator for a later step")));
+        }
+        return;
+      case runs::PartEnd::Kind::kFailed:
+        endings.push_back(this->End(shard, found, {JobAnswer::Kind::kFailed, {}, end.reason}));
+        return;
+      case runs::PartEnd::Kind::kNotRun:
+        endings.push_back(this->End(shard, found,
+                                    entry.may_have_run || !entry.parts.empty()
+                                        ? Unfinished(end.reason)
+                                        : NotRun(end.reason)));
+        return;
+      case runs::PartEnd::Kind::kUnfinished:
+        endings.push_back(this->End(shard, found, Unfinished(end.reason)));
+        return;
+    }
+  });
+  this->Send(placements);
+  this->Finish(endings);
+}
+
+void JobTable::OnAllocatorLost(const HostId& allocator) {
+  std::vector<Ending> endings;
+  this->shards.ForEach([&](Shard& shard) {
+    for (auto found = shard.begin(); found != shard.end();) {
+      auto next = std::next(found);
+      const auto& parts = found->second.parts;
+      const bool is_hit = std::any_of(parts.begin(), parts.end(), [&allocator](const auto& part) {
+        return part.second.first == allocator;
+      });
+      if (is_hit) {
+        endings.push_back(this->End(shard, found, Unfinished("the allocator was lost")));
+      }
+      found = next;
+    }
+  });
+  this->Finish(endings);
+}
+
+void JobTable::Tick() {
+  const base::TimePoint now = this->hooks.now();
+  std::vector<Ending> endings;
+  this->shards.ForEach([&](Shard& shard) {
+    for (auto found = shard.begin(); found != shard.end();) {
+      auto next = std::next(found);
+      if (now - found->second.arrived >= found->second.job.time_left) {
+        endings.push_back(this->End(shard, found, Unfinished("the deadline has passed")));
+      }
+      found = next;
+    }
+  });
+  this->Finish(endings);
+}
+
+size_t JobTable::size() {
+  size_t count = 0;
+  this->shards.ForEach([&count](Shard& shard) { count += shard.size(); });
+  return count;
+}
+
+}  // namespace sapphirecrank::gateway
--- /dev/null
+++ b/src/gateway/job_table.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "base/sharded.h"
+#include "base/time.h"
+#include "gateway/job.h"
+#include "gateway/job_answer.h"
+#include "runs/part_end.h"
+#include "runs/task_part.h"
+
+namespace sapphirecrank::gateway {
+
+/// The jobs that this gateway holds until their callers have the answer.
+///
+/// A job lives in this process only: when its caller leaves, its deadline passes or an allocator is
+/// lost, what it has begun is stopped and the answer says that it may have run. Thread safety: all
+/// methods may be called from any thread; state is in shards by job id. Hooks run without a lock.
+class JobTable {
+ public:
+  using Answer = std::function<void(const JobAnswer&)>;
+
+  /// Behaviour handed in; all members must be set.
+  struct Hooks {
+    base::Clock now;
+    /// Picks the allocator for some tasks of a service, if there is one.
+    std::function<std::optional<base::HostId>(const base::ServiceId&, base::TaskCount)> choose;
+    /// Sends a part to an allocator; false means that it was surely not sent.
+    std::function<bool(const base::HostId&, const runs::TaskPart&)> place;
+    /// Stops what an allocator holds of a job.
+    std::function<void(const base::HostId&, const base::SubmissionId&)> cancel;
+    /// Notes the end of a job, for logs and metrics: when it came, and when it began to run.
+    std::function<void(const Job&, const JobAnswer&, base::Duration age)> on_end;
+  };
+
+  JobTable(base::HostId self, Hooks hooks);
+
+  /// Takes in a job. `answer` runs exactly once, now or later, unless `Abandon` comes first. The
+  /// same id again joins the job in hand. Returns a number for `Abandon`.
+  uint64_t Submit(Job job, Answer answer);
+
+  /// Tells that a caller has left: a job that nobody else waits for is stopped.
+  void Abandon(const base::SubmissionId& id, uint64_t caller);
+
+  /// Stops a job and answers its callers. Returns whether it was in hand.
+  bool Cancel(const base::SubmissionId& id);
+
+  void OnPartEnd(const base::HostId& allocator, const runs::PartEnd& end);
+
+  /// Ends the jobs that have parts with a lost allocator.
+  void OnAllocatorLost(const base::HostId& allocator);
+
+  /// Ends the jobs whose deadline has passed. To be called several times in 100 ms.
+  void Tick();
+
+  /// Returns the number of jobs in hand.
+  size_t size();
+
+ private:
+  struct Entry {
+    Job job;
+    std::map<uint64_t, Answer> callers;
+    base::TimePoint arrived;
+    base::PartNumber last_part;
+    /// Where the parts are that have not ended, and the step of each.
+    std::map<base::PartNumber, std::pair<base::HostId, base::StepIndex>> parts;
+    std::set<base::StepIndex> placed_steps;
+    std::set<base::StepIndex> done_steps;
+    bool may_have_run = false;
+  };
+  struct Placement {
+    base::HostId allocator;
+    runs::TaskPart part;
+  };
+  struct Ending {
+    Job job;
+    std::vector<Answer> answers;
+    std::vector<base::HostId> to_cancel;
+    JobAnswer answer;
+    base::Duration age{0};
+  };
+  using Shard = std::map<base::SubmissionId, Entry>;
+
+  bool IsReady(const Entry& entry, base::StepIndex step) const;
+  std::vector<Placement> PlaceReady(Entry& entry);
+  Ending End(Shard& shard, Shard::iterator found, JobAnswer answer) const;
+  void Send(const std::vector<Placement>& placements);
+  void Finish(const std::vector<Ending>& endings);
+
+  base::HostId self;
+  Hooks hooks;
+  base::Sharded<base::SubmissionId, Shard> shards;
+  std::atomic<uint64_t> next_caller{1};
+};
+
+}  // namespace sapphirecrank::gateway
--- a/src/main/main.cc
+++ b/src/main/main.cc
@@ -9,6 +9,7 @@
 #include "configuration/secret_file.h"
 #include "configuration/settings.h"
 #include "main/host_process.h"
+#include "platform/process.h"
 
 using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
 
@@ -18,6 +19,8 @@
   hooks.files = {configuration::ReadFile, configuration::ReadSecretFile};
   hooks.call = cli::CallEntryHost;
   hooks.run = RunHostProcess;
+  hooks.run_gateway = platform::RunGateway;
+  hooks.run_allocator = platform::RunAllocator;
   hooks.print = [](const std::string& text) { fmt::print("{}", text); };
   hooks.print_error = [](const std::string& text) { fmt::print(stderr, "{}", text); };
   const std::vector<std::string> arguments(argv + 1, argv + argc);
--- a/src/membership/view_agreement.cc
+++ b/src/membership/view_agreement.cc
@@ -24,6 +24,7 @@
   for (const ViewAgreement::Member& member : members) {
     writer.PutString(member.host.value());
     writer.PutU64(member.incarnation.value());
+    writer.PutString(member.data_centre.value());
   }
   return writer.Take();
 }
@@ -36,7 +37,8 @@
   const uint32_t count = reader.TakeU32();
   for (uint32_t i = 0; i < count && reader.ok(); ++i) {
     const base::HostId host(reader.TakeString());
-    members.push_back({host, base::Incarnation(reader.TakeU64())});
+    const base::Incarnation incarnation(reader.TakeU64());
+    members.push_back({host, incarnation, base::DataCentreId(reader.TakeString())});
   }
   return reader.ok() && reader.remaining() == 0;
 }
--- a/src/membership/view_agreement.h
+++ b/src/membership/view_agreement.h
@@ -21,6 +21,8 @@
   struct Member {
     base::HostId host;
     base::Incarnation incarnation;
+    /// Empty where all members are of one data centre.
+    base::DataCentreId data_centre{};
 
     friend bool operator==(const Member& a, const Member& b) {
       return a.host == b.host && a.incarnation == b.incarnation;
--- a/src/observability/logger.cc
+++ b/src/observability/logger.cc
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <chrono>
+#include <cstdio>
 #include <utility>
 
 #include "base/mutex_lock.h"
@@ -47,8 +48,11 @@
 
 Logger::Logger(LogLevel lowest, Hooks hooks) : lowest(lowest), hooks(std::move(hooks)) {}
 
-Logger::Hooks Logger::StandardError() {
-  return {base::SteadyClock(), [](const std::string& line) { fmt::print(stderr, "{}\n", line); }};
+Logger::Hooks Logger::StandardOutput() {
+  return {base::SteadyClock(), [](const std::string& line) {
+            fmt::print("{}\n", line);
+            std::fflush(stdout);
+          }};
 }
 
 void Logger::Info(std::string_view message, std::initializer_list<LogField> fields) {
--- a/src/observability/logger.h
+++ b/src/observability/logger.h
@@ -29,8 +29,8 @@
   /// Lines below `lowest` are dropped.
   Logger(LogLevel lowest, Hooks hooks);
 
-  /// Creates a logger that writes to standard error.
-  static Logger::Hooks StandardError();
+  /// Returns hooks that write to standard output.
+  static Logger::Hooks StandardOutput();
 
   void Info(std::string_view message, std::initializer_list<LogField> fields = {});
   void Warning(std::string_view message, std::initializer_list<LogField> fields = {});
--- /dev/null
+++ b/src/outbound/http_client.cc
@@ -0,0 +1,331 @@
+#include "outbound/http_client.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <cctype>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "base/thread_name.h"
+
+namespace sapphirecrank::outbound {
+
+using base::ErrorCode;
+using base::Verdict;
+
+namespace {
+
+constexpr long kMaximumIdleConnections = 8192;
+constexpr int kPollMilliseconds = 10000;
+constexpr size_t kMaximumSpareHandles = 1024;
+
+/// One call under way.
+struct Call {
+  HttpCall request;
+  HttpClient::OnDone on_done;
+  CURL* handle = nullptr;
+  curl_slist* headers = nullptr;
+  size_t sent = 0;
+  HttpReply reply;
+  size_t maximum_answer = 0;
+};
+
+/// Gives libcurl the body. There is deliberately no function to rewind it: when a reused connection
+/// ends without an answer, libcurl would send the request again, and the target may have run it.
+size_t ReadBody(char* buffer, size_t size, size_t count, void* user) {
+  auto* call = static_cast<Call*>(user);
+  const size_t length = std::min(size * count, call->request.body.size() - call->sent);
+  std::copy_n(call->request.body.data() + call->sent, length, buffer);
+  call->sent += length;
+  return length;
+}
+
+size_t WriteBody(char* data, size_t size, size_t count, void* user) {
+  auto* call = static_cast<Call*>(user);
+  if (call->reply.body.size() + size * count > call->maximum_answer) {
+    return 0;
+  }
+  call->reply.body.append(data, size * count);
+  return size * count;
+}
+
+size_t ReadHeader(char* data, size_t size, size_t count, void* user) {
+  auto* call = static_cast<Call*>(user);
+  const std::string line(data, size * count);
+  const size_t colon = line.find(':');
+  if (colon == std::string::npos) {
+    return size * count;
+  }
+  std::string name = line.substr(0, colon);
+  std::transform(name.begin(), name.end(), name.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  const size_t begin = line.find_first_not_of(" \t", colon + 1);
+  const size_t end = line.find_last_not_of(" \t\r\n");
+  call->reply.headers[name] =
+      begin == std::string::npos || begin > end ? "" : line.substr(begin, end - begin + 1);
+  return size * count;
+}
+
+HttpReply Failed(ErrorCode code, Verdict verdict, const std::string& message) {
+  HttpReply reply;
+  reply.error = {code, "", message, verdict};
+  return reply;
+}
+
+HttpReply TransferFailed(CURLcode code) {
+  const std::string reason = curl_easy_strerror(code);
+  switch (code) {
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+      return Failed(ErrorCode::kUnavailable, Verdict::kNotRun, "could not connect: " + reason);
+    case CURLE_OPERATION_TIMEDOUT:
+      return Failed(ErrorCode::kDeadlineExceeded, Verdict::kMayHaveRun, "no answer in time");
+    case CURLE_WRITE_ERROR:
+      return Failed(ErrorCode::kTooLarge, Verdict::kRan, "the answer is too large");
+    default:
+      return Failed(ErrorCode::kTargetFailed, Verdict::kMayHaveRun, "the call failed: " + reason);
+  }
+}
+
+HttpReply NeverBegun() {
+  return Failed(ErrorCode::kShuttingDown, Verdict::kNotRun, "this process stopped");
+}
+
+bool NothingWasSent(const Call& call) {
+  long request_size = 0;
+  curl_easy_getinfo(call.handle, CURLINFO_REQUEST_SIZE, &request_size);
+  return request_size == 0 && call.sent == 0;
+}
+
+HttpReply ReplyOf(Call& call, CURLcode code) {
+  if (code != CURLE_OK) {
+    HttpReply reply = TransferFailed(code);
+    if (NothingWasSent(call)) {
+      reply.error.verdict = Verdict::kNotRun;
+    }
+    return reply;
+  }
+  long status = 0;
+  curl_easy_getinfo(call.handle, CURLINFO_RESPONSE_CODE, &status);
+  call.reply.status = static_cast<int>(status);
+  return std::move(call.reply);
+}
+
+}  // namespace
+
+class HttpClient::Impl {
+ public:
+  explicit Impl(const HttpClientSettings& settings);
+  ~Impl();
+
+  void Send(HttpCall request, OnDone on_done);
+  void Stop();
+
+ private:
+  /// Takes `call` unless the client has stopped.
+  bool Enqueue(std::unique_ptr<Call>& call);
+  void Run();
+  bool TakeNew(std::vector<std::unique_ptr<Call>>& taken);
+  void Begin(std::unique_ptr<Call> call);
+  void SetOptions(Call& call) const;
+  void FinishDone();
+  void FinishAll();
+  void Release(Call& call);
+
+  HttpClientSettings settings;
+  CURLM* multi;
+  std::mutex mutex;
+  std::vector<std::unique_ptr<Call>> fresh;
+  bool stopping = false;
+  // Only the client's thread uses what follows.
+  std::unordered_map<CURL*, std::unique_ptr<Call>> open;
+  std::vector<CURL*> spare_handles;
+  std::thread thread;
+};
+
+HttpClient::Impl::Impl(const HttpClientSettings& settings)
+    : settings(settings), multi(curl_multi_init()) {
+  curl_multi_setopt(this->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                    static_cast<long>(settings.connections_per_address.value()));
+  curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kMaximumIdleConnections);
+  this->thread = std::thread([this] {
+    base::SetThreadName("outbound");
+    this->Run();
+  });
+}
+
+void HttpClient::Impl::Stop() {
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->stopping) {
+      return;
+    }
+    this->stopping = true;
+  }
+  curl_multi_wakeup(this->multi);
+  this->thread.join();
+}
+
+HttpClient::Impl::~Impl() {
+  this->Stop();
+  for (CURL* handle : this->spare_handles) {
+    curl_easy_cleanup(handle);
+  }
+  curl_multi_cleanup(this->multi);
+}
+
+void HttpClient::Impl::Send(HttpCall request, OnDone on_done) {
+  auto call = std::make_unique<Call>();
+  call->request = std::move(request);
+  call->on_done = std::move(on_done);
+  call->maximum_answer = static_cast<size_t>(this->settings.maximum_answer.value());
+  if (!this->Enqueue(call)) {
+    call->on_done(NeverBegun());
+  }
+}
+
+bool HttpClient::Impl::Enqueue(std::unique_ptr<Call>& call) {
+  bool was_empty = false;
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->stopping) {
+      return false;
+    }
+    was_empty = this->fresh.empty();
+    this->fresh.push_back(std::move(call));
+  }
+  if (was_empty) {
+    curl_multi_wakeup(this->multi);
+  }
+  return true;
+}
+
+void HttpClient::Impl::Run() {
+  std::vector<std::unique_ptr<Call>> taken;
+  while (this->TakeNew(taken)) {
+    for (auto& call : taken) {
+      this->Begin(std::move(call));
+    }
+    taken.clear();
+    int running = 0;
+    curl_multi_perform(this->multi, &running);
+    this->FinishDone();
+    curl_multi_poll(this->multi, nullptr, 0, kPollMilliseconds, nullptr);
+  }
+  this->FinishAll();
+}
+
+bool HttpClient::Impl::TakeNew(std::vector<std::unique_ptr<Call>>& taken) {
+  std::lock_guard<std::mutex> lock(this->mutex);
+  taken.swap(this->fresh);
+  return !this->stopping;
+}
+
+void HttpClient::Impl::Begin(std::unique_ptr<Call> call) {
+  if (this->spare_handles.empty()) {
+    call->handle = curl_easy_init();
+  } else {
+    call->handle = this->spare_handles.back();
+    this->spare_handles.pop_back();
+  }
+  this->SetOptions(*call);
+  CURL* handle = call->handle;
+  this->open.emplace(handle, std::move(call));
+  curl_multi_add_handle(this->multi, handle);
+}
+
+void HttpClient::Impl::SetOptions(Call& call) const {
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  const auto timeout = std::max<long>(1, duration_cast<milliseconds>(call.request.timeout).count());
+  const std::string url = "http://" + call.request.address.value() + call.request.path;
+  call.headers = curl_slist_append(nullptr, "Expect:");
+  for (const std::string& header : call.request.headers) {
+    call.headers = curl_slist_append(call.headers, header.c_str());
+  }
+  CURL* handle = call.handle;
+  curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_PROXY, "");
+  if (call.request.method == "POST") {
+    // A body of at least one byte: only its unread rest stops libcurl from sending again.
+    if (call.request.body.empty()) {
+      call.request.body = "null";
+    }
+    curl_easy_setopt(handle, CURLOPT_POST, 1L);
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(call.request.body.size()));
+    curl_easy_setopt(handle, CURLOPT_READFUNCTION, ReadBody);
+    curl_easy_setopt(handle, CURLOPT_READDATA, &call);
+  } else {
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.request.method.c_str());
+  }
+  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, WriteBody);
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &call);
+  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, ReadHeader);
+  curl_easy_setopt(handle, CURLOPT_HEADERDATA, &call);
+  curl_easy_setopt(handle, CURLOPT_HTTPHEADER, call.headers);
+  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, timeout);
+  curl_easy_setopt(
+      handle, CURLOPT_CONNECTTIMEOUT_MS,
+      static_cast<long>(duration_cast<milliseconds>(this->settings.connect_timeout).count()));
+}
+
+void HttpClient::Impl::FinishDone() {
+  int left = 0;
+  while (CURLMsg* message = curl_multi_info_read(this->multi, &left)) {
+    if (message->msg != CURLMSG_DONE) {
+      continue;
+    }
+    const CURLcode code = message->data.result;
+    auto found = this->open.find(message->easy_handle);
+    const std::unique_ptr<Call> call = std::move(found->second);
+    this->open.erase(found);
+    const HttpReply reply = ReplyOf(*call, code);
+    this->Release(*call);
+    call->on_done(reply);
+  }
+}
+
+void HttpClient::Impl::FinishAll() {
+  const HttpReply stopped =
+      Failed(ErrorCode::kShuttingDown, Verdict::kMayHaveRun, "this process stopped");
+  for (auto& [handle, call] : this->open) {
+    this->Release(*call);
+    call->on_done(stopped);
+  }
+  this->open.clear();
+  std::vector<std::unique_ptr<Call>> never_begun;
+  this->TakeNew(never_begun);
+  for (auto& call : never_begun) {
+    call->on_done(NeverBegun());
+  }
+}
+
+void HttpClient::Impl::Release(Call& call) {
+  curl_multi_remove_handle(this->multi, call.handle);
+  curl_slist_free_all(call.headers);
+  if (this->spare_handles.size() >= kMaximumSpareHandles) {
+    curl_easy_cleanup(call.handle);
+    return;
+  }
+  curl_easy_reset(call.handle);
+  this->spare_handles.push_back(call.handle);
+}
+
+HttpClient::HttpClient(const HttpClientSettings& settings)
+    : impl(std::make_unique<Impl>(settings)) {}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::Stop() { this->impl->Stop(); }
+
+void HttpClient::Send(HttpCall call, OnDone on_done) {
+  this->impl->Send(std::move(call), std::move(on_done));
+}
+
+}  // namespace sapphirecrank::outbound
--- a/src/outbound/target_client_settings.h
+++ b/src/outbound/http_client_settings.h
@@ -7,9 +7,9 @@
 
 namespace sapphirecrank::outbound {
 
-/// Bounds of the calls to targets.
-struct TargetClientSettings {
-  base::ConnectionCount connections_per_target{64};
+/// Bounds of outgoing HTTP calls.
+struct HttpClientSettings {
+  base::ConnectionCount connections_per_address{64};
   base::Duration connect_timeout = std::chrono::seconds(1);
   /// Larger answers end the call with an error.
   base::ByteCount maximum_answer{4LL * 1024 * 1024};
--- a/src/outbound/target_client.cc
+++ b/src/outbound/target_client.cc
@@ -1,16 +1,10 @@
 #include "outbound/target_client.h"
 
-#include <curl/curl.h>
-
 #include <algorithm>
-#include <mutex>
 #include <string>
-#include <thread>
-#include <unordered_map>
 #include <utility>
-#include <vector>
 
-#include "base/thread_name.h"
+#include "outbound/http_client.h"
 
 namespace sapphirecrank::outbound {
 
@@ -21,325 +15,59 @@
 
 namespace {
 
-constexpr long kMaximumIdleConnections = 8192;
-constexpr int kPollMilliseconds = 10000;
-constexpr size_t kMaximumSpareHandles = 1024;
-constexpr const char* kAttemptHeader = "sapphirecrank-task:";
-
-/// One call under way.
-struct Call {
-  TargetCall request;
-  TargetClient::OnDone on_done;
-  CURL* handle = nullptr;
-  curl_slist* headers = nullptr;
-  size_t sent = 0;
-  std::string answered_attempt;
-  std::string body;
-  size_t maximum_answer = 0;
-};
-
-/// Gives libcurl the body. There is deliberately no function to rewind it: when a reused connection
-/// ends without an answer, libcurl would send the request again, and the target may have run it.
-size_t ReadBody(char* buffer, size_t size, size_t count, void* user) {
-  auto* call = static_cast<Call*>(user);
-  const size_t length = std::min(size * count, call->request.payload.size() - call->sent);
-  std::copy_n(call->request.payload.data() + call->sent, length, buffer);
-  call->sent += length;
-  return length;
-}
-
-size_t WriteBody(char* data, size_t size, size_t count, void* user) {
-  auto* call = static_cast<Call*>(user);
-  if (call->body.size() + size * count > call->maximum_answer) {
-    return 0;
-  }
-  call->body.append(data, size * count);
-  return size * count;
-}
-
-size_t ReadHeader(char* data, size_t size, size_t count, void* user) {
-  auto* call = static_cast<Call*>(user);
-  std::string line(data, size * count);
-  const size_t colon = line.find(':');
-  if (colon == std::string::npos) {
-    return size * count;
-  }
-  std::transform(line.begin(), line.begin() + static_cast<long>(colon), line.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  if (line.compare(0, colon + 1, kAttemptHeader) == 0) {
-    const size_t begin = line.find_first_not_of(" \t", colon + 1);
-    const size_t end = line.find_last_not_of(" \t\r\n");
-    call->answered_attempt = begin == std::string::npos ? "" : line.substr(begin, end - begin + 1);
-  }
-  return size * count;
-}
+constexpr const char* kAttemptHeader = "sapphirecrank-task";
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
 
 TargetAnswer Failed(ErrorCode code, Verdict verdict, const std::string& message) {
   return {false, verdict, "", {code, "", message, verdict}};
 }
 
-TargetAnswer TransferFailed(CURLcode code) {
-  const std::string reason = curl_easy_strerror(code);
-  switch (code) {
-    case CURLE_COULDNT_CONNECT:
-    case CURLE_COULDNT_RESOLVE_HOST:
-      return Failed(ErrorCode::kUnavailable, Verdict::kNotRun,
-                    "could not connect to the target: " + reason);
-    case CURLE_OPERATION_TIMEDOUT:
-      return Failed(ErrorCode::kDeadlineExceeded, Verdict::kMayHaveRun,
-                    "the target did not answer in time");
-    case CURLE_WRITE_ERROR:
-      return Failed(ErrorCode::kTooLarge, Verdict::kRan, "the target's answer is too large");
-    default:
-      return Failed(ErrorCode::kTargetFailed, Verdict::kMayHaveRun,
-                    "the call to the target failed: " + reason);
-  }
-}
-
-TargetAnswer NeverBegun() {
-  return Failed(ErrorCode::kShuttingDown, Verdict::kNotRun, "the entry host stopped");
-}
-
-bool NothingWasSent(const Call& call) {
-  long request_size = 0;
-  curl_easy_getinfo(call.handle, CURLINFO_REQUEST_SIZE, &request_size);
-  return request_size == 0 && call.sent == 0;
-}
-
-TargetAnswer AnswerOf(const Call& call, CURLcode code) {
-  if (code != CURLE_OK) {
-    TargetAnswer answer = TransferFailed(code);
-    if (NothingWasSent(call)) {
-      answer.verdict = Verdict::kNotRun;
-      answer.error.verdict = Verdict::kNotRun;
-    }
-    return answer;
+TargetAnswer AnswerOf(const std::string& attempt, const HttpReply& reply) {
+  if (reply.status == 0) {
+    return Failed(reply.error.code, reply.error.verdict,
+                  "call of the target: " + reply.error.message);
   }
-  if (call.answered_attempt != call.request.attempt.value()) {
+  const auto answered = reply.headers.find(kAttemptHeader);
+  if (answered == reply.headers.end() || answered->second != attempt) {
     TargetAnswer answer = Failed(ErrorCode::kTargetFailed, Verdict::kMayHaveRun,
                                  "the target answered another attempt");
     answer.is_crossed = true;
     return answer;
   }
-  long status = 0;
-  curl_easy_getinfo(call.handle, CURLINFO_RESPONSE_CODE, &status);
-  if (status < 200 || status >= 300) {
+  if (reply.status < kFirstSuccess || reply.status >= kFirstRedirect) {
     TargetAnswer answer = Failed(ErrorCode::kTargetFailed, Verdict::kRan,
-                                 "the target answered status " + std::to_string(status));
-    answer.body = call.body;
+                                 "the target answered status " + std::to_string(reply.status));
+    answer.body = reply.body;
     return answer;
   }
-  return {true, Verdict::kRan, call.body, {}};
+  return {true, Verdict::kRan, reply.body, {}};
 }
 
 }  // namespace
 
-class TargetClient::Impl {
- public:
-  explicit Impl(const TargetClientSettings& settings);
-  ~Impl();
-
-  void Start(TargetCall request, OnDone on_done);
-  void Stop();
-
- private:
-  /// Takes `call` unless the client has stopped.
-  bool Enqueue(std::unique_ptr<Call>& call);
-  void Run();
-  bool TakeNew(std::vector<std::unique_ptr<Call>>& taken);
-  void Begin(std::unique_ptr<Call> call);
-  void SetOptions(Call& call) const;
-  void FinishDone();
-  void FinishAll();
-  void Release(Call& call);
-
-  TargetClientSettings settings;
-  CURLM* multi;
-  std::mutex mutex;
-  std::vector<std::unique_ptr<Call>> fresh;
-  bool stopping = false;
-  // Only the client's thread uses what follows.
-  std::unordered_map<CURL*, std::unique_ptr<Call>> open;
-  std::vector<CURL*> spare_handles;
-  std::thread thread;
-};
-
-TargetClient::Impl::Impl(const TargetClientSettings& settings)
-    : settings(settings), multi(curl_multi_init()) {
-  curl_multi_setopt(this->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-                    static_cast<long>(settings.connections_per_target.value()));
-  curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kMaximumIdleConnections);
-  this->thread = std::thread([this] {
-    base::SetThreadName("outbound");
-    this->Run();
-  });
-}
-
-void TargetClient::Impl::Stop() {
-  {
-    std::lock_guard<std::mutex> lock(this->mutex);
-    if (this->stopping) {
-      return;
-    }
-    this->stopping = true;
-  }
-  curl_multi_wakeup(this->multi);
-  this->thread.join();
-}
-
-TargetClient::Impl::~Impl() {
-  this->Stop();
-  for (CURL* handle : this->spare_handles) {
-    curl_easy_cleanup(handle);
-  }
-  curl_multi_cleanup(this->multi);
-}
-
-void TargetClient::Impl::Start(TargetCall request, OnDone on_done) {
-  auto call = std::make_unique<Call>();
-  call->request = std::move(request);
-  call->on_done = std::move(on_done);
-  call->maximum_answer = static_cast<size_t>(this->settings.maximum_answer.value());
-  if (!this->Enqueue(call)) {
-    call->on_done(NeverBegun());
-  }
-}
-
-bool TargetClient::Impl::Enqueue(std::unique_ptr<Call>& call) {
-  bool was_empty = false;
-  {
-    std::lock_guard<std::mutex> lock(this->mutex);
-    if (this->stopping) {
-      return false;
-    }
-    was_empty = this->fresh.empty();
-    this->fresh.push_back(std::move(call));
-  }
-  if (was_empty) {
-    curl_multi_wakeup(this->multi);
-  }
-  return true;
-}
-
-void TargetClient::Impl::Run() {
-  std::vector<std::unique_ptr<Call>> taken;
-  while (this->TakeNew(taken)) {
-    for (auto& call : taken) {
-      this->Begin(std::move(call));
-    }
-    taken.clear();
-    int running = 0;
-    curl_multi_perform(this->multi, &running);
-    this->FinishDone();
-    curl_multi_poll(this->multi, nullptr, 0, kPollMilliseconds, nullptr);
-  }
-  this->FinishAll();
-}
-
-bool TargetClient::Impl::TakeNew(std::vector<std::unique_ptr<Call>>& taken) {
-  std::lock_guard<std::mutex> lock(this->mutex);
-  taken.swap(this->fresh);
-  return !this->stopping;
-}
-
-void TargetClient::Impl::Begin(std::unique_ptr<Call> call) {
-  if (this->spare_handles.empty()) {
-    call->handle = curl_easy_init();
-  } else {
-    call->handle = this->spare_handles.back();
-    this->spare_handles.pop_back();
-  }
-  this->SetOptions(*call);
-  CURL* handle = call->handle;
-  this->open.emplace(handle, std::move(call));
-  curl_multi_add_handle(this->multi, handle);
-}
-
-void TargetClient::Impl::SetOptions(Call& call) const {
-  using std::chrono::duration_cast;
-  using std::chrono::milliseconds;
-  const auto timeout = std::max<long>(1, duration_cast<milliseconds>(call.request.timeout).count());
-  const std::string attempt = "Sapphirecrank-Task: " + call.request.attempt.value();
-  const std::string lease = "Sapphirecrank-Lease-Ms: " + std::to_string(timeout);
-  const std::string url = "http://" + call.request.address.value() + "/run";
-  // A body of at least one byte: only its unread rest stops libcurl from sending again.
-  if (call.request.payload.empty()) {
-    call.request.payload = "null";
-  }
-  call.headers = curl_slist_append(nullptr, attempt.c_str());
-  call.headers = curl_slist_append(call.headers, lease.c_str());
-  call.headers = curl_slist_append(call.headers, "Content-Type: application/json");
-  call.headers = curl_slist_append(call.headers, "Expect:");
-  CURL* handle = call.handle;
-  curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
-  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(handle, CURLOPT_PROXY, "");
-  curl_easy_setopt(handle, CURLOPT_POST, 1L);
-  curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(call.request.payload.size()));
-  curl_easy_setopt(handle, CURLOPT_READFUNCTION, ReadBody);
-  curl_easy_setopt(handle, CURLOPT_READDATA, &call);
-  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, WriteBody);
-  curl_easy_setopt(handle, CURLOPT_WRITEDATA, &call);
-  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, ReadHeader);
-  curl_easy_setopt(handle, CURLOPT_HEADERDATA, &call);
-  curl_easy_setopt(handle, CURLOPT_HTTPHEADER, call.headers);
-  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, timeout);
-  curl_easy_setopt(
-      handle, CURLOPT_CONNECTTIMEOUT_MS,
-      static_cast<long>(duration_cast<milliseconds>(this->settings.connect_timeout).count()));
-}
-
-void TargetClient::Impl::FinishDone() {
-  int left = 0;
-  while (CURLMsg* message = curl_multi_info_read(this->multi, &left)) {
-    if (message->msg != CURLMSG_DONE) {
-      continue;
-    }
-    const CURLcode code = message->data.result;
-    auto found = this->open.find(message->easy_handle);
-    const std::unique_ptr<Call> call = std::move(found->second);
-    this->open.erase(found);
-    const TargetAnswer answer = AnswerOf(*call, code);
-    this->Release(*call);
-    call->on_done(answer);
-  }
-}
-
-void TargetClient::Impl::FinishAll() {
-  const TargetAnswer stopped =
-      Failed(ErrorCode::kShuttingDown, Verdict::kMayHaveRun, "the entry host stopped");
-  for (auto& [handle, call] : this->open) {
-    this->Release(*call);
-    call->on_done(stopped);
-  }
-  this->open.clear();
-  std::vector<std::unique_ptr<Call>> never_begun;
-  this->TakeNew(never_begun);
-  for (auto& call : never_begun) {
-    call->on_done(NeverBegun());
-  }
-}
-
-void TargetClient::Impl::Release(Call& call) {
-  curl_multi_remove_handle(this->multi, call.handle);
-  curl_slist_free_all(call.headers);
-  if (this->spare_handles.size() >= kMaximumSpareHandles) {
-    curl_easy_cleanup(call.handle);
-    return;
-  }
-  curl_easy_reset(call.handle);
-  this->spare_handles.push_back(call.handle);
-}
-
-TargetClient::TargetClient(const TargetClientSettings& settings)
-    : impl(std::make_unique<Impl>(settings)) {}
+TargetClient::TargetClient(const HttpClientSettings& settings)
+    : client(std::make_unique<HttpClient>(settings)) {}
 
 TargetClient::~TargetClient() = default;
 
-void TargetClient::Stop() { this->impl->Stop(); }
+void TargetClient::Stop() { this->client->Stop(); }
 
 void TargetClient::Start(TargetCall call, OnDone on_done) {
-  this->impl->Start(std::move(call), std::move(on_done));
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  const auto timeout = std::max<long>(1, duration_cast<milliseconds>(call.timeout).count());
+  HttpCall http;
+  http.address = call.address;
+  http.path = "/run";
+  http.headers = {"Sapphirecrank-Task: " + call.attempt.value(),
+                  "Sapphirecrank-Lease-Ms: " + std::to_string(timeout),
+                  "Content-Type: application/json"};
+  http.body = std::move(call.payload);
+  http.timeout = call.timeout;
+  this->client->Send(std::move(http),
+                     [attempt = call.attempt.value(), on_done = std::move(on_done)](
+                         const HttpReply& reply) { on_done(AnswerOf(attempt, reply)); });
 }
 
 }  // namespace sapphirecrank::outbound
--- a/src/outbound/target_client.h
+++ b/src/outbound/target_client.h
@@ -5,11 +5,13 @@
 
 #include "dispatch/target_answer.h"
 #include "dispatch/target_call.h"
-#include "outbound/target_client_settings.h"
+#include "outbound/http_client_settings.h"
 
 namespace sapphirecrank::outbound {
 
-/// Starts tasks on targets over HTTP, with one thread that runs libcurl's multi interface.
+class HttpClient;
+
+/// Starts tasks on targets over HTTP.
 ///
 /// A call is sent at most once: libcurl's own resend on a reused connection is made impossible.
 /// Thread safety: all methods may be called from any thread.
@@ -18,7 +20,7 @@
   using OnDone = std::function<void(const dispatch::TargetAnswer&)>;
 
   /// Starts the thread.
-  explicit TargetClient(const TargetClientSettings& settings);
+  explicit TargetClient(const HttpClientSettings& settings);
 
   /// Stops as `Stop` does.
   ~TargetClient();
@@ -32,9 +34,7 @@
   void Start(dispatch::TargetCall call, OnDone on_done);
 
  private:
-  class Impl;
-
-  std::unique_ptr<Impl> impl;
+  std::unique_ptr<HttpClient> client;
 };
 
 }  // namespace sapphirecrank::outbound
--- a/src/peers/peer_network.cc
+++ b/src/peers/peer_network.cc
@@ -13,6 +13,8 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
+#include "base/mutex.h"
+#include "base/mutex_lock.h"
 #include "base/thread_name.h"
 #include "peers/peer_session.h"
 #include "protocol/message_codec.h"
@@ -61,6 +63,9 @@
   bool Send(const HostId& host, Message message);
   void SendUnnumbered(const HostId& host, Message message);
   bool IsUp(const HostId& host) const;
+  void AddPeer(const PeerAddress& address);
+  std::vector<HostId> UpPeers() const;
+  base::DataCentreId DataCentreOf(const HostId& host) const;
   void WaitUntilDelivered(Duration limit);
 
  private:
@@ -101,6 +106,8 @@
   void Write(Peer& peer, const Envelope& envelope);
   void Reply(const connection_hdl& connection, Message message);
   void Post(std::function<void()> function);
+  Peer* Find(const HostId& host);
+  const Peer* Find(const HostId& host) const;
 
   PeerSettings settings;
   Hooks hooks;
@@ -108,8 +115,9 @@
   Client client;
   Server server;
   websocketpp::lib::asio::steady_timer timer;
-  // The set of peers never changes after construction; the peers belong to the network thread,
-  // except `is_up`.
+  // Peers are added and never removed, so that references to them stay valid. They belong to the
+  // network thread, except `is_up`; that thread alone adds them after the start, under the lock.
+  mutable base::Mutex peers_mutex;
   std::map<HostId, Peer> peers;
   std::map<connection_hdl, Accepted, std::owner_less<connection_hdl>> accepted;
   std::thread thread;
@@ -174,11 +182,11 @@
 }
 
 bool PeerNetwork::Impl::Send(const HostId& host, Message message) {
-  auto found = this->peers.find(host);
-  if (found == this->peers.end() || !found->second.is_up) {
+  Peer* found = this->Find(host);
+  if (found == nullptr || !found->is_up) {
     return false;
   }
-  this->Post([this, &peer = found->second, message = std::move(message)]() mutable {
+  this->Post([this, &peer = *found, message = std::move(message)]() mutable {
     if (!peer.session.CanSend()) {
       this->MarkLost(peer);
       return;
@@ -189,18 +197,62 @@
 }
 
 void PeerNetwork::Impl::SendUnnumbered(const HostId& host, Message message) {
-  auto found = this->peers.find(host);
-  if (found == this->peers.end()) {
+  Peer* found = this->Find(host);
+  if (found == nullptr) {
     return;
   }
-  this->Post([this, &peer = found->second, message = std::move(message)]() mutable {
+  this->Post([this, &peer = *found, message = std::move(message)]() mutable {
     this->Write(peer, peer.session.SendUnnumbered(std::move(message)));
   });
 }
 
 bool PeerNetwork::Impl::IsUp(const HostId& host) const {
+  const Peer* found = this->Find(host);
+  return found != nullptr && found->is_up;
+}
+
+PeerNetwork::Impl::Peer* PeerNetwork::Impl::Find(const HostId& host) {
+  base::MutexLock lock(this->peers_mutex);
+  auto found = this->peers.find(host);
+  return found == this->peers.end() ? nullptr : &found->second;
+}
+
+const PeerNetwork::Impl::Peer* PeerNetwork::Impl::Find(const HostId& host) const {
+  base::MutexLock lock(this->peers_mutex);
+  auto found = this->peers.find(host);
+  return found == this->peers.end() ? nullptr : &found->second;
+}
+
+void PeerNetwork::Impl::AddPeer(const PeerAddress& address) {
+  this->Post([this, address] {
+    if (address.host == this->settings.host || this->Find(address.host) != nullptr) {
+      return;
+    }
+    Peer* peer = nullptr;
+    {
+      base::MutexLock lock(this->peers_mutex);
+      peer = &this->peers[address.host];
+    }
+    peer->address = address;
+    this->Connect(*peer);
+  });
+}
+
+base::DataCentreId PeerNetwork::Impl::DataCentreOf(const HostId& host) const {
+  base::MutexLock lock(this->peers_mutex);
   auto found = this->peers.find(host);
-  return found != this->peers.end() && found->second.is_up;
+  return found == this->peers.end() ? base::DataCentreId() : found->second.address.data_centre;
+}
+
+std::vector<HostId> PeerNetwork::Impl::UpPeers() const {
+  std::vector<HostId> up;
+  base::MutexLock lock(this->peers_mutex);
+  for (const auto& [host, peer] : this->peers) {
+    if (peer.is_up) {
+      up.push_back(host);
+    }
+  }
+  return up;
 }
 
 void PeerNetwork::Impl::WaitUntilDelivered(Duration limit) {
@@ -266,7 +318,7 @@
   }
   const protocol::Hello hello{protocol::kProtocolVersion, this->settings.host,
                               this->settings.data_centre, this->settings.incarnation,
-                              this->settings.secret};
+                              this->settings.listen,      this->settings.secret};
   peer.is_open = true;
   this->Write(peer, {Sequence(0), Sequence(0), hello});
   peer.is_open = false;
@@ -363,6 +415,13 @@
     this->Refuse(connection, hello.host, "wrong shared secret");
     return;
   }
+  if (this->settings.admits_unknown) {
+    base::MutexLock lock(this->peers_mutex);
+    peer = this->peers.try_emplace(hello.host).first;
+    peer->second.address.host = hello.host;
+    peer->second.address.data_centre = hello.data_centre;
+    peer->second.address.address = hello.address;
+  }
   if (peer == this->peers.end() || hello.data_centre != peer->second.address.data_centre) {
     this->Refuse(connection, hello.host, "host is not in the settings");
     return;
@@ -396,7 +455,9 @@
     this->DropLink(peer);
   }
   if (peer.link == nullptr) {
-    this->Connect(peer);
+    if (now - peer.link_started >= this->settings.reconnect_interval) {
+      this->Connect(peer);
+    }
     return;
   }
   if (peer.is_open && now >= peer.next_heartbeat_at) {
@@ -484,4 +545,12 @@
 
 bool PeerNetwork::IsUp(const HostId& host) const { return this->impl->IsUp(host); }
 
+void PeerNetwork::AddPeer(const PeerAddress& address) { this->impl->AddPeer(address); }
+
+base::DataCentreId PeerNetwork::DataCentreOf(const HostId& host) const {
+  return this->impl->DataCentreOf(host);
+}
+
+std::vector<base::HostId> PeerNetwork::UpPeers() const { return this->impl->UpPeers(); }
+
 }  // namespace sapphirecrank::peers
--- a/src/peers/peer_network.h
+++ b/src/peers/peer_network.h
@@ -2,10 +2,12 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "peers/peer_address.h"
 #include "peers/peer_settings.h"
 #include "protocol/heartbeat.h"
 #include "protocol/message.h"
@@ -47,6 +49,15 @@
   /// Precondition: called once.
   base::Result<void> Start();
 
+  /// Links with a further host. Does nothing if it is known already. Precondition: started.
+  void AddPeer(const PeerAddress& address);
+
+  /// Returns the data centre that a host has named, or an empty id if it has not yet.
+  base::DataCentreId DataCentreOf(const base::HostId& host) const;
+
+  /// Returns the hosts that answer.
+  std::vector<base::HostId> UpPeers() const;
+
   /// Sends a message that arrives exactly once unless the other process ends or counts as lost.
   /// False means that it was surely not sent.
   bool Send(const base::HostId& host, protocol::Message message);
--- a/src/peers/peer_settings.h
+++ b/src/peers/peer_settings.h
@@ -17,7 +17,12 @@
   /// Where to listen.
   base::NetworkAddress listen;
   std::string secret;
+  /// Hosts to link with from the start; `PeerNetwork::AddPeer` adds further ones.
   std::vector<PeerAddress> peers;
+  /// Accepts links of hosts that aren't known yet and links back to the address that they name.
+  bool admits_unknown = false;
+  /// Pause between attempts to connect to the same host.
+  base::Duration reconnect_interval{0};
   base::Duration heartbeat_interval = std::chrono::milliseconds(200);
   /// An open link whose heartbeat is unanswered for this long is replaced by a new connection.
   base::Duration link_timeout = std::chrono::milliseconds(600);
--- /dev/null
+++ b/src/protocol/cluster_codec.cc
@@ -0,0 +1,207 @@
+#include "protocol/cluster_codec.h"
+
+#include <string>
+#include <utility>
+
+#include "protocol/json_fields.h"
+
+namespace sapphirecrank::protocol {
+
+using nlohmann::json;
+
+namespace {
+
+json EncodePartKey(const runs::PartKey& key) {
+  return {{"gateway", Value(key.gateway)}, {"job", Value(key.job)}, {"part", Value(key.part)}};
+}
+
+runs::PartKey DecodePartKey(FieldReader& reader) {
+  runs::PartKey key;
+  reader.Read("gateway", key.gateway);
+  reader.Read("job", key.job);
+  reader.Read("part", key.part);
+  return key;
+}
+
+}  // namespace
+
+json EncodeBody(const runs::TaskPart& message) {
+  json map = EncodePartKey(message.key);
+  map["type"] = kTaskPart;
+  map["service"] = Value(message.service);
+  map["priority"] = Value(message.priority);
+  map["attempts"] = Value(message.attempts);
+  map["payload"] = Bytes(message.payload);
+  map["wait_limit"] = Value(message.wait_limit);
+  map["time_left"] = Value(message.time_left);
+  json tasks = json::array();
+  for (const runs::PartTask& task : message.tasks) {
+    tasks.push_back({{"occurrence", Value(task.name.occurrence)},
+                     {"step", Value(task.name.step)},
+                     {"index", Value(task.name.index)},
+                     {"need", EncodeResources(task.need)}});
+  }
+  map["tasks"] = std::move(tasks);
+  return map;
+}
+
+Message DecodeTaskPart(FieldReader& reader) {
+  runs::TaskPart message;
+  message.key = DecodePartKey(reader);
+  reader.Read("service", message.service);
+  reader.Read("priority", message.priority);
+  reader.Read("attempts", message.attempts);
+  message.payload = reader.Bytes("payload");
+  message.wait_limit = ReadDuration(reader, "wait_limit");
+  message.time_left = ReadDuration(reader, "time_left");
+  message.tasks = DecodeArray<runs::PartTask>(reader, "tasks", [&message](FieldReader& item) {
+    runs::PartTask task;
+    task.name.job = message.key.job;
+    item.Read("occurrence", task.name.occurrence);
+    item.Read("step", task.name.step);
+    item.Read("index", task.name.index);
+    task.need = DecodeResources(item, "need");
+    return task;
+  });
+  return message;
+}
+
+json EncodeBody(const runs::PartEnd& message) {
+  json map = EncodePartKey(message.key);
+  map["type"] = kPartEnd;
+  map["kind"] = Number(message.kind);
+  map["reason"] = message.reason;
+  return map;
+}
+
+Message DecodePartEnd(FieldReader& reader) {
+  runs::PartEnd message;
+  message.key = DecodePartKey(reader);
+  message.kind = reader.Choice("kind", runs::PartEnd::Kind::kUnfinished);
+  message.reason = reader.Text("reason");
+  return message;
+}
+
+json EncodeBody(const runs::PartCancel& message) {
+  return {{"type", kPartCancel}, {"job", Value(message.job)}};
+}
+
+Message DecodePartCancel(FieldReader& reader) {
+  runs::PartCancel message;
+  reader.Read("job", message.job);
+  return message;
+}
+
+json EncodeBody(const runs::RoomReport& message) {
+  json services = json::array();
+  for (const runs::RoomReport::Service& service : message.services) {
+    services.push_back({{"service", Value(service.service)},
+                        {"free", Value(service.free)},
+                        {"total", Value(service.total)},
+                        {"waiting", Value(service.waiting)}});
+  }
+  return {{"type", kRoomReport},
+          {"data_centre", Value(message.data_centre)},
+          {"leaving", message.leaving},
+          {"services", std::move(services)}};
+}
+
+Message DecodeRoomReport(FieldReader& reader) {
+  runs::RoomReport message;
+  reader.Read("data_centre", message.data_centre);
+  message.leaving = reader.Flag("leaving");
+  message.services =
+      DecodeArray<runs::RoomReport::Service>(reader, "services", [](FieldReader& item) {
+        runs::RoomReport::Service service;
+        item.Read("service", service.service);
+        item.Read("free", service.free);
+        item.Read("total", service.total);
+        item.Read("waiting", service.waiting);
+        return service;
+      });
+  return message;
+}
+
+json EncodeBody(const runs::TargetReport& message) {
+  return {{"type", kTargetReport},
+          {"id", Value(message.id)},
+          {"service", Value(message.service)},
+          {"address", Value(message.address)},
+          {"data_centre", Value(message.data_centre)},
+          {"rack", Value(message.rack)},
+          {"born", Value(message.born)},
+          {"report", Value(message.number)},
+          {"capacity", EncodeResources(message.capacity)},
+          {"clock", Value(message.clock)},
+          {"draining", message.draining},
+          {"left", message.left}};
+}
+
+Message DecodeTargetReport(FieldReader& reader) {
+  runs::TargetReport message;
+  reader.Read("id", message.id);
+  reader.Read("service", message.service);
+  reader.Read("address", message.address);
+  reader.Read("data_centre", message.data_centre);
+  reader.Read("rack", message.rack);
+  reader.Read("born", message.born);
+  reader.Read("report", message.number);
+  message.capacity = DecodeResources(reader, "capacity");
+  message.clock = ReadDuration(reader, "clock");
+  message.draining = reader.Flag("draining");
+  message.left = reader.Flag("left");
+  return message;
+}
+
+json EncodeBody(const cluster::ClusterUpdate& message) {
+  json members = json::array();
+  for (const cluster::ClusterView::Member& member : message.view.members) {
+    members.push_back({{"host", Value(member.host)},
+                       {"incarnation", Value(member.incarnation)},
+                       {"data_centre", Value(member.data_centre)}});
+  }
+  json allocators = json::array();
+  for (const base::NetworkAddress& address : message.allocators) {
+    allocators.push_back({{"address", Value(address)}});
+  }
+  return {{"type", kClusterUpdate},
+          {"version", Value(message.configuration.version)},
+          {"document", Bytes(message.configuration.document)},
+          {"epoch", Value(message.view.epoch)},
+          {"members", std::move(members)},
+          {"allocators", std::move(allocators)}};
+}
+
+Message DecodeClusterUpdate(FieldReader& reader) {
+  cluster::ClusterUpdate message;
+  reader.Read("version", message.configuration.version);
+  message.configuration.document = reader.Bytes("document");
+  reader.Read("epoch", message.view.epoch);
+  message.view.members =
+      DecodeArray<cluster::ClusterView::Member>(reader, "members", [](FieldReader& item) {
+        cluster::ClusterView::Member member;
+        item.Read("host", member.host);
+        item.Read("incarnation", member.incarnation);
+        item.Read("data_centre", member.data_centre);
+        return member;
+      });
+  message.allocators =
+      DecodeArray<base::NetworkAddress>(reader, "allocators", [](FieldReader& item) {
+        base::NetworkAddress address;
+        item.Read("address", address);
+        return address;
+      });
+  return message;
+}
+
+json EncodeBody(const cluster::JoinRequest& message) {
+  return {{"type", kJoinRequest}, {"member", Value(message.member)}};
+}
+
+Message DecodeJoinRequest(FieldReader& reader) {
+  cluster::JoinRequest message;
+  reader.Read("member", message.member);
+  return message;
+}
+
+}  // namespace sapphirecrank::protocol
--- /dev/null
+++ b/src/protocol/cluster_codec.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include "cluster/cluster_update.h"
+#include "cluster/join_request.h"
+#include "protocol/field_reader.h"
+#include "protocol/message.h"
+#include "runs/part_cancel.h"
+#include "runs/part_end.h"
+#include "runs/room_report.h"
+#include "runs/target_report.h"
+#include "runs/task_part.h"
+
+namespace sapphirecrank::protocol {
+
+// Bodies of the messages between gateways and allocators. Thread safety: pure.
+
+constexpr const char* kTaskPart = "task_part";
+nlohmann::json EncodeBody(const runs::TaskPart& message);
+Message DecodeTaskPart(FieldReader& reader);
+
+constexpr const char* kPartEnd = "part_end";
+nlohmann::json EncodeBody(const runs::PartEnd& message);
+Message DecodePartEnd(FieldReader& reader);
+
+constexpr const char* kPartCancel = "part_cancel";
+nlohmann::json EncodeBody(const runs::PartCancel& message);
+Message DecodePartCancel(FieldReader& reader);
+
+constexpr const char* kRoomReport = "room_report";
+nlohmann::json EncodeBody(const runs::RoomReport& message);
+Message DecodeRoomReport(FieldReader& reader);
+
+constexpr const char* kTargetReport = "target_report";
+nlohmann::json EncodeBody(const runs::TargetReport& message);
+Message DecodeTargetReport(FieldReader& reader);
+
+constexpr const char* kClusterUpdate = "cluster_update";
+nlohmann::json EncodeBody(const cluster::ClusterUpdate& message);
+Message DecodeClusterUpdate(FieldReader& reader);
+
+constexpr const char* kJoinRequest = "join_request";
+nlohmann::json EncodeBody(const cluster::JoinRequest& message);
+Message DecodeJoinRequest(FieldReader& reader);
+
+}  // namespace sapphirecrank::protocol
--- a/src/protocol/hello.h
+++ b/src/protocol/hello.h
@@ -13,6 +13,8 @@
   base::HostId host;
   base::DataCentreId data_centre;
   base::Incarnation incarnation;
+  /// Where the sender accepts links, for a host that doesn't know it yet.
+  base::NetworkAddress address;
   /// Shared by all entry hosts; a host with another secret is refused.
   std::string secret;
 };
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -2,6 +2,8 @@
 
 #include <variant>
 
+#include "cluster/cluster_update.h"
+#include "cluster/join_request.h"
 #include "jobs/job_record.h"
 #include "jobs/record_ack.h"
 #include "protocol/assign_tasks.h"
@@ -16,13 +18,19 @@
 #include "protocol/hello_ack.h"
 #include "protocol/submission_answer.h"
 #include "protocol/task_results.h"
+#include "runs/part_cancel.h"
+#include "runs/part_end.h"
+#include "runs/room_report.h"
+#include "runs/target_report.h"
+#include "runs/task_part.h"
 
 namespace sapphirecrank::protocol {
 
 /// Any message between entry hosts.
-using Message =
-    std::variant<Hello, HelloAck, Heartbeat, HeartbeatAck, AssignTasks, TaskResults, CancelTasks,
-                 ForwardAnnouncement, GroupMessage, jobs::JobRecord, jobs::RecordAck,
-                 ForwardSubmission, SubmissionAnswer, CancelSubmission>;
+using Message = std::variant<Hello, HelloAck, Heartbeat, HeartbeatAck, AssignTasks, TaskResults,
+                             CancelTasks, ForwardAnnouncement, GroupMessage, jobs::JobRecord,
+                             jobs::RecordAck, ForwardSubmission, SubmissionAnswer, CancelSubmission,
+                             runs::TaskPart, runs::PartEnd, runs::PartCancel, runs::RoomReport,
+                             runs::TargetReport, cluster::ClusterUpdate, cluster::JoinRequest>;
 
 }  // namespace sapphirecrank::protocol
--- a/src/protocol/message_codec.cc
+++ b/src/protocol/message_codec.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "protocol/cluster_codec.h"
 #include "protocol/depth_limited_builder.h"
 #include "protocol/field_reader.h"
 #include "protocol/job_codec.h"
@@ -28,6 +29,7 @@
           {"host", Value(message.host)},
           {"data_centre", Value(message.data_centre)},
           {"incarnation", Value(message.incarnation)},
+          {"address", Value(message.address)},
           {"secret", message.secret}};
 }
 Message DecodeHello(FieldReader& reader) {
@@ -36,6 +38,7 @@
   reader.Read("host", message.host);
   reader.Read("data_centre", message.data_centre);
   reader.Read("incarnation", message.incarnation);
+  reader.Read("address", message.address);
   message.secret = reader.Text("secret");
   return message;
 }
@@ -244,6 +247,13 @@
     {kForwardSubmission, DecodeForwardSubmission},
     {kSubmissionAnswer, DecodeSubmissionAnswer},
     {kCancelSubmission, DecodeCancelSubmission},
+    {kTaskPart, DecodeTaskPart},
+    {kPartEnd, DecodePartEnd},
+    {kPartCancel, DecodePartCancel},
+    {kRoomReport, DecodeRoomReport},
+    {kTargetReport, DecodeTargetReport},
+    {kClusterUpdate, DecodeClusterUpdate},
+    {kJoinRequest, DecodeJoinRequest},
 };
 
 const Decoder* FindDecoder(const std::string& type) {
--- /dev/null
+++ b/src/runs/leased_target.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <map>
+
+#include "base/resources.h"
+#include "base/time.h"
+#include "runs/run_key.h"
+#include "runs/target_report.h"
+#include "runs/target_run.h"
+
+namespace sapphirecrank::runs {
+
+/// A target that this host owns, with its runs and its lease.
+///
+/// Thread safety: none.
+struct LeasedTarget {
+  enum class Phase {
+    /// Runs of an earlier owner are being stopped; nothing is started.
+    kAdopting,
+    kInUse,
+    /// Another owner has used a higher token; nothing is sent until this host gets one.
+    kFenced,
+  };
+
+  TargetReport report;
+  base::FencingToken token;
+  Phase phase = Phase::kAdopting;
+  base::Resources used;
+  std::map<RunKey, TargetRun> runs;
+  /// Runs that the target lists and this host didn't start; their room isn't known.
+  size_t unknown_runs = 0;
+  /// Ends up to this number have been taken in, and have been acknowledged to the target.
+  base::Sequence taken_in;
+  base::Sequence acknowledged;
+  /// When the target's clock was `report.clock`.
+  base::TimePoint clock_read_at;
+  base::TimePoint heard_at;
+  /// No new runs before this time, after a failed call.
+  base::TimePoint avoid_until;
+  /// The target's lease has surely ended at this time.
+  base::TimePoint lease_end;
+  bool is_looking = false;
+  base::TimePoint looked_at;
+  base::TimePoint next_look;
+
+  /// Returns what is free. Thread safety: pure.
+  base::Resources Free() const {
+    base::Resources free = this->report.capacity;
+    free -= this->used;
+    return free;
+  }
+
+  /// Returns the target's clock at `now`. Thread safety: pure.
+  base::Duration ClockAt(base::TimePoint now) const {
+    return this->report.clock + (now - this->clock_read_at);
+  }
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/look_answer.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "runs/order_outcome.h"
+#include "runs/target_look.h"
+
+namespace sapphirecrank::runs {
+
+/// A target's answer to a look; `look` is set if the outcome is `kAccepted`.
+struct LookAnswer {
+  OrderOutcome outcome = OrderOutcome::kUnanswered;
+  TargetLook look;
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/look_order.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <optional>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "runs/target_reference.h"
+
+namespace sapphirecrank::runs {
+
+/// Asks a target for its runs and extends its lease.
+struct LookOrder {
+  TargetReference target;
+  /// Ends up to this number have been taken note of.
+  base::Sequence acknowledged;
+  /// New end of the lease on the target's clock; none to leave it as it is.
+  std::optional<base::Duration> lease_until;
+  /// How long the target may hold the answer back for a further end.
+  base::Duration wait{0};
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/order_answer.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <optional>
+
+#include "base/time.h"
+#include "runs/order_outcome.h"
+
+namespace sapphirecrank::runs {
+
+/// A target's answer to a start or stop.
+struct OrderAnswer {
+  OrderOutcome outcome = OrderOutcome::kUnanswered;
+  /// The target's clock, if it gave it.
+  std::optional<base::Duration> clock;
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/order_outcome.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string_view>
+
+namespace sapphirecrank::runs {
+
+/// How a target answered a start or stop.
+enum class OrderOutcome {
+  kAccepted,
+  /// An owner with a higher token has the target.
+  kFenced,
+  /// A run with this or a higher number has been stopped or has ended there.
+  kOutdated,
+  /// The order came after the end of its lease.
+  kLate,
+  kNoRoom,
+  kInvalid,
+  /// The target is unhealthy and has done nothing.
+  kUnhealthy,
+  /// The address belongs to another life of the target.
+  kOtherLife,
+  /// Nothing was sent.
+  kNotSent,
+  /// No answer came: the order may have been carried out or may be later.
+  kUnanswered,
+};
+
+/// Returns the outcome's name in logs. Thread safety: pure.
+std::string_view OrderOutcomeName(OrderOutcome outcome);
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/part_cancel.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "base/ids.h"
+
+namespace sapphirecrank::runs {
+
+/// Stops all parts that a gateway has placed for a job; no end is reported.
+struct PartCancel {
+  base::SubmissionId job;
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/part_end.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+
+#include "runs/part_key.h"
+
+namespace sapphirecrank::runs {
+
+/// How a part ended at its allocator.
+struct PartEnd {
+  enum class Kind {
+    /// All tasks are done.
+    kCompleted,
+    /// A task has failed as often as it may.
+    kFailed,
+    /// No task has begun and none will.
+    kNotRun,
+    /// Some tasks may have run; the rest were stopped.
+    kUnfinished,
+  };
+
+  PartKey key;
+  Kind kind = Kind::kUnfinished;
+  /// For logs.
+  std::string reason;
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/part_key.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <tuple>
+
+#include "base/ids.h"
+
+namespace sapphirecrank::runs {
+
+/// Names one part of one job at the gateway that holds the job.
+struct PartKey {
+  base::HostId gateway;
+  base::SubmissionId job;
+  base::PartNumber part;
+
+  friend bool operator==(const PartKey& a, const PartKey& b) {
+    return a.part == b.part && a.job == b.job && a.gateway == b.gateway;
+  }
+  friend bool operator<(const PartKey& a, const PartKey& b) {
+    return std::tie(a.job, a.gateway, a.part) < std::tie(b.job, b.gateway, b.part);
+  }
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/placed_part.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "runs/task_part.h"
+
+namespace sapphirecrank::runs {
+
+/// A part at its allocator.
+struct PlacedPart {
+  struct Task {
+    base::AttemptCount failed;
+    base::RunNumber last_run;
+    bool is_done = false;
+    /// Where the task runs; empty while it waits.
+    base::TargetId target;
+  };
+
+  TaskPart part;
+  std::shared_ptr<const std::string> payload;
+  std::vector<Task> tasks;
+  /// Positions of tasks without a run.
+  std::vector<size_t> waiting;
+  size_t unfinished = 0;
+  /// Starts that were ordered and not refused.
+  int starts = 0;
+  base::TimePoint arrived;
+  uint64_t arrival = 0;
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/pool_effects.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <vector>
+
+#include "runs/look_order.h"
+#include "runs/part_end.h"
+#include "runs/run_decision.h"
+#include "runs/start_order.h"
+#include "runs/stop_order.h"
+
+namespace sapphirecrank::runs {
+
+/// What a pool has decided to do, to be done after its lock is released.
+struct PoolEffects {
+  std::vector<StartOrder> starts;
+  std::vector<StopOrder> stops;
+  std::vector<LookOrder> looks;
+  std::vector<PartEnd> ends;
+  std::vector<RunDecision> decisions;
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/pool_settings.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "base/time.h"
+
+namespace sapphirecrank::runs {
+
+/// Bounds of the runs on leased targets.
+struct PoolSettings {
+  /// Longest lease that a target grants, on its own clock.
+  base::Duration longest_lease = std::chrono::milliseconds(1000);
+  /// How long a target may hold back the answer to a look. A lost answer is noticed after this and
+  /// the timeout of calls, which together stay below the lease.
+  base::Duration look_wait = std::chrono::milliseconds(300);
+  /// Targets that haven't been heard of for this long get no new runs: two heartbeats and the time
+  /// in which a third is taken to another host.
+  base::Duration silence_limit = std::chrono::milliseconds(3500);
+  /// Targets that haven't been heard of for this long are dropped.
+  base::Duration drop_after = std::chrono::seconds(10);
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/room_report.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <vector>
+
+#include "base/ids.h"
+#include "base/units.h"
+
+namespace sapphirecrank::runs {
+
+/// What an allocator can start at the moment, service by service.
+struct RoomReport {
+  struct Service {
+    base::ServiceId service;
+    /// Tasks of the mean size of late that fit at once.
+    base::TaskCount free;
+    /// The same if nothing ran.
+    base::TaskCount total;
+    /// Tasks that wait for room.
+    base::TaskCount waiting;
+
+    friend bool operator==(const Service& a, const Service& b) {
+      return a.service == b.service && a.free == b.free && a.total == b.total &&
+             a.waiting == b.waiting;
+    }
+  };
+
+  base::DataCentreId data_centre;
+  /// The allocator takes no new work.
+  bool leaving = false;
+  std::vector<Service> services;
+
+  friend bool operator==(const RoomReport& a, const RoomReport& b) {
+    return a.data_centre == b.data_centre && a.leaving == b.leaving && a.services == b.services;
+  }
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/run_decision.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string>
+
+#include "base/ids.h"
+#include "runs/run_key.h"
+
+namespace sapphirecrank::runs {
+
+/// A decision about a run or a target, for the log.
+struct RunDecision {
+  /// What was decided, a fixed text.
+  const char* what = "";
+  /// Empty if the decision is about no run.
+  RunKey key;
+  base::TargetId target;
+  base::FencingToken token;
+  /// What decided it.
+  std::string reason;
+  /// Part of ordinary work, as opposed to a fault or a change of ownership.
+  bool is_ordinary = false;
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/run_end.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "base/ids.h"
+#include "runs/run_key.h"
+
+namespace sapphirecrank::runs {
+
+/// The end of a run as its target lists it.
+struct RunEnd {
+  enum class Kind {
+    kDone,
+    /// Through a fault of the task or of the target.
+    kFailed,
+    /// By an order.
+    kStopped,
+    /// The target's lease ended.
+    kLapsed,
+    /// Another member of the gang ended.
+    kBroken,
+    /// The other members of the gang didn't come in time.
+    kAlone,
+  };
+
+  /// Position in the target's list, from 1 in each life of the target.
+  base::Sequence number;
+  RunKey key;
+  Kind kind = Kind::kDone;
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/run_key.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <tuple>
+
+#include "runs/task_name.h"
+
+namespace sapphirecrank::runs {
+
+/// Names one start of one task.
+struct RunKey {
+  TaskName task;
+  base::RunNumber run;
+
+  friend bool operator==(const RunKey& a, const RunKey& b) {
+    return a.run == b.run && a.task == b.task;
+  }
+  friend bool operator<(const RunKey& a, const RunKey& b) {
+    return std::tie(a.task, a.run) < std::tie(b.task, b.run);
+  }
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/run_pool.cc
@@ -0,0 +1,136 @@
+#include "runs/run_pool.h"
+
+#include <utility>
+
+namespace sapphirecrank::runs {
+
+namespace {
+
+constexpr size_t kShards = 16;
+
+}  // namespace
+
+RunPool::RunPool(const PoolSettings& settings, Hooks hooks)
+    : settings(settings), hooks(std::move(hooks)), shards(kShards) {}
+
+template <typename Function>
+void RunPool::Change(const base::ServiceId& service, Function function) {
+  const base::TimePoint now = this->hooks.now();
+  PoolEffects effects;
+  this->shards.With(service, [&](Shard& shard) {
+    auto pool = shard.services.try_emplace(service, this->settings).first;
+    function(pool->second, now, effects);
+  });
+  this->Run(service, effects);
+}
+
+template <typename Function>
+void RunPool::ChangeAll(Function function) {
+  std::vector<base::ServiceId> services;
+  this->shards.ForEach([&services](Shard& shard) {
+    for (const auto& [service, pool] : shard.services) {
+      services.push_back(service);
+    }
+  });
+  for (const base::ServiceId& service : services) {
+    this->Change(service, function);
+  }
+}
+
+void RunPool::OnReport(const TargetReport& report, base::FencingToken token) {
+  this->Change(report.service, [&](ServicePool& pool, base::TimePoint now, PoolEffects& effects) {
+    pool.OnReport(report, token, now, effects);
+  });
+}
+
+void RunPool::Release(const base::TargetId& target, const base::ServiceId& service) {
+  this->Change(service, [&](ServicePool& pool, base::TimePoint now, PoolEffects& effects) {
+    pool.Release(target, now, effects);
+  });
+}
+
+void RunPool::SetToken(base::FencingToken token) {
+  this->ChangeAll([&](ServicePool& pool, base::TimePoint now, PoolEffects& effects) {
+    pool.SetToken(token, now, effects);
+  });
+}
+
+void RunPool::Place(TaskPart part) {
+  const base::ServiceId service = part.service;
+  this->Change(service, [&](ServicePool& pool, base::TimePoint now, PoolEffects& effects) {
+    pool.Place(std::move(part), now, effects);
+  });
+}
+
+void RunPool::Cancel(const base::HostId& gateway, const base::SubmissionId& job) {
+  this->ChangeAll([&](ServicePool& pool, base::TimePoint now, PoolEffects& effects) {
+    pool.Cancel(gateway, job, now, effects);
+  });
+}
+
+void RunPool::CancelAllOf(const base::HostId& gateway) {
+  this->ChangeAll([&](ServicePool& pool, base::TimePoint now, PoolEffects& effects) {
+    pool.CancelAllOf(gateway, now, effects);
+  });
+}
+
+void RunPool::Tick() {
+  this->ChangeAll([](ServicePool& pool, base::TimePoint now, PoolEffects& effects) {
+    pool.Tick(now, effects);
+  });
+}
+
+std::vector<RoomReport::Service> RunPool::Room() {
+  const base::TimePoint now = this->hooks.now();
+  std::vector<RoomReport::Service> rooms;
+  this->shards.ForEach([&](Shard& shard) {
+    for (const auto& [service, pool] : shard.services) {
+      RoomReport::Service room = pool.Room(now);
+      room.service = service;
+      rooms.push_back(std::move(room));
+    }
+  });
+  return rooms;
+}
+
+size_t RunPool::PartCount() {
+  size_t count = 0;
+  this->shards.ForEach([&count](Shard& shard) {
+    for (const auto& [service, pool] : shard.services) {
+      count += pool.PartCount();
+    }
+  });
+  return count;
+}
+
+void RunPool::Run(const base::ServiceId& service, const PoolEffects& effects) {
+  for (const RunDecision& decision : effects.decisions) {
+    this->hooks.on_decision(decision);
+  }
+  for (const StartOrder& order : effects.starts) {
+    this->hooks.start(order, [this, service, order](const OrderAnswer& answer) {
+      this->Change(service, [&](ServicePool& pool, base::TimePoint now, PoolEffects& more) {
+        pool.OnStartAnswer(order, answer, now, more);
+      });
+    });
+  }
+  for (const StopOrder& order : effects.stops) {
+    this->hooks.stop(order, [this, service, order](const OrderAnswer& answer) {
+      this->Change(service, [&](ServicePool& pool, base::TimePoint now, PoolEffects& more) {
+        pool.OnStopAnswer(order, answer, now, more);
+      });
+    });
+  }
+  for (const LookOrder& order : effects.looks) {
+    this->hooks.look(order, [this, service, order](const LookAnswer& answer) {
+      this->Change(service, [&](ServicePool& pool, base::TimePoint now, PoolEffects& more) {
+        pool.OnLookAnswer(order, answer, now, more);
+      });
+    });
+  }
+  for (const PartEnd& end : effects.ends) {
+    this->hooks.on_part_end(end);
+  }
+}
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/run_pool.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "base/sharded.h"
+#include "base/time.h"
+#include "runs/service_pool.h"
+
+namespace sapphirecrank::runs {
+
+/// All targets that this host owns; one shard holds some services, each shard has its own lock.
+///
+/// Thread safety: all methods may be called from any thread. Hooks run without a lock.
+class RunPool {
+ public:
+  /// Behaviour handed in; all members must be set. The answers may come on any thread, also before
+  /// the call returns.
+  struct Hooks {
+    base::Clock now;
+    std::function<void(const StartOrder&, std::function<void(const OrderAnswer&)>)> start;
+    std::function<void(const StopOrder&, std::function<void(const OrderAnswer&)>)> stop;
+    std::function<void(const LookOrder&, std::function<void(const LookAnswer&)>)> look;
+    std::function<void(const PartEnd&)> on_part_end;
+    std::function<void(const RunDecision&)> on_decision;
+  };
+
+  RunPool(const PoolSettings& settings, Hooks hooks);
+
+  /// Takes the report of a target that this host owns with `token`.
+  void OnReport(const TargetReport& report, base::FencingToken token);
+
+  /// Gives up a target that another host owns now.
+  void Release(const base::TargetId& target, const base::ServiceId& service);
+
+  /// Uses a new token for all targets that are still owned.
+  void SetToken(base::FencingToken token);
+
+  void Place(TaskPart part);
+  void Cancel(const base::HostId& gateway, const base::SubmissionId& job);
+  void CancelAllOf(const base::HostId& gateway);
+
+  /// Does what is due by time. To be called several times in 100 ms.
+  void Tick();
+
+  /// Returns what can be started, service by service.
+  std::vector<RoomReport::Service> Room();
+
+  /// Returns the number of parts that have not ended.
+  size_t PartCount();
+
+ private:
+  struct Shard {
+    std::map<base::ServiceId, ServicePool> services;
+  };
+
+  template <typename Function>
+  void Change(const base::ServiceId& service, Function function);
+  template <typename Function>
+  void ChangeAll(Function function);
+  void Run(const base::ServiceId& service, const PoolEffects& effects);
+
+  PoolSettings settings;
+  Hooks hooks;
+  base::Sharded<base::ServiceId, Shard> shards;
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/service_pool.cc
@@ -0,0 +1,628 @@
+#include "runs/service_pool.h"
+
+#include <algorithm>
+#include <string>
+
+namespace sapphirecrank::runs {
+
+using base::Duration;
+using base::Resources;
+using base::TargetId;
+using base::TimePoint;
+using std::chrono::milliseconds;
+
+namespace {
+
+// A target's clock may run 2 % slow; the rest is for the way of the order.
+constexpr double kSlowClock = 1.05;
+constexpr Duration kAvoidAfterFailure = milliseconds(500);
+constexpr Duration kAvoidUnhealthy = milliseconds(1000);
+constexpr Duration kStopAgain = milliseconds(100);
+constexpr Duration kLookAgain = milliseconds(50);
+// Ends that nothing follows on are acknowledged after this long, well inside the platform's bound
+// of seconds, so that a busy target needs no look for it.
+constexpr Duration kLongestUnacknowledged = milliseconds(500);
+// Targets return at most this many ends at once; a run that is in neither list may be further on.
+constexpr size_t kFullEndList = 500;
+constexpr double kMeanWeight = 0.02;
+
+}  // namespace
+
+ServicePool::ServicePool() : ServicePool(PoolSettings()) {}
+
+ServicePool::ServicePool(const PoolSettings& settings) : settings(settings) {}
+
+void ServicePool::OnReport(const TargetReport& report, base::FencingToken token, TimePoint now,
+                           PoolEffects& effects) {
+  auto found = this->targets.find(report.id);
+  if (found != this->targets.end()) {
+    const TargetReport& known = found->second.report;
+    if (report.born < known.born || (report.born == known.born && report.number <= known.number)) {
+      return;
+    }
+    if (report.born != known.born || report.address != known.address) {
+      this->Drop(report.id, TimePoint(), "a new life of the target has reported", effects);
+      found = this->targets.end();
+    }
+  }
+  if (report.left) {
+    if (found != this->targets.end()) {
+      found->second.report.draining = true;
+      found->second.report.number = report.number;
+    }
+    return;
+  }
+  if (found == this->targets.end()) {
+    found = this->targets.try_emplace(report.id).first;
+    found->second.token = token;
+    effects.decisions.push_back({"target adopted", {}, report.id, token, "first report", false});
+  }
+  LeasedTarget& target = found->second;
+  if (report.draining && !target.report.draining) {
+    effects.decisions.push_back({"target draining", {}, report.id, token, "its report", false});
+  }
+  target.report = report;
+  target.clock_read_at = now;
+  target.heard_at = now;
+  this->LookIfDue(target, now, effects);
+  this->Schedule(now, effects);
+}
+
+void ServicePool::Release(const TargetId& target, TimePoint now, PoolEffects& effects) {
+  const auto found = this->targets.find(target);
+  if (found == this->targets.end()) {
+    return;
+  }
+  this->Drop(target, found->second.lease_end, "another host owns the target", effects);
+  this->Schedule(now, effects);
+}
+
+void ServicePool::SetToken(base::FencingToken token, TimePoint now, PoolEffects& effects) {
+  for (auto& [id, target] : this->targets) {
+    if (token <= target.token) {
+      continue;
+    }
+    target.token = token;
+    if (target.phase == LeasedTarget::Phase::kFenced) {
+      target.phase = LeasedTarget::Phase::kAdopting;
+      effects.decisions.push_back({"target adopted", {}, id, token, "new token", false});
+      this->LookIfDue(target, now, effects);
+    }
+  }
+}
+
+void ServicePool::Place(TaskPart part, TimePoint now, PoolEffects& effects) {
+  // A resubmission through another gateway replaces what the first one placed.
+  for (auto other = this->parts.lower_bound({base::HostId(), part.key.job, base::PartNumber()});
+       other != this->parts.end() && other->first.job == part.key.job;) {
+    auto next = std::next(other);
+    if (other->first.gateway != part.key.gateway || other->first.part == part.key.part) {
+      this->EndPart(other, PartEnd::Kind::kUnfinished, "the job was submitted again", now, effects);
+    }
+    other = next;
+  }
+  const PartKey key = part.key;
+  PlacedPart& placed = this->parts[key];
+  placed.payload = std::make_shared<const std::string>(std::move(part.payload));
+  placed.tasks.resize(part.tasks.size());
+  placed.unfinished = part.tasks.size();
+  placed.arrived = now;
+  placed.arrival = this->next_arrival++;
+  for (const PartTask& task : part.tasks) {
+    const auto need = static_cast<double>(task.need.processors.value());
+    this->mean_need += this->mean_need == 0 ? need : kMeanWeight * (need - this->mean_need);
+  }
+  placed.part = std::move(part);
+  for (size_t i = placed.tasks.size(); i > 0; --i) {
+    this->Enqueue(placed, i - 1);
+  }
+  this->Schedule(now, effects);
+}
+
+void ServicePool::Cancel(const base::HostId& gateway, const base::SubmissionId& job, TimePoint now,
+                         PoolEffects& effects) {
+  for (auto found = this->parts.lower_bound({gateway, job, base::PartNumber()});
+       found != this->parts.end() && found->first.job == job && found->first.gateway == gateway;) {
+    auto next = std::next(found);
+    this->EndPart(found, std::nullopt, "cancelled by its gateway", now, effects);
+    found = next;
+  }
+  this->Schedule(now, effects);
+}
+
+void ServicePool::CancelAllOf(const base::HostId& gateway, TimePoint now, PoolEffects& effects) {
+  for (auto found = this->parts.begin(); found != this->parts.end();) {
+    auto next = std::next(found);
+    if (found->first.gateway == gateway) {
+      this->EndPart(found, std::nullopt, "the gateway was lost", now, effects);
+    }
+    found = next;
+  }
+  this->Schedule(now, effects);
+}
+
+bool ServicePool::CanStart(const LeasedTarget& target, TimePoint now) const {
+  return target.phase == LeasedTarget::Phase::kInUse && !target.report.draining &&
+         target.unknown_runs == 0 && now >= target.avoid_until &&
+         now - target.heard_at < this->settings.silence_limit;
+}
+
+LeasedTarget* ServicePool::Choose(const Resources& need, TimePoint now) {
+  // Best fit keeps whole targets free for tasks that need much.
+  LeasedTarget* best = nullptr;
+  base::MilliCores best_free;
+  for (auto& [id, target] : this->targets) {
+    const Resources free = target.Free();
+    if (free.Fits(need) && this->CanStart(target, now) &&
+        (best == nullptr || free.processors < best_free)) {
+      best = &target;
+      best_free = free.processors;
+    }
+  }
+  return best;
+}
+
+void ServicePool::Schedule(TimePoint now, PoolEffects& effects) {
+  for (auto next = this->queue.begin(); next != this->queue.end();) {
+    PlacedPart& placed = this->parts.at(next->second);
+    std::vector<size_t> held;
+    while (!placed.waiting.empty()) {
+      const size_t task = placed.waiting.back();
+      if (this->present.count(placed.part.tasks[task].name) > 0) {
+        held.push_back(task);
+        placed.waiting.pop_back();
+        continue;
+      }
+      LeasedTarget* target = this->Choose(placed.part.tasks[task].need, now);
+      if (target == nullptr) {
+        placed.waiting.insert(placed.waiting.end(), held.begin(), held.end());
+        return;
+      }
+      placed.waiting.pop_back();
+      this->StartTask(placed, task, *target, now, effects);
+    }
+    placed.waiting = std::move(held);
+    next = placed.waiting.empty() ? this->queue.erase(next) : std::next(next);
+  }
+}
+
+void ServicePool::StartTask(PlacedPart& placed, size_t task, LeasedTarget& target, TimePoint now,
+                            PoolEffects& effects) {
+  PlacedPart::Task& state = placed.tasks[task];
+  const PartTask& wanted = placed.part.tasks[task];
+  state.last_run = state.last_run.Next();
+  state.target = target.report.id;
+  ++placed.starts;
+  const RunKey key{wanted.name, state.last_run};
+  TargetRun run;
+  run.part = placed.part.key;
+  run.task = task;
+  run.need = wanted.need;
+  run.ordered_at = now;
+  target.used += wanted.need;
+  target.runs.emplace(key, std::move(run));
+  this->present.insert(key.task);
+  StartOrder order;
+  order.target = {target.report.id, target.report.address, target.token};
+  order.key = key;
+  order.payload = placed.payload;
+  order.lease_until = target.ClockAt(now) + this->settings.longest_lease;
+  target.lease_end =
+      now + std::chrono::duration_cast<Duration>(this->settings.longest_lease * kSlowClock);
+  effects.starts.push_back(std::move(order));
+}
+
+void ServicePool::Enqueue(PlacedPart& placed, size_t task) {
+  placed.tasks[task].target = TargetId();
+  placed.waiting.push_back(task);
+  this->queue.emplace(QueueKey(placed.part.priority, placed.arrival), placed.part.key);
+}
+
+void ServicePool::Stop(LeasedTarget& target, const RunKey& key, TargetRun& run, TimePoint now,
+                       PoolEffects& effects) {
+  run.phase = TargetRun::Phase::kStopping;
+  if (run.is_stop_open || run.stopped_at || target.phase == LeasedTarget::Phase::kFenced) {
+    return;
+  }
+  run.is_stop_open = true;
+  run.next_stop = now + kStopAgain;
+  effects.stops.push_back({{target.report.id, target.report.address, target.token}, key});
+}
+
+TargetRun ServicePool::Remove(LeasedTarget& target, const RunKey& key) {
+  auto found = target.runs.find(key);
+  const TargetRun run = found->second;
+  target.used -= run.need;
+  target.runs.erase(found);
+  if (run.holds_name) {
+    this->present.erase(this->present.find(key.task));
+  }
+  return run;
+}
+
+void ServicePool::PlaceAgain(const RunKey& key, const TargetRun& run) {
+  auto found = this->parts.find(run.part);
+  if (run.is_orphan || found == this->parts.end()) {
+    return;
+  }
+  PlacedPart& placed = found->second;
+  if (placed.tasks[run.task].last_run == key.run) {
+    this->Enqueue(placed, run.task);
+  }
+}
+
+void ServicePool::OnStartAnswer(const StartOrder& order, const OrderAnswer& answer, TimePoint now,
+                                PoolEffects& effects) {
+  auto found = this->targets.find(order.target.id);
+  if (found == this->targets.end() || found->second.runs.count(order.key) == 0) {
+    return;
+  }
+  LeasedTarget& target = found->second;
+  if (answer.clock) {
+    target.report.clock = *answer.clock;
+    target.clock_read_at = now;
+  }
+  if (answer.outcome != OrderOutcome::kAccepted) {
+    effects.decisions.push_back({"start not accepted", order.key, order.target.id,
+                                 order.target.token, std::string(OrderOutcomeName(answer.outcome)),
+                                 false});
+  }
+  TargetRun& run = target.runs.at(order.key);
+  switch (answer.outcome) {
+    case OrderOutcome::kAccepted:
+      run.confirmed_at = now;
+      if (run.phase == TargetRun::Phase::kStarting) {
+        run.phase = TargetRun::Phase::kRunning;
+      }
+      this->LookIfDue(target, now, effects);
+      return;
+    case OrderOutcome::kUnanswered:
+      target.avoid_until = now + kAvoidAfterFailure;
+      this->Stop(target, order.key, run, now, effects);
+      return;
+    case OrderOutcome::kFenced:
+      this->Fence(target, effects);
+      break;
+    case OrderOutcome::kOtherLife:
+      this->Drop(order.target.id, TimePoint(), "another life of the target answered", effects);
+      break;
+    case OrderOutcome::kInvalid: {
+      const TargetRun gone = this->Remove(target, order.key);
+      this->CountFailure(order.key, gone, now, effects);
+      break;
+    }
+    case OrderOutcome::kOutdated:
+    case OrderOutcome::kLate:
+    case OrderOutcome::kNoRoom:
+    case OrderOutcome::kUnhealthy:
+    case OrderOutcome::kNotSent: {
+      if (answer.outcome != OrderOutcome::kOutdated && answer.outcome != OrderOutcome::kLate) {
+        target.avoid_until =
+            now +
+            (answer.outcome == OrderOutcome::kUnhealthy ? kAvoidUnhealthy : kAvoidAfterFailure);
+      }
+      const TargetRun gone = this->Remove(target, order.key);
+      auto part = this->parts.find(gone.part);
+      if (part != this->parts.end()) {
+        --part->second.starts;
+      }
+      this->PlaceAgain(order.key, gone);
+      break;
+    }
+  }
+  this->Schedule(now, effects);
+}
+
+void ServicePool::OnStopAnswer(const StopOrder& order, const OrderAnswer& answer, TimePoint now,
+                               PoolEffects& effects) {
+  auto found = this->targets.find(order.target.id);
+  if (found == this->targets.end()) {
+    return;
+  }
+  LeasedTarget& target = found->second;
+  if (answer.outcome == OrderOutcome::kFenced) {
+    this->Fence(target, effects);
+    this->Schedule(now, effects);
+    return;
+  }
+  if (answer.outcome == OrderOutcome::kOtherLife) {
+    this->Drop(order.target.id, TimePoint(), "another life of the target answered", effects);
+    this->Schedule(now, effects);
+    return;
+  }
+  auto run = target.runs.find(order.key);
+  if (run == target.runs.end()) {
+    return;
+  }
+  run->second.is_stop_open = false;
+  if (answer.outcome == OrderOutcome::kAccepted) {
+    run->second.stopped_at = now;
+    target.next_look = now;
+  }
+  this->LookIfDue(target, now, effects);
+}
+
+void ServicePool::OnLookAnswer(const LookOrder& order, const LookAnswer& answer, TimePoint now,
+                               PoolEffects& effects) {
+  auto found = this->targets.find(order.target.id);
+  if (found == this->targets.end() || !found->second.is_looking) {
+    return;
+  }
+  LeasedTarget& target = found->second;
+  const TimePoint sent = target.looked_at;
+  target.is_looking = false;
+  if (answer.outcome == OrderOutcome::kAccepted && answer.look.born != target.report.born) {
+    this->Drop(order.target.id, TimePoint(), "another life of the target answered", effects);
+  } else if (answer.outcome == OrderOutcome::kAccepted) {
+    target.report.clock = answer.look.clock;
+    target.clock_read_at = now;
+    target.heard_at = now;
+    target.acknowledged = std::max(target.acknowledged, order.acknowledged);
+    this->Reconcile(target, answer.look, sent, now, effects);
+  } else if (answer.outcome == OrderOutcome::kFenced) {
+    this->Fence(target, effects);
+  } else if (answer.outcome == OrderOutcome::kOtherLife) {
+    this->Drop(order.target.id, TimePoint(), "another life of the target answered", effects);
+  } else {
+    effects.decisions.push_back({"look failed",
+                                 {},
+                                 order.target.id,
+                                 order.target.token,
+                                 std::string(OrderOutcomeName(answer.outcome)),
+                                 false});
+    target.avoid_until = now + kAvoidAfterFailure;
+    target.next_look = now + kLookAgain;
+    this->LookIfDue(target, now, effects);
+  }
+  this->Schedule(now, effects);
+}
+
+void ServicePool::Reconcile(LeasedTarget& target, const TargetLook& look, TimePoint sent,
+                            TimePoint now, PoolEffects& effects) {
+  for (const RunEnd& end : look.ended) {
+    if (end.number > target.taken_in) {
+      target.taken_in = end.number;
+      this->OnEnd(target, end, now, effects);
+    }
+  }
+  std::set<RunKey> listed;
+  target.unknown_runs = 0;
+  for (const ActiveRun& active : look.active) {
+    listed.insert(active.key);
+    auto run = target.runs.find(active.key);
+    if (run == target.runs.end()) {
+      ++target.unknown_runs;
+      effects.decisions.push_back({"unknown run stopped", active.key, target.report.id,
+                                   target.token, "started by an earlier owner", false});
+      effects.stops.push_back(
+          {{target.report.id, target.report.address, target.token}, active.key});
+    } else if (run->second.phase == TargetRun::Phase::kStarting) {
+      run->second.phase = TargetRun::Phase::kRunning;
+    }
+  }
+  std::vector<RunKey> gone;
+  for (const auto& [key, run] : target.runs) {
+    const bool was_there = run.confirmed_at && *run.confirmed_at < sent;
+    const bool was_stopped = run.stopped_at && *run.stopped_at < sent;
+    if ((was_there || was_stopped) && listed.count(key) == 0 && look.ended.size() < kFullEndList) {
+      gone.push_back(key);
+    }
+  }
+  for (const RunKey& key : gone) {
+    this->PlaceAgain(key, this->Remove(target, key));
+  }
+  if (target.phase == LeasedTarget::Phase::kAdopting && look.active.empty()) {
+    target.phase = LeasedTarget::Phase::kInUse;
+    effects.decisions.push_back({"target in use",
+                                 {},
+                                 target.report.id,
+                                 target.token,
+                                 "no runs of an earlier owner",
+                                 false});
+  }
+  if (target.phase == LeasedTarget::Phase::kAdopting || target.unknown_runs > 0) {
+    target.next_look = now + kLookAgain;
+  }
+  this->LookIfDue(target, now, effects);
+}
+
+void ServicePool::OnEnd(LeasedTarget& target, const RunEnd& end, TimePoint now,
+                        PoolEffects& effects) {
+  if (target.runs.count(end.key) == 0) {
+    return;
+  }
+  const TargetRun run = this->Remove(target, end.key);
+  auto found = this->parts.find(run.part);
+  if (run.is_orphan || found == this->parts.end()) {
+    return;
+  }
+  PlacedPart& placed = found->second;
+  if (end.kind == RunEnd::Kind::kDone) {
+    placed.tasks[run.task].is_done = true;
+    --placed.unfinished;
+    if (placed.unfinished == 0) {
+      this->EndPart(found, PartEnd::Kind::kCompleted, "all tasks are done", now, effects);
+    }
+  } else if (end.kind == RunEnd::Kind::kFailed) {
+    effects.decisions.push_back(
+        {"run failed", end.key, target.report.id, target.token, "listed by the target", false});
+    this->CountFailure(end.key, run, now, effects);
+  } else {
+    effects.decisions.push_back({"run ended early", end.key, target.report.id, target.token,
+                                 "listed by the target", false});
+    this->PlaceAgain(end.key, run);
+  }
+}
+
+void ServicePool::CountFailure(const RunKey& key, const TargetRun& run, TimePoint now,
+                               PoolEffects& effects) {
+  auto found = this->parts.find(run.part);
+  if (run.is_orphan || found == this->parts.end()) {
+    return;
+  }
+  PlacedPart& placed = found->second;
+  PlacedPart::Task& task = placed.tasks[run.task];
+  task.failed = task.failed.Next();
+  if (task.failed >= placed.part.attempts) {
+    this->EndPart(found, PartEnd::Kind::kFailed, "a task failed as often as it may", now, effects);
+  } else {
+    this->PlaceAgain(key, run);
+  }
+}
+
+void ServicePool::LoseRuns(LeasedTarget& target, TimePoint gone_at, const char* reason,
+                           PoolEffects& effects) {
+  while (!target.runs.empty()) {
+    const RunKey key = target.runs.begin()->first;
+    if (target.runs.begin()->second.holds_name && gone_at != TimePoint()) {
+      this->present.insert(key.task);
+      this->lingering.emplace(gone_at, key.task);
+    }
+    effects.decisions.push_back({"run lost", key, target.report.id, target.token, reason, false});
+    this->PlaceAgain(key, this->Remove(target, key));
+  }
+}
+
+void ServicePool::Detach(LeasedTarget& target, PoolEffects& effects) {
+  for (auto& [key, run] : target.runs) {
+    if (run.is_orphan) {
+      continue;
+    }
+    effects.decisions.push_back({"run given up", key, target.report.id, target.token,
+                                 "the lease of the silent target has ended", false});
+    if (run.holds_name) {
+      this->present.erase(this->present.find(key.task));
+      run.holds_name = false;
+    }
+    this->PlaceAgain(key, run);
+    run.is_orphan = true;
+  }
+}
+
+void ServicePool::Fence(LeasedTarget& target, PoolEffects& effects) {
+  target.phase = LeasedTarget::Phase::kFenced;
+  effects.decisions.push_back({"target fenced",
+                               {},
+                               target.report.id,
+                               target.token,
+                               "another owner used a higher token",
+                               false});
+  this->LoseRuns(target, target.lease_end, "another owner has the target", effects);
+}
+
+void ServicePool::Drop(const TargetId& target, TimePoint gone_at, const char* reason,
+                       PoolEffects& effects) {
+  auto found = this->targets.find(target);
+  if (found == this->targets.end()) {
+    return;
+  }
+  effects.decisions.push_back({"target dropped", {}, target, found->second.token, reason, false});
+  this->LoseRuns(found->second, gone_at, reason, effects);
+  this->targets.erase(found);
+}
+
+void ServicePool::LookIfDue(LeasedTarget& target, TimePoint now, PoolEffects& effects) {
+  const bool is_adopting = target.phase == LeasedTarget::Phase::kAdopting;
+  const bool has_runs = !target.runs.empty() || target.unknown_runs > 0;
+  const bool is_unacknowledged =
+      target.acknowledged < target.taken_in && now - target.looked_at >= kLongestUnacknowledged;
+  if (target.is_looking || target.phase == LeasedTarget::Phase::kFenced || now < target.next_look ||
+      !(is_adopting || has_runs || is_unacknowledged)) {
+    return;
+  }
+  LookOrder order;
+  order.target = {target.report.id, target.report.address, target.token};
+  order.acknowledged = target.taken_in;
+  if (has_runs && !is_adopting) {
+    order.lease_until = target.ClockAt(now) + this->settings.longest_lease;
+    order.wait = target.unknown_runs > 0 ? Duration(0) : this->settings.look_wait;
+    target.lease_end =
+        now + std::chrono::duration_cast<Duration>(this->settings.longest_lease * kSlowClock);
+  }
+  target.is_looking = true;
+  target.looked_at = now;
+  effects.looks.push_back(order);
+}
+
+void ServicePool::EndPart(std::map<PartKey, PlacedPart>::iterator found,
+                          std::optional<PartEnd::Kind> kind, const char* reason, TimePoint now,
+                          PoolEffects& effects) {
+  PlacedPart& placed = found->second;
+  for (size_t i = 0; i < placed.tasks.size(); ++i) {
+    auto target = this->targets.find(placed.tasks[i].target);
+    if (target == this->targets.end()) {
+      continue;
+    }
+    const RunKey key{placed.part.tasks[i].name, placed.tasks[i].last_run};
+    auto run = target->second.runs.find(key);
+    if (run != target->second.runs.end()) {
+      run->second.is_orphan = true;
+      this->Stop(target->second, key, run->second, now, effects);
+    }
+  }
+  this->queue.erase({placed.part.priority, placed.arrival});
+  if (kind) {
+    effects.ends.push_back({found->first, *kind, reason});
+  }
+  this->parts.erase(found);
+}
+
+void ServicePool::ExpireParts(TimePoint now, PoolEffects& effects) {
+  for (auto found = this->parts.begin(); found != this->parts.end();) {
+    auto next = std::next(found);
+    const PlacedPart& placed = found->second;
+    const Duration age = now - placed.arrived;
+    if (placed.starts == 0 && age >= placed.part.wait_limit) {
+      this->EndPart(found, PartEnd::Kind::kNotRun, "no room in time", now, effects);
+    } else if (age >= placed.part.time_left) {
+      this->EndPart(found, PartEnd::Kind::kUnfinished, "the deadline has passed", now, effects);
+    }
+    found = next;
+  }
+}
+
+void ServicePool::Tick(TimePoint now, PoolEffects& effects) {
+  this->ExpireParts(now, effects);
+  while (!this->lingering.empty() && this->lingering.begin()->first < now) {
+    this->present.erase(this->present.find(this->lingering.begin()->second));
+    this->lingering.erase(this->lingering.begin());
+  }
+  std::vector<TargetId> silent;
+  for (auto& [id, target] : this->targets) {
+    for (auto& [key, run] : target.runs) {
+      if (run.phase == TargetRun::Phase::kStopping && !run.is_stop_open && !run.stopped_at &&
+          now >= run.next_stop) {
+        this->Stop(target, key, run, now, effects);
+      }
+    }
+    if (!target.runs.empty() && now > target.lease_end) {
+      this->Detach(target, effects);
+    }
+    this->LookIfDue(target, now, effects);
+    if (now - target.heard_at >= this->settings.drop_after) {
+      silent.push_back(id);
+    }
+  }
+  for (const TargetId& id : silent) {
+    this->Drop(id, TimePoint(), "the target is silent", effects);
+  }
+  this->Schedule(now, effects);
+}
+
+RoomReport::Service ServicePool::Room(TimePoint now) const {
+  RoomReport::Service room;
+  const int64_t need = std::max<int64_t>(1, static_cast<int64_t>(this->mean_need));
+  for (const auto& [id, target] : this->targets) {
+    if (!this->CanStart(target, now)) {
+      continue;
+    }
+    room.free += base::TaskCount(target.Free().processors.value() / need);
+    room.total += base::TaskCount(target.report.capacity.processors.value() / need);
+  }
+  for (const auto& [key, part] : this->queue) {
+    room.waiting += base::TaskCount(static_cast<int64_t>(this->parts.at(part).waiting.size()));
+  }
+  return room;
+}
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/service_pool.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "base/time.h"
+#include "runs/leased_target.h"
+#include "runs/look_answer.h"
+#include "runs/order_answer.h"
+#include "runs/placed_part.h"
+#include "runs/pool_effects.h"
+#include "runs/pool_settings.h"
+#include "runs/room_report.h"
+
+namespace sapphirecrank::runs {
+
+/// The targets of one service that this host owns, and the parts placed on them.
+///
+/// A run holds its room from the order on until the target has shown that it is gone: orders
+/// without an answer may be carried out seconds later, and a target without admission control
+/// starts whatever it is told to. Each method appends what is to be done to `effects`. Thread
+/// safety: none.
+class ServicePool {
+ public:
+  ServicePool();
+  explicit ServicePool(const PoolSettings& settings);
+
+  /// Takes what an owned target says of itself. Reports of an earlier life or out of order change
+  /// nothing.
+  void OnReport(const TargetReport& report, base::FencingToken token, base::TimePoint now,
+                PoolEffects& effects);
+
+  /// Gives up a target that another host owns now.
+  void Release(const base::TargetId& target, base::TimePoint now, PoolEffects& effects);
+
+  /// Uses a new token for all targets, which this host went on owning.
+  void SetToken(base::FencingToken token, base::TimePoint now, PoolEffects& effects);
+
+  void Place(TaskPart part, base::TimePoint now, PoolEffects& effects);
+
+  /// Stops the parts of `job` that `gateway` placed.
+  void Cancel(const base::HostId& gateway, const base::SubmissionId& job, base::TimePoint now,
+              PoolEffects& effects);
+
+  /// Stops all parts that `gateway` placed.
+  void CancelAllOf(const base::HostId& gateway, base::TimePoint now, PoolEffects& effects);
+
+  void OnStartAnswer(const StartOrder& order, const OrderAnswer& answer, base::TimePoint now,
+                     PoolEffects& effects);
+  void OnStopAnswer(const StopOrder& order, const OrderAnswer& answer, base::TimePoint now,
+                    PoolEffects& effects);
+  void OnLookAnswer(const LookOrder& order, const LookAnswer& answer, base::TimePoint now,
+                    PoolEffects& effects);
+
+  /// Does what is due by time. To be called several times in 100 ms.
+  void Tick(base::TimePoint now, PoolEffects& effects);
+
+  /// Returns what can be started.
+  RoomReport::Service Room(base::TimePoint now) const;
+
+  /// Returns the number of parts that have not ended.
+  size_t PartCount() const { return this->parts.size(); }
+
+  /// Returns the targets, for tests and the status.
+  const std::map<base::TargetId, LeasedTarget>& leased() const { return this->targets; }
+
+ private:
+  using QueueKey = std::pair<base::Priority, uint64_t>;
+
+  bool CanStart(const LeasedTarget& target, base::TimePoint now) const;
+  LeasedTarget* Choose(const base::Resources& need, base::TimePoint now);
+  void Schedule(base::TimePoint now, PoolEffects& effects);
+  void StartTask(PlacedPart& placed, size_t task, LeasedTarget& target, base::TimePoint now,
+                 PoolEffects& effects);
+  void Enqueue(PlacedPart& placed, size_t task);
+  void Stop(LeasedTarget& target, const RunKey& key, TargetRun& run, base::TimePoint now,
+            PoolEffects& effects);
+  /// Frees the room of a run; returns what it was.
+  TargetRun Remove(LeasedTarget& target, const RunKey& key);
+  /// Places the task of a run that is gone again, if somebody waits for it.
+  void PlaceAgain(const RunKey& key, const TargetRun& run);
+  void OnEnd(LeasedTarget& target, const RunEnd& end, base::TimePoint now, PoolEffects& effects);
+  void CountFailure(const RunKey& key, const TargetRun& run, base::TimePoint now,
+                    PoolEffects& effects);
+  void Reconcile(LeasedTarget& target, const TargetLook& look, base::TimePoint sent,
+                 base::TimePoint now, PoolEffects& effects);
+  /// Gives up all runs of a target. They may go on until `gone_at`; a time that has passed means
+  /// that they are gone.
+  void LoseRuns(LeasedTarget& target, base::TimePoint gone_at, const char* reason,
+                PoolEffects& effects);
+  void Detach(LeasedTarget& target, PoolEffects& effects);
+  void Fence(LeasedTarget& target, PoolEffects& effects);
+  void Drop(const base::TargetId& target, base::TimePoint gone_at, const char* reason,
+            PoolEffects& effects);
+  void LookIfDue(LeasedTarget& target, base::TimePoint now, PoolEffects& effects);
+  void EndPart(std::map<PartKey, PlacedPart>::iterator found, std::optional<PartEnd::Kind> kind,
+               const char* reason, base::TimePoint now, PoolEffects& effects);
+  void ExpireParts(base::TimePoint now, PoolEffects& effects);
+
+  PoolSettings settings;
+  std::map<base::TargetId, LeasedTarget> targets;
+  std::map<PartKey, PlacedPart> parts;
+  std::map<QueueKey, PartKey> queue;
+  // Tasks with a run on some target, so that no second run of one begins before the first is gone.
+  std::multiset<TaskName> present;
+  // Names in `present` of runs on targets that this host doesn't own any more, until their lease
+  // has ended.
+  std::multimap<base::TimePoint, TaskName> lingering;
+  uint64_t next_arrival = 1;
+  // Smoothed mean of the processors that tasks ask for.
+  double mean_need = 0;
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/stop_order.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "runs/run_key.h"
+#include "runs/target_reference.h"
+
+namespace sapphirecrank::runs {
+
+/// Tells a target to stop a run; one that has not begun is then refused.
+struct StopOrder {
+  TargetReference target;
+  RunKey key;
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/target_look.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "runs/active_run.h"
+#include "runs/run_end.h"
+
+namespace sapphirecrank::runs {
+
+/// What a target lists of its runs.
+struct TargetLook {
+  /// Start of this life of the target.
+  base::Incarnation born;
+  /// The target's own clock at the answer, since its start.
+  base::Duration clock{0};
+  std::vector<ActiveRun> active;
+  /// Ends that have not been acknowledged, in order; the list may be cut.
+  std::vector<RunEnd> ended;
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/target_reference.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "base/ids.h"
+
+namespace sapphirecrank::runs {
+
+/// Whom an order is for, and on whose authority.
+struct TargetReference {
+  base::TargetId id;
+  base::NetworkAddress address;
+  base::FencingToken token;
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/target_run.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <optional>
+
+#include "base/resources.h"
+#include "base/time.h"
+#include "runs/part_key.h"
+
+namespace sapphirecrank::runs {
+
+/// A run as its owner knows it. It holds its room until the target has shown that it is gone.
+struct TargetRun {
+  enum class Phase { kStarting, kRunning, kStopping };
+
+  PartKey part;
+  /// Position of the task in the part.
+  size_t task = 0;
+  base::Resources need;
+  Phase phase = Phase::kStarting;
+  /// Nobody waits for the run any more: its part has ended or its task was placed again.
+  bool is_orphan = false;
+  /// No other run of the task may begin while this one may be present.
+  bool holds_name = true;
+  base::TimePoint ordered_at;
+  /// When the target confirmed the start; unset before.
+  std::optional<base::TimePoint> confirmed_at;
+  /// When the target confirmed the stop; unset before.
+  std::optional<base::TimePoint> stopped_at;
+  bool is_stop_open = false;
+  base::TimePoint next_stop;
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/task_name.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <tuple>
+
+#include "base/ids.h"
+
+namespace sapphirecrank::runs {
+
+/// Names one task of one job.
+struct TaskName {
+  base::SubmissionId job;
+  base::OccurrenceNumber occurrence;
+  base::StepIndex step;
+  base::TaskIndex index;
+
+  friend bool operator==(const TaskName& a, const TaskName& b) {
+    return std::tie(a.job, a.occurrence, a.step, a.index) ==
+           std::tie(b.job, b.occurrence, b.step, b.index);
+  }
+  friend bool operator<(const TaskName& a, const TaskName& b) {
+    return std::tie(a.job, a.occurrence, a.step, a.index) <
+           std::tie(b.job, b.occurrence, b.step, b.index);
+  }
+};
+
+}  // namespace sapphirecrank::runs
--- a/tests/outbound/target_client_test.cc
+++ b/tests/outbound/target_client_test.cc
@@ -103,7 +103,7 @@
 
 }  // namespace
 
-TEST_GROUP(TargetClient) { TargetClient client{outbound::TargetClientSettings()}; };
+TEST_GROUP(TargetClient) { TargetClient client{outbound::HttpClientSettings()}; };
 
 // Guards against an answer that doesn't arrive whole.
 TEST(TargetClient, AnswerIsReturned) {
--- a/tests/protocol/message_codec_test.cc
+++ b/tests/protocol/message_codec_test.cc
@@ -54,7 +54,8 @@
 // Guards against a message type that can be sent but not read.
 TEST(MessageCodec, EachMessageTypeSurvivesEncoding) {
   const std::vector<protocol::Message> messages = {
-      protocol::Hello{1, base::HostId("a"), base::DataCentreId("d"), base::Incarnation(~0ULL), "s"},
+      protocol::Hello{1, base::HostId("a"), base::DataCentreId("d"), base::Incarnation(~0ULL),
+                      base::NetworkAddress("10.0.0.1:7000"), "s"},
       protocol::HelloAck{},
       protocol::Heartbeat{base::Sequence(1), true, {protocol::KindLoad{}}},
       protocol::HeartbeatAck{},
