frontend, gateway: Stop gateways without false refusals

Cause: a stopping gateway answered its unfinished jobs 503, which says that they never run, after their tasks had started (REFUSED). Connections also stayed open until the end, so that jobs came in until the process was gone.

--- a/src/clusterhost/gateway_host.cc
+++ b/src/clusterhost/gateway_host.cc
@@ -102,10 +102,12 @@
 }
 
 void GatewayHost::Drain(base::Duration limit) {
+  this->table.RefuseNew();
   const base::TimePoint end = this->now() + limit;
   while (this->table.size() > 0 && this->now() < end) {
     std::this_thread::sleep_for(kDrainPoll);
   }
+  this->table.EndAll("the gateway stopped");
   this->network->WaitUntilDelivered(kDeliveryLimit);
 }
 
--- a/src/clusterhost/gateway_host.h
+++ b/src/clusterhost/gateway_host.h
@@ -38,7 +38,8 @@
   /// Errors: as `peers::PeerNetwork::Start`.
   base::Result<void> Start();
 
-  /// Waits until all jobs have their answer, for `limit` at most.
+  /// Takes no new jobs and waits until all have their answer, for `limit` at most; then ends the
+  /// rest.
   void Drain(base::Duration limit);
 
   /// Links with further allocators, after a change of the settings.
--- a/src/frontend/http_server.cc
+++ b/src/frontend/http_server.cc
@@ -56,10 +56,13 @@
   return MHD_YES;
 }
 
-MHD_Result Queue(MHD_Connection* connection, const HttpResponse& response) {
+MHD_Result Queue(MHD_Connection* connection, const HttpResponse& response, bool is_last) {
   MHD_Response* out = MHD_create_response_from_buffer(
       response.body.size(), const_cast<char*>(response.body.data()), MHD_RESPMEM_MUST_COPY);
   MHD_add_response_header(out, MHD_HTTP_HEADER_CONTENT_TYPE, response.content_type.c_str());
+  if (is_last) {
+    MHD_add_response_header(out, MHD_HTTP_HEADER_CONNECTION, "close");
+  }
   for (const auto& [name, value] : response.headers) {
     MHD_add_response_header(out, name.c_str(), value.c_str());
   }
@@ -115,6 +118,7 @@
   base::Result<void> Start();
   base::NetworkAddress Address() const;
   void StopListening();
+  void CloseAfterAnswers() { this->is_closing = true; }
   void Abort();
   void Stop();
 
@@ -142,6 +146,7 @@
   // Requests that the handler has and whose connection is still open.
   std::set<ExchangePointer> suspended;
   std::atomic<uint64_t> next_number{1};
+  std::atomic<bool> is_closing{false};
   // Null if nobody wants to know of callers that leave.
   std::unique_ptr<HangupWatcher> hangups;
 };
@@ -234,13 +239,13 @@
     HttpResponse response;
     response.status = 413;
     response.body = kBodyTooLarge;
-    return Queue(connection, response);
+    return Queue(connection, response, server->is_closing);
   }
   if (!exchange->is_handled) {
     return server->Handle(connection, exchange);
   }
   std::lock_guard<std::mutex> lock(exchange->mutex);
-  return exchange->response ? Queue(connection, *exchange->response) : MHD_YES;
+  return exchange->response ? Queue(connection, *exchange->response, server->is_closing) : MHD_YES;
 }
 
 void HttpServer::Impl::OnCompleted(void* self, MHD_Connection* /*connection*/, void** context,
@@ -345,6 +350,8 @@
 
 void HttpServer::StopListening() { this->impl->StopListening(); }
 
+void HttpServer::CloseAfterAnswers() { this->impl->CloseAfterAnswers(); }
+
 void HttpServer::Stop() { this->impl->Stop(); }
 
 }  // namespace sapphirecrank::frontend
--- a/src/frontend/http_server.h
+++ b/src/frontend/http_server.h
@@ -42,6 +42,9 @@
   /// Closes the listening socket; open connections go on.
   void StopListening();
 
+  /// Closes each connection after its next answer, so that callers turn to another host.
+  void CloseAfterAnswers();
+
   /// Answers what is open with "may have run" and closes all. The handler's later answers are
   /// dropped.
   void Abort();
--- a/src/gateway/job_table.cc
+++ b/src/gateway/job_table.cc
@@ -89,6 +89,10 @@
     }
     entry.job = std::move(job);
     entry.arrived = this->hooks.now();
+    if (this->is_refusing) {
+      endings.push_back(this->End(shard, found, NotRun("the gateway is stopping")));
+      return;
+    }
     placements = this->PlaceReady(entry);
     if (placements.empty()) {
       endings.push_back(this->End(shard, found, NotRun("no allocator has targets of the service")));
@@ -210,17 +214,14 @@
   this->Finish(endings);
 }
 
-void JobTable::OnAllocatorLost(const HostId& allocator) {
+void JobTable::EndWhere(const std::function<bool(const Entry&)>& is_due,
+                        const std::string& reason) {
   std::vector<Ending> endings;
   this->shards.ForEach([&](Shard& shard) {
     for (auto found = shard.begin(); found != shard.end();) {
       auto next = std::next(found);
-      const auto& parts = found->second.parts;
-      const bool is_hit = std::any_of(parts.begin(), parts.end(), [&allocator](const auto& part) {
-        return part.second.first == allocator;
-      });
-      if (is_hit) {
-        endings.push_back(this->End(shard, found, Unfinished("the allocator was lost")));
+      if (is_due(found->second)) {
+        endings.push_back(this->End(shard, found, Unfinished(reason)));
       }
       found = next;
     }
@@ -228,19 +229,24 @@
   this->Finish(endings);
 }
 
+void JobTable::EndAll(const std::string& reason) {
+  this->EndWhere([](const Entry& /*entry*/) { return true; }, reason);
+}
+
+void JobTable::OnAllocatorLost(const HostId& allocator) {
+  this->EndWhere(
+      [&allocator](const Entry& entry) {
+        return std::any_of(entry.parts.begin(), entry.parts.end(), [&allocator](const auto& part) {
+          return part.second.first == allocator;
+        });
+      },
+      "the allocator was lost");
+}
+
 void JobTable::Tick() {
   const base::TimePoint now = this->hooks.now();
-  std::vector<Ending> endings;
-  this->shards.ForEach([&](Shard& shard) {
-    for (auto found = shard.begin(); found != shard.end();) {
-      auto next = std::next(found);
-      if (now - found->second.arrived >= found->second.job.time_left) {
-        endings.push_back(this->End(shard, found, Unfinished("the deadline has passed")));
-      }
-      found = next;
-    }
-  });
-  this->Finish(endings);
+  this->EndWhere([now](const Entry& entry) { return now - entry.arrived >= entry.job.time_left; },
+                 "the deadline has passed");
 }
 
 size_t JobTable::size() {
--- a/src/gateway/job_table.h
+++ b/src/gateway/job_table.h
@@ -50,6 +50,12 @@
   /// Stops a job and answers its callers. Returns whether it was in hand.
   bool Cancel(const base::SubmissionId& id);
 
+  /// Refuses all further jobs.
+  void RefuseNew() { this->is_refusing = true; }
+
+  /// Stops all jobs and answers their callers that they may have run.
+  void EndAll(const std::string& reason);
+
   void OnPartEnd(const base::HostId& allocator, const runs::PartEnd& end);
 
   /// Ends the jobs that have parts with a lost allocator.
@@ -91,11 +97,14 @@
   Ending End(Shard& shard, Shard::iterator found, JobAnswer answer) const;
   void Send(const std::vector<Placement>& placements);
   void Finish(const std::vector<Ending>& endings);
+  /// Ends the jobs for which `is_due` holds.
+  void EndWhere(const std::function<bool(const Entry&)>& is_due, const std::string& reason);
 
   base::HostId self;
   Hooks hooks;
   base::Sharded<base::SubmissionId, Shard> shards;
   std::atomic<uint64_t> next_caller{1};
+  std::atomic<bool> is_refusing{false};
 };
 
 }  // namespace sapphirecrank::gateway
