--- a/src/cli/exit_code.h
+++ b/src/cli/exit_code.h
@@ -2,7 +2,7 @@
 
 namespace sapphirecrank::cli {
 
-/// Exit codes of the program; documented in docs/operations.md.
+/// Exit codes of the program; documented in docs/OPERATIONS.md.
 enum class ExitCode {
   kOk = 0,
   /// The operation failed; work may have run or has run.
