--- a/tests/entryhost/entry_host_test.cc
+++ b/tests/entryhost/entry_host_test.cc
@@ -63,7 +63,7 @@
   }
   answers.push_back(cluster.Post(1, "/v1/jobs", job));
   for (const Cluster::Answer& answer : answers) {
-    LONGS_EQUAL(200, answer.status);
+    LONGS_EQUAL_TEXT(200, answer.status, answer.body.c_str());
     CHECK(Json::parse(answer.body)["results"] == ExpectedResults(kTasks));
   }
   LONGS_EQUAL(kTasks, cluster.Started().size());
