--- a/src/cluster/queue.h
+++ b/src/cluster/queue.h
@@ -10,6 +10,8 @@
 /// An entrance for jobs of one sort, as operators configure it.
 struct Queue {
   base::QueueId name;
+  /// Version of the configuration that this is from.
+  base::Version version;
   /// Host name and beginning of the path of the requests that belong to the queue.
   std::string host;
   std::string path_prefix;
--- a/src/clusterhost/allocator_host.cc
+++ b/src/clusterhost/allocator_host.cc
@@ -394,7 +394,7 @@
   this->logger.Info("part ended", {{"job", end.key.job.value()},
                                    {"part", std::to_string(end.key.part.value())},
                                    {"gateway", end.key.gateway.value()},
-                                   {"outcome", std::to_string(static_cast<int>(end.kind))},
+                                   {"outcome", std::string(runs::PartEnd::KindName(end.kind))},
                                    {"reason", end.reason}});
   // A gateway that is lost has no caller to answer any more.
   (void)this->network->Send(end.key.gateway, end);
--- a/src/gateway/job_table.cc
+++ b/src/gateway/job_table.cc
@@ -75,9 +75,8 @@
   return placements;
 }
 
-uint64_t JobTable::Submit(Job job, Answer answer) {
+void JobTable::Submit(Job job, uint64_t caller, Answer answer) {
   const SubmissionId id = job.id;
-  const uint64_t caller = this->next_caller++;
   std::vector<Placement> placements;
   std::vector<Ending> endings;
   this->shards.With(id, [&](Shard& shard) {
@@ -100,7 +99,6 @@
   });
   this->Send(placements);
   this->Finish(endings);
-  return caller;
 }
 
 void JobTable::Send(const std::vector<Placement>& placements) {
--- a/src/gateway/job_table.h
+++ b/src/gateway/job_table.h
@@ -41,8 +41,9 @@
   JobTable(base::HostId self, Hooks hooks);
 
   /// Takes in a job. `answer` runs exactly once, now or later, unless `Abandon` comes first. The
-  /// same id again joins the job in hand. Returns a number for `Abandon`.
-  uint64_t Submit(Job job, Answer answer);
+  /// same id again joins the job in hand. `caller` names the caller for `Abandon`; no other call
+  /// has the same number.
+  void Submit(Job job, uint64_t caller, Answer answer);
 
   /// Tells that a caller has left: a job that nobody else waits for is stopped.
   void Abandon(const base::SubmissionId& id, uint64_t caller);
@@ -103,7 +104,6 @@
   base::HostId self;
   Hooks hooks;
   base::Sharded<base::SubmissionId, Shard> shards;
-  std::atomic<uint64_t> next_caller{1};
   std::atomic<bool> is_refusing{false};
 };
 
--- a/src/runs/part_end.h
+++ b/src/runs/part_end.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 
 #include "runs/part_key.h"
 
@@ -19,6 +20,9 @@
     kUnfinished,
   };
 
+  /// Returns the kind's name in logs. Thread safety: pure.
+  static std::string_view KindName(Kind kind);
+
   PartKey key;
   Kind kind = Kind::kUnfinished;
   /// For logs.
--- a/src/runs/run_decision.h
+++ b/src/runs/run_decision.h
@@ -17,8 +17,6 @@
   base::FencingToken token;
   /// What decided it.
   std::string reason;
-  /// Part of ordinary work, as opposed to a fault or a change of ownership.
-  bool is_ordinary = false;
 };
 
 }  // namespace sapphirecrank::runs
--- a/src/runs/service_pool.cc
+++ b/src/runs/service_pool.cc
@@ -55,11 +55,11 @@
   if (found == this->targets.end()) {
     found = this->targets.try_emplace(report.id).first;
     found->second.token = token;
-    effects.decisions.push_back({"target adopted", {}, report.id, token, "first report", false});
+    effects.decisions.push_back({"target adopted", {}, report.id, token, "first report"});
   }
   LeasedTarget& target = found->second;
   if (report.draining && !target.report.draining) {
-    effects.decisions.push_back({"target draining", {}, report.id, token, "its report", false});
+    effects.decisions.push_back({"target draining", {}, report.id, token, "its report"});
   }
   target.report = report;
   target.clock_read_at = now;
@@ -90,7 +90,7 @@
     target.phase = LeasedTarget::Phase::kAdopting;
     target.is_looking = false;
     target.next_look = now;
-    effects.decisions.push_back({"target adopted", {}, id, token, "new token", false});
+    effects.decisions.push_back({"target adopted", {}, id, token, "new token"});
     this->LookIfDue(target, now, effects);
   }
 }
@@ -268,8 +268,8 @@
   }
   if (answer.outcome != OrderOutcome::kAccepted) {
     effects.decisions.push_back({"start not accepted", order.key, order.target.id,
-                                 order.target.token, std::string(OrderOutcomeName(answer.outcome)),
-                                 false});
+                                 order.target.token,
+                                 std::string(OrderOutcomeName(answer.outcome))});
   }
   TargetRun& run = target.runs.at(order.key);
   switch (answer.outcome) {
@@ -380,8 +380,7 @@
                                  {},
                                  order.target.id,
                                  order.target.token,
-                                 std::string(OrderOutcomeName(answer.outcome)),
-                                 false});
+                                 std::string(OrderOutcomeName(answer.outcome))});
     target.avoid_until = now + kAvoidAfterFailure;
     target.next_look = now + kLookAgain;
     this->LookIfDue(target, now, effects);
@@ -405,7 +404,7 @@
     if (run == target.runs.end()) {
       ++target.unknown_runs;
       effects.decisions.push_back({"unknown run stopped", active.key, target.report.id,
-                                   target.token, "started by an earlier owner", false});
+                                   target.token, "started by an earlier owner"});
       effects.stops.push_back(
           {{target.report.id, target.report.address, target.token}, active.key});
     } else if (run->second.phase == TargetRun::Phase::kStarting) {
@@ -425,12 +424,8 @@
   }
   if (target.phase == LeasedTarget::Phase::kAdopting && target.unknown_runs == 0) {
     target.phase = LeasedTarget::Phase::kInUse;
-    effects.decisions.push_back({"target in use",
-                                 {},
-                                 target.report.id,
-                                 target.token,
-                                 "no runs of an earlier owner",
-                                 false});
+    effects.decisions.push_back(
+        {"target in use", {}, target.report.id, target.token, "no runs of an earlier owner"});
   }
   if (target.phase == LeasedTarget::Phase::kAdopting || target.unknown_runs > 0) {
     target.next_look = now + kLookAgain;
@@ -457,11 +452,11 @@
     }
   } else if (end.kind == RunEnd::Kind::kFailed) {
     effects.decisions.push_back(
-        {"run failed", end.key, target.report.id, target.token, "listed by the target", false});
+        {"run failed", end.key, target.report.id, target.token, "listed by the target"});
     this->CountFailure(end.key, run, now, effects);
   } else {
-    effects.decisions.push_back({"run ended early", end.key, target.report.id, target.token,
-                                 "listed by the target", false});
+    effects.decisions.push_back(
+        {"run ended early", end.key, target.report.id, target.token, "listed by the target"});
     this->PlaceAgain(end.key, run);
   }
 }
@@ -490,7 +485,7 @@
       this->present.insert(key.task);
       this->lingering.emplace(gone_at, key.task);
     }
-    effects.decisions.push_back({"run lost", key, target.report.id, target.token, reason, false});
+    effects.decisions.push_back({"run lost", key, target.report.id, target.token, reason});
     this->PlaceAgain(key, this->Remove(target, key));
   }
 }
@@ -501,7 +496,7 @@
       continue;
     }
     effects.decisions.push_back({"run given up", key, target.report.id, target.token,
-                                 "the lease of the silent target has ended", false});
+                                 "the lease of the silent target has ended"});
     if (run.holds_name) {
       this->present.erase(this->present.find(key.task));
       run.holds_name = false;
@@ -513,12 +508,8 @@
 
 void ServicePool::Fence(LeasedTarget& target, PoolEffects& effects) {
   target.phase = LeasedTarget::Phase::kFenced;
-  effects.decisions.push_back({"target fenced",
-                               {},
-                               target.report.id,
-                               target.token,
-                               "another owner used a higher token",
-                               false});
+  effects.decisions.push_back(
+      {"target fenced", {}, target.report.id, target.token, "another owner used a higher token"});
   this->LoseRuns(target, target.lease_end, "another owner has the target", effects);
 }
 
@@ -528,7 +519,7 @@
   if (found == this->targets.end()) {
     return;
   }
-  effects.decisions.push_back({"target dropped", {}, target, found->second.token, reason, false});
+  effects.decisions.push_back({"target dropped", {}, target, found->second.token, reason});
   this->LoseRuns(found->second, gone_at, reason, effects);
   this->targets.erase(found);
 }
--- a/tests/clusterhost/cluster_test.cc
+++ b/tests/clusterhost/cluster_test.cc
@@ -95,6 +95,7 @@
   std::vector<std::unique_ptr<testing::TemporaryFolder>> folders;
   std::vector<std::unique_ptr<AllocatorHost>> allocators;
   std::unique_ptr<GatewayHost> gateway;
+  uint64_t next_caller = 1;
 
   void setup() override {
     for (int i = 0; i < 3; ++i) {
@@ -194,7 +195,7 @@
     step.need = {base::MilliCores(7000), base::ByteCount(0), base::AcceleratorCount(0)};
     job.steps = {step};
     std::promise<JobAnswer> answer;
-    this->gateway->jobs().Submit(job,
+    this->gateway->jobs().Submit(job, this->next_caller++,
                                  [&answer](const JobAnswer& given) { answer.set_value(given); });
     return answer.get_future().get().kind == JobAnswer::Kind::kCompleted;
   }
--- a/tests/gateway/job_table_test.cc
+++ b/tests/gateway/job_table_test.cc
@@ -19,6 +19,7 @@
   base::ManualClock clock;
   std::optional<base::HostId> chosen{base::HostId("a1")};
   bool is_sent = true;
+  uint64_t next_caller = 1;
   std::vector<std::pair<base::HostId, runs::TaskPart>> placed;
   std::vector<std::pair<base::HostId, base::SubmissionId>> cancelled;
   std::vector<JobAnswer> answers;
@@ -53,8 +54,10 @@
   }
 
   uint64_t Submit(gateway::Job job) {
-    return this->table.Submit(std::move(job),
-                              [this](const JobAnswer& answer) { this->answers.push_back(answer); });
+    const uint64_t caller = this->next_caller++;
+    this->table.Submit(std::move(job), caller,
+                       [this](const JobAnswer& answer) { this->answers.push_back(answer); });
+    return caller;
   }
 
   void EndLast(PartEnd::Kind kind) {
--- a/tests/runs/service_pool_test.cc
+++ b/tests/runs/service_pool_test.cc
@@ -292,6 +292,7 @@
   LookAnswer early;
   early.outcome = OrderOutcome::kAccepted;
   early.look.born = base::Incarnation(1);
+  this->now += milliseconds(1);
   this->pool.SetToken(base::FencingToken(7), false, this->now, this->effects);
   const PoolEffects adopting = this->Take();
   this->pool.OnLookAnswer(adopting.looks[0], this->target.Look(adopting.looks[0], this->now),
