--- a/src/clusterhost/allocator_host.cc
+++ b/src/clusterhost/allocator_host.cc
@@ -316,14 +316,19 @@
     this->logger.Info("view agreed", {{"epoch", std::to_string(agreed.epoch.value())},
                                       {"members", std::to_string(agreed.members.size())}});
     const base::FencingToken token(agreed.epoch.value());
+    // Targets that are another host's now go first: with the new token, which both hosts have, runs
+    // could be started there beside those of the owner.
+    for (const auto& [report, is_mine] : affected) {
+      if (!is_mine) {
+        this->pool.Release(report.id, report.service);
+      }
+    }
     if (is_member) {
       this->pool.SetToken(token, was_owner);
     }
     for (const auto& [report, is_mine] : affected) {
       if (is_mine) {
         this->pool.OnReport(report, token);
-      } else {
-        this->pool.Release(report.id, report.service);
       }
     }
   } else {
