--- a/src/clusterhost/allocator_host.h
+++ b/src/clusterhost/allocator_host.h
@@ -17,7 +17,6 @@
 #include "clusterhost/cluster_group.h"
 #include "clusterhost/cluster_host_settings.h"
 #include "clusterhost/target_file.h"
-#include "gateway/job.h"
 #include "peers/peer_network.h"
 #include "runs/run_pool.h"
 
