--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -28,7 +28,7 @@
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-PROGRAM = ROOT / "build/release/src/sapphirecrank"
+DEFAULT_PROGRAM = ROOT / "build/release/src/sapphirecrank"
 ALLOCATORS = [f"127.0.9.{i}" for i in (1, 2, 3)]
 GATEWAYS = [f"127.0.9.{i}" for i in (11, 12)]
 CALLER_PORT, READY_PORT, CONTROL_PORT, PEER_PORT = 18761, 18762, 18763, 18764
@@ -78,16 +78,21 @@
 
 
 class Checks:
-    """What was seen that must not be, and the counts for the report."""
+    """What was seen that must not be, the counts for the report, and the log of events."""
 
-    def __init__(self):
+    def __init__(self, folder):
+        self.events = open(folder / "events.log", "w")
         self.broken = []
         self.running = {}
         self.started_jobs = set()
         self.counts = {}
 
+    def note(self, text):
+        self.events.write(f"{time.time():.3f} {text}\n")
+
     def fail(self, text):
-        self.broken.append(f"{time.monotonic():.3f} {text}")
+        self.note(text)
+        self.broken.append(f"{time.time():.3f} {text}")
 
     def count(self, name):
         self.counts[name] = self.counts.get(name, 0) + 1
@@ -121,6 +126,7 @@
             return
         if self.checks.running.get(key[0]) is self:
             del self.checks.running[key[0]]
+        self.checks.note(f"{self.id}: {how} {key}")
         self.ended[key[0]] = max(self.ended.get(key[0], 0), key[1])
         self.sequence += 1
         self.ends.append([self.sequence, key[0], key[1], how, ""])
@@ -146,6 +152,8 @@
         if key[1] <= self.ended.get(key[0], 0):
             return 409, {"reason": "old"}
         self.extend(body["deadlineMs"])
+        self.checks.note(f"{self.id}: started {key}, token {self.token}, lease {self.lease:.3f}, "
+                         f"clock {self.clock()}")
         spec = json.loads(body["spec"])
         if sum(self.active.values()) + spec["cpu"] > CAPACITY:
             self.checks.fail(f"LIMIT: {key} on {self.id}, active {list(self.active)}")
@@ -166,6 +174,7 @@
             return 409, {"reason": "fence"}
         self.token = body["fenceToken"]
         key = (body["task"], body["runId"])
+        self.checks.note(f"{self.id}: stop of {key}")
         self.ended[key[0]] = max(self.ended.get(key[0], 0), key[1])
         self.end(key, "stopped")
         return 200, {}
@@ -274,8 +283,8 @@
 class Host:
     """One process of the program, which this soak starts and ends."""
 
-    def __init__(self, folder, role, address):
-        self.folder, self.role, self.address = folder, role, address
+    def __init__(self, program, folder, role, address):
+        self.program, self.folder, self.role, self.address = program, folder, role, address
         self.process = None
         self.has_started = False
 
@@ -295,7 +304,7 @@
         path.write_text(json.dumps(settings))
         self.has_started = True
         log = open(self.folder / f"{self.address}.log", "a")
-        self.process = subprocess.Popen([PROGRAM, self.role, "--settings", path], stdout=log,
+        self.process = subprocess.Popen([self.program, self.role, "--settings", path], stdout=log,
                                         stderr=log)
 
     def signal(self, number):
@@ -310,12 +319,12 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds, folder):
+    def __init__(self, program, seed, seconds, folder):
         self.rng = random.Random(seed)
         self.seconds, self.folder = seconds, folder
-        self.checks = Checks()
-        self.hosts = [Host(folder, "allocator", a) for a in ALLOCATORS]
-        self.hosts += [Host(folder, "gateway", a) for a in GATEWAYS]
+        self.checks = Checks(folder)
+        self.hosts = [Host(program, folder, "allocator", a) for a in ALLOCATORS]
+        self.hosts += [Host(program, folder, "gateway", a) for a in GATEWAYS]
         self.version, self.acknowledged = 0, []
         self.next_job = 0
         self.is_over = False
@@ -357,9 +366,12 @@
                            "estRuntimeMs": 200}]}
         statuses = []
         for _ in range(3):
+            gateway = self.rng.choice(GATEWAYS)
+            self.checks.note(f"job {job} sent to {gateway}")
             status, answer = await call(
-                f"{self.rng.choice(GATEWAYS)}:{CALLER_PORT}", "POST", PREFIX + job, body,
+                f"{gateway}:{CALLER_PORT}", "POST", PREFIX + job, body,
                 ["Deadline-Ms: 1500", f"request-id: {job}"], timeout=1.5)
+            self.checks.note(f"job {job} answered {status}")
             statuses.append(status)
             if status in (200, 404, 429, 503):
                 break
@@ -391,6 +403,8 @@
         kind = self.rng.choice(["kill", "kill", "term", "pause", "hup", "silent", "there", "back", "delay",
                                 "reset", "crash"])
         self.checks.count(f"fault {kind}")
+        self.checks.note(f"fault {kind}, host {host.address}, proxy of "
+                         f"{self.targets[self.proxies.index(proxy)].name}, {span:.1f} s")
         if kind == "kill":
             host.end()
             await asyncio.sleep(span / 2)
@@ -476,10 +490,11 @@
             task.cancel()
         for host in self.hosts:
             host.end()
+        self.checks.events.close()
 
 
-async def play(seed, seconds, folder):
-    soak = Soak(seed, seconds, folder)
+async def play(program, seed, seconds, folder):
+    soak = Soak(program, seed, seconds, folder)
     try:
         await soak.run()
     finally:
@@ -492,11 +507,12 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds, from --seed on")
     parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--program", type=pathlib.Path, default=DEFAULT_PROGRAM)
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
         folder = pathlib.Path(tempfile.mkdtemp(prefix="sapphirecrank-soak-"))
-        checks = asyncio.run(play(seed, options.seconds, folder))
+        checks = asyncio.run(play(options.program, seed, options.seconds, folder))
         counts = ", ".join(f"{name} {count}" for name, count in sorted(checks.counts.items()))
         print(f"seed {seed}: {'FAILED' if checks.broken else 'ok'}; {counts}", flush=True)
         if not checks.broken:
