frontend: Don't handle requests whose caller has closed the connection

Cause: a request that waited in the socket of a stalled process was handled after its caller had left and sent it again through another gateway, and the watch of the connection could report the caller before the handler knew the request, so that nobody abandoned the job. Its tasks then ran beside those of the second submission. The connection is now looked at before the handler has the request and watched after it.

--- a/src/frontend/http_server.cc
+++ b/src/frontend/http_server.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -27,6 +28,10 @@
     R"({"error":{"code":"too_large","field":"body","message":"the body exceeds the limit",)"
     R"("verdict":"not run"}})";
 
+constexpr const char* kCallerLeft =
+    R"({"error":{"code":"cancelled","field":"","message":"the caller closed the connection",)"
+    R"("verdict":"not run"}})";
+
 constexpr const char* kAborted =
     R"({"error":{"code":"shutting_down","field":"","message":"the entry host stopped",)"
     R"("verdict":"may have run"}})";
@@ -72,13 +77,22 @@
   return result;
 }
 
-HttpResponse AbortedResponse() {
+HttpResponse UnavailableResponse(const char* body) {
   HttpResponse response;
   response.status = 503;
-  response.body = kAborted;
+  response.body = body;
   return response;
 }
 
+int DescriptorOf(MHD_Connection* connection) {
+  return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+}
+
+bool HasHungUp(int descriptor) {
+  pollfd watched{descriptor, POLLRDHUP, 0};
+  return poll(&watched, 1, 0) > 0;
+}
+
 std::string RemoteAddress(MHD_Connection* connection) {
   const MHD_ConnectionInfo* info =
       MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
@@ -200,7 +214,7 @@
     unanswered.assign(this->suspended.begin(), this->suspended.end());
   }
   for (const ExchangePointer& exchange : unanswered) {
-    Answer(exchange, AbortedResponse());
+    Answer(exchange, UnavailableResponse(kAborted));
   }
   this->Stop();
 }
@@ -308,17 +322,22 @@
     is_refused = this->is_aborted;
   }
   if (is_refused) {
-    Answer(exchange, AbortedResponse());
+    Answer(exchange, UnavailableResponse(kAborted));
     return MHD_YES;
   }
-  if (this->hangups != nullptr) {
-    this->hangups->Add(
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd,
-        exchange->request.number);
+  // A request that waited while this process stood still may have been sent again elsewhere.
+  if (this->hangups != nullptr && HasHungUp(DescriptorOf(connection))) {
+    this->Answer(exchange, UnavailableResponse(kCallerLeft));
+    return MHD_YES;
   }
   this->handler(exchange->request, [this, exchange](const HttpResponse& response) {
     this->Answer(exchange, response);
   });
+  // Watched only now, so that the handler knows each request that is reported as abandoned.
+  std::lock_guard<std::mutex> lock(exchange->mutex);
+  if (this->hangups != nullptr && !exchange->response) {
+    this->hangups->Add(DescriptorOf(connection), exchange->request.number);
+  }
   return MHD_YES;
 }
 
--- a/src/frontend/http_server.h
+++ b/src/frontend/http_server.h
@@ -22,7 +22,9 @@
   using Handler = std::function<void(const HttpRequest&, Respond)>;
 
   /// Told the number of a request whose caller closed the connection before the answer, at most
-  /// once and perhaps while the answer is given. Runs on a thread of the server and must not wait.
+  /// once, after the handler has had the request, and perhaps while the answer is given. Runs on a
+  /// thread of the server and must not wait. A request whose caller has left before the handler had
+  /// it isn't handled at all.
   using OnDisconnect = std::function<void(uint64_t)>;
 
   /// Without `on_disconnect`, a caller that has left is noticed when its answer is sent.
--- a/tests/frontend/http_server_test.cc
+++ b/tests/frontend/http_server_test.cc
@@ -101,6 +101,39 @@
   close(staying);
 }
 
+// Guards against a request that waited in a stalled process and is started after its caller has
+// closed the connection and sent it again elsewhere.
+TEST(HttpServer, DoesNotHandleARequestWhoseCallerHasLeft) {
+  bool is_released = false;
+  HttpServer server(
+      this->settings,
+      [&](const HttpRequest& request, const HttpServer::Respond& respond) {
+        std::unique_lock<std::mutex> lock(this->mutex);
+        this->numbers.push_back(request.number);
+        this->changed.notify_all();
+        this->changed.wait(lock, [&is_released] { return is_released; });
+        respond({});
+      },
+      [](uint64_t /*number*/) {});
+  CHECK_TRUE(server.Start().has_value());
+  const int stalling = Connect(server.Address());
+  Ask(stalling);
+  this->WaitFor([this] { return this->numbers.size() == 1; });
+  const int leaving = Connect(server.Address());
+  Ask(leaving);
+  shutdown(leaving, SHUT_WR);
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    is_released = true;
+    this->changed.notify_all();
+  }
+  // The server closes the connection once it is done with the request.
+  ReadAll(leaving);
+  LONGS_EQUAL(1, this->numbers.size());
+  close(stalling);
+  close(leaving);
+}
+
 // Guards against callers that stay on a host that stops.
 TEST(HttpServer, ClosesConnectionsAfterTheirAnswersWhenToldTo) {
   HttpServer server(this->settings, this->Keep());
