runs: Take a new division of targets in one call, with a test of its order

It now stands in RunPool::OnNewOwners; StartsNothingOnATargetThatItGivesUp fails with the order reversed.

--- a/src/clusterhost/allocator_host.cc
+++ b/src/clusterhost/allocator_host.cc
@@ -302,7 +302,8 @@
 
 void AllocatorHost::OnChange(const cluster::ConfigurationRecord& record,
                              const ClusterView& agreed) {
-  std::vector<std::pair<runs::TargetReport, bool>> affected;
+  std::vector<runs::TargetReport> owned;
+  std::vector<runs::TargetReport> released;
   bool is_new_view = false;
   bool is_member = false;
   bool was_owner = false;
@@ -322,28 +323,16 @@
     if (is_new_view && is_member) {
       for (const auto& [id, target] : this->targets) {
         const ClusterView::Member* owner = this->OwnerOf(target.report);
-        affected.emplace_back(target.report, owner != nullptr && this->IsSelf(*owner));
+        const bool is_mine = owner != nullptr && this->IsSelf(*owner);
+        (is_mine ? owned : released).push_back(target.report);
       }
     }
   }
   if (is_new_view) {
     this->logger.Info("view agreed", {{"epoch", std::to_string(agreed.epoch.value())},
                                       {"members", std::to_string(agreed.members.size())}});
-    const base::FencingToken token(agreed.epoch.value());
-    // Targets that are another host's now go first: with the new token, which both hosts have, runs
-    // could be started there beside those of the owner.
-    for (const auto& [report, is_mine] : affected) {
-      if (!is_mine) {
-        this->pool.Release(report.id, report.service);
-      }
-    }
     if (is_member) {
-      this->pool.SetToken(token, was_owner);
-    }
-    for (const auto& [report, is_mine] : affected) {
-      if (is_mine) {
-        this->pool.OnReport(report, token);
-      }
+      this->pool.OnNewOwners(base::FencingToken(agreed.epoch.value()), was_owner, owned, released);
     }
   } else {
     this->logger.Info("configuration in force",
--- a/src/runs/run_pool.cc
+++ b/src/runs/run_pool.cc
@@ -46,16 +46,26 @@
   });
 }
 
-void RunPool::Release(const base::TargetId& target, const base::ServiceId& service) {
-  this->Change(service, [&](ServicePool& pool, base::TimePoint now, PoolEffects& effects) {
-    pool.Release(target, now, effects);
-  });
-}
-
-void RunPool::SetToken(base::FencingToken token, bool was_owner) {
+void RunPool::OnNewOwners(base::FencingToken token, bool was_owner,
+                          const std::vector<TargetReport>& owned,
+                          const std::vector<TargetReport>& released) {
+  // With the new token, which both owners have, runs could be started on released targets beside
+  // those of their owner.
+  this->Release(released);
   this->ChangeAll([&](ServicePool& pool, base::TimePoint now, PoolEffects& effects) {
     pool.SetToken(token, was_owner, now, effects);
   });
+  for (const TargetReport& report : owned) {
+    this->OnReport(report, token);
+  }
+}
+
+void RunPool::Release(const std::vector<TargetReport>& released) {
+  for (const TargetReport& report : released) {
+    this->Change(report.service, [&](ServicePool& pool, base::TimePoint now, PoolEffects& effects) {
+      pool.Release(report.id, now, effects);
+    });
+  }
 }
 
 void RunPool::OnGatewayAlive(const base::HostId& gateway, base::TimePoint alive_at) {
--- a/src/runs/run_pool.h
+++ b/src/runs/run_pool.h
@@ -34,11 +34,13 @@
   /// Takes the report of a target that this host owns with `token`.
   void OnReport(const TargetReport& report, base::FencingToken token);
 
-  /// Gives up a target that another host owns now.
-  void Release(const base::TargetId& target, const base::ServiceId& service);
+  /// Takes a new division of the targets among the hosts, with the token of its owners. `was_owner`
+  /// is explained at `ServicePool::SetToken`.
+  void OnNewOwners(base::FencingToken token, bool was_owner, const std::vector<TargetReport>& owned,
+                   const std::vector<TargetReport>& released);
 
-  /// Uses a new token for all targets that are still owned; see `ServicePool::SetToken`.
-  void SetToken(base::FencingToken token, bool was_owner);
+  /// Gives up targets that other hosts own now.
+  void Release(const std::vector<TargetReport>& released);
 
   void Place(TaskPart part);
   void Cancel(const base::HostId& gateway, const base::SubmissionId& job);
--- /dev/null
+++ b/tests/runs/run_pool_test.cc
@@ -0,0 +1,87 @@
+#include "runs/run_pool.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+#include <vector>
+
+#include "tests/support/simulated_target.h"
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr base::FencingToken kFirstToken(5);
+constexpr base::FencingToken kNextToken(6);
+
+const base::Resources kRoom{base::MilliCores(1000), base::ByteCount(0), base::AcceleratorCount(0)};
+
+}  // namespace
+
+TEST_GROUP(RunPool) {
+  base::TimePoint now{std::chrono::seconds(100)};
+  testing::SimulatedTarget target{"t1", kRoom, base::TimePoint{std::chrono::seconds(90)}};
+  std::vector<runs::StartOrder> starts;
+  // Without this, looks get no answer.
+  bool is_answering = true;
+  runs::RunPool pool{{}, this->PoolHooks()};
+
+  runs::RunPool::Hooks PoolHooks() {
+    runs::RunPool::Hooks hooks;
+    hooks.now = [this] { return this->now; };
+    hooks.start = [this](const runs::StartOrder& order, const auto& /*done*/) {
+      this->starts.push_back(order);
+    };
+    hooks.stop = [](const runs::StopOrder& /*order*/, const auto& /*done*/) {};
+    hooks.look = [this](const runs::LookOrder& order, const auto& done) {
+      if (this->is_answering) {
+        done(this->target.Look(order, this->now));
+      }
+    };
+    hooks.on_part_end = [](const runs::PartEnd& /*end*/) {};
+    hooks.on_decision = [](const runs::RunDecision& /*decision*/) {};
+    return hooks;
+  }
+
+  void Place(const char* job) {
+    runs::TaskPart part;
+    part.key = {base::HostId("g"), base::SubmissionId(job), base::PartNumber(1)};
+    part.service = base::ServiceId("service");
+    part.wait_limit = std::chrono::seconds(1);
+    part.time_left = std::chrono::seconds(2);
+    part.tasks = {
+        {{part.key.job, base::OccurrenceNumber(), base::StepIndex(), base::TaskIndex()}, kRoom}};
+    this->pool.OnGatewayAlive(part.key.gateway, this->now);
+    this->pool.Place(part);
+  }
+};
+
+// Guards against runs on a target that another host owns, with the token that its owner uses as
+// well (seen on the bench as LIMIT, ionaberta-sched-grown scale-2).
+TEST(RunPool, StartsNothingOnATargetThatItGivesUp) {
+  const runs::TargetReport report = this->target.Report(this->now);
+  this->is_answering = false;
+  this->pool.OnReport(report, kFirstToken);
+  this->Place("job");
+  LONGS_EQUAL(0, this->starts.size());
+  this->is_answering = true;
+  this->pool.OnNewOwners(kNextToken, false, {}, {report});
+  LONGS_EQUAL(0, this->starts.size());
+}
+
+// Guards against owned targets that stay unused after a new division.
+TEST(RunPool, StartsOnTheTargetsThatItOwnsWithTheNewToken) {
+  const runs::TargetReport report = this->target.Report(this->now);
+  this->Place("job");
+  this->pool.OnNewOwners(kNextToken, false, {report}, {});
+  LONGS_EQUAL(1, this->starts.size());
+  CHECK(this->starts[0].target.token == kNextToken);
+}
+
+// Guards against parts of a new service that wait for the next heartbeat of their gateway.
+TEST(RunPool, KnowsGatewaysFromBeforeTheFirstPartOfAService) {
+  this->pool.OnGatewayAlive(base::HostId("g"), this->now);
+  this->pool.OnReport(this->target.Report(this->now), kFirstToken);
+  this->Place("job");
+  LONGS_EQUAL(1, this->starts.size());
+}
