entryhost, tests: Wait until each host of a test cluster may accept jobs

Cause of the listed intermittent failure, from the reason that the answer now gives ("the view of the data centre has not been confirmed yet", 1 run in 40 with eight at once, twice): the cluster counted as usable when the owners of the targets were, while a host that owned none had no confirmed view yet and refused the job, as it has to.

--- a/bench/jobs/main.cc
+++ b/bench/jobs/main.cc
@@ -132,7 +132,7 @@
   base::HostId host(name);
   SubmissionLedger::Hooks hooks;
   hooks.now = this->clock.Hook();
-  hooks.may_act = [] { return true; };
+  hooks.may_act = [] { return base::Result<void>(); };
   hooks.holders = RendezvousHolders;
   hooks.id_age = [](const base::SubmissionId&) { return base::Duration(0); };
   hooks.send_record = [this, host](const base::HostId& to, const JobRecord& record) {
--- a/src/entryhost/entry_host.cc
+++ b/src/entryhost/entry_host.cc
@@ -697,7 +697,7 @@
 JobService::Hooks EntryHost::Impl::JobHooks() {
   JobService::Hooks hooks;
   hooks.now = this->now;
-  hooks.may_act = [this] { return this->lease.MayAct().has_value(); };
+  hooks.may_act = [this] { return this->lease.MayAct().map([](base::Epoch /*epoch*/) {}); };
   hooks.send = [this](const HostId& host, protocol::Message message) {
     return this->network.Send(host, std::move(message));
   };
@@ -808,6 +808,7 @@
   return Json({{"host", this->settings.host.value()},
                {"data_centre", this->settings.data_centre.value()},
                {"leaving", this->leaving.load()},
+               {"view_confirmed", this->lease.MayAct().has_value()},
                {"work_in_flight", this->router.InFlight()},
                {"tasks_in_flight", this->dispatcher.InFlight().value()},
                {"load", std::move(loads)},
--- a/src/entryhost/job_service.h
+++ b/src/entryhost/job_service.h
@@ -32,7 +32,7 @@
   struct Hooks {
     base::Clock now;
     /// Tells whether this host's view lease runs.
-    std::function<bool()> may_act;
+    std::function<base::Result<void>()> may_act;
     /// Sends a message that arrives unless the other process is lost; false if it surely won't.
     std::function<bool(const base::HostId&, protocol::Message)> send;
     /// Tells whether this host is shutting down.
--- a/src/jobs/submission_ledger.cc
+++ b/src/jobs/submission_ledger.cc
@@ -279,7 +279,11 @@
 SubmissionLedger::Moment SubmissionLedger::TakeMoment() const {
   Moment moment;
   moment.now = this->hooks.now();
-  moment.may_act = this->hooks.may_act();
+  const base::Result<void> allowed = this->hooks.may_act();
+  moment.may_act = allowed.has_value();
+  if (!allowed) {
+    moment.reason = allowed.error().message;
+  }
   return moment;
 }
 
@@ -385,8 +389,7 @@
     return unknown;
   }
   if (!moment.may_act) {
-    return base::Fail(base::ErrorCode::kUnavailable, "the view lease of this entry host has ended",
-                      "", base::Verdict::kMayHaveRun);
+    return base::Fail(base::ErrorCode::kUnavailable, moment.reason, "", base::Verdict::kMayHaveRun);
   }
   if (shard.view->HoldersOf(request.submission->id).owner != this->self.host) {
     return base::Fail(base::ErrorCode::kFenced, "the id belongs to another entry host", "id",
--- a/src/jobs/submission_ledger.h
+++ b/src/jobs/submission_ledger.h
@@ -85,7 +85,7 @@
     /// Current time.
     base::Clock now;
     /// Tells whether this host's view lease runs. Without it nothing is started or accepted.
-    std::function<bool()> may_act;
+    std::function<base::Result<void>()> may_act;
     /// Returns an id's first two hosts in the order of preference. Must be pure, and a member's
     /// place before another must not depend on the other members; called under a lock.
     ViewHistory::HoldersFunction holders;
@@ -233,6 +233,8 @@
   struct Moment {
     base::TimePoint now;
     bool may_act = false;
+    /// Why not.
+    std::string reason;
   };
 
   struct NewSubmission {
--- a/src/membership/view_lease.cc
+++ b/src/membership/view_lease.cc
@@ -1,6 +1,7 @@
 #include "membership/view_lease.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 #include "base/mutex_lock.h"
@@ -90,8 +91,15 @@
   if (!current.Contains(this->self)) {
     return base::Fail(ErrorCode::kFenced, "this host is not in the view of its data centre");
   }
-  if (!this->confirmed_from || now - *this->confirmed_from >= kLeaseLength) {
-    return base::Fail(ErrorCode::kUnavailable, "the view of the data centre is not confirmed");
+  if (!this->confirmed_from) {
+    return base::Fail(ErrorCode::kUnavailable,
+                      "the view of the data centre has not been confirmed yet");
+  }
+  const Duration age = now - *this->confirmed_from;
+  if (age >= kLeaseLength) {
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    return base::Fail(ErrorCode::kUnavailable, "the view of the data centre was last confirmed " +
+                                                   std::to_string(milliseconds) + " ms ago");
   }
   return current.epoch;
 }
--- a/tests/entryhost/cluster.cc
+++ b/tests/entryhost/cluster.cc
@@ -152,12 +152,16 @@
 
 void Cluster::WaitUntilUsable(size_t slots) const {
   size_t free = 0;
-  while (free < slots) {
+  size_t confirmed = 0;
+  while (free < slots || confirmed < this->http_addresses.size()) {
     free = 0;
+    confirmed = 0;
     for (const std::string& address : this->http_addresses) {
       const Json status =
           Json::parse(Call("http://" + address + "/v1/status", nullptr).body, nullptr, false);
       if (status.is_object()) {
+        // A host without targets of its own may be confirmed last.
+        confirmed += status["view_confirmed"].get<bool>() ? 1 : 0;
         free += status["load"]["worker"]["free_slots"].get<size_t>();
         free += status["load"]["runner"]["free_slots"].get<size_t>();
       }
--- a/tests/jobs/ledger_cluster.cc
+++ b/tests/jobs/ledger_cluster.cc
@@ -299,7 +299,12 @@
 SubmissionLedger::Hooks LedgerCluster::HooksOf(size_t host) {
   SubmissionLedger::Hooks hooks;
   hooks.now = this->clock.Hook();
-  hooks.may_act = [this, host] { return this->MayAct(host); };
+  hooks.may_act = [this, host]() -> base::Result<void> {
+    if (!this->MayAct(host)) {
+      return base::Fail(base::ErrorCode::kUnavailable, "the lease has ended");
+    }
+    return {};
+  };
   hooks.holders = RendezvousHolders;
   hooks.id_age = [this](const base::SubmissionId& id) {
     base::Duration created(std::stoll(id.value()));
--- a/tests/jobs/submission_ledger_threads_test.cc
+++ b/tests/jobs/submission_ledger_threads_test.cc
@@ -42,7 +42,7 @@
     HostId name(index == 0 ? "a" : "b");
     SubmissionLedger::Hooks hooks;
     hooks.now = this->clock.Hook();
-    hooks.may_act = [] { return true; };
+    hooks.may_act = [] { return sapphirecrank::base::Result<void>(); };
     hooks.holders = RendezvousHolders;
     hooks.id_age = [](const SubmissionId&) { return Duration(0); };
     hooks.send_record = [this, name](const HostId& to, const JobRecord& record) {
--- a/tests/support/free_port.cc
+++ b/tests/support/free_port.cc
@@ -5,18 +5,42 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
+#include <cstdint>
+
 namespace sapphirecrank::testing {
 
-std::string FreeAddress() {
+namespace {
+
+// Below the ports that the system gives to outgoing connections, which could take a free port
+// before it is listened on.
+constexpr uint32_t kLowestPort = 10000;
+constexpr uint32_t kPorts = 20000;
+// Test programs that run at the same time begin at different ports.
+constexpr uint32_t kPortsOfAProcess = 101;
+
+bool IsFree(uint16_t port) {
   const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof(address);
-  (void)bind(descriptor, reinterpret_cast<sockaddr*>(&address), length);
-  getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length);
+  address.sin_port = htons(port);
+  const bool is_free =
+      bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
   close(descriptor);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  return is_free;
+}
+
+}  // namespace
+
+std::string FreeAddress() {
+  static std::atomic<uint32_t> next{static_cast<uint32_t>(getpid()) * kPortsOfAProcess};
+  while (true) {
+    const auto port = static_cast<uint16_t>(kLowestPort + next++ % kPorts);
+    if (IsFree(port)) {
+      return "127.0.0.1:" + std::to_string(port);
+    }
+  }
 }
 
 }  // namespace sapphirecrank::testing
