scripts, peers: Inject lost and full disks and faults of links between hosts in the soak

The soak injected no faults of storage and of links between hosts. Hosts may now listen for links behind a forwarded port (peer_bind_port), where the soak puts a proxy for each host; disks of allocators are lost one at a time, or take no more bytes (file size limit).

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -4,7 +4,9 @@
 Three allocators and two gateways run as real processes on addresses of their own (127.0.9.x). This
 program plays the targets, the callers and the operator by the published protocol, and injects faults
 from outside: processes are killed, paused and stopped by signals; a proxy in front of each target
-delays, resets, silences or cuts its connections one way; targets crash and start again.
+and of each host's port for links delays, resets, silences or cuts its connections one way; targets
+crash and start again; disks of allocators are lost, one at a time, or take no more bytes. The hosts
+don't use the time of day but in their logs, so that clocks that jump aren't played.
 
 Checked while it runs, from what callers and targets see: no target is given more than its capacity,
 no task runs twice at the same time, no job whose attempts were all refused has a started task, no
@@ -20,6 +22,7 @@
 import json
 import pathlib
 import random
+import resource
 import shutil
 import signal
 import subprocess
@@ -32,14 +35,20 @@
 ALLOCATORS = [f"127.0.9.{i}" for i in (1, 2, 3)]
 GATEWAYS = [f"127.0.9.{i}" for i in (11, 12)]
 CALLER_PORT, READY_PORT, CONTROL_PORT, PEER_PORT = 18761, 18762, 18763, 18764
+# Where hosts listen for links; the proxy of each host forwards from the port above.
+PEER_BIND_PORT = 18765
 TARGETS = 6
 CAPACITY = 16000
 LONGEST_LEASE = 1.0
 HEARTBEAT = 0.5
 RESUBMIT_AFTER = 1.3
-FAULTS = ["kill", "kill", "term", "pause", "hup", "silent", "there", "back", "delay", "reset", "crash"]
+LINK_FAULTS = ["silent", "there", "back", "delay", "reset"]
+FAULTS = ["kill", "kill", "term", "pause", "hup", "crash", "wipe", "full", *LINK_FAULTS,
+          *(f"peer-{kind}" for kind in LINK_FAULTS)]
 CONFIGURATION_DELAY = 2.0
 RECOVERY_LIMIT = 40.0
+# The settings tolerate one lost disk; a host counts as lost for this long after it is back.
+CATCH_UP = 4.0
 SERVICE, HOST, PREFIX = "soak-service", "soak.example", "/q/"
 
 
@@ -241,16 +250,16 @@
 
 
 class Proxy:
-    """Forwards connections to a target and misbehaves on order."""
+    """Forwards connections to a target or a host and misbehaves on order."""
 
-    def __init__(self, target_port):
-        self.target_port = target_port
+    def __init__(self, address, port):
+        self.address, self.port = address, port
         self.mode = "pass"
         self.writers = set()
 
     async def serve(self, reader, writer):
         try:
-            to_reader, to_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
+            to_reader, to_writer = await asyncio.open_connection(self.address, self.port)
         except OSError:
             writer.close()
             return
@@ -286,20 +295,21 @@
 
     def __init__(self, program, folder, role, address):
         self.program, self.folder, self.role, self.address = program, folder, role, address
+        self.data = folder / f"data-{address}"
         self.process = None
         self.has_started = False
 
     def start(self):
         settings = {"name": self.address, "data_centre": "soak", "address": self.address,
-                    "peer_port": PEER_PORT, "seeds": [f"{a}:{CONTROL_PORT}" for a in ALLOCATORS],
+                    "peer_port": PEER_PORT, "peer_bind_port": PEER_BIND_PORT, "seeds": [f"{a}:{CONTROL_PORT}" for a in ALLOCATORS],
                     "longest_lease_ms": int(LONGEST_LEASE * 1000)}
         if self.role == "gateway":
             settings["caller_listen"] = f"{self.address}:{CALLER_PORT}"
             settings["readiness_listen"] = f"{self.address}:{READY_PORT}"
         else:
-            data = self.folder / f"data-{self.address}"
-            data.mkdir(exist_ok=True)
-            settings.update(control_listen=f"{self.address}:{CONTROL_PORT}", data_folder=str(data),
+            self.data.mkdir(exist_ok=True)
+            settings.update(control_listen=f"{self.address}:{CONTROL_PORT}",
+                            data_folder=str(self.data),
                             bootstrap=not self.has_started, lost_disks_borne=1)
         path = self.folder / f"{self.address}.json"
         path.write_text(json.dumps(settings))
@@ -308,6 +318,12 @@
         self.process = subprocess.Popen([self.program, self.role, "--settings", path], stdout=log,
                                         stderr=log)
 
+    def limit_files(self, size):
+        """Lets writes beyond `size` bytes of a file fail, as on a full disk."""
+        if self.process is not None and self.process.poll() is None:
+            resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE,
+                             (size, resource.RLIM_INFINITY))
+
     def signal(self, number):
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
@@ -328,6 +344,7 @@
         self.hosts += [Host(program, folder, "gateway", a) for a in GATEWAYS]
         self.version, self.acknowledged = 0, []
         self.next_job = 0
+        self.is_disk_lost = False
         self.is_over = False
 
     async def put_configuration(self):
@@ -402,10 +419,21 @@
         proxy = self.rng.choice(self.proxies)
         span = self.rng.uniform(0.3, 3.0)
         kind = self.rng.choice(self.kinds)
+        if kind in ("wipe", "full"):
+            host = self.rng.choice(self.hosts[:len(ALLOCATORS)])
+        if kind.startswith("peer-"):
+            proxy = self.peer_proxies[self.hosts.index(host)]
         self.checks.count(f"fault {kind}")
-        self.checks.note(f"fault {kind}, host {host.address}, proxy of "
-                         f"{self.targets[self.proxies.index(proxy)].name}, {span:.1f} s")
-        if kind == "kill":
+        self.checks.note(f"fault {kind}, host {host.address}, proxy to {proxy.address}:{proxy.port},"
+                         f" {span:.1f} s")
+        kind = kind.removeprefix("peer-")
+        if kind == "wipe":
+            await self.wipe(host, span)
+        elif kind == "full":
+            host.limit_files(0)
+            await asyncio.sleep(span)
+            host.limit_files(resource.RLIM_INFINITY)
+        elif kind == "kill":
             host.end()
             await asyncio.sleep(span / 2)
             host.start()
@@ -432,6 +460,18 @@
             await asyncio.sleep(span)
             proxy.mode = "pass"
 
+    async def wipe(self, host, span):
+        """Lets a host lose its disk; one at a time, and its successor has to catch up before more."""
+        if self.is_disk_lost:
+            return
+        self.is_disk_lost = True
+        host.end()
+        shutil.rmtree(host.data, ignore_errors=True)
+        await asyncio.sleep(span / 2)
+        host.start()
+        await asyncio.sleep(CATCH_UP)
+        self.is_disk_lost = False
+
     async def faults(self):
         while not self.is_over:
             await asyncio.sleep(self.rng.uniform(0.2, 2.0))
@@ -450,7 +490,7 @@
         for i in range(TARGETS):
             target = Target(f"t{i}", self.checks, self.rng)
             server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
-            proxy = Proxy(server.sockets[0].getsockname()[1])
+            proxy = Proxy("127.0.0.1", server.sockets[0].getsockname()[1])
             front = await asyncio.start_server(proxy.serve, "127.0.0.1", 0)
             target.address = f"127.0.0.1:{front.sockets[0].getsockname()[1]}"
             self.targets.append(target)
@@ -458,8 +498,17 @@
             self.tasks += [asyncio.create_task(target.beat()),
                            asyncio.create_task(target.watch_lease())]
 
+    async def start_peer_proxies(self):
+        self.peer_proxies, self.peer_servers = [], []
+        for host in self.hosts:
+            proxy = Proxy(host.address, PEER_BIND_PORT)
+            self.peer_servers.append(
+                await asyncio.start_server(proxy.serve, host.address, PEER_PORT))
+            self.peer_proxies.append(proxy)
+
     async def run(self):
         await self.start_targets()
+        await self.start_peer_proxies()
         for host in self.hosts:
             host.start()
         if not await self.until(self.put_configuration) or not await self.until(self.run_job):
@@ -488,6 +537,8 @@
     def end(self):
         for task in self.tasks:
             task.cancel()
+        for server in self.peer_servers:
+            server.close()
         for host in self.hosts:
             host.end()
         self.checks.events.close()
--- a/src/clusterhost/cluster_host_settings.h
+++ b/src/clusterhost/cluster_host_settings.h
@@ -17,6 +17,8 @@
   base::Incarnation incarnation;
   /// Where other hosts link to this one; also its name among them.
   base::NetworkAddress peer_listen;
+  /// Where it listens if connections to `peer_listen` are forwarded there; empty if they aren't.
+  base::NetworkAddress peer_bind;
   /// Shared by all hosts; one with another secret is refused.
   std::string secret;
   /// Allocators to ask first, by their address for links.
--- a/src/clusterhost/peer_setup.cc
+++ b/src/clusterhost/peer_setup.cc
@@ -17,6 +17,7 @@
   peer.data_centre = settings.data_centre;
   peer.incarnation = settings.incarnation;
   peer.listen = settings.peer_listen;
+  peer.bind = settings.peer_bind;
   peer.secret = settings.secret;
   peer.admits_unknown = true;
   peer.reconnect_interval = kReconnectInterval;
--- a/src/clusterhost/settings_file.cc
+++ b/src/clusterhost/settings_file.cc
@@ -41,6 +41,10 @@
   const std::string address = reader.Text("address", kLongestText);
   const std::string peer_port = std::to_string(reader.Integer("peer_port", 1, kLargestPort));
   settings.peer_listen = base::NetworkAddress(address + ":" + peer_port);
+  const int64_t bind_port = reader.Integer("peer_bind_port", 0, kLargestPort, 0);
+  if (bind_port != 0) {
+    settings.peer_bind = base::NetworkAddress(address + ":" + std::to_string(bind_port));
+  }
   reader.Array("seeds", 1, kMostSeeds, [&](const Json& value, const std::string& path) {
     if (!value.is_string()) {
       reader.SetFault(path, "is not a text");
--- a/src/clusterhost/settings_file.h
+++ b/src/clusterhost/settings_file.h
@@ -22,6 +22,8 @@
   base::NetworkAddress control_listen;
   /// Where other hosts link to this one.
   base::NetworkAddress peer_listen;
+  /// Where this host listens if connections to `peer_listen` are forwarded there; else empty.
+  base::NetworkAddress peer_bind;
   std::vector<base::NetworkAddress> seeds;
   /// The whole cluster starts for the first time.
   bool bootstrap = false;
--- a/src/peers/peer_network.cc
+++ b/src/peers/peer_network.cc
@@ -180,7 +180,8 @@
 }
 
 void PeerNetwork::Impl::Listen() {
-  const std::string& address = this->settings.listen.value();
+  const std::string& address =
+      (this->settings.bind.empty() ? this->settings.listen : this->settings.bind).value();
   const size_t colon = address.rfind(':');
   const auto ip = websocketpp::lib::asio::ip::address::from_string(address.substr(0, colon));
   const auto port = static_cast<uint16_t>(std::stoi(address.substr(colon + 1)));
--- a/src/peers/peer_settings.h
+++ b/src/peers/peer_settings.h
@@ -14,8 +14,10 @@
   base::HostId host;
   base::DataCentreId data_centre;
   base::Incarnation incarnation;
-  /// Where to listen.
+  /// Where other hosts reach this one.
   base::NetworkAddress listen;
+  /// Where to listen if connections to `listen` are forwarded there; empty if they aren't.
+  base::NetworkAddress bind;
   std::string secret;
   /// Hosts to link with from the start; `PeerNetwork::AddPeer` adds further ones.
   std::vector<PeerAddress> peers;
--- a/tests/clusterhost/settings_file_test.cc
+++ b/tests/clusterhost/settings_file_test.cc
@@ -14,9 +14,10 @@
   const auto settings = SettingsFile::Parse(
       R"({"name":"core-1","data_centre":"x","address":"10.0.0.1","control_listen":"10.0.0.1:80",)"
       R"("peer_port":7700,"seeds":["10.0.0.1:80","10.0.0.2:80"],"bootstrap":true,)"
-      R"("data_folder":"/data","lost_disks_borne":2,"longest_lease_ms":900,"resubmission_delay_ms":1100})");
+      R"("data_folder":"/data","lost_disks_borne":2,"longest_lease_ms":900,"resubmission_delay_ms":1100,"peer_bind_port":7701})");
   CHECK_TRUE(settings.has_value());
   STRCMP_EQUAL("10.0.0.1:7700", settings->peer_listen.value().c_str());
+  STRCMP_EQUAL("10.0.0.1:7701", settings->peer_bind.value().c_str());
   STRCMP_EQUAL("10.0.0.2:7700", settings->seeds.at(1).value().c_str());
   CHECK_TRUE(settings->bootstrap);
   LONGS_EQUAL(2, settings->lost_disks_borne);
