observability: Serve metrics of allocators, and bound the lines of a second

The log was bounded by its reader's speed only: it now writes at most 1,000 lines a second of level info, counts the rest, and keeps warnings apart.

--- a/src/clusterhost/allocator_host.cc
+++ b/src/clusterhost/allocator_host.cc
@@ -52,10 +52,7 @@
       self(this->settings.host.peer_listen.value()),
       now(base::SteadyClock()),
       logger(logger),
-      pool(this->settings.pool,
-           {this->now, std::move(calls.start), std::move(calls.stop), std::move(calls.look),
-            [this](const runs::PartEnd& end) { this->OnPartEnd(end); },
-            [this](const runs::RunDecision& decision) { this->OnDecision(decision); }}),
+      pool(this->settings.pool, this->PoolHooks(std::move(calls))),
       target_file(storage::PosixFileSystem(), this->settings.group.data_folder),
       file_thread(std::make_unique<base::WorkerPool>("target-file", 1)),
       group(this->MakeGroup()),
@@ -69,6 +66,32 @@
   this->group->Stop();
 }
 
+runs::RunPool::Hooks AllocatorHost::PoolHooks(TargetCalls calls) {
+  runs::RunPool::Hooks hooks;
+  hooks.now = this->now;
+  hooks.start =
+      this->Measured<runs::StartOrder, runs::OrderAnswer>("start", std::move(calls.start));
+  hooks.stop = this->Measured<runs::StopOrder, runs::OrderAnswer>("stop", std::move(calls.stop));
+  hooks.look = this->Measured<runs::LookOrder, runs::LookAnswer>("look", std::move(calls.look));
+  hooks.on_part_end = [this](const runs::PartEnd& end) { this->OnPartEnd(end); };
+  hooks.on_decision = [this](const runs::RunDecision& decision) { this->OnDecision(decision); };
+  return hooks;
+}
+
+template <typename Order, typename Answer>
+AllocatorHost::Call<Order, Answer> AllocatorHost::Measured(const char* name,
+                                                           Call<Order, Answer> call) {
+  return [this, name, call = std::move(call)](const Order& order,
+                                              const std::function<void(const Answer&)>& done) {
+    call(order, [this, name, done, sent = this->now()](const Answer& answer) {
+      const bool has_answer = answer.outcome != runs::OrderOutcome::kUnanswered &&
+                              answer.outcome != runs::OrderOutcome::kNotSent;
+      this->metrics.OnTargetCall(name, has_answer, this->now() - sent);
+      done(answer);
+    });
+  };
+}
+
 std::unique_ptr<ClusterGroup> AllocatorHost::MakeGroup() {
   ClusterGroup::Hooks hooks;
   hooks.now = this->now;
@@ -399,6 +422,7 @@
 }
 
 void AllocatorHost::OnPartEnd(const runs::PartEnd& end) {
+  this->metrics.OnPartEnd(runs::PartEnd::KindName(end.kind));
   this->logger.Info("part ended", {{"job", end.key.job.value()},
                                    {"part", std::to_string(end.key.part.value())},
                                    {"gateway", end.key.gateway.value()},
@@ -409,6 +433,7 @@
 }
 
 void AllocatorHost::OnDecision(const runs::RunDecision& decision) {
+  this->metrics.OnDecision(decision.what);
   this->logger.Info(decision.what, {{"task", NameOf(decision.key)},
                                     {"run", std::to_string(decision.key.run.value())},
                                     {"target", decision.target.value()},
--- a/src/clusterhost/allocator_host.h
+++ b/src/clusterhost/allocator_host.h
@@ -17,6 +17,7 @@
 #include "clusterhost/cluster_group.h"
 #include "clusterhost/cluster_host_settings.h"
 #include "clusterhost/target_file.h"
+#include "observability/allocator_metrics.h"
 #include "peers/peer_network.h"
 #include "runs/run_pool.h"
 
@@ -41,12 +42,14 @@
     base::Duration drain_limit = std::chrono::seconds(4);
   };
 
+  template <typename Order, typename Answer>
+  using Call = std::function<void(const Order&, std::function<void(const Answer&)>)>;
+
   /// Calls of targets; see `runs::RunPool::Hooks`.
   struct TargetCalls {
-    std::function<void(const runs::StartOrder&, std::function<void(const runs::OrderAnswer&)>)>
-        start;
-    std::function<void(const runs::StopOrder&, std::function<void(const runs::OrderAnswer&)>)> stop;
-    std::function<void(const runs::LookOrder&, std::function<void(const runs::LookAnswer&)>)> look;
+    Call<runs::StartOrder, runs::OrderAnswer> start;
+    Call<runs::StopOrder, runs::OrderAnswer> stop;
+    Call<runs::LookOrder, runs::LookAnswer> look;
   };
 
   /// The pool's bounds for gateways follow from `Settings::host`.
@@ -75,6 +78,9 @@
   /// Returns the host that leads the group, or an empty id.
   base::HostId Leader();
 
+  /// Returns counters and histograms in Prometheus' text format.
+  std::string MetricsText() const { return this->metrics.Text(); }
+
  private:
   struct KnownTarget {
     runs::TargetReport report;
@@ -97,6 +103,10 @@
   void LoadTargets();
   void ForgetSilentTargets();
   void SaveTargets();
+  runs::RunPool::Hooks PoolHooks(TargetCalls calls);
+  /// Returns `call` with its time noted in the metrics under `name`.
+  template <typename Order, typename Answer>
+  Call<Order, Answer> Measured(const char* name, Call<Order, Answer> call);
   std::unique_ptr<ClusterGroup> MakeGroup();
   peers::PeerNetwork::Hooks PeerHooks();
 
@@ -104,6 +114,7 @@
   base::HostId self;
   base::Clock now;
   observability::Logger& logger;
+  observability::AllocatorMetrics metrics;
 
   base::Mutex state_mutex;
   cluster::ClusterView view GUARDED_BY(state_mutex);
--- a/src/clusterhost/settings_file.cc
+++ b/src/clusterhost/settings_file.cc
@@ -37,6 +37,7 @@
   settings.caller_listen = base::NetworkAddress(reader.Text("caller_listen", kLongestText, ""));
   settings.readiness_listen =
       base::NetworkAddress(reader.Text("readiness_listen", kLongestText, ""));
+  settings.metrics_listen = base::NetworkAddress(reader.Text("metrics_listen", kLongestText, ""));
   settings.control_listen = base::NetworkAddress(reader.Text("control_listen", kLongestText, ""));
   const std::string address = reader.Text("address", kLongestText);
   const std::string peer_port = std::to_string(reader.Integer("peer_port", 1, kLargestPort));
--- a/src/clusterhost/settings_file.h
+++ b/src/clusterhost/settings_file.h
@@ -18,6 +18,8 @@
   base::NetworkAddress caller_listen;
   /// Where the platform asks whether this host takes callers; empty on an allocator.
   base::NetworkAddress readiness_listen;
+  /// Where metrics are read; empty if they aren't served.
+  base::NetworkAddress metrics_listen;
   /// Where targets and operators connect; empty on a gateway.
   base::NetworkAddress control_listen;
   /// Where other hosts link to this one.
--- a/src/main/main.cc
+++ b/src/main/main.cc
@@ -15,8 +15,8 @@
 using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
 
 int main(int argc, const char** argv) {
-  // A reader of the log that has gone and a file at its size limit are errors of the write, not ends
-  // of the process.
+  // A reader of the log that has gone and a file at its size limit are errors of the write, not
+  // ends of the process.
   (void)signal(SIGPIPE, SIG_IGN);
   (void)signal(SIGXFSZ, SIG_IGN);
   curl_global_init(CURL_GLOBAL_DEFAULT);
--- /dev/null
+++ b/src/observability/allocator_metrics.cc
@@ -0,0 +1,67 @@
+#include "observability/allocator_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <chrono>
+
+namespace sapphirecrank::observability {
+
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Histogram;
+
+namespace {
+
+// Up to the 650 ms after which a held look counts as unanswered.
+const Histogram::BucketBoundaries& CallBuckets() {
+  static const Histogram::BucketBoundaries kBuckets = {0.001, 0.0025, 0.005, 0.01, 0.025,
+                                                       0.05,  0.1,    0.2,   0.4,  0.7};
+  return kBuckets;
+}
+
+}  // namespace
+
+class AllocatorMetrics::Impl {
+ public:
+  prometheus::Registry registry;
+  Family<Counter>& part_ends = prometheus::BuildCounter()
+                                   .Name("sapphirecrank_part_ends_total")
+                                   .Help("Parts of jobs that have ended here")
+                                   .Register(this->registry);
+  Family<Counter>& decisions = prometheus::BuildCounter()
+                                   .Name("sapphirecrank_run_decisions_total")
+                                   .Help("Decisions about runs and targets, as in the log")
+                                   .Register(this->registry);
+  Family<Histogram>& calls = prometheus::BuildHistogram()
+                                 .Name("sapphirecrank_target_call_seconds")
+                                 .Help("Time until a target's answer, or until it counted as lost")
+                                 .Register(this->registry);
+};
+
+AllocatorMetrics::AllocatorMetrics() : impl(std::make_unique<Impl>()) {}
+
+AllocatorMetrics::~AllocatorMetrics() = default;
+
+void AllocatorMetrics::OnPartEnd(std::string_view outcome) {
+  this->impl->part_ends.Add({{"outcome", std::string(outcome)}}).Increment();
+}
+
+void AllocatorMetrics::OnDecision(std::string_view decision) {
+  this->impl->decisions.Add({{"decision", std::string(decision)}}).Increment();
+}
+
+void AllocatorMetrics::OnTargetCall(std::string_view call, bool has_answer, base::Duration age) {
+  this->impl->calls
+      .Add({{"call", std::string(call)}, {"answered", has_answer ? "yes" : "no"}}, CallBuckets())
+      .Observe(std::chrono::duration<double>(age).count());
+}
+
+std::string AllocatorMetrics::Text() const {
+  return prometheus::TextSerializer().Serialize(this->impl->registry.Collect());
+}
+
+}  // namespace sapphirecrank::observability
--- a/src/observability/logger.cc
+++ b/src/observability/logger.cc
@@ -90,7 +90,8 @@
   if (level < this->lowest) {
     return;
   }
-  const int left_out = level >= LogLevel::kWarning ? this->CheckRepeat(message) : 0;
+  const int left_out =
+      level >= LogLevel::kWarning ? this->CheckRepeat(message) : this->CheckVolume();
   if (left_out < 0) {
     return;
   }
@@ -108,6 +109,21 @@
   this->hooks.write(line);
 }
 
+int Logger::CheckVolume() {
+  const base::TimePoint now = this->hooks.now();
+  base::MutexLock lock(this->mutex);
+  if (now >= this->second_ends) {
+    this->second_ends = now + std::chrono::seconds(1);
+    this->written = 0;
+  }
+  if (this->written >= kMostLines) {
+    ++this->over;
+    return -1;
+  }
+  ++this->written;
+  return std::exchange(this->over, 0);
+}
+
 int Logger::CheckRepeat(std::string_view message) {
   const base::TimePoint now = this->hooks.now();
   base::MutexLock lock(this->mutex);
--- a/src/observability/logger.h
+++ b/src/observability/logger.h
@@ -16,9 +16,14 @@
 /// Writes structured log lines, key=value, one a line.
 ///
 /// Warnings and errors with the same message are limited to one a second; the next one says how
-/// many were left out. Thread safety: all methods may be called from any thread.
+/// many were left out. Other lines are limited to `kMostLines` a second; the first one of a later
+/// second says how many were left out. Thread safety: all methods may be called from any thread.
 class Logger {
  public:
+  /// Lines of level info and below that are written in a second. A host writes about two for each
+  /// job and a few for each fault; at 200 bytes a line this is 0.2 MB a second.
+  static constexpr int kMostLines = 1000;
+
   /// Behaviour handed in; all members must be set.
   struct Hooks {
     base::Clock now;
@@ -46,11 +51,16 @@
   void Write(LogLevel level, std::string_view message, std::initializer_list<LogField> fields);
   /// Returns how many lines with this message were left out, or -1 if this one is to be left out.
   int CheckRepeat(std::string_view message);
+  /// Returns how many lines of the seconds before were left out, or -1 if this one is to be.
+  int CheckVolume();
 
   LogLevel lowest;
   Hooks hooks;
   base::Mutex mutex;
   std::unordered_map<std::string, Repeat> repeats GUARDED_BY(mutex);
+  base::TimePoint second_ends GUARDED_BY(mutex);
+  int written GUARDED_BY(mutex) = 0;
+  int over GUARDED_BY(mutex) = 0;
 };
 
 }  // namespace sapphirecrank::observability
--- /dev/null
+++ b/tests/observability/allocator_metrics_test.cc
@@ -0,0 +1,35 @@
+#include "observability/allocator_metrics.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+
+TEST_GROUP(AllocatorMetrics){};
+
+// Guards against an on-call engineer who can't tell silent targets from slow ones.
+TEST(AllocatorMetrics, CallsAreCountedByKindAndAnswer) {
+  observability::AllocatorMetrics metrics;
+  metrics.OnTargetCall("start", true, milliseconds(3));
+  metrics.OnTargetCall("start", true, milliseconds(4));
+  metrics.OnTargetCall("look", false, milliseconds(650));
+  const std::string text = metrics.Text();
+  CHECK(text.find(R"(sapphirecrank_target_call_seconds_count{answered="yes",call="start"} 2)") !=
+        std::string::npos);
+  CHECK(text.find(R"(sapphirecrank_target_call_seconds_count{answered="no",call="look"} 1)") !=
+        std::string::npos);
+}
+
+// Guards against ends and decisions that show in the log only.
+TEST(AllocatorMetrics, EndsAndDecisionsAreCounted) {
+  observability::AllocatorMetrics metrics;
+  metrics.OnPartEnd("not_run");
+  metrics.OnDecision("run failed");
+  metrics.OnDecision("run failed");
+  const std::string text = metrics.Text();
+  CHECK(text.find(R"(sapphirecrank_part_ends_total{outcome="not_run"} 1)") != std::string::npos);
+  CHECK(text.find(R"(sapphirecrank_run_decisions_total{decision="run failed"} 2)") !=
+        std::string::npos);
+}
--- /dev/null
+++ b/tests/observability/logger_test.cc
@@ -0,0 +1,42 @@
+#include "observability/logger.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+#include <vector>
+
+#include "base/manual_clock.h"
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+using observability::Logger;
+
+TEST_GROUP(Logger) {
+  base::ManualClock clock;
+  std::vector<std::string> lines;
+  Logger logger{
+      observability::LogLevel::kInfo,
+      {this->clock.Hook(), [this](const std::string& line) { this->lines.push_back(line); }}};
+};
+
+// Guards against a log that grows without bound under load, and against lines that are left out
+// without a word.
+TEST(Logger, BoundsTheLinesOfASecondAndCountsTheRest) {
+  for (int i = 0; i < Logger::kMostLines + 7; ++i) {
+    this->logger.Info("job ended");
+  }
+  LONGS_EQUAL(Logger::kMostLines, this->lines.size());
+  this->clock.Advance(std::chrono::seconds(1));
+  this->logger.Info("job ended");
+  CHECK(this->lines.back().find("left_out=7") != std::string::npos);
+  this->logger.Info("job ended");
+  CHECK(this->lines.back().find("left_out") == std::string::npos);
+}
+
+// Guards against faults that are hidden by the volume of other lines.
+TEST(Logger, WarningsHaveABoundOfTheirOwn) {
+  for (int i = 0; i <= Logger::kMostLines; ++i) {
+    this->logger.Info("job ended");
+  }
+  this->logger.Warning("link fault");
+  CHECK(this->lines.back().find("link fault") != std::string::npos);
+}
--- a/tests/runs/run_pool_test.cc
+++ b/tests/runs/run_pool_test.cc
@@ -14,13 +14,15 @@
 constexpr base::FencingToken kFirstToken(5);
 constexpr base::FencingToken kNextToken(6);
 
-const base::Resources kRoom{base::MilliCores(1000), base::ByteCount(0), base::AcceleratorCount(0)};
+base::Resources OneCore() {
+  return {base::MilliCores(1000), base::ByteCount(0), base::AcceleratorCount(0)};
+}
 
 }  // namespace
 
 TEST_GROUP(RunPool) {
   base::TimePoint now{std::chrono::seconds(100)};
-  testing::SimulatedTarget target{"t1", kRoom, base::TimePoint{std::chrono::seconds(90)}};
+  testing::SimulatedTarget target{"t1", OneCore(), base::TimePoint{std::chrono::seconds(90)}};
   std::vector<runs::StartOrder> starts;
   // Without this, looks get no answer.
   bool is_answering = true;
@@ -49,8 +51,8 @@
     part.service = base::ServiceId("service");
     part.wait_limit = std::chrono::seconds(1);
     part.time_left = std::chrono::seconds(2);
-    part.tasks = {
-        {{part.key.job, base::OccurrenceNumber(), base::StepIndex(), base::TaskIndex()}, kRoom}};
+    part.tasks = {{{part.key.job, base::OccurrenceNumber(), base::StepIndex(), base::TaskIndex()},
+                   OneCore()}};
     this->pool.OnGatewayAlive(part.key.gateway, this->now);
     this->pool.Place(part);
   }
