clusterhost: Use a disk again after it took no writes for a while

The group now tries its disk every 0.5 s and starts again from what it holds, as after a restart, announces nothing older than it had, and logs both changes. AHostVotesAgainAfterItsDiskWasFull fails without the change.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -297,6 +297,7 @@
         self.program, self.folder, self.role, self.address = program, folder, role, address
         self.data = folder / f"data-{address}"
         self.process = None
+        self.is_faulted = False
         self.has_started = False
 
     def start(self):
@@ -415,12 +416,20 @@
 
     async def fault(self):
         """Injects one fault and heals it; several of these overlap."""
-        host = self.rng.choice(self.hosts)
+        # Of two faults that restart the same process, one would start it twice.
+        host = self.rng.choice([h for h in self.hosts if not h.is_faulted])
+        host.is_faulted = True
+        try:
+            await self.fault_of(host)
+        finally:
+            host.is_faulted = False
+
+    async def fault_of(self, host):
         proxy = self.rng.choice(self.proxies)
         span = self.rng.uniform(0.3, 3.0)
         kind = self.rng.choice(self.kinds)
-        if kind in ("wipe", "full"):
-            host = self.rng.choice(self.hosts[:len(ALLOCATORS)])
+        if kind in ("wipe", "full") and host.role != "allocator":
+            return
         if kind.startswith("peer-"):
             proxy = self.peer_proxies[self.hosts.index(host)]
         self.checks.count(f"fault {kind}")
--- a/src/clusterhost/allocator_host.cc
+++ b/src/clusterhost/allocator_host.cc
@@ -12,7 +12,6 @@
 #include "clusterhost/peer_setup.h"
 #include "observability/log_field.h"
 #include "observability/logger.h"
-#include "storage/posix_file_system.h"
 
 namespace sapphirecrank::clusterhost {
 
@@ -53,7 +52,7 @@
       now(base::SteadyClock()),
       logger(logger),
       pool(this->settings.pool, this->PoolHooks(std::move(calls))),
-      target_file(storage::PosixFileSystem(), this->settings.group.data_folder),
+      target_file(this->settings.group.files, this->settings.group.data_folder),
       file_thread(std::make_unique<base::WorkerPool>("target-file", 1)),
       group(this->MakeGroup()),
       network(std::make_unique<peers::PeerNetwork>(PeerSettingsOf(this->settings.host),
@@ -118,6 +117,13 @@
     }
     this->logger.Info("group leader changed", {{"leader", leading.value()}});
   };
+  hooks.on_storage = [this](const std::string& reason) {
+    if (reason.empty()) {
+      this->logger.Info("disk in use again");
+    } else {
+      this->logger.Error("disk has failed; no vote until it is usable", {{"reason", reason}});
+    }
+  };
   return std::make_unique<ClusterGroup>(this->settings.group, std::move(hooks));
 }
 
--- a/src/clusterhost/cluster_group.cc
+++ b/src/clusterhost/cluster_group.cc
@@ -8,7 +8,6 @@
 #include "cluster/member_name.h"
 #include "consensus/raft_disk.h"
 #include "consensus/raft_node.h"
-#include "storage/posix_file_system.h"
 #include "storage/snapshot_file.h"
 
 namespace sapphirecrank::clusterhost {
@@ -25,7 +24,10 @@
 // Name of the disks with which a cluster starts for the first time: the seeds know each other's
 // names in the group by their addresses alone.
 constexpr const char* kFirstStore = "first";
+constexpr const char* kStoreFile = "store";
 constexpr Duration kJoinInterval = std::chrono::seconds(1);
+// Pause before a failed disk is tried again.
+constexpr Duration kReopenInterval = std::chrono::milliseconds(500);
 // Operators turn to another host after a second.
 constexpr Duration kAnswerLimit = std::chrono::milliseconds(900);
 
@@ -40,20 +42,27 @@
 ClusterGroup::ClusterGroup(Settings settings, Hooks hooks)
     : settings(std::move(settings)),
       hooks(std::move(hooks)),
-      state({this->hooks.now, [this] { return this->LiveMembers(); },
-             [this] { return this->node->HasLease(); },
-             [this](const std::string& command) {
-               // A proposal that isn't accepted is made again after a while.
-               (void)this->node->Propose(command);
-             },
-             [this] { this->hooks.on_change(this->state.configuration(), this->state.view()); }}),
       planner(this->settings.voters, this->settings.replace_after),
+      incarnation(this->settings.incarnation),
       thread(std::make_unique<base::WorkerPool>("cluster-group", 1)) {}
 
 ClusterGroup::~ClusterGroup() { this->Stop(); }
 
+std::unique_ptr<cluster::ClusterState> ClusterGroup::MakeState() {
+  cluster::ClusterState::Hooks state_hooks;
+  state_hooks.now = this->hooks.now;
+  state_hooks.live_members = [this] { return this->LiveMembers(); };
+  state_hooks.is_leader = [this] { return this->node->HasLease(); };
+  state_hooks.propose = [this](const std::string& command) {
+    // A proposal that isn't accepted is made again after a while.
+    (void)this->node->Propose(command);
+  };
+  state_hooks.on_change = [this] { this->has_changed = true; };
+  return std::make_unique<cluster::ClusterState>(std::move(state_hooks));
+}
+
 base::Result<std::string> ClusterGroup::LoadStoreName() {
-  storage::SnapshotFile file(storage::PosixFileSystem(), this->settings.data_folder, "store");
+  storage::SnapshotFile file(this->settings.files, this->settings.data_folder, kStoreFile);
   auto stored = file.Load();
   if (!stored) {
     return tl::make_unexpected(stored.error());
@@ -74,39 +83,90 @@
 }
 
 base::Result<void> ClusterGroup::Open() {
-  const auto store = this->LoadStoreName();
-  if (!store) {
-    return tl::make_unexpected(store.error());
+  const auto loaded = this->LoadStoreName();
+  if (!loaded) {
+    return tl::make_unexpected(loaded.error());
   }
-  this->member = MemberName::Of(this->settings.self, *store);
+  this->store = *loaded;
+  this->member = MemberName::Of(this->settings.self, this->store);
+  return this->OpenNode();
+}
+
+base::Result<void> ClusterGroup::OpenNode() {
   consensus::RaftMembership first;
-  if (*store == kFirstStore) {
+  if (this->store == kFirstStore) {
     for (const HostId& seed : this->settings.seeds) {
       first.voters.insert(MemberName::Of(seed, kFirstStore));
     }
   }
-  auto opened = consensus::RaftDisk::Open(storage::PosixFileSystem(),
-                                          this->settings.data_folder + "/group", first);
+  auto opened =
+      consensus::RaftDisk::Open(this->settings.files, this->settings.data_folder + "/group", first);
   if (!opened) {
     return tl::make_unexpected(opened.error());
   }
+  this->state = this->MakeState();
+  this->node.reset();
   this->disk = std::move(*opened);
   consensus::RaftNode::Hooks node_hooks;
   node_hooks.now = this->hooks.now;
   node_hooks.random_duration = RandomDuration;
   node_hooks.send = this->hooks.send;
-  node_hooks.storage = this->disk->Storage();
+  node_hooks.storage = this->WatchedStorage();
   node_hooks.apply = [this](const LogEntry& entry) { this->Apply(entry); };
-  node_hooks.take_snapshot = [this] { return this->state.TakeSnapshot(); };
+  node_hooks.take_snapshot = [this] { return this->state->TakeSnapshot(); };
   node_hooks.restore = [this](const consensus::RaftSnapshot& snapshot) {
-    this->state.Restore(snapshot.state);
+    this->state->Restore(snapshot.state);
   };
   this->node = std::make_unique<consensus::RaftNode>(
-      this->member, this->settings.incarnation, consensus::RaftSettings(), this->disk->recovered(),
+      this->member, this->incarnation, consensus::RaftSettings(), this->disk->recovered(),
       std::move(node_hooks));
   return {};
 }
 
+consensus::RaftStorage ClusterGroup::WatchedStorage() {
+  const auto watch = [this](base::Result<void> outcome) {
+    if (!outcome && !std::exchange(this->has_storage_failed, true)) {
+      this->next_reopen = this->hooks.now() + kReopenInterval;
+      this->hooks.on_storage(outcome.error().message);
+    }
+    return outcome;
+  };
+  consensus::RaftStorage hooks = this->disk->Storage();
+  hooks.append = [watch, append = hooks.append](const auto& hard_state, const auto& entries) {
+    return watch(append(hard_state, entries));
+  };
+  hooks.save_snapshot = [watch, save = hooks.save_snapshot](
+                            const auto& snapshot, const auto& hard_state, const auto& entries) {
+    return watch(save(snapshot, hard_state, entries));
+  };
+  return hooks;
+}
+
+/// Starts again from what the disk holds, as after a restart of the process. Without this a host
+/// whose disk was full for a moment would have no vote until it is restarted.
+void ClusterGroup::ReopenIfDue() {
+  const TimePoint now = this->hooks.now();
+  if (!this->has_storage_failed || now < this->next_reopen) {
+    return;
+  }
+  this->next_reopen = now + kReopenInterval;
+  storage::SnapshotFile file(this->settings.files, this->settings.data_folder, kStoreFile);
+  if (!file.Save(this->store)) {
+    return;  // The disk takes no writes yet.
+  }
+  this->incarnation = base::Incarnation(this->incarnation.value() + 1);
+  const auto opened = this->OpenNode();
+  if (!opened) {
+    this->hooks.on_storage(opened.error().message);
+    return;
+  }
+  this->has_storage_failed = false;
+  for (auto& [index, put] : std::exchange(this->puts, {})) {
+    put.on_put(PutOutcome::kUnknown);
+  }
+  this->hooks.on_storage("");
+}
+
 void ClusterGroup::Receive(const consensus::RaftMessage& message) {
   this->Run([this, message] {
     this->node->Receive(message);
@@ -120,8 +180,9 @@
 
 void ClusterGroup::Tick() {
   this->Run([this] {
+    this->ReopenIfDue();
     this->node->Tick();
-    this->state.Tick();
+    this->state->Tick();
     this->ChangeMembership();
     this->Step();
     this->AnswerPuts();
@@ -131,7 +192,7 @@
 
 void ClusterGroup::Put(cluster::ConfigurationRecord record, OnPut on_put) {
   this->Run([this, record = std::move(record), on_put = std::move(on_put)] {
-    if (record.version <= this->state.configuration().version) {
+    if (record.version <= this->state->configuration().version) {
       on_put(PutOutcome::kAcknowledged);
       return;
     }
@@ -168,9 +229,7 @@
 
 void ClusterGroup::Step() {
   this->node->Flush();
-  if (std::exchange(this->has_changed, false)) {
-    this->hooks.on_change(this->state.configuration(), this->state.view());
-  }
+  this->Announce();
   const HostId now_leading = MemberName::HostOf(this->node->Status().leader);
   if (now_leading != this->leader) {
     this->leader = now_leading;
@@ -178,9 +237,21 @@
   }
 }
 
+void ClusterGroup::Announce() {
+  const base::Version version = this->state->configuration().version;
+  const base::Epoch epoch = this->state->view().epoch;
+  if (!this->has_changed || version < this->announced_version || epoch < this->announced_epoch) {
+    return;
+  }
+  this->has_changed = false;
+  this->announced_version = version;
+  this->announced_epoch = epoch;
+  this->hooks.on_change(this->state->configuration(), this->state->view());
+}
+
 void ClusterGroup::Apply(const LogEntry& entry) {
   if (entry.kind == LogEntry::Kind::kCommand) {
-    this->state.Apply(entry.command);
+    this->state->Apply(entry.command);
   }
   auto put = this->puts.find(entry.index);
   if (put == this->puts.end()) {
@@ -228,8 +299,8 @@
   const TimePoint current = this->node->Status().current_as_of;
   std::vector<PendingRead> waiting;
   for (PendingRead& read : this->reads) {
-    if (current >= read.asked && this->state.configuration().version != base::Version()) {
-      read.on_read(this->state.configuration());
+    if (current >= read.asked && this->state->configuration().version != base::Version()) {
+      read.on_read(this->state->configuration());
     } else if (now - read.asked >= kAnswerLimit) {
       read.on_read(std::nullopt);
     } else {
--- a/src/clusterhost/cluster_group.h
+++ b/src/clusterhost/cluster_group.h
@@ -15,6 +15,8 @@
 #include "cluster/membership_planner.h"
 #include "clusterhost/put_outcome.h"
 #include "consensus/raft_message.h"
+#include "consensus/raft_storage.h"
+#include "storage/file_system.h"
 
 namespace sapphirecrank::consensus {
 class RaftDisk;
@@ -37,6 +39,7 @@
     /// The whole cluster starts for the first time.
     bool bootstrap = false;
     std::string data_folder;
+    storage::FileSystem files;
     /// Voters to reach.
     size_t voters = 3;
     /// A voter that is out of reach for this long is replaced if another host can.
@@ -56,6 +59,8 @@
     std::function<void(const cluster::ConfigurationRecord&, const cluster::ClusterView&)> on_change;
     /// This host follows another leader, or none if the id is empty.
     std::function<void(const base::HostId& leader)> on_leader;
+    /// The disk has failed for this reason, or is in use again if the reason is empty.
+    std::function<void(const std::string& reason)> on_storage;
   };
 
   using OnPut = std::function<void(PutOutcome)>;
@@ -100,6 +105,11 @@
   };
 
   base::Result<std::string> LoadStoreName();
+  base::Result<void> OpenNode();
+  std::unique_ptr<cluster::ClusterState> MakeState();
+  consensus::RaftStorage WatchedStorage();
+  void ReopenIfDue();
+  void Announce();
   void Run(std::function<void()> function);
   void Step();
   void Apply(const consensus::LogEntry& entry);
@@ -111,15 +121,21 @@
   Settings settings;
   Hooks hooks;
   // Only the group's thread uses what follows, once it is open.
+  std::string store;
   base::HostId member;
-  cluster::ClusterState state;
+  std::unique_ptr<cluster::ClusterState> state;
   cluster::MembershipPlanner planner;
   std::map<base::LogIndex, PendingPut> puts;
   std::vector<PendingRead> reads;
   base::TimePoint next_join;
-  // Told to the hook once all that is committed is applied, so that a host that replays its log
-  // doesn't announce older versions.
+  // Told to the hook once all that is committed is applied, and not before a host that has opened
+  // its disk again has caught up, so that no older version or view is announced.
   bool has_changed = false;
+  base::Version announced_version;
+  base::Epoch announced_epoch;
+  bool has_storage_failed = false;
+  base::TimePoint next_reopen;
+  base::Incarnation incarnation;
   base::HostId leader;
   std::unique_ptr<consensus::RaftDisk> disk;
   std::unique_ptr<consensus::RaftNode> node;
--- a/src/storage/journal.cc
+++ b/src/storage/journal.cc
@@ -104,11 +104,11 @@
       return tl::make_unexpected(read.error());
     }
   }
-  if (!journal->open) {
-    auto started = journal->StartSegment(journal->current + 1);
-    if (!started) {
-      return tl::make_unexpected(started.error());
-    }
+  // What an earlier process wrote but didn't sync has been read back too, and is relied on now.
+  auto ready = journal->open ? journal->files.sync(journal->file)
+                             : journal->StartSegment(journal->current + 1);
+  if (!ready) {
+    return tl::make_unexpected(ready.error());
   }
   return journal;
 }
--- a/tests/clusterhost/cluster_test.cc
+++ b/tests/clusterhost/cluster_test.cc
@@ -1,5 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
+#include <array>
+#include <atomic>
 #include <future>
 #include <memory>
 #include <mutex>
@@ -11,6 +13,7 @@
 #include "clusterhost/allocator_host.h"
 #include "clusterhost/gateway_host.h"
 #include "observability/logger.h"
+#include "storage/posix_file_system.h"
 #include "tests/support/free_port.h"
 #include "tests/support/temporary_folder.h"
 
@@ -93,6 +96,7 @@
   InstantTarget target;
   std::vector<base::NetworkAddress> seeds;
   std::vector<std::unique_ptr<testing::TemporaryFolder>> folders;
+  std::array<std::atomic<bool>, 3> is_disk_full{};
   std::vector<std::unique_ptr<AllocatorHost>> allocators;
   std::unique_ptr<GatewayHost> gateway;
   uint64_t next_caller = 1;
@@ -132,6 +136,18 @@
     return settings;
   }
 
+  /// Files that take no writes while `is_disk_full` says so.
+  storage::FileSystem FilesOf(size_t i) {
+    storage::FileSystem files = storage::PosixFileSystem();
+    files.write = [this, i, write = files.write](storage::FileHandle file, std::string_view data) {
+      if (this->is_disk_full[i]) {
+        return base::Result<void>(base::Fail(base::ErrorCode::kStorageFailed, "disk full"));
+      }
+      return write(file, data);
+    };
+    return files;
+  }
+
   void StartAllocator(size_t i, uint64_t incarnation, bool bootstrap) {
     AllocatorHost::Settings settings;
     settings.host = this->HostSettings(this->seeds[i].value(), incarnation);
@@ -142,6 +158,7 @@
     }
     settings.group.bootstrap = bootstrap;
     settings.group.data_folder = this->folders[i]->Path();
+    settings.group.files = this->FilesOf(i);
     this->allocators[i] =
         std::make_unique<AllocatorHost>(settings, this->target.Calls(), this->logger);
     CHECK_TRUE(this->allocators[i]->Start().has_value());
@@ -260,3 +277,16 @@
   CHECK_TRUE(this->WaitUntil([this] { return this->ReadAt(1) == base::Version(3); }));
   CHECK_TRUE(this->ServeJob("after"));
 }
+
+// Guards against a host that has no vote until it is restarted because its disk was full for a
+// while: with another host lost, nothing could be agreed any more (seen in the soak, seed 612).
+TEST(Cluster, AHostVotesAgainAfterItsDiskWasFull) {
+  CHECK_TRUE(this->PutAnywhere(3));
+  this->is_disk_full[0] = true;
+  CHECK_TRUE(this->PutAnywhere(4));
+  CHECK_TRUE(this->PutAnywhere(5));
+  this->is_disk_full[0] = false;
+  this->allocators[1].reset();
+  CHECK_TRUE(this->PutAnywhere(6));
+  CHECK_TRUE(this->WaitUntil([this] { return this->ReadAt(0) == base::Version(6); }));
+}
