runs: Move leases of gateways and the care for silent targets out of ServicePool

GatewayLeases holds who waits for work and for how long leases may be; LeasedTarget keeps its own lease and silence.

--- /dev/null
+++ b/src/runs/gateway_leases.cc
@@ -0,0 +1,41 @@
+#include "runs/gateway_leases.h"
+
+#include <algorithm>
+
+#include "runs/leased_target.h"
+
+namespace sapphirecrank::runs {
+
+using base::Duration;
+using base::HostId;
+using base::TimePoint;
+
+GatewayLeases::GatewayLeases(const PoolSettings& settings) : settings(settings) {}
+
+void GatewayLeases::OnAlive(const HostId& gateway, TimePoint alive_at) {
+  TimePoint& known = this->alive[gateway];
+  known = std::max(known, alive_at);
+}
+
+bool GatewayLeases::IsAlive(const HostId& gateway, TimePoint now) const {
+  const auto found = this->alive.find(gateway);
+  return found != this->alive.end() && now - found->second < this->settings.gateway_timeout;
+}
+
+Duration GatewayLeases::LeaseFor(const LeasedTarget& target, TimePoint now) const {
+  TimePoint end = now + this->settings.longest_lease;
+  for (const auto& [key, run] : target.runs) {
+    if (run.stopped_at || !run.holds_name) {
+      continue;
+    }
+    const auto gateway = this->alive.find(run.part.gateway);
+    TimePoint awaited = gateway == this->alive.end() ? run.ordered_at : gateway->second;
+    if (run.given_up_at) {
+      awaited = std::min(awaited, *run.given_up_at);
+    }
+    end = std::min(end, awaited + this->settings.gateway_lease);
+  }
+  return end - now;
+}
+
+}  // namespace sapphirecrank::runs
--- a/src/runs/leased_target.h
+++ b/src/runs/leased_target.h
@@ -50,6 +50,15 @@
   int overdue_looks = 0;
   base::TimePoint next_look;
 
+  /// Keeps new runs away until then. Thread safety: none, as for the methods below.
+  void Avoid(base::TimePoint until);
+
+  /// Takes note of a call that got an answer or none; a target that seems silent is avoided.
+  void CountCall(bool has_answer, base::TimePoint avoid_if_silent);
+
+  /// Takes note of an order sent now that may extend the target's lease.
+  void ExtendLease(base::Duration lease, base::TimePoint now);
+
   /// Returns what is free. Thread safety: pure.
   base::Resources Free() const {
     base::Resources free = this->report.capacity;
--- a/src/runs/service_pool.cc
+++ b/src/runs/service_pool.cc
@@ -13,12 +13,7 @@
 
 namespace {
 
-// A target's clock may run 2 % slow; the rest is for the way of the order.
-constexpr double kSlowClock = 1.05;
 constexpr Duration kAvoidAfterFailure = milliseconds(500);
-// One lost answer says little about a target that answers other calls; a silent one has several
-// calls open.
-constexpr int kUnansweredOfSilence = 2;
 constexpr Duration kAvoidUnhealthy = milliseconds(1000);
 constexpr Duration kAvoidEndingLease = milliseconds(100);
 constexpr Duration kStopAgain = milliseconds(100);
@@ -38,7 +33,7 @@
 
 ServicePool::ServicePool() : ServicePool(PoolSettings()) {}
 
-ServicePool::ServicePool(const PoolSettings& settings) : settings(settings) {}
+ServicePool::ServicePool(const PoolSettings& settings) : settings(settings), gateways(settings) {}
 
 void ServicePool::OnReport(const TargetReport& report, base::FencingToken token, TimePoint now,
                            PoolEffects& effects) {
@@ -155,47 +150,13 @@
 
 void ServicePool::OnGatewayAlive(const base::HostId& gateway, TimePoint alive_at, TimePoint now,
                                  PoolEffects& effects) {
-  const bool was_alive = this->IsAlive(gateway, now);
-  TimePoint& known = this->gateways[gateway];
-  known = std::max(known, alive_at);
+  const bool was_alive = this->gateways.IsAlive(gateway, now);
+  this->gateways.OnAlive(gateway, alive_at);
   if (!was_alive) {
     this->Schedule(now, effects);
   }
 }
 
-bool ServicePool::IsAlive(const base::HostId& gateway, TimePoint now) const {
-  const auto found = this->gateways.find(gateway);
-  return found != this->gateways.end() && now - found->second < this->settings.gateway_timeout;
-}
-
-Duration ServicePool::LeaseFor(const LeasedTarget& target, TimePoint now) const {
-  TimePoint end = now + this->settings.longest_lease;
-  for (const auto& [key, run] : target.runs) {
-    if (run.stopped_at || !run.holds_name) {
-      continue;
-    }
-    const auto gateway = this->gateways.find(run.part.gateway);
-    TimePoint awaited = gateway == this->gateways.end() ? run.ordered_at : gateway->second;
-    if (run.given_up_at) {
-      awaited = std::min(awaited, *run.given_up_at);
-    }
-    end = std::min(end, awaited + this->settings.gateway_lease);
-  }
-  return end - now;
-}
-
-void ServicePool::CountCall(LeasedTarget& target, bool has_answer, TimePoint now) {
-  target.unanswered_calls = has_answer ? 0 : target.unanswered_calls + 1;
-  if (target.unanswered_calls >= kUnansweredOfSilence) {
-    target.avoid_until = std::max(target.avoid_until, now + kAvoidAfterFailure);
-  }
-}
-
-void ServicePool::ExtendLease(LeasedTarget& target, Duration lease, TimePoint now) {
-  target.lease_end =
-      std::max(target.lease_end, now + std::chrono::duration_cast<Duration>(lease * kSlowClock));
-}
-
 bool ServicePool::CanStart(const LeasedTarget& target, TimePoint now) const {
   return target.phase == LeasedTarget::Phase::kInUse && !target.report.draining &&
          target.unknown_runs == 0 && now >= target.avoid_until &&
@@ -220,7 +181,7 @@
 void ServicePool::Schedule(TimePoint now, PoolEffects& effects) {
   for (auto next = this->queue.begin(); next != this->queue.end();) {
     PlacedPart& placed = this->parts.at(next->second);
-    if (!this->IsAlive(placed.part.key.gateway, now)) {
+    if (!this->gateways.IsAlive(placed.part.key.gateway, now)) {
       ++next;
       continue;
     }
@@ -265,9 +226,9 @@
   order.target = {target.report.id, target.report.address, target.token};
   order.key = key;
   order.payload = placed.payload;
-  const Duration lease = this->LeaseFor(target, now);
+  const Duration lease = this->gateways.LeaseFor(target, now);
   order.lease_until = target.ClockAt(now) + lease;
-  ExtendLease(target, lease, now);
+  target.ExtendLease(lease, now);
   effects.starts.push_back(std::move(order));
 }
 
@@ -328,7 +289,7 @@
   }
   TargetRun& run = target.runs.at(order.key);
   if (answer.outcome != OrderOutcome::kNotSent) {
-    CountCall(target, answer.outcome != OrderOutcome::kUnanswered, now);
+    target.CountCall(answer.outcome != OrderOutcome::kUnanswered, now + kAvoidAfterFailure);
   }
   switch (answer.outcome) {
     case OrderOutcome::kAccepted:
@@ -401,7 +362,7 @@
     return;
   }
   run->second.is_stop_open = false;
-  CountCall(target, answer.outcome != OrderOutcome::kUnanswered, now);
+  target.CountCall(answer.outcome != OrderOutcome::kUnanswered, now + kAvoidAfterFailure);
   if (answer.outcome == OrderOutcome::kAccepted) {
     run->second.stopped_at = now;
     target.next_look = now;
@@ -429,7 +390,7 @@
     target.report.clock = answer.look.clock;
     target.clock_read_at = now;
     target.heard_at = now;
-    CountCall(target, true, now);
+    target.CountCall(true, now + kAvoidAfterFailure);
     target.overdue_looks = 0;
     target.acknowledged = std::max(target.acknowledged, order.acknowledged);
     this->Reconcile(target, answer.look, sent, now, effects);
@@ -441,7 +402,7 @@
                                  order.target.id,
                                  order.target.token,
                                  std::string(OrderOutcomeName(answer.outcome))});
-    CountCall(target, false, now);
+    target.CountCall(false, now + kAvoidAfterFailure);
     ++target.overdue_looks;
     target.next_look = now + kLookAgain;
     this->LookIfDue(target, now, effects);
@@ -552,7 +513,7 @@
 }
 
 void ServicePool::Detach(LeasedTarget& target, TimePoint now, PoolEffects& effects) {
-  target.avoid_until = std::max(target.avoid_until, now + kAvoidAfterFailure);
+  target.Avoid(now + kAvoidAfterFailure);
   for (auto& [key, run] : target.runs) {
     if (run.is_orphan) {
       continue;
@@ -609,14 +570,14 @@
   // A target that doesn't answer gets no longer lease, so that its tasks can be placed elsewhere.
   if (has_runs && !is_adopting && target.overdue_looks == 0) {
     order.wait = target.unknown_runs > 0 ? Duration(0) : this->settings.look_wait;
-    const Duration lease = this->LeaseFor(target, now);
+    const Duration lease = this->gateways.LeaseFor(target, now);
     if (lease > Duration(0)) {
       order.lease_until = target.ClockAt(now) + lease;
-      ExtendLease(target, lease, now);
+      target.ExtendLease(lease, now);
     }
     if (lease < this->settings.longest_lease / 2) {
       // A run is to end with the lease; what is started beside it would end too.
-      target.avoid_until = std::max(target.avoid_until, now + kAvoidEndingLease);
+      target.Avoid(now + kAvoidEndingLease);
     }
   }
   target.is_looking = true;
--- a/src/runs/service_pool.h
+++ b/src/runs/service_pool.h
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/time.h"
+#include "runs/gateway_leases.h"
 #include "runs/leased_target.h"
 #include "runs/look_answer.h"
 #include "runs/order_answer.h"
@@ -77,13 +78,6 @@
   using QueueKey = std::pair<base::Priority, uint64_t>;
 
   bool CanStart(const LeasedTarget& target, base::TimePoint now) const;
-  bool IsAlive(const base::HostId& gateway, base::TimePoint now) const;
-  /// Returns how long the lease of a target may be from now on; not positive if it may not be
-  /// extended.
-  base::Duration LeaseFor(const LeasedTarget& target, base::TimePoint now) const;
-  /// Takes note of a call that got an answer or none.
-  static void CountCall(LeasedTarget& target, bool has_answer, base::TimePoint now);
-  static void ExtendLease(LeasedTarget& target, base::Duration lease, base::TimePoint now);
   LeasedTarget* Choose(const base::Resources& need, base::TimePoint now);
   void Schedule(base::TimePoint now, PoolEffects& effects);
   void StartTask(PlacedPart& placed, size_t task, LeasedTarget& target, base::TimePoint now,
@@ -117,8 +111,7 @@
   std::map<base::TargetId, LeasedTarget> targets;
   std::map<PartKey, PlacedPart> parts;
   std::map<QueueKey, PartKey> queue;
-  // When each gateway was last known to wait for its parts.
-  std::map<base::HostId, base::TimePoint> gateways;
+  GatewayLeases gateways;
   // Tasks with a run on some target, so that no second run of one begins before the first is gone.
   std::multiset<TaskName> present;
   // Names in `present` of runs on targets that this host doesn't own any more, until their lease
