--- a/src/peers/peer_network.cc
+++ b/src/peers/peer_network.cc
@@ -171,6 +171,9 @@
                       "can't listen on " + this->settings.listen.value() + ": " + error.what(),
                       "peer_listen");
   }
+  // websocketpp notes the machine's byte order at the first use, without a lock; the threads of two
+  // networks in one process would write it at the same time.
+  (void)websocketpp::lib::net::_htonll(0);
   this->ScheduleTick();
   this->thread = std::thread([this] {
     base::SetThreadName("peers");
