--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -40,6 +40,8 @@
 using StepIndex = StrongNumber<struct StepIndexTag, uint32_t>;
 /// Numbers the parts into which a gateway divides one job.
 using PartNumber = StrongNumber<struct PartNumberTag, uint32_t>;
+/// Numbers the requests of one gateway about stored jobs.
+using JobRequestNumber = StrongNumber<struct JobRequestNumberTag, uint64_t>;
 /// Rank of a queue; 0 comes first.
 using Priority = StrongNumber<struct PriorityTag, int32_t>;
 /// How often a task may be tried.
--- a/src/cluster/cluster_state.cc
+++ b/src/cluster/cluster_state.cc
@@ -12,6 +12,7 @@
 // First byte of a command.
 constexpr char kConfigurationCommand = 'c';
 constexpr char kViewCommand = 'v';
+constexpr char kJobsCommand = 'j';
 
 std::string EncodeRecord(const ConfigurationRecord& record) {
   storage::ByteWriter writer;
@@ -43,6 +44,10 @@
   return kConfigurationCommand + EncodeRecord(record);
 }
 
+std::string ClusterState::CommandForJobs(const std::string& change) {
+  return kJobsCommand + change;
+}
+
 void ClusterState::Tick() { this->agreement.Tick(); }
 
 void ClusterState::Apply(const std::string& command) {
@@ -53,6 +58,10 @@
     this->agreement.Apply(command.substr(1));
     return;
   }
+  if (command.front() == kJobsCommand) {
+    this->hooks.apply_jobs(command.substr(1));
+    return;
+  }
   const std::string body = command.substr(1);
   storage::ByteReader reader(body);
   ConfigurationRecord proposed = TakeRecord(reader);
@@ -66,6 +75,7 @@
   storage::ByteWriter writer;
   writer.PutString(EncodeRecord(this->record));
   writer.PutString(this->agreement.TakeSnapshot());
+  writer.PutString(this->hooks.take_jobs_snapshot());
   return writer.Take();
 }
 
@@ -76,6 +86,8 @@
   storage::ByteReader reader(state);
   const std::string stored = reader.TakeString();
   const std::string agreed = reader.TakeString();
+  // Snapshots of versions without stored jobs end here.
+  const std::string jobs = reader.remaining() > 0 ? reader.TakeString() : "";
   if (!reader.ok()) {
     return;
   }
@@ -86,6 +98,7 @@
     this->hooks.on_change();
   }
   this->agreement.Restore(agreed);
+  this->hooks.restore_jobs(jobs);
 }
 
 }  // namespace sapphirecrank::cluster
--- a/src/cluster/cluster_state.h
+++ b/src/cluster/cluster_state.h
@@ -11,7 +11,8 @@
 
 namespace sapphirecrank::cluster {
 
-/// The replicated state of a cluster: the configuration in force and the view of its allocators.
+/// The replicated state of a cluster: the configuration in force, the view of its allocators and
+/// the stored jobs, which another class holds.
 ///
 /// Of configurations the highest version wins; one that isn't higher changes nothing. Thread
 /// safety: none.
@@ -27,6 +28,10 @@
     std::function<void(std::string)> propose;
     /// The state has changed.
     std::function<void()> on_change;
+    /// Applies a committed command of the stored jobs.
+    std::function<void(const std::string&)> apply_jobs;
+    std::function<std::string()> take_jobs_snapshot;
+    std::function<void(const std::string&)> restore_jobs;
   };
 
   explicit ClusterState(Hooks hooks);
@@ -34,6 +39,9 @@
   /// Returns the command that puts a configuration in force.
   static std::string CommandFor(const ConfigurationRecord& record);
 
+  /// Returns the command that applies `change` to the stored jobs.
+  static std::string CommandForJobs(const std::string& change);
+
   /// Proposes a view if one is due. To be called several times a second.
   void Tick();
 
--- a/src/clusterhost/allocator_host.cc
+++ b/src/clusterhost/allocator_host.cc
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr base::Duration kGroupTick = std::chrono::milliseconds(25);
+constexpr base::Duration kKeeperTick = std::chrono::milliseconds(25);
 constexpr base::Duration kPoolTick = std::chrono::milliseconds(20);
 constexpr base::Duration kRoomInterval = std::chrono::milliseconds(50);
 // Targets come and go within seconds; a list that is a little old is good enough.
@@ -51,6 +52,8 @@
       self(this->settings.host.peer_listen.value()),
       now(base::SteadyClock()),
       logger(logger),
+      keeper({this->self, this->settings.host.data_centre, this->settings.job_retention},
+             this->KeeperHooks(), logger),
       pool(this->settings.pool, this->PoolHooks(std::move(calls))),
       target_file(this->settings.group.files, this->settings.group.data_folder),
       file_thread(std::make_unique<base::WorkerPool>("target-file", 1)),
@@ -74,6 +77,27 @@
   hooks.look = this->Measured<runs::LookOrder, runs::LookAnswer>("look", std::move(calls.look));
   hooks.on_part_end = [this](const runs::PartEnd& end) { this->OnPartEnd(end); };
   hooks.on_decision = [this](const runs::RunDecision& decision) { this->OnDecision(decision); };
+  hooks.on_notices = [this](const std::vector<runs::RunNotice>& notices) {
+    this->keeper.OnNotices(notices);
+  };
+  return hooks;
+}
+
+JobKeeper::Hooks AllocatorHost::KeeperHooks() {
+  JobKeeper::Hooks hooks;
+  hooks.now = this->now;
+  hooks.leader = [this] { return this->Leader(); };
+  hooks.send = [this](const HostId& host, protocol::Message message) {
+    return this->network->Send(host, std::move(message));
+  };
+  hooks.change_jobs = [this](std::string change, ClusterGroup::OnPut on_put) {
+    this->group->ChangeJobs(std::move(change), std::move(on_put));
+  };
+  hooks.place_here = [this](const runs::TaskPart& part) { this->pool.Place(part); };
+  hooks.cancel_here = [this](const base::SubmissionId& job) { this->pool.Cancel(this->self, job); };
+  hooks.on_answers_here = [this](const runs::NoticeAnswers& answers) {
+    this->pool.OnNoticeAnswers(answers);
+  };
   return hooks;
 }
 
@@ -117,6 +141,10 @@
     }
     this->logger.Info("group leader changed", {{"leader", leading.value()}});
   };
+  hooks.on_lease = [this](base::Term term) { this->keeper.OnLease(term); };
+  hooks.apply_jobs = [this](const std::string& command) { this->keeper.jobs().Apply(command); };
+  hooks.take_jobs_snapshot = [this] { return this->keeper.jobs().TakeSnapshot(); };
+  hooks.restore_jobs = [this](const std::string& state) { this->keeper.jobs().Restore(state); };
   hooks.on_storage = [this](const std::string& reason) {
     if (reason.empty()) {
       this->logger.Info("disk in use again");
@@ -140,6 +168,7 @@
   hooks.on_reset = [this](const HostId& host) {
     this->logger.Warning("host has counted this one as lost", {{"host", host.value()}});
     this->pool.CancelAllOf(host);
+    this->keeper.OnHostLost(host);
   };
   hooks.on_alive = [this](const HostId& host, base::TimePoint sent) {
     this->pool.OnGatewayAlive(host, sent);
@@ -168,7 +197,13 @@
   }
   this->timers = std::make_unique<base::TimerQueue>("timers");
   this->timers->RunEvery(kGroupTick, [this] { this->group->Tick(); });
-  this->timers->RunEvery(kPoolTick, [this] { this->pool.Tick(); });
+  this->timers->RunEvery(kPoolTick, [this] {
+    if (this->keeper.IsLeading()) {
+      this->pool.OnGatewayAlive(this->self, this->now());
+    }
+    this->pool.Tick();
+  });
+  this->timers->RunEvery(kKeeperTick, [this] { this->keeper.Tick(); });
   this->timers->RunEvery(kRoomInterval, [this] { this->ReportRoom(); });
   this->timers->RunEvery(kSaveInterval,
                          [this] { this->file_thread->Run(0, [this] { this->SaveTargets(); }); });
@@ -407,9 +442,13 @@
   }
   this->logger.Warning("host out of reach", {{"host", host.value()}});
   this->pool.CancelAllOf(host);
+  this->keeper.OnHostLost(host);
 }
 
 void AllocatorHost::OnMessage(const HostId& from, const protocol::Message& message) {
+  if (this->keeper.OnMessage(from, message)) {
+    return;
+  }
   if (const auto* part = std::get_if<runs::TaskPart>(&message)) {
     this->pool.Place(*part);
   } else if (const auto* cancel = std::get_if<runs::PartCancel>(&message)) {
@@ -437,6 +476,10 @@
                                    {"gateway", end.key.gateway.value()},
                                    {"outcome", std::string(runs::PartEnd::KindName(end.kind))},
                                    {"reason", end.reason}});
+  if (end.key.gateway == this->self) {
+    this->keeper.OnPartEnd(this->self, end);
+    return;
+  }
   // A gateway that is lost has no caller to answer any more.
   (void)this->network->Send(end.key.gateway, end);
 }
@@ -462,6 +505,7 @@
     }
     this->last_room = report;
   }
+  this->keeper.OnRoom(this->self, report);
   for (const HostId& host : this->network->UpPeers()) {
     this->network->SendUnnumbered(host, report);
   }
--- a/src/clusterhost/allocator_host.h
+++ b/src/clusterhost/allocator_host.h
@@ -16,6 +16,7 @@
 #include "cluster/configuration_record.h"
 #include "clusterhost/cluster_group.h"
 #include "clusterhost/cluster_host_settings.h"
+#include "clusterhost/job_keeper.h"
 #include "clusterhost/target_file.h"
 #include "observability/allocator_metrics.h"
 #include "peers/peer_network.h"
@@ -40,6 +41,8 @@
     runs::PoolSettings pool;
     /// How long a host that is told to stop waits for its runs.
     base::Duration drain_limit = std::chrono::seconds(4);
+    /// How long the record of an ended stored job is kept.
+    base::Duration job_retention = std::chrono::seconds(120);
   };
 
   template <typename Order, typename Answer>
@@ -108,6 +111,7 @@
   template <typename Order, typename Answer>
   Call<Order, Answer> Measured(const char* name, Call<Order, Answer> call);
   std::unique_ptr<ClusterGroup> MakeGroup();
+  JobKeeper::Hooks KeeperHooks();
   peers::PeerNetwork::Hooks PeerHooks();
 
   Settings settings;
@@ -128,6 +132,7 @@
   bool is_in_view GUARDED_BY(state_mutex) = false;
   bool is_leaving GUARDED_BY(state_mutex) = false;
 
+  JobKeeper keeper;
   runs::RunPool pool;
   // Used on its own thread, because it waits for synced writes.
   TargetFile target_file;
--- a/src/clusterhost/cluster_group.cc
+++ b/src/clusterhost/cluster_group.cc
@@ -58,6 +58,9 @@
     (void)this->node->Propose(command);
   };
   state_hooks.on_change = [this] { this->has_changed = true; };
+  state_hooks.apply_jobs = this->hooks.apply_jobs;
+  state_hooks.take_jobs_snapshot = this->hooks.take_jobs_snapshot;
+  state_hooks.restore_jobs = this->hooks.restore_jobs;
   return std::make_unique<cluster::ClusterState>(std::move(state_hooks));
 }
 
@@ -105,6 +108,7 @@
     return tl::make_unexpected(opened.error());
   }
   this->state = this->MakeState();
+  this->hooks.restore_jobs("");
   this->node.reset();
   this->disk = std::move(*opened);
   consensus::RaftNode::Hooks node_hooks;
@@ -185,6 +189,9 @@
     this->state->Tick();
     this->ChangeMembership();
     this->Step();
+    if (this->node->HasLease()) {
+      this->hooks.on_lease(this->node->Status().term);
+    }
     this->AnswerPuts();
     this->AnswerReads();
   });
@@ -196,12 +203,36 @@
       on_put(PutOutcome::kAcknowledged);
       return;
     }
-    const auto index = this->node->Propose(cluster::ClusterState::CommandFor(record));
-    if (!index) {
-      on_put(this->leader.empty() ? PutOutcome::kUnknown : PutOutcome::kNotLeader);
-      return;
+    if (this->Propose(cluster::ClusterState::CommandFor(record), on_put)) {
+      this->Step();
     }
-    this->puts[*index] = {this->node->Status().term, this->hooks.now() + kAnswerLimit, on_put};
+  });
+}
+
+bool ClusterGroup::Propose(const std::string& command, const OnPut& on_put) {
+  const auto index = this->node->Propose(command);
+  if (!index) {
+    on_put(this->leader.empty() ? PutOutcome::kUnknown : PutOutcome::kNotLeader);
+    return false;
+  }
+  this->puts[*index] = {this->node->Status().term, this->hooks.now() + kAnswerLimit, on_put};
+  return true;
+}
+
+void ClusterGroup::ChangeJobs(std::string change, OnPut on_put) {
+  this->Run([this, change = std::move(change), on_put = std::move(on_put)] {
+    if (this->Propose(cluster::ClusterState::CommandForJobs(change), on_put)) {
+      this->StepSoon();
+    }
+  });
+}
+
+void ClusterGroup::StepSoon() {
+  if (std::exchange(this->is_step_due, true)) {
+    return;
+  }
+  this->Run([this] {
+    this->is_step_due = false;
     this->Step();
   });
 }
--- a/src/clusterhost/cluster_group.h
+++ b/src/clusterhost/cluster_group.h
@@ -59,6 +59,12 @@
     std::function<void(const cluster::ConfigurationRecord&, const cluster::ClusterView&)> on_change;
     /// This host follows another leader, or none if the id is empty.
     std::function<void(const base::HostId& leader)> on_leader;
+    /// This host leads in this term and holds the lease at this moment.
+    std::function<void(base::Term)> on_lease;
+    // The stored jobs; see `cluster::ClusterState::Hooks`.
+    std::function<void(const std::string&)> apply_jobs;
+    std::function<std::string()> take_jobs_snapshot;
+    std::function<void(const std::string&)> restore_jobs;
     /// The disk has failed for this reason, or is in use again if the reason is empty.
     std::function<void(const std::string& reason)> on_storage;
   };
@@ -83,6 +89,10 @@
   /// the time in which the sender turns to another host.
   void Put(cluster::ConfigurationRecord record, OnPut on_put);
 
+  /// Changes the stored jobs. The outcome is given as with `Put`. Changes that come while others
+  /// are written share the next write.
+  void ChangeJobs(std::string change, OnPut on_put);
+
   /// Gives the newest configuration once it is certain that none newer was agreed before the call;
   /// nothing if that can't be found out in time.
   void Read(OnRead on_read);
@@ -112,6 +122,9 @@
   void Announce();
   void Run(std::function<void()> function);
   void Step();
+  /// Steps after what is waiting for the thread by now, so that one synced write covers it all.
+  void StepSoon();
+  bool Propose(const std::string& command, const OnPut& on_put);
   void Apply(const consensus::LogEntry& entry);
   void ChangeMembership();
   void AnswerPuts();
@@ -126,6 +139,7 @@
   std::unique_ptr<cluster::ClusterState> state;
   cluster::MembershipPlanner planner;
   std::map<base::LogIndex, PendingPut> puts;
+  bool is_step_due = false;
   std::vector<PendingRead> reads;
   base::TimePoint next_join;
   // Told to the hook once all that is committed is applied, and not before a host that has opened
--- a/src/clusterhost/gateway_host.cc
+++ b/src/clusterhost/gateway_host.cc
@@ -56,6 +56,7 @@
       logger(logger),
       rooms(this->settings.data_centre),
       table(HostId(this->settings.peer_listen.value()), this->TableHooks()),
+      client(this->ClientHooks()),
       network(std::make_unique<peers::PeerNetwork>(PeerSettingsOf(this->settings),
                                                    this->PeerHooks())) {}
 
@@ -82,6 +83,17 @@
   return hooks;
 }
 
+stored::JobClient::Hooks GatewayHost::ClientHooks() {
+  stored::JobClient::Hooks hooks;
+  hooks.now = this->now;
+  // Gateways have links with allocators only.
+  hooks.allocators = [this] { return this->network->UpPeers(); };
+  hooks.send = [this](const HostId& host, const stored::JobRequest& request) {
+    return this->network->Send(host, request);
+  };
+  return hooks;
+}
+
 peers::PeerNetwork::Hooks GatewayHost::PeerHooks() {
   peers::PeerNetwork::Hooks hooks;
   hooks.now = this->now;
@@ -96,6 +108,7 @@
     // The allocator has stopped what this gateway had placed.
     this->logger.Warning("allocator has counted this gateway as lost", {{"host", host.value()}});
     this->table.OnAllocatorLost(host);
+    this->client.OnAllocatorLost(host);
   };
   hooks.on_alive = [](const HostId& /*host*/, base::TimePoint /*sent*/) {};
   hooks.heartbeat = [] { return protocol::Heartbeat(); };
@@ -111,14 +124,17 @@
     return started;
   }
   this->timers = std::make_unique<base::TimerQueue>("timers");
-  this->timers->RunEvery(kTableTick, [this] { this->table.Tick(); });
+  this->timers->RunEvery(kTableTick, [this] {
+    this->table.Tick();
+    this->client.Tick();
+  });
   return {};
 }
 
 void GatewayHost::Drain(base::Duration limit) {
   this->table.RefuseNew();
   const base::TimePoint end = this->now() + limit;
-  while (this->table.size() > 0 && this->now() < end) {
+  while (this->table.size() + this->client.size() > 0 && this->now() < end) {
     std::this_thread::sleep_for(kDrainPoll);
   }
   this->table.EndAll("the gateway stopped");
@@ -143,6 +159,8 @@
     this->table.OnPartEnd(from, *end);
   } else if (const auto* report = std::get_if<runs::RoomReport>(&message)) {
     this->rooms.OnReport(from, *report);
+  } else if (const auto* reply = std::get_if<stored::JobReply>(&message)) {
+    this->client.OnReply(from, *reply);
   } else if (const auto* update = std::get_if<cluster::ClusterUpdate>(&message)) {
     this->OnUpdate(*update);
   }
@@ -173,6 +191,7 @@
   this->logger.Warning("allocator out of reach", {{"host", host.value()}});
   this->rooms.OnLost(host);
   this->table.OnAllocatorLost(host);
+  this->client.OnAllocatorLost(host);
 }
 
 void GatewayHost::OnJobEnd(const gateway::Job& job, const gateway::JobAnswer& answer,
--- a/src/clusterhost/gateway_host.h
+++ b/src/clusterhost/gateway_host.h
@@ -16,6 +16,7 @@
 #include "gateway/job_table.h"
 #include "observability/metrics.h"
 #include "peers/peer_network.h"
+#include "stored/job_client.h"
 
 namespace sapphirecrank::observability {
 class Logger;
@@ -49,9 +50,12 @@
   /// Returns the configuration in force, or null if there is none yet.
   std::shared_ptr<const cluster::Catalog> CurrentCatalog();
 
-  /// Returns the jobs in hand.
+  /// Returns the jobs in hand, which aren't stored.
   gateway::JobTable& jobs() { return this->table; }
 
+  /// Returns the way to the stored jobs.
+  stored::JobClient& stored_jobs() { return this->client; }
+
   /// Returns counters and latency histograms in Prometheus' text format.
   std::string MetricsText() const { return this->metrics.Text(); }
 
@@ -64,6 +68,7 @@
   void OnLost(const base::HostId& host);
   void OnJobEnd(const gateway::Job& job, const gateway::JobAnswer& answer, base::Duration age);
   gateway::JobTable::Hooks TableHooks();
+  stored::JobClient::Hooks ClientHooks();
   peers::PeerNetwork::Hooks PeerHooks();
 
   ClusterHostSettings settings;
@@ -78,6 +83,7 @@
   observability::Metrics metrics{std::vector<base::TeamId>()};
   gateway::AllocatorRooms rooms;
   gateway::JobTable table;
+  stored::JobClient client;
   std::unique_ptr<peers::PeerNetwork> network;
   std::unique_ptr<base::TimerQueue> timers;
 };
--- /dev/null
+++ b/src/clusterhost/job_keeper.cc
@@ -0,0 +1,262 @@
+#include "clusterhost/job_keeper.h"
+
+#include <utility>
+
+#include "observability/log_field.h"
+#include "observability/logger.h"
+#include "runs/part_cancel.h"
+#include "stored/job_command.h"
+
+namespace sapphirecrank::clusterhost {
+
+using base::HostId;
+using base::SubmissionId;
+using runs::NoticeAnswers;
+using runs::RunNotice;
+using stored::JobCommand;
+using stored::JobReply;
+using stored::JobRequest;
+using stored::JobRunner;
+using stored::JobState;
+
+namespace {
+
+// Payloads of open jobs are in memory, in the log and in its snapshot; hosts have 256 MB.
+constexpr base::ByteCount kMostPayloadBytes(24LL << 20);
+
+const char* OutcomeName(JobReply::Outcome outcome) {
+  switch (outcome) {
+    case JobReply::Outcome::kDone:
+      return "done";
+    case JobReply::Outcome::kRefused:
+      return "refused";
+    case JobReply::Outcome::kUncertain:
+      return "uncertain";
+    case JobReply::Outcome::kOtherLeader:
+      return "other_leader";
+  }
+  return "uncertain";
+}
+
+JobReply::Outcome OutcomeOf(PutOutcome outcome) {
+  switch (outcome) {
+    case PutOutcome::kAcknowledged:
+      return JobReply::Outcome::kDone;
+    case PutOutcome::kNotLeader:
+      return JobReply::Outcome::kOtherLeader;
+    case PutOutcome::kUnknown:
+      break;
+  }
+  return JobReply::Outcome::kUncertain;
+}
+
+}  // namespace
+
+JobKeeper::JobKeeper(const Settings& settings, Hooks hooks, observability::Logger& logger)
+    : settings(settings),
+      hooks(std::move(hooks)),
+      logger(logger),
+      rooms(this->settings.data_centre),
+      stored_jobs([this](const std::vector<SubmissionId>& ids) { this->runner.OnChange(ids); }),
+      runner({this->settings.self, this->settings.retention}, this->stored_jobs,
+             this->RunnerHooks()),
+      sender({this->hooks.now, [this](const runs::RunNotices& message) {
+                const HostId leader = this->hooks.leader();
+                if (leader == this->settings.self) {
+                  this->JudgeNotices(leader, message);
+                } else if (!leader.empty()) {
+                  // Notices without an answer are sent again.
+                  (void)this->hooks.send(leader, message);
+                }
+              }}) {}
+
+JobRunner::Hooks JobKeeper::RunnerHooks() {
+  JobRunner::Hooks runner_hooks;
+  runner_hooks.now = this->hooks.now;
+  runner_hooks.choose = [this](const base::ServiceId& service, base::TaskCount count) {
+    return this->rooms.ChooseBelowBacklog(service, count);
+  };
+  runner_hooks.place = [this](const HostId& host, const runs::TaskPart& part) {
+    if (host == this->settings.self) {
+      this->hooks.place_here(part);
+      return true;
+    }
+    return this->hooks.send(host, part);
+  };
+  runner_hooks.cancel = [this](const HostId& host, const SubmissionId& job) {
+    if (host == this->settings.self) {
+      this->hooks.cancel_here(job);
+    } else {
+      // A host out of reach stops the runs of a keeper that is silent by itself.
+      (void)this->hooks.send(host, runs::PartCancel{job});
+    }
+  };
+  runner_hooks.forget = [this](const std::vector<SubmissionId>& ids) {
+    this->hooks.change_jobs(JobCommand{JobCommand::Forget{ids}}.Encode(),
+                            [](PutOutcome /*outcome*/) {});
+  };
+  runner_hooks.on_lead = [this](bool leads) {
+    this->logger.Info(leads ? "running the stored jobs" : "stored jobs given up");
+  };
+  return runner_hooks;
+}
+
+bool JobKeeper::OnMessage(const HostId& from, const protocol::Message& message) {
+  if (const auto* request = std::get_if<JobRequest>(&message)) {
+    this->OnRequest(from, *request);
+  } else if (const auto* notices = std::get_if<runs::RunNotices>(&message)) {
+    this->JudgeNotices(from, *notices);
+  } else if (const auto* answers = std::get_if<NoticeAnswers>(&message)) {
+    this->OnAnswers(*answers);
+  } else if (const auto* report = std::get_if<runs::RoomReport>(&message)) {
+    this->OnRoom(from, *report);
+  } else if (const auto* end = std::get_if<runs::PartEnd>(&message)) {
+    this->OnPartEnd(from, *end);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+void JobKeeper::OnHostLost(const HostId& host) {
+  this->rooms.OnLost(host);
+  this->runner.OnAllocatorLost(host);
+}
+
+void JobKeeper::OnPartEnd(const HostId& allocator, const runs::PartEnd& end) {
+  this->runner.OnPartEnd(allocator, end);
+}
+
+void JobKeeper::OnRoom(const HostId& allocator, const runs::RoomReport& report) {
+  this->rooms.OnReport(allocator, report);
+}
+
+void JobKeeper::Tick() {
+  this->runner.Tick();
+  this->sender.Tick();
+}
+
+void JobKeeper::OnRequest(const HostId& from, const JobRequest& request) {
+  if (!this->runner.IsLeading()) {
+    this->Reply(from, request, JobReply::Outcome::kOtherLeader);
+    return;
+  }
+  switch (request.kind) {
+    case JobRequest::Kind::kSubmit:
+      this->Submit(from, request);
+      return;
+    case JobRequest::Kind::kCancel:
+      this->Cancel(from, request);
+      return;
+    case JobRequest::Kind::kQuery:
+    case JobRequest::Kind::kCountPending:
+      this->Reply(from, request, JobReply::Outcome::kDone);
+      return;
+  }
+}
+
+void JobKeeper::Submit(const HostId& from, const JobRequest& request) {
+  if (this->runner.StateOf(request.id) != JobState::kUnknown) {
+    this->Reply(from, request, JobReply::Outcome::kDone);
+    return;
+  }
+  const auto command = JobCommand::Decode(request.command);
+  const bool is_submission = command && std::holds_alternative<JobCommand::Submit>(command->change);
+  if (!is_submission || this->stored_jobs.PayloadBytes() >= kMostPayloadBytes) {
+    this->Reply(from, request, JobReply::Outcome::kRefused);
+    return;
+  }
+  this->Change(from, request, request.command);
+}
+
+void JobKeeper::Cancel(const HostId& from, const JobRequest& request) {
+  if (this->runner.StateOf(request.id) == JobState::kUnknown) {
+    this->Reply(from, request, JobReply::Outcome::kDone);
+    return;
+  }
+  this->Change(from, request, JobCommand{JobCommand::Cancel{request.id}}.Encode());
+}
+
+void JobKeeper::Change(const HostId& from, const JobRequest& request, std::string command) {
+  this->hooks.change_jobs(std::move(command), [this, from, request](PutOutcome outcome) {
+    this->Reply(from, request, OutcomeOf(outcome));
+  });
+}
+
+void JobKeeper::Reply(const HostId& to, const JobRequest& request, JobReply::Outcome outcome) {
+  JobReply reply;
+  reply.number = request.number;
+  reply.outcome = outcome;
+  if (outcome == JobReply::Outcome::kOtherLeader) {
+    reply.leader = this->hooks.leader();
+  } else if (request.kind == JobRequest::Kind::kCountPending) {
+    reply.pending = base::TaskCount(static_cast<int64_t>(this->runner.PendingIn(request.queue)));
+  } else {
+    reply.state = this->runner.StateOf(request.id);
+  }
+  if (request.kind == JobRequest::Kind::kSubmit || request.kind == JobRequest::Kind::kCancel) {
+    this->LogRequest(to, request, OutcomeName(outcome));
+  }
+  // A gateway without a reply asks again.
+  (void)this->hooks.send(to, reply);
+}
+
+void JobKeeper::LogRequest(const HostId& from, const JobRequest& request,
+                           const std::string& outcome) {
+  const bool is_submission = request.kind == JobRequest::Kind::kSubmit;
+  this->logger.Info(is_submission ? "stored job submitted" : "stored job cancelled",
+                    {{"job", request.id.value()},
+                     {"gateway", from.value()},
+                     {"request", std::to_string(request.number.value())},
+                     {"outcome", outcome}});
+}
+
+void JobKeeper::JudgeNotices(const HostId& from, const runs::RunNotices& message) {
+  if (!this->runner.IsLeading()) {
+    return;  // They are sent again, to the host that leads by then.
+  }
+  NoticeAnswers answers;
+  NoticeAnswers proposed;
+  JobCommand::NoteOutcomes change;
+  for (const RunNotice& notice : message.notices) {
+    switch (this->runner.Judge(notice)) {
+      case JobRunner::Judgement::kNoted:
+        answers.noted.push_back(notice);
+        break;
+      case JobRunner::Judgement::kOutdated:
+        answers.outdated.push_back(notice);
+        break;
+      case JobRunner::Judgement::kPropose:
+        proposed.noted.push_back(notice);
+        change.outcomes.push_back({notice.key, notice.kind == RunNotice::Kind::kDone});
+        break;
+    }
+  }
+  if (!answers.noted.empty() || !answers.outdated.empty()) {
+    this->AnswerNotices(from, answers);
+  }
+  if (change.outcomes.empty()) {
+    return;
+  }
+  this->hooks.change_jobs(JobCommand{change}.Encode(), [this, from, proposed](PutOutcome outcome) {
+    if (outcome == PutOutcome::kAcknowledged) {
+      this->AnswerNotices(from, proposed);
+    }
+  });
+}
+
+void JobKeeper::AnswerNotices(const HostId& to, const NoticeAnswers& answers) {
+  if (to == this->settings.self) {
+    this->OnAnswers(answers);
+  } else {
+    // An allocator without an answer sends its notices again.
+    (void)this->hooks.send(to, answers);
+  }
+}
+
+void JobKeeper::OnAnswers(const NoticeAnswers& answers) {
+  this->sender.OnAnswers(answers);
+  this->hooks.on_answers_here(answers);
+}
+
+}  // namespace sapphirecrank::clusterhost
--- /dev/null
+++ b/src/clusterhost/job_keeper.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "clusterhost/notice_sender.h"
+#include "clusterhost/put_outcome.h"
+#include "gateway/allocator_rooms.h"
+#include "protocol/message.h"
+#include "stored/job_register.h"
+#include "stored/job_runner.h"
+
+namespace sapphirecrank::observability {
+class Logger;
+}  // namespace sapphirecrank::observability
+
+namespace sapphirecrank::clusterhost {
+
+/// An allocator's part in the stored jobs: its copy of their records, and their execution while
+/// this host leads the group.
+///
+/// Thread safety: all methods may be called from any thread. Hooks run without a lock.
+class JobKeeper {
+ public:
+  struct Settings {
+    base::HostId self;
+    base::DataCentreId data_centre;
+    /// How long the record of an ended job is kept.
+    base::Duration retention = std::chrono::seconds(120);
+  };
+
+  /// Behaviour handed in; all members must be set.
+  struct Hooks {
+    base::Clock now;
+    /// Returns the host that leads the group, or an empty id.
+    std::function<base::HostId()> leader;
+    /// Sends a message to another host; false means that it was surely not sent.
+    std::function<bool(const base::HostId&, protocol::Message)> send;
+    /// Has the group change the stored jobs.
+    std::function<void(std::string, std::function<void(PutOutcome)>)> change_jobs;
+    // The runs of this host.
+    std::function<void(const runs::TaskPart&)> place_here;
+    std::function<void(const base::SubmissionId&)> cancel_here;
+    std::function<void(const runs::NoticeAnswers&)> on_answers_here;
+  };
+
+  JobKeeper(const Settings& settings, Hooks hooks, observability::Logger& logger);
+
+  /// Returns the replicated records, for the group.
+  stored::JobRegister& jobs() { return this->stored_jobs; }
+
+  /// Tells whether this host runs the stored jobs.
+  bool IsLeading() const { return this->runner.IsLeading(); }
+
+  /// Takes a message if it concerns stored jobs; returns whether it does.
+  bool OnMessage(const base::HostId& from, const protocol::Message& message);
+
+  /// Tells that this host leads in `term` and holds the lease at this moment.
+  void OnLease(base::Term term) { this->runner.OnLease(term); }
+
+  void OnHostLost(const base::HostId& host);
+
+  /// Takes the end of a part that this host has placed.
+  void OnPartEnd(const base::HostId& allocator, const runs::PartEnd& end);
+
+  /// Takes what an allocator, maybe this one, can start.
+  void OnRoom(const base::HostId& allocator, const runs::RoomReport& report);
+
+  /// Takes notices of the runs on this host's own targets.
+  void OnNotices(const std::vector<runs::RunNotice>& notices) { this->sender.Add(notices); }
+
+  /// Does what is due by time. To be called several times in 100 ms.
+  void Tick();
+
+ private:
+  stored::JobRunner::Hooks RunnerHooks();
+  void OnRequest(const base::HostId& from, const stored::JobRequest& request);
+  void Submit(const base::HostId& from, const stored::JobRequest& request);
+  void Cancel(const base::HostId& from, const stored::JobRequest& request);
+  void Change(const base::HostId& from, const stored::JobRequest& request, std::string command);
+  void Reply(const base::HostId& to, const stored::JobRequest& request,
+             stored::JobReply::Outcome outcome);
+  void JudgeNotices(const base::HostId& from, const runs::RunNotices& message);
+  void AnswerNotices(const base::HostId& to, const runs::NoticeAnswers& answers);
+  void OnAnswers(const runs::NoticeAnswers& answers);
+  void LogRequest(const base::HostId& from, const stored::JobRequest& request,
+                  const std::string& outcome);
+
+  Settings settings;
+  Hooks hooks;
+  observability::Logger& logger;
+  gateway::AllocatorRooms rooms;
+  stored::JobRegister stored_jobs;
+  stored::JobRunner runner;
+  NoticeSender sender;
+};
+
+}  // namespace sapphirecrank::clusterhost
--- /dev/null
+++ b/src/clusterhost/notice_sender.cc
@@ -0,0 +1,59 @@
+#include "clusterhost/notice_sender.h"
+
+#include <utility>
+
+#include "base/mutex_lock.h"
+
+namespace sapphirecrank::clusterhost {
+
+using base::MutexLock;
+
+namespace {
+
+// A notice is answered after a synced write of most hosts; disks of 9 ms a write are usual.
+constexpr base::Duration kSendAgain = std::chrono::milliseconds(200);
+// Keeps a message far below the limit of links.
+constexpr size_t kMostNotices = 500;
+
+}  // namespace
+
+NoticeSender::NoticeSender(Hooks hooks) : hooks(std::move(hooks)) {}
+
+void NoticeSender::Add(const std::vector<runs::RunNotice>& notices) {
+  {
+    MutexLock lock(this->mutex);
+    for (const runs::RunNotice& notice : notices) {
+      this->open.emplace(notice, this->hooks.now());
+    }
+  }
+  this->Tick();
+}
+
+void NoticeSender::OnAnswers(const runs::NoticeAnswers& answers) {
+  MutexLock lock(this->mutex);
+  for (const runs::RunNotice& notice : answers.noted) {
+    this->open.erase(notice);
+  }
+  for (const runs::RunNotice& notice : answers.outdated) {
+    this->open.erase(notice);
+  }
+}
+
+void NoticeSender::Tick() {
+  runs::RunNotices message;
+  {
+    MutexLock lock(this->mutex);
+    const base::TimePoint now = this->hooks.now();
+    for (auto& [notice, next_send] : this->open) {
+      if (now >= next_send && message.notices.size() < kMostNotices) {
+        next_send = now + kSendAgain;
+        message.notices.push_back(notice);
+      }
+    }
+  }
+  if (!message.notices.empty()) {
+    this->hooks.send(message);
+  }
+}
+
+}  // namespace sapphirecrank::clusterhost
--- a/src/clusterhost/settings_file.cc
+++ b/src/clusterhost/settings_file.cc
@@ -21,6 +21,8 @@
 constexpr int64_t kShortestResubmissionMs = 900;
 constexpr int64_t kLongestResubmissionMs = 60000;
 constexpr int64_t kDefaultResubmissionMs = 1300;
+constexpr int64_t kLongestRetentionS = 24LL * 60 * 60;
+constexpr int64_t kDefaultRetentionS = 120;
 
 }  // namespace
 
@@ -63,6 +65,8 @@
   settings.resubmission_delay =
       std::chrono::milliseconds(reader.Integer("resubmission_delay_ms", kShortestResubmissionMs,
                                                kLongestResubmissionMs, kDefaultResubmissionMs));
+  settings.job_retention = std::chrono::seconds(
+      reader.Integer("job_retention_s", 1, kLongestRetentionS, kDefaultRetentionS));
   reader.Finish();
   if (error) {
     return tl::make_unexpected(*error);
--- a/src/clusterhost/settings_file.h
+++ b/src/clusterhost/settings_file.h
@@ -37,6 +37,8 @@
   base::Duration longest_lease{0};
   /// How long a caller waits at least before it submits an unanswered job again.
   base::Duration resubmission_delay{0};
+  /// How long the record of an ended stored job is kept.
+  base::Duration job_retention{0};
 
   /// Reads the JSON text of a settings file. Errors: `kInvalidArgument` with the field's name.
   /// Thread safety: pure.
--- a/src/gateway/allocator_rooms.cc
+++ b/src/gateway/allocator_rooms.cc
@@ -1,5 +1,6 @@
 #include "gateway/allocator_rooms.h"
 
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -24,6 +25,16 @@
 }
 
 std::optional<HostId> AllocatorRooms::Choose(const base::ServiceId& service, TaskCount count) {
+  return this->ChooseBelow(service, count, std::numeric_limits<double>::infinity());
+}
+
+std::optional<HostId> AllocatorRooms::ChooseBelowBacklog(const base::ServiceId& service,
+                                                         TaskCount count) {
+  return this->ChooseBelow(service, count, 1.0);
+}
+
+std::optional<HostId> AllocatorRooms::ChooseBelow(const base::ServiceId& service, TaskCount count,
+                                                  double most_backlog) {
   base::MutexLock lock(this->mutex);
   std::optional<HostId> best;
   runs::RoomReport::Service* best_room = nullptr;
@@ -37,6 +48,9 @@
       }
       const auto backlog = static_cast<double>((room.waiting - room.free).value()) /
                            static_cast<double>(room.total.value());
+      if (backlog >= most_backlog) {
+        continue;
+      }
       const auto rank = std::make_tuple(room.free >= count && room.waiting == TaskCount(0),
                                         report.data_centre == this->data_centre, -backlog);
       if (!best || rank > best_rank) {
--- a/src/gateway/allocator_rooms.h
+++ b/src/gateway/allocator_rooms.h
@@ -25,10 +25,18 @@
   /// room is taken off until the allocator's next report.
   std::optional<base::HostId> Choose(const base::ServiceId& service, base::TaskCount count);
 
+  /// As `Choose`, but none if all allocators have more tasks waiting than fit on their targets at
+  /// once: for work that can wait for a better choice.
+  std::optional<base::HostId> ChooseBelowBacklog(const base::ServiceId& service,
+                                                 base::TaskCount count);
+
   /// Tells whether any allocator has reported.
   bool HasAny();
 
  private:
+  std::optional<base::HostId> ChooseBelow(const base::ServiceId& service, base::TaskCount count,
+                                          double most_backlog);
+
   base::DataCentreId data_centre;
   base::Mutex mutex;
   std::map<base::HostId, runs::RoomReport> reports GUARDED_BY(mutex);
--- a/src/gateway/job.h
+++ b/src/gateway/job.h
@@ -25,6 +25,8 @@
   /// Handed to each task.
   std::string payload;
   std::vector<JobStep> steps;
+  /// The job is answered once it is stored, and runs on without its caller.
+  bool is_stored = false;
   /// The caller waits this long for the answer.
   base::Duration time_left{0};
 };
--- a/src/protocol/cluster_codec.cc
+++ b/src/protocol/cluster_codec.cc
@@ -34,6 +34,8 @@
   map["payload"] = Bytes(message.payload);
   map["wait_limit"] = Value(message.wait_limit);
   map["time_left"] = Value(message.time_left);
+  map["stored"] = message.is_stored;
+  map["first_run"] = Value(message.first_run);
   json tasks = json::array();
   for (const runs::PartTask& task : message.tasks) {
     tasks.push_back({{"occurrence", Value(task.name.occurrence)},
@@ -54,6 +56,8 @@
   message.payload = reader.Bytes("payload");
   message.wait_limit = ReadDuration(reader, "wait_limit");
   message.time_left = ReadDuration(reader, "time_left");
+  message.is_stored = reader.Flag("stored");
+  reader.Read("first_run", message.first_run);
   message.tasks = DecodeArray<runs::PartTask>(reader, "tasks", [&message](FieldReader& item) {
     runs::PartTask task;
     task.name.job = message.key.job;
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -18,19 +18,25 @@
 #include "protocol/hello_ack.h"
 #include "protocol/submission_answer.h"
 #include "protocol/task_results.h"
+#include "runs/notice_answers.h"
 #include "runs/part_cancel.h"
 #include "runs/part_end.h"
 #include "runs/room_report.h"
+#include "runs/run_notices.h"
 #include "runs/target_report.h"
 #include "runs/task_part.h"
+#include "stored/job_reply.h"
+#include "stored/job_request.h"
 
 namespace sapphirecrank::protocol {
 
 /// Any message between entry hosts.
-using Message = std::variant<Hello, HelloAck, Heartbeat, HeartbeatAck, AssignTasks, TaskResults,
-                             CancelTasks, ForwardAnnouncement, GroupMessage, jobs::JobRecord,
-                             jobs::RecordAck, ForwardSubmission, SubmissionAnswer, CancelSubmission,
-                             runs::TaskPart, runs::PartEnd, runs::PartCancel, runs::RoomReport,
-                             runs::TargetReport, cluster::ClusterUpdate, cluster::JoinRequest>;
+using Message =
+    std::variant<Hello, HelloAck, Heartbeat, HeartbeatAck, AssignTasks, TaskResults, CancelTasks,
+                 ForwardAnnouncement, GroupMessage, jobs::JobRecord, jobs::RecordAck,
+                 ForwardSubmission, SubmissionAnswer, CancelSubmission, runs::TaskPart,
+                 runs::PartEnd, runs::PartCancel, runs::RoomReport, runs::TargetReport,
+                 cluster::ClusterUpdate, cluster::JoinRequest, runs::RunNotices,
+                 runs::NoticeAnswers, stored::JobRequest, stored::JobReply>;
 
 }  // namespace sapphirecrank::protocol
--- a/src/protocol/message_codec.cc
+++ b/src/protocol/message_codec.cc
@@ -9,6 +9,7 @@
 #include "protocol/job_codec.h"
 #include "protocol/json_fields.h"
 #include "protocol/raft_codec.h"
+#include "protocol/stored_codec.h"
 
 namespace sapphirecrank::protocol {
 
@@ -254,6 +255,10 @@
     {kTargetReport, DecodeTargetReport},
     {kClusterUpdate, DecodeClusterUpdate},
     {kJoinRequest, DecodeJoinRequest},
+    {kRunNotices, DecodeRunNotices},
+    {kNoticeAnswers, DecodeNoticeAnswers},
+    {kJobRequest, DecodeJobRequest},
+    {kJobReply, DecodeJobReply},
 };
 
 const Decoder* FindDecoder(const std::string& type) {
--- a/src/protocol/message_codec.h
+++ b/src/protocol/message_codec.h
@@ -14,7 +14,7 @@
 constexpr base::ByteCount kMaximumMessageSize{8LL * 1024 * 1024};
 
 /// Version of the encoding; hosts with different versions refuse each other.
-constexpr uint32_t kProtocolVersion = 3;
+constexpr uint32_t kProtocolVersion = 4;
 
 /// Encodes an envelope as CBOR. Thread safety: pure.
 std::string Encode(const Envelope& envelope);
--- /dev/null
+++ b/src/protocol/stored_codec.cc
@@ -0,0 +1,110 @@
+#include "protocol/stored_codec.h"
+
+#include <utility>
+#include <vector>
+
+#include "protocol/json_fields.h"
+
+namespace sapphirecrank::protocol {
+
+using nlohmann::json;
+using runs::RunNotice;
+using stored::JobReply;
+using stored::JobRequest;
+using stored::JobState;
+
+namespace {
+
+json EncodeNotices(const std::vector<RunNotice>& notices) {
+  json list = json::array();
+  for (const RunNotice& notice : notices) {
+    list.push_back({{"service", Value(notice.service)},
+                    {"target", Value(notice.target)},
+                    {"born", Value(notice.born)},
+                    {"end", Value(notice.end)},
+                    {"job", Value(notice.key.task.job)},
+                    {"occurrence", Value(notice.key.task.occurrence)},
+                    {"step", Value(notice.key.task.step)},
+                    {"index", Value(notice.key.task.index)},
+                    {"run", Value(notice.key.run)},
+                    {"kind", Number(notice.kind)}});
+  }
+  return list;
+}
+
+std::vector<RunNotice> DecodeNotices(FieldReader& reader, const char* name) {
+  return DecodeArray<RunNotice>(reader, name, [](FieldReader& item) {
+    RunNotice notice;
+    item.Read("service", notice.service);
+    item.Read("target", notice.target);
+    item.Read("born", notice.born);
+    item.Read("end", notice.end);
+    item.Read("job", notice.key.task.job);
+    item.Read("occurrence", notice.key.task.occurrence);
+    item.Read("step", notice.key.task.step);
+    item.Read("index", notice.key.task.index);
+    item.Read("run", notice.key.run);
+    notice.kind = item.Choice("kind", RunNotice::Kind::kReturned);
+    return notice;
+  });
+}
+
+}  // namespace
+
+json EncodeBody(const runs::RunNotices& message) {
+  return {{"type", kRunNotices}, {"notices", EncodeNotices(message.notices)}};
+}
+
+Message DecodeRunNotices(FieldReader& reader) {
+  return runs::RunNotices{DecodeNotices(reader, "notices")};
+}
+
+json EncodeBody(const runs::NoticeAnswers& message) {
+  return {{"type", kNoticeAnswers},
+          {"noted", EncodeNotices(message.noted)},
+          {"outdated", EncodeNotices(message.outdated)}};
+}
+
+Message DecodeNoticeAnswers(FieldReader& reader) {
+  runs::NoticeAnswers message;
+  message.noted = DecodeNotices(reader, "noted");
+  message.outdated = DecodeNotices(reader, "outdated");
+  return message;
+}
+
+json EncodeBody(const JobRequest& message) {
+  return {{"type", kJobRequest},           {"request", Value(message.number)},
+          {"kind", Number(message.kind)},  {"id", Value(message.id)},
+          {"queue", Value(message.queue)}, {"command", Bytes(message.command)}};
+}
+
+Message DecodeJobRequest(FieldReader& reader) {
+  JobRequest message;
+  reader.Read("request", message.number);
+  message.kind = reader.Choice("kind", JobRequest::Kind::kCountPending);
+  reader.Read("id", message.id);
+  reader.Read("queue", message.queue);
+  message.command = reader.Bytes("command");
+  return message;
+}
+
+json EncodeBody(const JobReply& message) {
+  return {{"type", kJobReply},
+          {"request", Value(message.number)},
+          {"outcome", Number(message.outcome)},
+          {"state", Number(message.state)},
+          {"pending", Value(message.pending)},
+          {"leader", Value(message.leader)}};
+}
+
+Message DecodeJobReply(FieldReader& reader) {
+  JobReply message;
+  reader.Read("request", message.number);
+  message.outcome = reader.Choice("outcome", JobReply::Outcome::kOtherLeader);
+  message.state = reader.Choice("state", JobState::kCancelled);
+  reader.Read("pending", message.pending);
+  reader.Read("leader", message.leader);
+  return message;
+}
+
+}  // namespace sapphirecrank::protocol
--- a/src/runs/leased_target.h
+++ b/src/runs/leased_target.h
@@ -7,6 +7,7 @@
 #include "runs/run_key.h"
 #include "runs/target_report.h"
 #include "runs/target_run.h"
+#include "runs/unsettled_ends.h"
 
 namespace sapphirecrank::runs {
 
@@ -32,6 +33,7 @@
   /// Ends up to this number have been taken in, and have been acknowledged to the target.
   base::Sequence taken_in;
   base::Sequence acknowledged;
+  UnsettledEnds unsettled;
   /// When the target's clock was `report.clock`.
   base::TimePoint clock_read_at;
   base::TimePoint heard_at;
--- /dev/null
+++ b/src/runs/notice_answers.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <vector>
+
+#include "runs/run_notice.h"
+
+namespace sapphirecrank::runs {
+
+/// The keeper's answers to notices.
+struct NoticeAnswers {
+  /// What they tell is durable, or concerns no stored job.
+  std::vector<RunNotice> noted;
+  /// Ends that came after their task was placed again: they must not count, and a target may only
+  /// be told so after its lease has ended.
+  std::vector<RunNotice> outdated;
+};
+
+}  // namespace sapphirecrank::runs
--- a/src/runs/placed_part.h
+++ b/src/runs/placed_part.h
@@ -15,6 +15,8 @@
     base::AttemptCount failed;
     base::RunNumber last_run;
     bool is_done = false;
+    /// The task of a stored job is not done and was returned to its keeper.
+    bool is_returned = false;
     /// Where the task runs; empty while it waits.
     base::TargetId target;
   };
--- a/src/runs/pool_effects.h
+++ b/src/runs/pool_effects.h
@@ -5,6 +5,7 @@
 #include "runs/look_order.h"
 #include "runs/part_end.h"
 #include "runs/run_decision.h"
+#include "runs/run_notice.h"
 #include "runs/start_order.h"
 #include "runs/stop_order.h"
 
@@ -16,6 +17,7 @@
   std::vector<StopOrder> stops;
   std::vector<LookOrder> looks;
   std::vector<PartEnd> ends;
+  std::vector<RunNotice> notices;
   std::vector<RunDecision> decisions;
 };
 
--- /dev/null
+++ b/src/runs/run_notice.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <tuple>
+
+#include "base/ids.h"
+#include "runs/run_key.h"
+
+namespace sapphirecrank::runs {
+
+/// What an allocator tells the keeper of a stored job about one of its runs.
+struct RunNotice {
+  enum class Kind {
+    /// The target has accepted the start.
+    kBegun,
+    kDone,
+    kFailed,
+    /// The allocator has no run of the task any more and starts none.
+    kReturned,
+  };
+
+  base::ServiceId service;
+  base::TargetId target;
+  /// Life of the target.
+  base::Incarnation born;
+  /// Position in the target's list of ends; 0 if no end is listed.
+  base::Sequence end;
+  RunKey key;
+  Kind kind = Kind::kBegun;
+
+  friend bool operator<(const RunNotice& a, const RunNotice& b) {
+    return std::tie(a.key, a.kind, a.target, a.end) < std::tie(b.key, b.kind, b.target, b.end);
+  }
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/run_notices.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <vector>
+
+#include "runs/run_notice.h"
+
+namespace sapphirecrank::runs {
+
+/// Notices of an allocator; repeated until they are answered.
+struct RunNotices {
+  std::vector<RunNotice> notices;
+};
+
+}  // namespace sapphirecrank::runs
--- a/src/runs/run_pool.cc
+++ b/src/runs/run_pool.cc
@@ -101,6 +101,19 @@
   });
 }
 
+void RunPool::OnNoticeAnswers(const NoticeAnswers& answers) {
+  const auto take = [this](const std::vector<RunNotice>& notices, bool is_outdated) {
+    for (const RunNotice& notice : notices) {
+      this->Change(notice.service,
+                   [&](ServicePool& pool, base::TimePoint now, PoolEffects& effects) {
+                     pool.OnNoticeAnswer(notice, is_outdated, now, effects);
+                   });
+    }
+  };
+  take(answers.noted, false);
+  take(answers.outdated, true);
+}
+
 void RunPool::Tick() {
   this->ChangeAll([](ServicePool& pool, base::TimePoint now, PoolEffects& effects) {
     pool.Tick(now, effects);
@@ -134,6 +147,9 @@
   for (const RunDecision& decision : effects.decisions) {
     this->hooks.on_decision(decision);
   }
+  if (!effects.notices.empty()) {
+    this->hooks.on_notices(effects.notices);
+  }
   for (const StartOrder& order : effects.starts) {
     this->hooks.start(order, [this, service, order](const OrderAnswer& answer) {
       this->Change(service, [&](ServicePool& pool, base::TimePoint now, PoolEffects& more) {
--- a/src/runs/run_pool.h
+++ b/src/runs/run_pool.h
@@ -9,6 +9,7 @@
 #include "base/sharded.h"
 #include "base/thread_annotations.h"
 #include "base/time.h"
+#include "runs/notice_answers.h"
 #include "runs/service_pool.h"
 
 namespace sapphirecrank::runs {
@@ -27,6 +28,8 @@
     std::function<void(const LookOrder&, std::function<void(const LookAnswer&)>)> look;
     std::function<void(const PartEnd&)> on_part_end;
     std::function<void(const RunDecision&)> on_decision;
+    /// Tells the keeper of a stored job; to be answered with `OnNoticeAnswers`.
+    std::function<void(const std::vector<RunNotice>&)> on_notices;
   };
 
   RunPool(const PoolSettings& settings, Hooks hooks);
@@ -48,6 +51,9 @@
   /// this is known get runs.
   void OnGatewayAlive(const base::HostId& gateway, base::TimePoint alive_at);
 
+  /// Takes answers of the keeper of stored jobs.
+  void OnNoticeAnswers(const NoticeAnswers& answers);
+
   /// Does what is due by time. To be called several times in 100 ms.
   void Tick();
 
--- a/src/runs/service_pool.cc
+++ b/src/runs/service_pool.cc
@@ -44,7 +44,7 @@
       return;
     }
     if (report.born != known.born || report.address != known.address) {
-      this->Drop(report.id, TimePoint(), "a new life of the target has reported", effects);
+      this->Drop(report.id, TimePoint(), "a new life of the target has reported", now, effects);
       found = this->targets.end();
     }
   }
@@ -76,7 +76,7 @@
     auto next = std::next(found);
     if (!is_owned(found->second.report)) {
       this->Drop(TargetId(found->first), found->second.lease_end, "another host owns the target",
-                 effects);
+                 now, effects);
     }
     found = next;
   }
@@ -115,6 +115,9 @@
   PlacedPart& placed = this->parts[key];
   placed.payload = std::make_shared<const std::string>(std::move(part.payload));
   placed.tasks.resize(part.tasks.size());
+  for (PlacedPart::Task& task : placed.tasks) {
+    task.last_run = base::RunNumber(part.first_run.value() - 1);
+  }
   placed.unfinished = part.tasks.size();
   placed.arrived = now;
   placed.arrival = this->next_arrival++;
@@ -162,7 +165,7 @@
 
 bool ServicePool::CanStart(const LeasedTarget& target, TimePoint now) const {
   return target.phase == LeasedTarget::Phase::kInUse && !target.report.draining &&
-         target.unknown_runs == 0 && now >= target.avoid_until &&
+         !target.unsettled.IsLapsing() && target.unknown_runs == 0 && now >= target.avoid_until &&
          now - target.heard_at < this->settings.silence_limit;
 }
 
@@ -221,6 +224,7 @@
   run.part = placed.part.key;
   run.task = task;
   run.need = wanted.need;
+  run.is_stored = placed.part.is_stored;
   run.ordered_at = now;
   target.used += wanted.need;
   target.runs.emplace(key, std::move(run));
@@ -263,17 +267,86 @@
   return run;
 }
 
-void ServicePool::PlaceAgain(const RunKey& key, const TargetRun& run) {
+void ServicePool::PlaceAgain(const LeasedTarget& target, const RunKey& key, const TargetRun& run,
+                             TimePoint now, PoolEffects& effects) {
   auto found = this->parts.find(run.part);
   if (run.is_orphan || found == this->parts.end()) {
     return;
   }
   PlacedPart& placed = found->second;
-  if (placed.tasks[run.task].last_run == key.run) {
+  if (placed.tasks[run.task].last_run != key.run) {
+    return;
+  }
+  const TaskPart& part = placed.part;
+  if (part.is_stored && key.run.value() + 1 >= part.first_run.value() + TaskPart::kMostRuns) {
+    this->Return(target, key, run, now, effects);
+  } else {
     this->Enqueue(placed, run.task);
   }
 }
 
+void ServicePool::Return(const LeasedTarget& target, const RunKey& key, const TargetRun& run,
+                         TimePoint now, PoolEffects& effects) {
+  auto found = this->parts.find(run.part);
+  if (run.is_orphan || found == this->parts.end() ||
+      found->second.tasks[run.task].last_run != key.run) {
+    return;
+  }
+  found->second.tasks[run.task].is_returned = true;
+  Tell(target, key, RunNotice::Kind::kReturned, base::Sequence(), effects);
+  this->Finish(found, now, effects);
+}
+
+void ServicePool::Finish(std::map<PartKey, PlacedPart>::iterator found, TimePoint now,
+                         PoolEffects& effects) {
+  PlacedPart& placed = found->second;
+  --placed.unfinished;
+  if (placed.unfinished > 0) {
+    return;
+  }
+  const bool is_done = std::all_of(placed.tasks.begin(), placed.tasks.end(),
+                                   [](const PlacedPart::Task& task) { return task.is_done; });
+  if (is_done) {
+    this->EndPart(found, PartEnd::Kind::kCompleted, "all tasks are done", now, effects);
+  } else {
+    this->EndPart(found, PartEnd::Kind::kUnfinished, "tasks were returned", now, effects);
+  }
+}
+
+void ServicePool::Tell(const LeasedTarget& target, const RunKey& key, RunNotice::Kind kind,
+                       base::Sequence end, PoolEffects& effects) {
+  effects.notices.push_back(
+      {target.report.service, target.report.id, target.report.born, end, key, kind});
+}
+
+void ServicePool::TellEnd(LeasedTarget& target, const RunEnd& end, PoolEffects& effects) {
+  if (end.kind == RunEnd::Kind::kDone || end.kind == RunEnd::Kind::kFailed) {
+    target.unsettled.Add(end.number);
+    Tell(target, end.key,
+         end.kind == RunEnd::Kind::kDone ? RunNotice::Kind::kDone : RunNotice::Kind::kFailed,
+         end.number, effects);
+  }
+}
+
+void ServicePool::OnNoticeAnswer(const RunNotice& notice, bool is_outdated, TimePoint now,
+                                 PoolEffects& effects) {
+  auto found = this->targets.find(notice.target);
+  if (found == this->targets.end() || found->second.report.born != notice.born) {
+    return;
+  }
+  LeasedTarget& target = found->second;
+  if (!is_outdated) {
+    target.unsettled.Settle(notice.end);
+    return;
+  }
+  // A former owner may have extended the lease just before this host took the target over.
+  LeasedTarget longest = target;
+  longest.ExtendLease(this->settings.longest_lease, now);
+  target.unsettled.LetLapse(notice.end, longest.lease_end);
+  effects.decisions.push_back({"lease left to end", notice.key, target.report.id, target.token,
+                               "an end came after its task was placed again"});
+}
+
 void ServicePool::OnStartAnswer(const StartOrder& order, const OrderAnswer& answer, TimePoint now,
                                 PoolEffects& effects) {
   auto found = this->targets.find(order.target.id);
@@ -297,6 +370,9 @@
   switch (answer.outcome) {
     case OrderOutcome::kAccepted:
       run.confirmed_at = now;
+      if (run.is_stored) {
+        Tell(target, order.key, RunNotice::Kind::kBegun, base::Sequence(), effects);
+      }
       if (run.phase == TargetRun::Phase::kStarting) {
         run.phase = TargetRun::Phase::kRunning;
       }
@@ -307,18 +383,18 @@
       return;
     case OrderOutcome::kFenced:
       if (order.target.token == target.token) {
-        this->Fence(target, effects);
+        this->Fence(target, now, effects);
       } else {
         // This host's own later token was there first; the target has done nothing.
-        this->PlaceAgain(order.key, this->Remove(target, order.key));
+        this->PlaceAgain(target, order.key, this->Remove(target, order.key), now, effects);
       }
       break;
     case OrderOutcome::kOtherLife:
-      this->Drop(order.target.id, TimePoint(), "another life of the target answered", effects);
+      this->Drop(order.target.id, TimePoint(), "another life of the target answered", now, effects);
       break;
     case OrderOutcome::kInvalid: {
       const TargetRun gone = this->Remove(target, order.key);
-      this->CountFailure(order.key, gone, now, effects);
+      this->CountFailure(target, order.key, gone, now, effects);
       break;
     }
     case OrderOutcome::kOutdated:
@@ -336,7 +412,7 @@
       if (part != this->parts.end()) {
         --part->second.starts;
       }
-      this->PlaceAgain(order.key, gone);
+      this->PlaceAgain(target, order.key, gone, now, effects);
       break;
     }
   }
@@ -351,12 +427,12 @@
   }
   LeasedTarget& target = found->second;
   if (answer.outcome == OrderOutcome::kFenced && order.target.token == target.token) {
-    this->Fence(target, effects);
+    this->Fence(target, now, effects);
     this->Schedule(now, effects);
     return;
   }
   if (answer.outcome == OrderOutcome::kOtherLife) {
-    this->Drop(order.target.id, TimePoint(), "another life of the target answered", effects);
+    this->Drop(order.target.id, TimePoint(), "another life of the target answered", now, effects);
     this->Schedule(now, effects);
     return;
   }
@@ -388,7 +464,7 @@
       answer.outcome == OrderOutcome::kOtherLife ||
       (answer.outcome == OrderOutcome::kAccepted && answer.look.born != target.report.born);
   if (is_other_life) {
-    this->Drop(order.target.id, TimePoint(), "another life of the target answered", effects);
+    this->Drop(order.target.id, TimePoint(), "another life of the target answered", now, effects);
   } else if (answer.outcome == OrderOutcome::kAccepted) {
     target.report.clock = answer.look.clock;
     target.clock_read_at = now;
@@ -398,7 +474,7 @@
     target.acknowledged = std::max(target.acknowledged, order.acknowledged);
     this->Reconcile(target, answer.look, sent, now, effects);
   } else if (answer.outcome == OrderOutcome::kFenced && order.target.token == target.token) {
-    this->Fence(target, effects);
+    this->Fence(target, now, effects);
   } else {
     effects.decisions.push_back({"look failed",
                                  {},
@@ -445,7 +521,7 @@
     }
   }
   for (const RunKey& key : gone) {
-    this->PlaceAgain(key, this->Remove(target, key));
+    this->PlaceAgain(target, key, this->Remove(target, key), now, effects);
   }
   if (target.phase == LeasedTarget::Phase::kAdopting && target.unknown_runs == 0) {
     target.phase = LeasedTarget::Phase::kInUse;
@@ -461,9 +537,14 @@
 void ServicePool::OnEnd(LeasedTarget& target, const RunEnd& end, TimePoint now,
                         PoolEffects& effects) {
   if (target.runs.count(end.key) == 0) {
+    // The run of an earlier owner may be of a stored job.
+    TellEnd(target, end, effects);
     return;
   }
   const TargetRun run = this->Remove(target, end.key);
+  if (run.is_stored && !run.has_lapsed) {
+    TellEnd(target, end, effects);
+  }
   auto found = this->parts.find(run.part);
   if (run.is_orphan || found == this->parts.end()) {
     return;
@@ -471,39 +552,42 @@
   PlacedPart& placed = found->second;
   if (end.kind == RunEnd::Kind::kDone) {
     placed.tasks[run.task].is_done = true;
-    --placed.unfinished;
-    if (placed.unfinished == 0) {
-      this->EndPart(found, PartEnd::Kind::kCompleted, "all tasks are done", now, effects);
-    }
+    this->Finish(found, now, effects);
   } else if (end.kind == RunEnd::Kind::kFailed) {
     effects.decisions.push_back(
         {"run failed", end.key, target.report.id, target.token, "listed by the target"});
-    this->CountFailure(end.key, run, now, effects);
+    this->CountFailure(target, end.key, run, now, effects);
   } else {
     effects.decisions.push_back(
         {"run ended early", end.key, target.report.id, target.token, "listed by the target"});
-    this->PlaceAgain(end.key, run);
+    this->PlaceAgain(target, end.key, run, now, effects);
   }
 }
 
-void ServicePool::CountFailure(const RunKey& key, const TargetRun& run, TimePoint now,
-                               PoolEffects& effects) {
+void ServicePool::CountFailure(const LeasedTarget& target, const RunKey& key, const TargetRun& run,
+                               TimePoint now, PoolEffects& effects) {
   auto found = this->parts.find(run.part);
   if (run.is_orphan || found == this->parts.end()) {
     return;
   }
   PlacedPart& placed = found->second;
   PlacedPart::Task& task = placed.tasks[run.task];
+  if (placed.part.is_stored) {
+    // The keeper counts the failures of stored jobs and has heard of this one.
+    task.is_returned = true;
+    this->Finish(found, now, effects);
+    return;
+  }
   task.failed = task.failed.Next();
   if (task.failed >= placed.part.attempts) {
     this->EndPart(found, PartEnd::Kind::kFailed, "a task failed as often as it may", now, effects);
   } else {
-    this->PlaceAgain(key, run);
+    this->PlaceAgain(target, key, run, now, effects);
   }
 }
 
 void ServicePool::LoseRuns(LeasedTarget& target, TimePoint gone_at, const char* reason,
-                           PoolEffects& effects) {
+                           TimePoint now, PoolEffects& effects) {
   while (!target.runs.empty()) {
     const RunKey key = target.runs.begin()->first;
     if (target.runs.begin()->second.holds_name && gone_at != TimePoint()) {
@@ -511,7 +595,13 @@
       this->lingering.emplace(gone_at, key.task);
     }
     effects.decisions.push_back({"run lost", key, target.report.id, target.token, reason});
-    this->PlaceAgain(key, this->Remove(target, key));
+    const TargetRun run = this->Remove(target, key);
+    if (run.is_stored && gone_at != TimePoint()) {
+      // The target's next owner may find that the run has done the task.
+      this->Return(target, key, run, now, effects);
+    } else {
+      this->PlaceAgain(target, key, run, now, effects);
+    }
   }
 }
 
@@ -527,34 +617,36 @@
       this->present.erase(this->present.find(key.task));
       run.holds_name = false;
     }
-    this->PlaceAgain(key, run);
+    this->PlaceAgain(target, key, run, now, effects);
     run.is_orphan = true;
+    run.has_lapsed = true;
   }
 }
 
-void ServicePool::Fence(LeasedTarget& target, PoolEffects& effects) {
+void ServicePool::Fence(LeasedTarget& target, TimePoint now, PoolEffects& effects) {
   target.phase = LeasedTarget::Phase::kFenced;
   effects.decisions.push_back(
       {"target fenced", {}, target.report.id, target.token, "another owner used a higher token"});
-  this->LoseRuns(target, target.lease_end, "another owner has the target", effects);
+  this->LoseRuns(target, target.lease_end, "another owner has the target", now, effects);
 }
 
-void ServicePool::Drop(const TargetId& target, TimePoint gone_at, const char* reason,
+void ServicePool::Drop(const TargetId& target, TimePoint gone_at, const char* reason, TimePoint now,
                        PoolEffects& effects) {
   auto found = this->targets.find(target);
   if (found == this->targets.end()) {
     return;
   }
   effects.decisions.push_back({"target dropped", {}, target, found->second.token, reason});
-  this->LoseRuns(found->second, gone_at, reason, effects);
+  this->LoseRuns(found->second, gone_at, reason, now, effects);
   this->targets.erase(found);
 }
 
 void ServicePool::LookIfDue(LeasedTarget& target, TimePoint now, PoolEffects& effects) {
   const bool is_adopting = target.phase == LeasedTarget::Phase::kAdopting;
   const bool has_runs = !target.runs.empty() || target.unknown_runs > 0;
+  const base::Sequence acknowledgeable = target.unsettled.Acknowledgeable(target.taken_in);
   const bool is_unacknowledged =
-      target.acknowledged < target.taken_in && now - target.looked_at >= kLongestUnacknowledged;
+      target.acknowledged < acknowledgeable && now - target.looked_at >= kLongestUnacknowledged;
   if (target.phase == LeasedTarget::Phase::kFenced || now < target.next_look ||
       !(is_adopting || has_runs || is_unacknowledged)) {
     return;
@@ -569,9 +661,9 @@
   order.target = {target.report.id, target.report.address, target.token};
   target.last_look = target.last_look.Next();
   order.number = target.last_look;
-  order.acknowledged = target.taken_in;
+  order.acknowledged = acknowledgeable;
   // A target that doesn't answer gets no longer lease, so that its tasks can be placed elsewhere.
-  if (has_runs && !is_adopting && target.overdue_looks == 0) {
+  if (has_runs && !is_adopting && target.overdue_looks == 0 && !target.unsettled.IsLapsing()) {
     order.wait = target.unknown_runs > 0 ? Duration(0) : this->settings.look_wait;
     const Duration lease = this->gateways.LeaseFor(target, now);
     if (lease > Duration(0)) {
@@ -636,6 +728,7 @@
   }
   std::vector<TargetId> silent;
   for (auto& [id, target] : this->targets) {
+    target.unsettled.Tick(now);
     for (auto& [key, run] : target.runs) {
       if (run.phase == TargetRun::Phase::kStopping && !run.is_stop_open && !run.stopped_at &&
           now >= run.next_stop) {
@@ -651,7 +744,7 @@
     }
   }
   for (const TargetId& id : silent) {
-    this->Drop(id, TimePoint(), "the target is silent", effects);
+    this->Drop(id, TimePoint(), "the target is silent", now, effects);
   }
   this->Schedule(now, effects);
 }
--- a/src/runs/service_pool.h
+++ b/src/runs/service_pool.h
@@ -65,6 +65,10 @@
   void OnLookAnswer(const LookOrder& order, const LookAnswer& answer, base::TimePoint now,
                     PoolEffects& effects);
 
+  /// Takes the keeper's answer to a notice.
+  void OnNoticeAnswer(const RunNotice& notice, bool is_outdated, base::TimePoint now,
+                      PoolEffects& effects);
+
   /// Does what is due by time. To be called several times in 100 ms.
   void Tick(base::TimePoint now, PoolEffects& effects);
 
@@ -91,20 +95,30 @@
   /// Frees the room of a run; returns what it was.
   TargetRun Remove(LeasedTarget& target, const RunKey& key);
   /// Places the task of a run that is gone again, if somebody waits for it.
-  void PlaceAgain(const RunKey& key, const TargetRun& run);
+  void PlaceAgain(const LeasedTarget& target, const RunKey& key, const TargetRun& run,
+                  base::TimePoint now, PoolEffects& effects);
+  /// Returns the task of a run that is gone to the keeper of its stored job.
+  void Return(const LeasedTarget& target, const RunKey& key, const TargetRun& run,
+              base::TimePoint now, PoolEffects& effects);
+  /// Takes note that a task of a part needs no more runs here.
+  void Finish(std::map<PartKey, PlacedPart>::iterator found, base::TimePoint now,
+              PoolEffects& effects);
+  static void Tell(const LeasedTarget& target, const RunKey& key, RunNotice::Kind kind,
+                   base::Sequence end, PoolEffects& effects);
+  static void TellEnd(LeasedTarget& target, const RunEnd& end, PoolEffects& effects);
   void OnEnd(LeasedTarget& target, const RunEnd& end, base::TimePoint now, PoolEffects& effects);
-  void CountFailure(const RunKey& key, const TargetRun& run, base::TimePoint now,
-                    PoolEffects& effects);
+  void CountFailure(const LeasedTarget& target, const RunKey& key, const TargetRun& run,
+                    base::TimePoint now, PoolEffects& effects);
   void Reconcile(LeasedTarget& target, const TargetLook& look, base::TimePoint sent,
                  base::TimePoint now, PoolEffects& effects);
   /// Gives up all runs of a target. They may go on until `gone_at`; a time that has passed means
   /// that they are gone.
   void LoseRuns(LeasedTarget& target, base::TimePoint gone_at, const char* reason,
-                PoolEffects& effects);
+                base::TimePoint now, PoolEffects& effects);
   void Detach(LeasedTarget& target, base::TimePoint now, PoolEffects& effects);
-  void Fence(LeasedTarget& target, PoolEffects& effects);
+  void Fence(LeasedTarget& target, base::TimePoint now, PoolEffects& effects);
   void Drop(const base::TargetId& target, base::TimePoint gone_at, const char* reason,
-            PoolEffects& effects);
+            base::TimePoint now, PoolEffects& effects);
   void LookIfDue(LeasedTarget& target, base::TimePoint now, PoolEffects& effects);
   void EndPart(std::map<PartKey, PlacedPart>::iterator found, std::optional<PartEnd::Kind> kind,
                const char* reason, base::TimePoint now, PoolEffects& effects);
--- a/src/runs/target_run.h
+++ b/src/runs/target_run.h
@@ -19,6 +19,10 @@
   Phase phase = Phase::kStarting;
   /// Nobody waits for the run any more: its part has ended or its task was placed again.
   bool is_orphan = false;
+  /// The run is of a stored job.
+  bool is_stored = false;
+  /// The target's lease has ended since the run was last known to be present.
+  bool has_lapsed = false;
   /// No other run of the task may begin while this one may be present.
   bool holds_name = true;
   base::TimePoint ordered_at;
--- a/src/runs/task_part.h
+++ b/src/runs/task_part.h
@@ -9,8 +9,11 @@
 
 namespace sapphirecrank::runs {
 
-/// Tasks of one job that a gateway places with one allocator.
+/// Tasks of one job that a gateway, or the keeper of a stored job, places with one allocator.
 struct TaskPart {
+  /// Runs of one task of a stored job, after which it is returned to its keeper.
+  static constexpr uint32_t kMostRuns = 32;
+
   PartKey key;
   base::ServiceId service;
   base::Priority priority;
@@ -23,6 +26,11 @@
   base::Duration wait_limit{0};
   /// Everything is stopped after this long.
   base::Duration time_left{0};
+  /// The job is stored: each run's end is told to its keeper before the target hears that it is
+  /// known, and tasks whose run has failed go back to it.
+  bool is_stored = false;
+  /// Number of each task's first run.
+  base::RunNumber first_run{1};
 };
 
 }  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/runs/unsettled_ends.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <optional>
+#include <set>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace sapphirecrank::runs {
+
+/// Ends of stored jobs' runs that a target lists and that it must not be told are known yet.
+///
+/// Thread safety: none.
+class UnsettledEnds {
+ public:
+  /// Adds an end that the keeper of its job is told of.
+  void Add(base::Sequence end) { this->ends.insert(end); }
+
+  /// Takes note that the keeper knows the end.
+  void Settle(base::Sequence end) { this->ends.erase(end); }
+
+  /// Takes note that the end came too late to count. It is settled at `lapse_at`, when the target's
+  /// lease has ended, which makes it void.
+  void LetLapse(base::Sequence end, base::TimePoint lapse_at);
+
+  /// Tells whether the target's lease must not be extended.
+  bool IsLapsing() const { return this->lapse_at.has_value(); }
+
+  /// Settles what has lapsed by now.
+  void Tick(base::TimePoint now);
+
+  /// Returns up to which end the target may be told that all are known, if `taken_in` was read.
+  base::Sequence Acknowledgeable(base::Sequence taken_in) const;
+
+ private:
+  std::set<base::Sequence> ends;
+  std::set<base::Sequence> lapsing;
+  std::optional<base::TimePoint> lapse_at;
+};
+
+}  // namespace sapphirecrank::runs
--- /dev/null
+++ b/src/stored/job_client.cc
@@ -0,0 +1,210 @@
+#include "stored/job_client.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "base/mutex_lock.h"
+#include "stored/job_command.h"
+
+namespace sapphirecrank::stored {
+
+using base::Duration;
+using base::HostId;
+using base::JobRequestNumber;
+using base::MutexLock;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr size_t kShards = 16;
+// A leader answers a submission after its synced write, within 0.9 s at the latest.
+constexpr Duration kSendAgain = milliseconds(1000);
+// Pause while no host leads; an election takes about half a second.
+constexpr Duration kAskAgain = milliseconds(50);
+
+}  // namespace
+
+JobClient::JobClient(Hooks hooks) : hooks(std::move(hooks)), shards(kShards) {}
+
+void JobClient::Submit(const gateway::Job& job, Duration limit, Answer answer) {
+  JobRequest request;
+  request.kind = JobRequest::Kind::kSubmit;
+  request.id = job.id;
+  request.command = JobCommand{JobCommand::Submit{job}}.Encode();
+  this->Ask(std::move(request), limit, std::move(answer));
+}
+
+void JobClient::Query(const base::SubmissionId& id, Duration limit, Answer answer) {
+  JobRequest request;
+  request.kind = JobRequest::Kind::kQuery;
+  request.id = id;
+  this->Ask(std::move(request), limit, std::move(answer));
+}
+
+void JobClient::Cancel(const base::SubmissionId& id, Duration limit, Answer answer) {
+  JobRequest request;
+  request.kind = JobRequest::Kind::kCancel;
+  request.id = id;
+  this->Ask(std::move(request), limit, std::move(answer));
+}
+
+void JobClient::CountPending(const base::QueueId& queue, Duration limit, Answer answer) {
+  JobRequest request;
+  request.kind = JobRequest::Kind::kCountPending;
+  request.queue = queue;
+  this->Ask(std::move(request), limit, std::move(answer));
+}
+
+void JobClient::Ask(JobRequest request, Duration limit, Answer answer) {
+  const JobRequestNumber number(++this->last_number);
+  request.number = number;
+  const base::TimePoint now = this->hooks.now();
+  this->shards.With(number, [&](Shard& shard) {
+    Entry& entry = shard[number];
+    entry.request = std::move(request);
+    entry.answer = std::move(answer);
+    entry.deadline = now + limit;
+    entry.next_send = now;
+  });
+  this->SendDue(number);
+}
+
+HostId JobClient::NextHost(const HostId& last) {
+  const std::vector<HostId> hosts = this->hooks.allocators();
+  {
+    MutexLock lock(this->leader_mutex);
+    if (this->leader != last &&
+        std::find(hosts.begin(), hosts.end(), this->leader) != hosts.end()) {
+      return this->leader;
+    }
+  }
+  const auto next = std::upper_bound(hosts.begin(), hosts.end(), last);
+  if (hosts.empty()) {
+    return {};
+  }
+  return next == hosts.end() ? hosts.front() : *next;
+}
+
+void JobClient::SendDue(JobRequestNumber number) {
+  HostId last;
+  JobRequest request;
+  const base::TimePoint now = this->hooks.now();
+  const bool is_due = this->shards.With(number, [&](Shard& shard) {
+    auto found = shard.find(number);
+    if (found == shard.end() || now < found->second.next_send) {
+      return false;
+    }
+    found->second.next_send = now + kAskAgain;
+    last = found->second.sent_to;
+    request = found->second.request;
+    return true;
+  });
+  const HostId host = is_due ? this->NextHost(last) : HostId();
+  if (host.empty()) {
+    return;
+  }
+  // Set before the request is out: the reply may come before `send` returns.
+  this->shards.With(number, [&](Shard& shard) {
+    auto found = shard.find(number);
+    if (found != shard.end()) {
+      found->second.sent_to = host;
+      found->second.next_send = now + kSendAgain;
+      ++found->second.unanswered;
+    }
+  });
+  if (this->hooks.send(host, request)) {
+    return;
+  }
+  this->shards.With(number, [&](Shard& shard) {
+    auto found = shard.find(number);
+    if (found != shard.end()) {
+      found->second.next_send = now + kAskAgain;
+      --found->second.unanswered;
+    }
+  });
+}
+
+void JobClient::OnReply(const HostId& from, const JobReply& received) {
+  JobReply reply = received;
+  std::optional<Answer> answer;
+  const bool is_elsewhere = reply.outcome == JobReply::Outcome::kOtherLeader;
+  {
+    MutexLock lock(this->leader_mutex);
+    this->leader = is_elsewhere ? reply.leader : from;
+  }
+  this->shards.With(reply.number, [&](Shard& shard) {
+    auto found = shard.find(reply.number);
+    if (found == shard.end()) {
+      return;
+    }
+    Entry& entry = found->second;
+    --entry.unanswered;
+    if (is_elsewhere) {
+      entry.next_send = this->hooks.now();
+      if (reply.leader.empty() || reply.leader == from) {
+        entry.next_send += kAskAgain;
+      }
+      return;
+    }
+    if (reply.outcome == JobReply::Outcome::kRefused && entry.unanswered > 0) {
+      // Another allocator may have accepted what this one refuses.
+      reply.outcome = JobReply::Outcome::kUncertain;
+    }
+    answer = std::move(entry.answer);
+    shard.erase(found);
+  });
+  if (answer) {
+    (*answer)(reply);
+  } else if (is_elsewhere) {
+    this->SendDue(reply.number);
+  }
+}
+
+void JobClient::OnAllocatorLost(const HostId& host) {
+  const base::TimePoint now = this->hooks.now();
+  this->shards.ForEach([&](Shard& shard) {
+    for (auto& [number, entry] : shard) {
+      if (entry.sent_to == host) {
+        entry.next_send = now;
+      }
+    }
+  });
+}
+
+void JobClient::Tick() {
+  const base::TimePoint now = this->hooks.now();
+  std::vector<JobRequestNumber> due;
+  std::vector<std::pair<Answer, JobReply>> expired;
+  this->shards.ForEach([&](Shard& shard) {
+    for (auto found = shard.begin(); found != shard.end();) {
+      auto next = std::next(found);
+      Entry& entry = found->second;
+      if (now >= entry.deadline) {
+        JobReply reply;
+        reply.number = found->first;
+        reply.outcome =
+            entry.unanswered > 0 ? JobReply::Outcome::kUncertain : JobReply::Outcome::kRefused;
+        expired.emplace_back(std::move(entry.answer), reply);
+        shard.erase(found);
+      } else if (now >= entry.next_send) {
+        due.push_back(found->first);
+      }
+      found = next;
+    }
+  });
+  for (const auto& [answer, reply] : expired) {
+    answer(reply);
+  }
+  for (const JobRequestNumber number : due) {
+    this->SendDue(number);
+  }
+}
+
+size_t JobClient::size() {
+  size_t count = 0;
+  this->shards.ForEach([&count](Shard& shard) { count += shard.size(); });
+  return count;
+}
+
+}  // namespace sapphirecrank::stored
--- /dev/null
+++ b/src/stored/job_codec.cc
@@ -0,0 +1,136 @@
+#include "stored/job_codec.h"
+
+#include <cstring>
+
+#include "storage/byte_reader.h"
+#include "storage/byte_writer.h"
+
+namespace sapphirecrank::stored {
+
+using base::Duration;
+using base::RunNumber;
+using storage::ByteReader;
+using storage::ByteWriter;
+
+namespace {
+
+void PutSigned(ByteWriter& writer, int64_t value) { writer.PutU64(static_cast<uint64_t>(value)); }
+
+int64_t TakeSigned(ByteReader& reader) { return static_cast<int64_t>(reader.TakeU64()); }
+
+void PutStep(ByteWriter& writer, const gateway::JobStep& step) {
+  PutSigned(writer, step.count.value());
+  PutSigned(writer, step.need.processors.value());
+  PutSigned(writer, step.need.memory.value());
+  PutSigned(writer, step.need.accelerators.value());
+  PutSigned(writer, step.estimate.count());
+  writer.PutU32(static_cast<uint32_t>(step.after.size()));
+  for (const base::StepIndex earlier : step.after) {
+    writer.PutU32(earlier.value());
+  }
+}
+
+gateway::JobStep TakeStep(ByteReader& reader) {
+  gateway::JobStep step;
+  step.count = base::TaskCount(TakeSigned(reader));
+  step.need.processors = base::MilliCores(TakeSigned(reader));
+  step.need.memory = base::ByteCount(TakeSigned(reader));
+  step.need.accelerators = base::AcceleratorCount(static_cast<int32_t>(TakeSigned(reader)));
+  step.estimate = Duration(TakeSigned(reader));
+  const uint32_t earlier = reader.TakeU32();
+  for (uint32_t i = 0; i < earlier && reader.ok(); ++i) {
+    step.after.emplace_back(reader.TakeU32());
+  }
+  return step;
+}
+
+void PutTask(ByteWriter& writer, const StoredTask& task) {
+  // Runs are numbered from 1.
+  writer.PutU32(task.done_by.value_or(RunNumber(0)).value());
+  writer.PutU32(static_cast<uint32_t>(task.failed_runs.size()));
+  for (const RunNumber run : task.failed_runs) {
+    writer.PutU32(run.value());
+  }
+}
+
+StoredTask TakeTask(ByteReader& reader) {
+  StoredTask task;
+  const RunNumber done_by(reader.TakeU32());
+  if (done_by != RunNumber(0)) {
+    task.done_by = done_by;
+  }
+  const uint32_t failed = reader.TakeU32();
+  for (uint32_t i = 0; i < failed && reader.ok(); ++i) {
+    task.failed_runs.emplace_back(reader.TakeU32());
+  }
+  return task;
+}
+
+}  // namespace
+
+void PutJob(ByteWriter& writer, const gateway::Job& job) {
+  writer.PutString(job.id.value());
+  writer.PutString(job.request);
+  writer.PutString(job.queue.value());
+  writer.PutU64(job.configuration.value());
+  writer.PutString(job.service.value());
+  PutSigned(writer, job.priority.value());
+  PutSigned(writer, job.attempts.value());
+  uint64_t stretch = 0;
+  std::memcpy(&stretch, &job.stretch, sizeof(stretch));
+  writer.PutU64(stretch);
+  PutSigned(writer, job.objective.count());
+  writer.PutString(job.payload);
+  writer.PutU32(static_cast<uint32_t>(job.steps.size()));
+  for (const gateway::JobStep& step : job.steps) {
+    PutStep(writer, step);
+  }
+}
+
+gateway::Job TakeJob(ByteReader& reader) {
+  gateway::Job job;
+  job.is_stored = true;
+  job.id = base::SubmissionId(reader.TakeString());
+  job.request = reader.TakeString();
+  job.queue = base::QueueId(reader.TakeString());
+  job.configuration = base::Version(reader.TakeU64());
+  job.service = base::ServiceId(reader.TakeString());
+  job.priority = base::Priority(static_cast<int32_t>(TakeSigned(reader)));
+  job.attempts = base::AttemptCount(static_cast<int32_t>(TakeSigned(reader)));
+  const uint64_t stretch = reader.TakeU64();
+  std::memcpy(&job.stretch, &stretch, sizeof(stretch));
+  job.objective = Duration(TakeSigned(reader));
+  job.payload = reader.TakeString();
+  const uint32_t steps = reader.TakeU32();
+  for (uint32_t i = 0; i < steps && reader.ok(); ++i) {
+    job.steps.push_back(TakeStep(reader));
+  }
+  return job;
+}
+
+void PutStoredJob(ByteWriter& writer, const StoredJob& stored) {
+  PutJob(writer, stored.job);
+  writer.PutU32(static_cast<uint32_t>(stored.phase));
+  for (const std::vector<StoredTask>& step : stored.steps) {
+    writer.PutU32(static_cast<uint32_t>(step.size()));
+    for (const StoredTask& task : step) {
+      PutTask(writer, task);
+    }
+  }
+}
+
+StoredJob TakeStoredJob(ByteReader& reader) {
+  StoredJob stored;
+  stored.job = TakeJob(reader);
+  stored.phase = static_cast<StoredJob::Phase>(reader.TakeU32());
+  stored.steps.resize(stored.job.steps.size());
+  for (std::vector<StoredTask>& step : stored.steps) {
+    const uint32_t tasks = reader.TakeU32();
+    for (uint32_t i = 0; i < tasks && reader.ok(); ++i) {
+      step.push_back(TakeTask(reader));
+    }
+  }
+  return stored;
+}
+
+}  // namespace sapphirecrank::stored
--- /dev/null
+++ b/src/stored/job_codec.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "stored/stored_job.h"
+
+namespace sapphirecrank::storage {
+class ByteReader;
+class ByteWriter;
+}  // namespace sapphirecrank::storage
+
+namespace sapphirecrank::stored {
+
+// Encoding of jobs in the group's log and its snapshots. A reader whose bytes end too early says so
+// itself. Thread safety: pure.
+
+void PutJob(storage::ByteWriter& writer, const gateway::Job& job);
+gateway::Job TakeJob(storage::ByteReader& reader);
+
+void PutStoredJob(storage::ByteWriter& writer, const StoredJob& stored);
+StoredJob TakeStoredJob(storage::ByteReader& reader);
+
+}  // namespace sapphirecrank::stored
--- /dev/null
+++ b/src/stored/job_command.cc
@@ -0,0 +1,110 @@
+#include "stored/job_command.h"
+
+#include <utility>
+
+#include "storage/byte_reader.h"
+#include "storage/byte_writer.h"
+#include "stored/job_codec.h"
+
+namespace sapphirecrank::stored {
+
+namespace {
+
+// First byte of a command.
+constexpr char kSubmit = 's';
+constexpr char kNoteOutcomes = 'o';
+constexpr char kCancel = 'x';
+constexpr char kForget = 'f';
+
+void Put(storage::ByteWriter& writer, const JobCommand::Submit& change) {
+  writer.PutRaw({&kSubmit, 1});
+  PutJob(writer, change.job);
+}
+
+void Put(storage::ByteWriter& writer, const JobCommand::NoteOutcomes& change) {
+  writer.PutRaw({&kNoteOutcomes, 1});
+  writer.PutU32(static_cast<uint32_t>(change.outcomes.size()));
+  for (const TaskOutcome& outcome : change.outcomes) {
+    writer.PutString(outcome.key.task.job.value());
+    writer.PutU32(outcome.key.task.occurrence.value());
+    writer.PutU32(outcome.key.task.step.value());
+    writer.PutU32(outcome.key.task.index.value());
+    writer.PutU32(outcome.key.run.value());
+    writer.PutU32(outcome.is_done ? 1 : 0);
+  }
+}
+
+void Put(storage::ByteWriter& writer, const JobCommand::Cancel& change) {
+  writer.PutRaw({&kCancel, 1});
+  writer.PutString(change.id.value());
+}
+
+void Put(storage::ByteWriter& writer, const JobCommand::Forget& change) {
+  writer.PutRaw({&kForget, 1});
+  writer.PutU32(static_cast<uint32_t>(change.ids.size()));
+  for (const base::SubmissionId& id : change.ids) {
+    writer.PutString(id.value());
+  }
+}
+
+TaskOutcome TakeOutcome(storage::ByteReader& reader) {
+  TaskOutcome outcome;
+  outcome.key.task.job = base::SubmissionId(reader.TakeString());
+  outcome.key.task.occurrence = base::OccurrenceNumber(reader.TakeU32());
+  outcome.key.task.step = base::StepIndex(reader.TakeU32());
+  outcome.key.task.index = base::TaskIndex(reader.TakeU32());
+  outcome.key.run = base::RunNumber(reader.TakeU32());
+  outcome.is_done = reader.TakeU32() != 0;
+  return outcome;
+}
+
+bool Take(char kind, storage::ByteReader& reader, JobCommand& command) {
+  switch (kind) {
+    case kSubmit:
+      command.change = JobCommand::Submit{TakeJob(reader)};
+      return true;
+    case kNoteOutcomes: {
+      JobCommand::NoteOutcomes change;
+      const uint32_t count = reader.TakeU32();
+      for (uint32_t i = 0; i < count && reader.ok(); ++i) {
+        change.outcomes.push_back(TakeOutcome(reader));
+      }
+      command.change = std::move(change);
+      return true;
+    }
+    case kCancel:
+      command.change = JobCommand::Cancel{base::SubmissionId(reader.TakeString())};
+      return true;
+    case kForget: {
+      JobCommand::Forget change;
+      const uint32_t count = reader.TakeU32();
+      for (uint32_t i = 0; i < count && reader.ok(); ++i) {
+        change.ids.emplace_back(reader.TakeString());
+      }
+      command.change = std::move(change);
+      return true;
+    }
+    default:
+      return false;
+  }
+}
+
+}  // namespace
+
+std::string JobCommand::Encode() const {
+  storage::ByteWriter writer;
+  std::visit([&writer](const auto& wanted) { Put(writer, wanted); }, this->change);
+  return writer.Take();
+}
+
+base::Result<JobCommand> JobCommand::Decode(const std::string& bytes) {
+  JobCommand command;
+  storage::ByteReader reader(bytes);
+  const std::string_view kind = reader.TakeRaw(1);
+  if (kind.empty() || !Take(kind.front(), reader, command) || !reader.ok()) {
+    return base::Fail(base::ErrorCode::kInvalidArgument, "no command of stored jobs");
+  }
+  return command;
+}
+
+}  // namespace sapphirecrank::stored
--- /dev/null
+++ b/src/stored/job_register.cc
@@ -0,0 +1,160 @@
+#include "stored/job_register.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "storage/byte_reader.h"
+#include "storage/byte_writer.h"
+#include "stored/job_codec.h"
+
+namespace sapphirecrank::stored {
+
+using base::SubmissionId;
+
+namespace {
+
+constexpr size_t kShards = 16;
+
+StoredTask* TaskOf(StoredJob& stored, const runs::TaskName& name) {
+  if (name.step.value() >= stored.steps.size() ||
+      name.index.value() >= stored.steps[name.step.value()].size()) {
+    return nullptr;
+  }
+  return &stored.steps[name.step.value()][name.index.value()];
+}
+
+bool IsDone(const StoredJob& stored) {
+  return std::all_of(stored.steps.begin(), stored.steps.end(), [](const auto& step) {
+    return std::all_of(step.begin(), step.end(),
+                       [](const StoredTask& task) { return task.done_by.has_value(); });
+  });
+}
+
+}  // namespace
+
+JobRegister::JobRegister(OnChange on_change) : on_change(std::move(on_change)), shards(kShards) {}
+
+void JobRegister::Apply(const std::string& command) {
+  const auto decoded = JobCommand::Decode(command);
+  if (!decoded) {
+    return;
+  }
+  const std::vector<SubmissionId> changed =
+      std::visit([this](const auto& change) { return this->Change(change); }, decoded->change);
+  if (!changed.empty()) {
+    this->on_change(changed);
+  }
+}
+
+std::vector<SubmissionId> JobRegister::Change(const JobCommand::Submit& change) {
+  const bool is_new = this->shards.With(change.job.id, [&](Shard& shard) {
+    auto [found, is_inserted] = shard.try_emplace(change.job.id);
+    if (is_inserted) {
+      StoredJob& stored = found->second;
+      stored.job = change.job;
+      for (const gateway::JobStep& step : change.job.steps) {
+        stored.steps.emplace_back(static_cast<size_t>(step.count.value()));
+      }
+      this->payload_bytes += static_cast<int64_t>(change.job.payload.size());
+    }
+    return is_inserted;
+  });
+  return is_new ? std::vector<SubmissionId>{change.job.id} : std::vector<SubmissionId>();
+}
+
+std::vector<SubmissionId> JobRegister::Change(const JobCommand::NoteOutcomes& change) {
+  std::vector<SubmissionId> changed;
+  for (const TaskOutcome& outcome : change.outcomes) {
+    const SubmissionId& id = outcome.key.task.job;
+    this->shards.With(id, [&](Shard& shard) {
+      auto found = shard.find(id);
+      if (found == shard.end() || found->second.phase != StoredJob::Phase::kOpen) {
+        return;
+      }
+      StoredJob& stored = found->second;
+      StoredTask* task = TaskOf(stored, outcome.key.task);
+      if (task == nullptr || task->done_by) {
+        return;
+      }
+      changed.push_back(id);
+      if (outcome.is_done) {
+        task->done_by = outcome.key.run;
+        if (IsDone(stored)) {
+          this->End(stored, StoredJob::Phase::kCompleted);
+        }
+        return;
+      }
+      std::vector<base::RunNumber>& failed = task->failed_runs;
+      if (std::find(failed.begin(), failed.end(), outcome.key.run) == failed.end()) {
+        failed.push_back(outcome.key.run);
+      }
+      if (failed.size() >= static_cast<size_t>(stored.job.attempts.value())) {
+        this->End(stored, StoredJob::Phase::kFailed);
+      }
+    });
+  }
+  return changed;
+}
+
+std::vector<SubmissionId> JobRegister::Change(const JobCommand::Cancel& change) {
+  const bool is_open = this->shards.With(change.id, [&](Shard& shard) {
+    auto found = shard.find(change.id);
+    if (found == shard.end() || found->second.phase != StoredJob::Phase::kOpen) {
+      return false;
+    }
+    this->End(found->second, StoredJob::Phase::kCancelled);
+    return true;
+  });
+  return is_open ? std::vector<SubmissionId>{change.id} : std::vector<SubmissionId>();
+}
+
+std::vector<SubmissionId> JobRegister::Change(const JobCommand::Forget& change) {
+  std::vector<SubmissionId> changed;
+  for (const SubmissionId& id : change.ids) {
+    this->shards.With(id, [&](Shard& shard) {
+      auto found = shard.find(id);
+      if (found != shard.end() && found->second.phase != StoredJob::Phase::kOpen) {
+        shard.erase(found);
+        changed.push_back(id);
+      }
+    });
+  }
+  return changed;
+}
+
+void JobRegister::End(StoredJob& stored, StoredJob::Phase phase) {
+  stored.phase = phase;
+  this->payload_bytes -= static_cast<int64_t>(stored.job.payload.size());
+  stored.job.payload = std::string();
+}
+
+std::string JobRegister::TakeSnapshot() {
+  storage::ByteWriter writer;
+  this->ForEach([&writer](const StoredJob& stored) { PutStoredJob(writer, stored); });
+  return writer.Take();
+}
+
+void JobRegister::Restore(const std::string& state) {
+  this->shards.ForEach([](Shard& shard) { shard.clear(); });
+  this->payload_bytes = 0;
+  storage::ByteReader reader(state);
+  while (reader.remaining() > 0) {
+    StoredJob stored = TakeStoredJob(reader);
+    if (!reader.ok()) {
+      return;
+    }
+    this->payload_bytes += static_cast<int64_t>(stored.job.payload.size());
+    const SubmissionId id = stored.job.id;
+    this->shards.With(id, [&](Shard& shard) { shard[id] = std::move(stored); });
+  }
+}
+
+void JobRegister::ForEach(const std::function<void(const StoredJob&)>& function) {
+  this->shards.ForEach([&function](Shard& shard) {
+    for (const auto& [id, stored] : shard) {
+      function(stored);
+    }
+  });
+}
+
+}  // namespace sapphirecrank::stored
--- /dev/null
+++ b/src/stored/job_runner.cc
@@ -0,0 +1,439 @@
+#include "stored/job_runner.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+#include "base/mutex_lock.h"
+
+namespace sapphirecrank::stored {
+
+using base::Duration;
+using base::HostId;
+using base::MutexLock;
+using base::PartNumber;
+using base::RunNumber;
+using base::StepIndex;
+using base::SubmissionId;
+using base::TimePoint;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr size_t kShards = 16;
+// A host that can't renew its lease for this long stops what it has placed. The lease itself is
+// 0.4 s long; writes of a slow disk delay its renewal.
+constexpr Duration kLeaseSlack = milliseconds(500);
+// Runs of a former leader are gone this long after an election, which comes 0.5 s after its last
+// lease began at the earliest: it gives up 0.5 s after it has seen the lease last, and the leases
+// of the targets end 1.2 s after an allocator has last heard of it.
+constexpr Duration kTakeOverDelay = milliseconds(1800);
+// Runs of a lost allocator's targets are gone, and their next owners have read their ends, after
+// this long.
+constexpr Duration kLostDelay = milliseconds(1800);
+// A part that has not begun after this long goes to the allocator that has room by then.
+constexpr Duration kPlaceWait = milliseconds(400);
+constexpr Duration kPlaceAgain = milliseconds(50);
+// Stored jobs have no deadline.
+constexpr Duration kUnlimited = std::chrono::hours(24 * 365);
+constexpr Duration kForgetInterval = std::chrono::seconds(1);
+constexpr size_t kMostForgotten = 500;
+// Parts of a job, and with them the numbers of runs, rise over the terms of leaders.
+constexpr uint32_t kPartsOfTerm = 1U << 11U;
+
+RunNumber FirstRunOf(PartNumber part) {
+  return RunNumber(part.value() * runs::TaskPart::kMostRuns + 1);
+}
+
+bool IsStepDone(const StoredJob& stored, StepIndex step) {
+  const std::vector<StoredTask>& tasks = stored.steps[step.value()];
+  return std::all_of(tasks.begin(), tasks.end(),
+                     [](const StoredTask& task) { return task.done_by.has_value(); });
+}
+
+bool HasEnded(const StoredTask& task, RunNumber run) {
+  return task.done_by == run ||
+         std::find(task.failed_runs.begin(), task.failed_runs.end(), run) != task.failed_runs.end();
+}
+
+}  // namespace
+
+JobRunner::JobRunner(Settings settings, JobRegister& stored_jobs, Hooks hooks)
+    : settings(std::move(settings)),
+      stored_jobs(stored_jobs),
+      hooks(std::move(hooks)),
+      shards(kShards) {}
+
+void JobRunner::OnLease(base::Term current) {
+  bool is_other_term = false;
+  {
+    MutexLock lock(this->lead_mutex);
+    is_other_term = this->is_leading && this->term != current;
+    this->leads_until = this->hooks.now() + kLeaseSlack;
+  }
+  if (is_other_term) {
+    this->StopLeading();
+  }
+  if (!this->is_leading) {
+    this->StartLeading(current);
+  }
+}
+
+void JobRunner::StartLeading(base::Term current) {
+  {
+    MutexLock lock(this->lead_mutex);
+    this->term = current;
+    this->place_from = this->hooks.now() + kTakeOverDelay;
+  }
+  std::vector<SubmissionId> ids;
+  this->stored_jobs.ForEach([&ids](const StoredJob& stored) { ids.push_back(stored.job.id); });
+  this->is_leading = true;
+  this->OnChange(ids);
+  this->hooks.on_lead(true);
+}
+
+void JobRunner::StopLeading() {
+  if (!this->is_leading.exchange(false)) {
+    return;
+  }
+  std::set<std::pair<HostId, SubmissionId>> placed;
+  this->shards.ForEach([&placed](Shard& shard) {
+    for (const auto& [id, entry] : shard) {
+      for (const auto& [part, host] : entry.parts) {
+        placed.emplace(host, id);
+      }
+    }
+    shard.clear();
+  });
+  for (const auto& [host, id] : placed) {
+    this->hooks.cancel(host, id);
+  }
+  this->hooks.on_lead(false);
+}
+
+void JobRunner::CheckLease() {
+  bool has_ended = false;
+  {
+    MutexLock lock(this->lead_mutex);
+    has_ended = this->hooks.now() >= this->leads_until;
+  }
+  if (has_ended) {
+    this->StopLeading();
+  }
+}
+
+std::vector<HostId> JobRunner::Update(Shard& shard, const SubmissionId& id) {
+  std::set<HostId> hosts;
+  this->stored_jobs.With(id, [&](const StoredJob* stored) {
+    if (stored == nullptr) {
+      shard.erase(id);
+      return;
+    }
+    auto [found, is_new] = shard.try_emplace(id);
+    Entry& entry = found->second;
+    if (is_new) {
+      entry.priority = stored->job.priority;
+      entry.queue = stored->job.queue;
+      entry.arrival = this->next_arrival++;
+      MutexLock lock(this->lead_mutex);
+      entry.last_part = PartNumber(static_cast<uint32_t>(this->term.value()) * kPartsOfTerm);
+      for (const auto& step : stored->steps) {
+        entry.steps.emplace_back(step.size());
+      }
+    }
+    for (size_t step = 0; step < entry.steps.size(); ++step) {
+      for (size_t i = 0; i < entry.steps[step].size(); ++i) {
+        Task& task = entry.steps[step][i];
+        const StoredTask& known = stored->steps[step][i];
+        entry.has_begun = entry.has_begun || known.done_by || !known.failed_runs.empty();
+        if (task.ending_run && (known.done_by || HasEnded(known, *task.ending_run))) {
+          task.ending_run.reset();
+          task.part = PartNumber();
+        }
+      }
+    }
+    if (stored->phase == StoredJob::Phase::kOpen || entry.ended_at) {
+      return;
+    }
+    entry.ended_at = this->hooks.now();
+    for (const auto& [part, host] : entry.parts) {
+      hosts.insert(host);
+    }
+    entry.parts.clear();
+  });
+  return {hosts.begin(), hosts.end()};
+}
+
+void JobRunner::OnChange(const std::vector<SubmissionId>& ids) {
+  if (!this->is_leading) {
+    return;
+  }
+  for (const SubmissionId& id : ids) {
+    const std::vector<HostId> hosts =
+        this->shards.With(id, [&](Shard& shard) { return this->Update(shard, id); });
+    for (const HostId& host : hosts) {
+      this->hooks.cancel(host, id);
+    }
+    this->Place(id);
+  }
+}
+
+void JobRunner::Release(Entry& entry, PartNumber part, TimePoint not_before) {
+  entry.parts.erase(part);
+  for (std::vector<Task>& step : entry.steps) {
+    for (Task& task : step) {
+      if (task.part == part && !task.ending_run) {
+        task.part = PartNumber();
+        task.not_before = not_before;
+      }
+    }
+  }
+}
+
+void JobRunner::OnPartEnd(const HostId& allocator, const runs::PartEnd& end) {
+  const SubmissionId& id = end.key.job;
+  this->shards.With(id, [&](Shard& shard) {
+    auto found = shard.find(id);
+    if (found == shard.end()) {
+      return;
+    }
+    auto part = found->second.parts.find(end.key.part);
+    if (part == found->second.parts.end() || part->second != allocator) {
+      return;
+    }
+    // Notices of the ends of its runs may come later, but for a part that has begun no run.
+    const Duration delay = end.kind == runs::PartEnd::Kind::kNotRun ? kPlaceAgain : kLostDelay;
+    Release(found->second, end.key.part, this->hooks.now() + delay);
+  });
+}
+
+void JobRunner::OnAllocatorLost(const HostId& allocator) {
+  const TimePoint not_before = this->hooks.now() + kLostDelay;
+  this->shards.ForEach([&](Shard& shard) {
+    for (auto& [id, entry] : shard) {
+      std::vector<PartNumber> lost;
+      for (const auto& [part, host] : entry.parts) {
+        if (host == allocator) {
+          lost.push_back(part);
+        }
+      }
+      for (const PartNumber part : lost) {
+        Release(entry, part, not_before);
+      }
+    }
+  });
+}
+
+JobRunner::Judgement JobRunner::Judge(const runs::RunNotice& notice) {
+  using Kind = runs::RunNotice::Kind;
+  const SubmissionId& id = notice.key.task.job;
+  return this->shards.With(id, [&](Shard& shard) {
+    return this->stored_jobs.With(id, [&](const StoredJob* stored) {
+      const size_t step = notice.key.task.step.value();
+      const size_t index = notice.key.task.index.value();
+      auto found = shard.find(id);
+      if (stored == nullptr || step >= stored->steps.size() ||
+          index >= stored->steps[step].size() || found == shard.end()) {
+        return Judgement::kNoted;
+      }
+      Entry& entry = found->second;
+      Task& task = entry.steps[step][index];
+      const StoredTask& known = stored->steps[step][index];
+      const bool is_outdated = notice.key.run < task.first_run;
+      if (notice.kind == Kind::kBegun) {
+        entry.has_begun = true;
+        return Judgement::kNoted;
+      }
+      if (notice.kind == Kind::kReturned) {
+        if (!is_outdated && !task.ending_run) {
+          task.part = PartNumber();
+          task.not_before = this->hooks.now() + kLostDelay;
+        }
+        return Judgement::kNoted;
+      }
+      if (HasEnded(known, notice.key.run)) {
+        return Judgement::kNoted;
+      }
+      if (is_outdated || (known.done_by && notice.kind == Kind::kDone)) {
+        return Judgement::kOutdated;
+      }
+      if (known.done_by || stored->phase != StoredJob::Phase::kOpen) {
+        return Judgement::kNoted;
+      }
+      task.ending_run = notice.key.run;
+      return Judgement::kPropose;
+    });
+  });
+}
+
+std::optional<JobRunner::Placement> JobRunner::PlaceStep(Entry& entry, const StoredJob& stored,
+                                                         StepIndex step) {
+  const TimePoint now = this->hooks.now();
+  std::vector<Task>& tasks = entry.steps[step.value()];
+  std::vector<size_t> wanted;
+  for (size_t i = 0; i < tasks.size(); ++i) {
+    if (!stored.steps[step.value()][i].done_by && tasks[i].part == PartNumber() &&
+        !tasks[i].ending_run && now >= tasks[i].not_before) {
+      wanted.push_back(i);
+    }
+  }
+  if (wanted.empty()) {
+    return std::nullopt;
+  }
+  const gateway::Job& job = stored.job;
+  const auto allocator =
+      this->hooks.choose(job.service, base::TaskCount(static_cast<int64_t>(wanted.size())));
+  if (!allocator) {
+    return std::nullopt;
+  }
+  entry.last_part = entry.last_part.Next();
+  entry.parts[entry.last_part] = *allocator;
+  runs::TaskPart part;
+  part.key = {this->settings.self, job.id, entry.last_part};
+  part.service = job.service;
+  part.priority = job.priority;
+  part.payload = job.payload;
+  part.wait_limit = kPlaceWait;
+  part.time_left = kUnlimited;
+  part.is_stored = true;
+  part.first_run = FirstRunOf(entry.last_part);
+  for (const size_t i : wanted) {
+    tasks[i].part = entry.last_part;
+    tasks[i].first_run = part.first_run;
+    part.tasks.push_back(
+        {{job.id, base::OccurrenceNumber(), step, base::TaskIndex(static_cast<uint32_t>(i))},
+         job.steps[step.value()].need});
+  }
+  return Placement{*allocator, std::move(part)};
+}
+
+std::vector<JobRunner::Placement> JobRunner::PlaceReady(const SubmissionId& id) {
+  std::vector<Placement> placements;
+  this->shards.With(id, [&](Shard& shard) {
+    auto found = shard.find(id);
+    if (found == shard.end() || found->second.ended_at) {
+      return;
+    }
+    this->stored_jobs.With(id, [&](const StoredJob* stored) {
+      if (stored == nullptr || stored->phase != StoredJob::Phase::kOpen) {
+        return;
+      }
+      for (uint32_t i = 0; i < stored->job.steps.size(); ++i) {
+        const std::vector<StepIndex>& after = stored->job.steps[i].after;
+        const bool is_ready = std::all_of(after.begin(), after.end(), [stored](StepIndex earlier) {
+          return IsStepDone(*stored, earlier);
+        });
+        if (!is_ready) {
+          continue;
+        }
+        auto placement = this->PlaceStep(found->second, *stored, StepIndex(i));
+        if (placement) {
+          placements.push_back(std::move(*placement));
+        }
+      }
+    });
+  });
+  return placements;
+}
+
+bool JobRunner::MayPlace() {
+  MutexLock lock(this->lead_mutex);
+  return this->is_leading && this->hooks.now() >= this->place_from;
+}
+
+void JobRunner::Place(const SubmissionId& id) {
+  if (!this->MayPlace()) {
+    return;
+  }
+  for (const Placement& placement : this->PlaceReady(id)) {
+    if (!this->hooks.place(placement.allocator, placement.part)) {
+      this->OnPartEnd(placement.allocator, {placement.part.key, runs::PartEnd::Kind::kNotRun,
+                                            "the allocator is not in reach"});
+    }
+  }
+}
+
+void JobRunner::PlaceAll() {
+  if (!this->MayPlace()) {
+    return;
+  }
+  std::vector<std::tuple<base::Priority, uint64_t, SubmissionId>> open;
+  this->shards.ForEach([&open](Shard& shard) {
+    for (const auto& [id, entry] : shard) {
+      if (!entry.ended_at) {
+        open.emplace_back(entry.priority, entry.arrival, id);
+      }
+    }
+  });
+  std::sort(open.begin(), open.end());
+  for (const auto& [priority, arrival, id] : open) {
+    this->Place(id);
+  }
+}
+
+void JobRunner::ForgetEnded() {
+  const TimePoint now = this->hooks.now();
+  {
+    MutexLock lock(this->lead_mutex);
+    if (!this->is_leading || now < this->next_forget) {
+      return;
+    }
+    this->next_forget = now + kForgetInterval;
+  }
+  std::vector<SubmissionId> old;
+  this->shards.ForEach([&](Shard& shard) {
+    for (const auto& [id, entry] : shard) {
+      if (entry.ended_at && now - *entry.ended_at >= this->settings.retention &&
+          old.size() < kMostForgotten) {
+        old.push_back(id);
+      }
+    }
+  });
+  if (!old.empty()) {
+    this->hooks.forget(old);
+  }
+}
+
+void JobRunner::Tick() {
+  this->CheckLease();
+  this->PlaceAll();
+  this->ForgetEnded();
+}
+
+JobState JobRunner::StateOf(const SubmissionId& id) {
+  return this->shards.With(id, [&](Shard& shard) {
+    auto found = shard.find(id);
+    const bool has_begun = found != shard.end() && found->second.has_begun;
+    return this->stored_jobs.With(id, [has_begun](const StoredJob* stored) {
+      if (stored == nullptr) {
+        return JobState::kUnknown;
+      }
+      switch (stored->phase) {
+        case StoredJob::Phase::kCompleted:
+          return JobState::kCompleted;
+        case StoredJob::Phase::kFailed:
+          return JobState::kFailed;
+        case StoredJob::Phase::kCancelled:
+          return JobState::kCancelled;
+        case StoredJob::Phase::kOpen:
+          break;
+      }
+      return has_begun ? JobState::kRunning : JobState::kQueued;
+    });
+  });
+}
+
+size_t JobRunner::PendingIn(const base::QueueId& queue) {
+  size_t pending = 0;
+  this->shards.ForEach([&](Shard& shard) {
+    for (const auto& [id, entry] : shard) {
+      if (entry.queue == queue && !entry.ended_at && !entry.has_begun) {
+        ++pending;
+      }
+    }
+  });
+  return pending;
+}
+
+}  // namespace sapphirecrank::stored
--- /dev/null
+++ b/src/stored/job_runner.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/mutex.h"
+#include "base/sharded.h"
+#include "base/thread_annotations.h"
+#include "base/time.h"
+#include "runs/part_end.h"
+#include "runs/run_notice.h"
+#include "runs/task_part.h"
+#include "stored/job_register.h"
+#include "stored/job_state.h"
+
+namespace sapphirecrank::stored {
+
+/// Places the tasks of stored jobs with the allocators, on the host that leads the group.
+///
+/// What is placed is known in memory only. A new leader waits until no run of the former one can be
+/// present; a host that loses its lease stops what it has placed. Thread safety: all methods may be
+/// called from any thread; state is in shards by job. Hooks run without a lock.
+class JobRunner {
+ public:
+  /// Behaviour handed in; all members must be set.
+  struct Hooks {
+    base::Clock now;
+    /// Picks the allocator for some tasks of a service, if there is one.
+    std::function<std::optional<base::HostId>(const base::ServiceId&, base::TaskCount)> choose;
+    /// Sends a part to an allocator; false means that it was surely not sent.
+    std::function<bool(const base::HostId&, const runs::TaskPart&)> place;
+    /// Stops what an allocator holds of a job.
+    std::function<void(const base::HostId&, const base::SubmissionId&)> cancel;
+    /// Proposes that the records of these ended jobs be dropped.
+    std::function<void(const std::vector<base::SubmissionId>&)> forget;
+    /// This host has begun or ceased to run the stored jobs.
+    std::function<void(bool)> on_lead;
+  };
+
+  enum class Judgement {
+    /// Durable already, or not about a stored job.
+    kNoted,
+    /// Must be agreed on by the group first.
+    kPropose,
+    /// The run's task was placed again before the end was known.
+    kOutdated,
+  };
+
+  struct Settings {
+    base::HostId self;
+    /// How long the record of an ended job is kept.
+    base::Duration retention = std::chrono::seconds(120);
+  };
+
+  /// Precondition: `stored_jobs` outlives this object.
+  JobRunner(Settings settings, JobRegister& stored_jobs, Hooks hooks);
+
+  /// Tells that this host leads the group in `term` and holds the lease at this moment. To be
+  /// called several times in 100 ms while it does.
+  void OnLease(base::Term term);
+
+  /// Tells whether this host runs the stored jobs.
+  bool IsLeading() const { return this->is_leading; }
+
+  /// Takes note that the group has changed these jobs.
+  void OnChange(const std::vector<base::SubmissionId>& ids);
+
+  void OnPartEnd(const base::HostId& allocator, const runs::PartEnd& end);
+
+  /// Gives up what a lost allocator held, once its runs are surely gone.
+  void OnAllocatorLost(const base::HostId& allocator);
+
+  /// Decides what a notice of an allocator means. Precondition: `IsLeading()`.
+  Judgement Judge(const runs::RunNotice& notice);
+
+  /// Does what is due by time. To be called several times in 100 ms.
+  void Tick();
+
+  /// Returns the state of a job as its caller sees it.
+  JobState StateOf(const base::SubmissionId& id);
+
+  /// Returns the number of open jobs of a queue of which no task has begun.
+  size_t PendingIn(const base::QueueId& queue);
+
+ private:
+  struct Task {
+    /// Part that holds the task; 0 if none does.
+    base::PartNumber part;
+    /// Lowest number of a run of the latest part that held the task.
+    base::RunNumber first_run;
+    /// The task isn't placed before this time.
+    base::TimePoint not_before;
+    /// Run whose end is being agreed on; unset if there is none.
+    std::optional<base::RunNumber> ending_run;
+  };
+  struct Entry {
+    base::Priority priority;
+    base::QueueId queue;
+    /// Rises with each job.
+    uint64_t arrival = 0;
+    std::vector<std::vector<Task>> steps;
+    base::PartNumber last_part;
+    std::map<base::PartNumber, base::HostId> parts;
+    bool has_begun = false;
+    /// When this host learnt that the job has ended; unset while it is open.
+    std::optional<base::TimePoint> ended_at;
+  };
+  struct Placement {
+    base::HostId allocator;
+    runs::TaskPart part;
+  };
+  using Shard = std::map<base::SubmissionId, Entry>;
+
+  void StartLeading(base::Term term);
+  void StopLeading();
+  void CheckLease();
+  /// Brings the entry of a job in line with its record; returns the allocators to cancel it at.
+  std::vector<base::HostId> Update(Shard& shard, const base::SubmissionId& id);
+  /// Returns the part for what can be placed of a step, if anything can.
+  std::optional<Placement> PlaceStep(Entry& entry, const StoredJob& stored, base::StepIndex step);
+  std::vector<Placement> PlaceReady(const base::SubmissionId& id);
+  bool MayPlace();
+  void Place(const base::SubmissionId& id);
+  void PlaceAll();
+  void ForgetEnded();
+  static void Release(Entry& entry, base::PartNumber part, base::TimePoint not_before);
+
+  Settings settings;
+  JobRegister& stored_jobs;
+  Hooks hooks;
+  base::Sharded<base::SubmissionId, Shard> shards;
+  std::atomic<uint64_t> next_arrival{1};
+  std::atomic<bool> is_leading{false};
+  base::Mutex lead_mutex;
+  base::Term term GUARDED_BY(lead_mutex);
+  base::TimePoint leads_until GUARDED_BY(lead_mutex);
+  base::TimePoint place_from GUARDED_BY(lead_mutex);
+  base::TimePoint next_forget GUARDED_BY(lead_mutex);
+};
+
+}  // namespace sapphirecrank::stored
--- /dev/null
+++ b/src/stored/task_outcome.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "runs/run_key.h"
+
+namespace sapphirecrank::stored {
+
+/// The end of a run that counts for its stored job.
+struct TaskOutcome {
+  runs::RunKey key;
+  /// The task is done; otherwise the run has failed.
+  bool is_done = false;
+};
+
+}  // namespace sapphirecrank::stored
--- a/tests/runs/service_pool_test.cc
+++ b/tests/runs/service_pool_test.cc
@@ -61,6 +61,14 @@
     return part;
   }
 
+  runs::TaskPart StoredPart(const char* job, int count) {
+    runs::TaskPart part = this->Part(job, count, "keeper");
+    part.is_stored = true;
+    part.first_run = base::RunNumber(65);
+    part.time_left = std::chrono::hours(1);
+    return part;
+  }
+
   /// Lets a gateway answer a heartbeat that was sent now.
   void KeepAlive(const char* gateway) {
     this->pool.OnGatewayAlive(base::HostId(gateway), this->now, this->now, this->effects);
@@ -570,3 +578,133 @@
   this->Place(this->Part("second", 1));
   LONGS_EQUAL(0, this->Take().starts.size());
 }
+
+// Guards against an end that a target forgets before it is durable: the task would run again after
+// the loss of this host.
+TEST(ServicePool, AcknowledgesEndsOfStoredJobsOnceTheirKeeperKnowsThem) {
+  this->Adopt(this->target);
+  this->Place(this->StoredPart("job", 1));
+  const PoolEffects started = this->Take();
+  CHECK(started.starts[0].key.run == base::RunNumber(65));
+  this->CarryOut(started);
+  const PoolEffects begun = this->Take();
+  LONGS_EQUAL(1, begun.notices.size());
+  CHECK(begun.notices[0].kind == runs::RunNotice::Kind::kBegun);
+  this->EndRun(begun, started.starts[0].key, RunEnd::Kind::kDone);
+  const PoolEffects ended = this->Take();
+  LONGS_EQUAL(1, ended.notices.size());
+  CHECK(ended.notices[0].kind == runs::RunNotice::Kind::kDone);
+  CHECK(ended.notices[0].end == base::Sequence(1));
+  this->now += milliseconds(1000);
+  this->pool.Tick(this->now, this->effects);
+  LONGS_EQUAL(0, this->Take().looks.size());
+  this->pool.OnNoticeAnswer(ended.notices[0], false, this->now, this->effects);
+  this->pool.Tick(this->now, this->effects);
+  const PoolEffects looked = this->Take();
+  LONGS_EQUAL(1, looked.looks.size());
+  CHECK(looked.looks[0].acknowledged == base::Sequence(1));
+}
+
+// Guards against attempts of a stored job that only this host has counted.
+TEST(ServicePool, ReturnsFailedTasksOfStoredJobsToTheirKeeper) {
+  this->Adopt(this->target);
+  this->Place(this->StoredPart("job", 1));
+  const PoolEffects started = this->Take();
+  this->CarryOut(started);
+  this->EndRun(this->Take(), started.starts[0].key, RunEnd::Kind::kFailed);
+  const PoolEffects ended = this->Take();
+  LONGS_EQUAL(0, ended.starts.size());
+  LONGS_EQUAL(1, ended.notices.size());
+  CHECK(ended.notices[0].kind == runs::RunNotice::Kind::kFailed);
+  LONGS_EQUAL(1, ended.ends.size());
+  LONGS_EQUAL(0, this->pool.PartCount());
+}
+
+// Guards against a stored task that is done by a run of an earlier owner and runs again.
+TEST(ServicePool, TellsOfEndsThatAnEarlierOwnerHasNotTakenIn) {
+  runs::StartOrder earlier;
+  earlier.target.token = base::FencingToken(4);
+  earlier.key.task.job = base::SubmissionId("old");
+  earlier.key.run = base::RunNumber(1);
+  earlier.lease_until = std::chrono::seconds(60);
+  this->target.Start(earlier, Cores(7), this->now);
+  this->target.End(earlier.key, RunEnd::Kind::kDone);
+  this->pool.OnReport(this->target.Report(this->now), this->token, this->now, this->effects);
+  const PoolEffects asked = this->Take();
+  this->pool.OnLookAnswer(asked.looks[0], this->target.Look(asked.looks[0], this->now), this->now,
+                          this->effects);
+  const PoolEffects adopted = this->Take();
+  LONGS_EQUAL(1, adopted.notices.size());
+  CHECK(adopted.notices[0].key == earlier.key);
+  for (const runs::LookOrder& look : adopted.looks) {
+    CHECK(look.acknowledged == base::Sequence(0));
+  }
+}
+
+// Guards against an end that counts although its task was started again elsewhere: the lease has to
+// end between the two.
+TEST(ServicePool, LetsTheLeaseEndBeforeItAcknowledgesAnOutdatedEnd) {
+  this->Adopt(this->target);
+  this->Place(this->StoredPart("job", 1));
+  const PoolEffects started = this->Take();
+  this->CarryOut(started);
+  this->EndRun(this->Take(), started.starts[0].key, RunEnd::Kind::kDone);
+  const PoolEffects ended = this->Take();
+  this->pool.OnNoticeAnswer(ended.notices[0], true, this->now, this->effects);
+  this->Place(this->Part("next", 1));
+  const base::TimePoint lapse = this->now + milliseconds(1000);
+  while (this->now < lapse) {
+    const PoolEffects waiting = this->Take();
+    LONGS_EQUAL(0, waiting.starts.size());
+    for (const runs::LookOrder& look : waiting.looks) {
+      CHECK_FALSE(look.lease_until.has_value());
+      CHECK(look.acknowledged == base::Sequence(0));
+    }
+    this->now += milliseconds(20);
+    this->KeepAlive("g1");
+    this->pool.Tick(this->now, this->effects);
+  }
+  this->now += milliseconds(200);
+  this->KeepAlive("g1");
+  this->pool.Tick(this->now, this->effects);
+  const PoolEffects settled = this->Take();
+  LONGS_EQUAL(1, settled.looks.size());
+  CHECK(settled.looks[0].acknowledged == base::Sequence(1));
+}
+
+// Guards against a stored task that this host starts again while the next owner of its target finds
+// that it is done.
+TEST(ServicePool, ReturnsStoredTasksOfTargetsThatAnotherHostTakes) {
+  this->Adopt(this->target);
+  this->Place(this->StoredPart("job", 1));
+  this->CarryOut(this->Take());
+  this->Take();
+  this->pool.ReleaseAllBut([](const runs::TargetReport&) { return false; }, this->now,
+                           this->effects);
+  const PoolEffects released = this->Take();
+  LONGS_EQUAL(1, released.notices.size());
+  CHECK(released.notices[0].kind == runs::RunNotice::Kind::kReturned);
+  LONGS_EQUAL(0, this->pool.PartCount());
+}
+
+// Guards against run numbers that reach those of the keeper's next part: an end of the one would
+// pass for an end of the other.
+TEST(ServicePool, ReturnsAStoredTaskAfterItsShareOfRunNumbers) {
+  this->Adopt(this->target);
+  this->Place(this->StoredPart("job", 1));
+  uint32_t last = 0;
+  for (int i = 0; i < 100 && this->pool.PartCount() > 0; ++i) {
+    const PoolEffects orders = this->Take();
+    for (const runs::StartOrder& order : orders.starts) {
+      last = order.key.run.value();
+      this->pool.OnStartAnswer(order, {OrderOutcome::kNoRoom, milliseconds(0)}, this->now,
+                               this->effects);
+    }
+    this->now += milliseconds(600);
+    this->KeepAlive("keeper");
+    this->pool.OnReport(this->target.Report(this->now), this->token, this->now, this->effects);
+    this->pool.Tick(this->now, this->effects);
+  }
+  LONGS_EQUAL(0, this->pool.PartCount());
+  LONGS_EQUAL(96, last);
+}
--- /dev/null
+++ b/tests/stored/job_runner_test.cc
@@ -0,0 +1,288 @@
+#include "stored/job_runner.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/manual_clock.h"
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+using runs::RunNotice;
+using std::chrono::milliseconds;
+using stored::JobCommand;
+using stored::JobRunner;
+using stored::JobState;
+using Judgement = JobRunner::Judgement;
+
+TEST_GROUP(JobRunner) {
+  base::ManualClock clock;
+  std::vector<std::pair<base::HostId, runs::TaskPart>> placed;
+  std::vector<std::pair<base::HostId, base::SubmissionId>> cancelled;
+  std::vector<base::SubmissionId> forgotten;
+  std::string allocator = "a1";
+  bool is_reachable = true;
+  stored::JobRegister jobs{
+      [this](const std::vector<base::SubmissionId>& ids) { this->runner.OnChange(ids); }};
+  JobRunner runner{{base::HostId("self"), std::chrono::seconds(10)}, this->jobs, this->Hooks()};
+
+  JobRunner::Hooks Hooks() {
+    JobRunner::Hooks hooks;
+    hooks.now = this->clock.Hook();
+    hooks.choose = [this](const base::ServiceId&, base::TaskCount) -> std::optional<base::HostId> {
+      if (this->allocator.empty()) {
+        return std::nullopt;
+      }
+      return base::HostId(this->allocator);
+    };
+    hooks.place = [this](const base::HostId& host, const runs::TaskPart& part) {
+      if (this->is_reachable) {
+        this->placed.emplace_back(host, part);
+      }
+      return this->is_reachable;
+    };
+    hooks.cancel = [this](const base::HostId& host, const base::SubmissionId& job) {
+      this->cancelled.emplace_back(host, job);
+    };
+    hooks.forget = [this](const std::vector<base::SubmissionId>& ids) { this->forgotten = ids; };
+    hooks.on_lead = [](bool /*leads*/) {};
+    return hooks;
+  }
+
+  /// Lets time pass on a host that keeps its lease.
+  void Pass(int count, uint64_t term = 3) {
+    for (int passed = 0; passed < count; passed += 100) {
+      this->clock.Advance(milliseconds(100));
+      this->runner.OnLease(base::Term(term));
+      this->runner.Tick();
+    }
+  }
+
+  void Lead() { this->Pass(3000); }
+
+  void Submit(const char* id, int tasks = 1, bool has_second_step = false) {
+    gateway::Job job;
+    job.id = base::SubmissionId(id);
+    job.queue = base::QueueId("q");
+    job.attempts = base::AttemptCount(2);
+    gateway::JobStep step;
+    step.count = base::TaskCount(tasks);
+    job.steps = {step};
+    if (has_second_step) {
+      step.after = {base::StepIndex(0)};
+      job.steps.push_back(step);
+    }
+    this->jobs.Apply(JobCommand{JobCommand::Submit{job}}.Encode());
+  }
+
+  std::vector<std::pair<base::HostId, runs::TaskPart>> Take() {
+    return std::exchange(this->placed, {});
+  }
+
+  static RunNotice Notice(const runs::TaskPart& part, size_t task, RunNotice::Kind kind) {
+    RunNotice notice;
+    notice.key = {part.tasks[task].name, part.first_run};
+    notice.kind = kind;
+    return notice;
+  }
+
+  void Commit(const RunNotice& notice) {
+    this->jobs.Apply(
+        JobCommand{JobCommand::NoteOutcomes{{{notice.key, notice.kind == RunNotice::Kind::kDone}}}}
+            .Encode());
+  }
+};
+
+// Guards against a second run of a task beside one that the former leader has started.
+TEST(JobRunner, ANewLeaderWaitsUntilRunsOfTheFormerOneAreGone) {
+  this->Submit("job");
+  this->Pass(1700);
+  LONGS_EQUAL(0, this->Take().size());
+  this->Pass(300);
+  LONGS_EQUAL(1, this->Take().size());
+}
+
+// Guards against a leader that runs jobs on while another one may have begun to.
+TEST(JobRunner, StopsWhatItHasPlacedWhenItsLeaseEnds) {
+  this->Lead();
+  this->Submit("job");
+  LONGS_EQUAL(1, this->Take().size());
+  this->clock.Advance(milliseconds(600));
+  this->runner.Tick();
+  CHECK_FALSE(this->runner.IsLeading());
+  LONGS_EQUAL(1, this->cancelled.size());
+  this->Pass(3000, 4);
+  const auto again = this->Take();
+  LONGS_EQUAL(1, again.size());
+  // Targets refuse runs whose number isn't higher than that of a run that has ended there.
+  CHECK(again[0].second.first_run > base::RunNumber(4U << 16U));
+}
+
+// Guards against tasks that are lost because their job came before any allocator had room.
+TEST(JobRunner, PlacesWhatWaitedForRoom) {
+  this->Lead();
+  this->allocator.clear();
+  this->Submit("job");
+  LONGS_EQUAL(0, this->Take().size());
+  this->allocator = "a2";
+  this->Pass(100);
+  LONGS_EQUAL(1, this->Take().size());
+}
+
+// Guards against a step that begins before the earlier one is durably done.
+TEST(JobRunner, AStepWaitsForTheEarlierOne) {
+  this->Lead();
+  this->Submit("job", 2, true);
+  const auto first = this->Take();
+  LONGS_EQUAL(1, first.size());
+  LONGS_EQUAL(2, first[0].second.tasks.size());
+  const RunNotice done = Notice(first[0].second, 0, RunNotice::Kind::kDone);
+  CHECK(this->runner.Judge(done) == Judgement::kPropose);
+  this->Commit(done);
+  this->Pass(200);
+  LONGS_EQUAL(0, this->Take().size());
+  const RunNotice other = Notice(first[0].second, 1, RunNotice::Kind::kDone);
+  CHECK(this->runner.Judge(other) == Judgement::kPropose);
+  this->Pass(200);
+  LONGS_EQUAL(0, this->Take().size());
+  this->Commit(other);
+  const auto second = this->Take();
+  LONGS_EQUAL(1, second.size());
+  CHECK(second[0].second.tasks[0].name.step == base::StepIndex(1));
+}
+
+// Guards against a task that is started again while the end of its run is being agreed on, also
+// when its part or its allocator is lost meanwhile.
+TEST(JobRunner, PlacesNoTaskAgainWhoseEndIsBeingAgreedOn) {
+  this->Lead();
+  this->Submit("job", 2);
+  const auto first = this->Take();
+  const RunNotice done = Notice(first[0].second, 0, RunNotice::Kind::kDone);
+  CHECK(this->runner.Judge(done) == Judgement::kPropose);
+  // The end of the other task is in the record first.
+  this->Commit(Notice(first[0].second, 1, RunNotice::Kind::kDone));
+  this->runner.OnAllocatorLost(first[0].first);
+  this->Pass(5000);
+  LONGS_EQUAL(0, this->Take().size());
+}
+
+// Guards against a task that is started again at once although a run at a lost allocator may go on
+// or may have done it.
+TEST(JobRunner, WaitsBeforeItPlacesTasksOfALostAllocatorAgain) {
+  this->Lead();
+  this->Submit("job");
+  const auto first = this->Take();
+  this->runner.OnAllocatorLost(first[0].first);
+  this->Pass(1700);
+  LONGS_EQUAL(0, this->Take().size());
+  this->Pass(300);
+  const auto second = this->Take();
+  LONGS_EQUAL(1, second.size());
+  CHECK(second[0].second.first_run > first[0].second.first_run);
+}
+
+// Guards against an end that is told to its target although its task was started again since.
+TEST(JobRunner, EndsOfEarlierPartsAreOutdated) {
+  this->Lead();
+  this->Submit("job");
+  const auto first = this->Take();
+  this->runner.OnAllocatorLost(first[0].first);
+  this->Pass(2000);
+  const auto second = this->Take();
+  const RunNotice late = Notice(first[0].second, 0, RunNotice::Kind::kDone);
+  CHECK(this->runner.Judge(late) == Judgement::kOutdated);
+  const RunNotice done = Notice(second[0].second, 0, RunNotice::Kind::kDone);
+  CHECK(this->runner.Judge(done) == Judgement::kPropose);
+  this->Commit(done);
+  CHECK(this->runner.StateOf(base::SubmissionId("job")) == JobState::kCompleted);
+  CHECK(this->runner.Judge(done) == Judgement::kNoted);
+  CHECK(this->runner.Judge(late) == Judgement::kOutdated);
+}
+
+// Guards against an end that is lost between a former leader and this one: the task would run
+// again.
+TEST(JobRunner, TakesEndsThatAFormerLeaderHasNotNoted) {
+  this->Submit("job");
+  this->Pass(200);
+  RunNotice done;
+  done.key = {
+      {base::SubmissionId("job"), base::OccurrenceNumber(), base::StepIndex(), base::TaskIndex()},
+      base::RunNumber(9)};
+  done.kind = RunNotice::Kind::kDone;
+  CHECK(this->runner.Judge(done) == Judgement::kPropose);
+  this->Commit(done);
+  this->Pass(5000);
+  LONGS_EQUAL(0, this->Take().size());
+}
+
+// Guards against attempts that are used up by one failure, or not counted.
+TEST(JobRunner, AFailedTaskIsPlacedAgainUntilItsAttemptsAreUsedUp) {
+  this->Lead();
+  this->Submit("job");
+  const auto first = this->Take();
+  const RunNotice failed = Notice(first[0].second, 0, RunNotice::Kind::kFailed);
+  CHECK(this->runner.Judge(failed) == Judgement::kPropose);
+  this->Commit(failed);
+  const auto second = this->Take();
+  LONGS_EQUAL(1, second.size());
+  const RunNotice again = Notice(second[0].second, 0, RunNotice::Kind::kFailed);
+  CHECK(this->runner.Judge(again) == Judgement::kPropose);
+  this->Commit(again);
+  CHECK(this->runner.StateOf(base::SubmissionId("job")) == JobState::kFailed);
+  this->Pass(5000);
+  LONGS_EQUAL(0, this->Take().size());
+}
+
+// Guards against runs of a cancelled job that go on.
+TEST(JobRunner, StopsCancelledJobsWhereTheyArePlaced) {
+  this->Lead();
+  this->Submit("job");
+  LONGS_EQUAL(1, this->Take().size());
+  this->jobs.Apply(JobCommand{JobCommand::Cancel{base::SubmissionId("job")}}.Encode());
+  LONGS_EQUAL(1, this->cancelled.size());
+  CHECK(this->cancelled[0].first == base::HostId("a1"));
+  this->Pass(5000);
+  LONGS_EQUAL(0, this->Take().size());
+}
+
+// Guards against tasks that wait for good at an allocator without room while another has some.
+TEST(JobRunner, PlacesPartsThatDidNotBeginElsewhere) {
+  this->Lead();
+  this->Submit("job");
+  const auto first = this->Take();
+  this->allocator = "a2";
+  this->runner.OnPartEnd(first[0].first,
+                         {first[0].second.key, runs::PartEnd::Kind::kNotRun, "no room"});
+  this->Pass(100);
+  const auto second = this->Take();
+  LONGS_EQUAL(1, second.size());
+  CHECK(second[0].first == base::HostId("a2"));
+}
+
+// Guards against a count of waiting jobs that leaves out some or counts those that run.
+TEST(JobRunner, CountsJobsThatHaveNotBegun) {
+  this->Lead();
+  this->Submit("one");
+  this->Submit("two");
+  LONGS_EQUAL(2, this->runner.PendingIn(base::QueueId("q")));
+  LONGS_EQUAL(0, this->runner.PendingIn(base::QueueId("other")));
+  const auto first = this->Take();
+  const RunNotice begun = Notice(first[0].second, 0, RunNotice::Kind::kBegun);
+  CHECK(this->runner.Judge(begun) == Judgement::kNoted);
+  LONGS_EQUAL(1, this->runner.PendingIn(base::QueueId("q")));
+  CHECK(this->runner.StateOf(base::SubmissionId("one")) == JobState::kRunning);
+  CHECK(this->runner.StateOf(base::SubmissionId("two")) == JobState::kQueued);
+  CHECK(this->runner.StateOf(base::SubmissionId("none")) == JobState::kUnknown);
+}
+
+// Guards against records that are dropped while callers still ask for them, or never.
+TEST(JobRunner, ForgetsEndedJobsAfterTheirTime) {
+  this->Lead();
+  this->Submit("job");
+  this->jobs.Apply(JobCommand{JobCommand::Cancel{base::SubmissionId("job")}}.Encode());
+  this->Pass(9000);
+  LONGS_EQUAL(0, this->forgotten.size());
+  this->Pass(3000);
+  LONGS_EQUAL(1, this->forgotten.size());
+}
