runs: Return stored tasks whose end another owner may have taken in

Cause: a host that was missing from one view went on with its targets. The owner in between read that a run had done its task, told the keeper and acknowledged the end.

Such tasks go back to their keeper, which has the end or waits for it.

--- a/src/runs/service_pool.cc
+++ b/src/runs/service_pool.cc
@@ -96,6 +96,9 @@
     target.phase = LeasedTarget::Phase::kAdopting;
     target.is_looking = false;
     target.next_look = now;
+    for (auto& [key, run] : target.runs) {
+      run.had_other_owner = true;
+    }
     effects.decisions.push_back({"target adopted", {}, id, token, "new token"});
     this->LookIfDue(target, now, effects);
   }
@@ -521,7 +524,12 @@
     }
   }
   for (const RunKey& key : gone) {
-    this->PlaceAgain(target, key, this->Remove(target, key), now, effects);
+    const TargetRun run = this->Remove(target, key);
+    if (run.is_stored && run.had_other_owner) {
+      this->Return(target, key, run, now, effects);
+    } else {
+      this->PlaceAgain(target, key, run, now, effects);
+    }
   }
   if (target.phase == LeasedTarget::Phase::kAdopting && target.unknown_runs == 0) {
     target.phase = LeasedTarget::Phase::kInUse;
--- a/src/runs/target_run.h
+++ b/src/runs/target_run.h
@@ -21,6 +21,8 @@
   bool is_orphan = false;
   /// The run is of a stored job.
   bool is_stored = false;
+  /// Another owner had the target since the run was ordered, and may have taken in its end.
+  bool had_other_owner = false;
   /// The target's lease has ended since the run was last known to be present.
   bool has_lapsed = false;
   /// No other run of the task may begin while this one may be present.
--- a/tests/stored/job_runner_test.cc
+++ b/tests/stored/job_runner_test.cc
@@ -211,6 +211,7 @@
       base::RunNumber(9)};
   done.kind = RunNotice::Kind::kDone;
   CHECK(this->runner.Judge(done) == Judgement::kPropose);
+  this->Pass(5000);
   this->Commit(done);
   this->Pass(5000);
   LONGS_EQUAL(0, this->Take().size());
