soak: Play stored jobs and check their promises

Five callers submit jobs of one to three steps that are stored, follow them to their end and cancel some. Checked: no start after an end that was noted, none before the earlier step is done, none after a cancel; no accepted job is unknown or shown as completed too early, and all end after the faults.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -10,8 +10,11 @@
 
 Checked while it runs, from what callers and targets see: no target is given more than its capacity,
 no task runs twice at the same time, no job whose attempts were all refused has a started task, no
-read of the configuration is older than what was acknowledged a while before. Checked at the end,
-after the faults: jobs are served again and the newest acknowledged configuration is read back.
+read of the configuration is older than what was acknowledged a while before. Of stored jobs also: no
+task is started after a run of it was done and noted, none before its earlier step is done, none
+after its job was cancelled; none is unknown after it was accepted, or shown as completed before all
+its tasks are done. Checked at the end, after the faults: jobs are served again, all stored jobs are
+completed or cancelled, and the newest acknowledged configuration is read back.
 
 Usage: soak.py [--seed N] [--seeds COUNT] [--seconds S]. Exit code 1 if a check failed; the logs of
 the processes are then kept and named.
@@ -46,6 +49,8 @@
 FAULTS = ["kill", "kill", "term", "pause", "hup", "crash", "wipe", "full", *LINK_FAULTS,
           *(f"peer-{kind}" for kind in LINK_FAULTS)]
 CONFIGURATION_DELAY = 2.0
+# Bounds of the platform's pages for stored jobs.
+VISIBLE_DELAY, CANCEL_DELAY = 3.0, 3.0
 RECOVERY_LIMIT = 40.0
 # The settings tolerate one lost disk; a host counts as lost for this long after it is back.
 CATCH_UP = 4.0
@@ -95,6 +100,8 @@
         self.broken = []
         self.running = {}
         self.started_jobs = set()
+        self.stored, self.cancelled = {}, {}
+        self.done, self.noted, self.restarted = set(), set(), set()
         self.counts = {}
 
     def note(self, text):
@@ -104,6 +111,28 @@
         self.note(text)
         self.broken.append(f"{time.time():.3f} {text}")
 
+    def on_start(self, task):
+        """Checks a start of a task of a stored job."""
+        job, _, step, _ = task.split(".")
+        if job not in self.stored:
+            return
+        if task in self.noted:
+            self.fail(f"TWICE: {task} started after it was done and noted")
+        if task in self.done:
+            self.restarted.add(task)
+        if int(step) > 0 and not all(t in self.done for t in self.tasks_of(job, int(step) - 1)):
+            self.fail(f"ORDER: {task} started before the earlier step was done")
+        if time.monotonic() > self.cancelled.get(job, float("inf")) + CANCEL_DELAY:
+            self.fail(f"UNASKED: {task} started after its job was cancelled")
+
+    def tasks_of(self, job, step):
+        return [f"{job}.0.{step}.{i}" for i in range(self.stored[job][step])]
+
+    def on_noted(self, task):
+        self.noted.add(task)
+        if task in self.restarted:
+            self.fail(f"TWICE: {task} was started again after a run that was done and is noted")
+
     def count(self, name):
         self.counts[name] = self.counts.get(name, 0) + 1
 
@@ -125,6 +154,8 @@
         self.birth = time.monotonic()
         self.token, self.lease, self.sequence, self.beats = 0, 0.0, 0, 0
         self.active, self.ends, self.ended = {}, [], {}
+        # Ends up to this one were followed by an end of the lease and count for nothing.
+        self.void = 0
         self.changed = asyncio.Event()
 
     def clock(self):
@@ -138,15 +169,19 @@
             del self.checks.running[key[0]]
         self.checks.note(f"{self.id}: {how} {key}")
         self.ended[key[0]] = max(self.ended.get(key[0], 0), key[1])
+        if how == "done":
+            self.checks.done.add(key[0])
         self.sequence += 1
         self.ends.append([self.sequence, key[0], key[1], how, ""])
         self.changed.set()
 
     def extend(self, until):
+        self.tick()
         self.lease = max(self.lease, min(until / 1000, self.clock() / 1000 + LONGEST_LEASE))
 
     def tick(self):
-        if self.active and self.clock() / 1000 > self.lease:
+        if self.clock() / 1000 > self.lease:
+            self.void = self.sequence
             for key in list(self.active):
                 self.end(key, "lapsed")
 
@@ -172,6 +207,7 @@
         self.active[key] = spec["cpu"]
         self.checks.running[key[0]] = self
         self.checks.started_jobs.add(key[0].split(".")[0])
+        self.checks.on_start(key[0])
         self.checks.count("runs")
         life = self.id
         how = "failed" if self.rng.random() < 0.01 else "done"
@@ -193,6 +229,10 @@
         if body["fenceToken"] < self.token:
             return 409, {"reason": "fence"}
         self.token = body["fenceToken"]
+        self.tick()
+        for end in self.ends:
+            if self.void < end[0] <= body["ackedSeq"] and end[3] == "done":
+                self.checks.on_noted(end[1])
         self.ends = [end for end in self.ends if end[0] > body["ackedSeq"]]
         if "deadlineMs" in body:
             self.extend(body["deadlineMs"])
@@ -403,6 +443,69 @@
                 self.checks.fail(f"REFUSED: {job} was refused and has started")
         return statuses[-1] == 200 and json.loads(answer).get("state") == "completed"
 
+    async def call_gateway(self, method, path, body=None):
+        gateway = self.rng.choice(GATEWAYS)
+        return await call(f"{gateway}:{CALLER_PORT}", method, PREFIX + path, body,
+                          ["Deadline-Ms: 1500"], timeout=1.5)
+
+    async def run_stored_job(self):
+        """Submits a job that is stored, and follows it to its end."""
+        self.next_job += 1
+        job = f"{self.next_job:016x}"
+        cpu = self.rng.choice([3000, 5000, 7000])
+        spec = json.dumps({"cpu": cpu, "seconds": self.rng.choice([0.02, 0.2, 0.6, 2.0])})
+        counts = [self.rng.randint(1, 4) for _ in range(self.rng.randint(1, 3))]
+        steps = [{"count": count, "cpu": cpu, "memMb": 1, "estRuntimeMs": 200,
+                  **({"after": [i - 1]} if i > 0 else {})} for i, count in enumerate(counts)]
+        self.checks.stored[job] = counts
+        statuses = []
+        for _ in range(4):
+            status, _ = await self.call_gateway("POST", job, {"spec": spec, "steps": steps})
+            self.checks.note(f"stored job {job} answered {status}")
+            statuses.append(status)
+            if status in (200, 404, 429, 503):
+                break
+            await asyncio.sleep(RESUBMIT_AFTER)
+        self.checks.count(f"stored jobs answered {statuses[-1]}")
+        if statuses[-1] == 200:
+            await self.follow(job, time.monotonic())
+        elif all(s in (429, 503) for s in statuses):
+            await asyncio.sleep(1.0)
+            if job in self.checks.started_jobs:
+                self.checks.fail(f"REFUSED: {job} was refused and has started")
+
+    async def follow(self, job, accepted):
+        cancel = self.rng.random() < 0.15
+        if cancel:
+            await asyncio.sleep(self.rng.random())
+        end = accepted + self.seconds + RECOVERY_LIMIT
+        while time.monotonic() < end:
+            method = "DELETE" if cancel and job not in self.checks.cancelled else "GET"
+            asked = time.monotonic()
+            status, answer = await self.call_gateway(method, job)
+            if status == 200 and method == "DELETE":
+                self.checks.cancelled[job] = time.monotonic()
+            elif status == 200:
+                state = json.loads(answer).get("state")
+                if state == "completed":
+                    missing = [t for step in range(len(self.checks.stored[job]))
+                               for t in self.checks.tasks_of(job, step)
+                               if t not in self.checks.done]
+                    if missing:
+                        self.checks.fail(f"MIXED: {job} shown as completed without {missing}")
+                if state in ("completed", "failed", "cancelled"):
+                    self.checks.count(f"stored jobs {state}")
+                    return
+            elif status == 410 and asked > accepted + VISIBLE_DELAY:
+                self.checks.fail(f"LOST: stored job {job} is unknown")
+                return
+            await asyncio.sleep(0.3)
+        self.checks.fail(f"LOST: stored job {job} has not ended")
+
+    async def stored_callers(self):
+        while not self.is_over:
+            await self.run_stored_job()
+
     async def callers(self):
         while not self.is_over:
             await self.run_job()
@@ -524,6 +627,7 @@
             self.checks.fail("START: no job was served")
             return
         work = [asyncio.create_task(self.callers()) for _ in range(10)]
+        work += [asyncio.create_task(self.stored_callers()) for _ in range(5)]
         work += [asyncio.create_task(self.operator())]
         work += [asyncio.create_task(self.faults()) for _ in range(2)]
         await asyncio.sleep(self.seconds)
