runs: Place tasks by label and apart, and restart lasting tasks

Cause: steps that ask for a label of their targets, for a bound of tasks on one target, or for tasks that last until they are cancelled were refused as not run (503).

PlacementRule holds what a step asks beside room. A part with such a rule that finds no target lets others pass, since its targets may be none of theirs. Lasting tasks (of stored jobs only) are placed again by their keeper however they end. Targets report all their labels.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -101,7 +101,8 @@
         self.running = {}
         self.started_jobs = set()
         self.stored, self.cancelled = {}, {}
-        self.done, self.noted, self.restarted = set(), set(), set()
+        # Tasks that are done, those of which that is noted, and when each was started last.
+        self.done, self.noted, self.started_at = set(), set(), {}
         self.counts = {}
 
     def note(self, text):
@@ -118,8 +119,7 @@
             return
         if task in self.noted:
             self.fail(f"TWICE: {task} started after it was done and noted")
-        if task in self.done:
-            self.restarted.add(task)
+        self.started_at[task] = time.monotonic()
         if int(step) > 0 and not all(t in self.done for t in self.tasks_of(job, int(step) - 1)):
             self.fail(f"ORDER: {task} started before the earlier step was done")
         if time.monotonic() > self.cancelled.get(job, float("inf")) + CANCEL_DELAY:
@@ -128,9 +128,10 @@
     def tasks_of(self, job, step):
         return [f"{job}.0.{step}.{i}" for i in range(self.stored[job][step])]
 
-    def on_noted(self, task):
+    def on_noted(self, task, done_at):
+        """Checks the end of a run that was done, once its owner says that it is known."""
         self.noted.add(task)
-        if task in self.restarted:
+        if self.started_at.get(task, 0) > done_at:
             self.fail(f"TWICE: {task} was started again after a run that was done and is noted")
 
     def count(self, name):
@@ -156,6 +157,7 @@
         self.active, self.ends, self.ended = {}, [], {}
         # Ends up to this one were followed by an end of the lease and count for nothing.
         self.void = 0
+        self.ended_at = {}
         self.changed = asyncio.Event()
 
     def clock(self):
@@ -172,6 +174,7 @@
         if how == "done":
             self.checks.done.add(key[0])
         self.sequence += 1
+        self.ended_at[self.sequence] = time.monotonic()
         self.ends.append([self.sequence, key[0], key[1], how, ""])
         self.changed.set()
 
@@ -232,7 +235,7 @@
         self.tick()
         for end in self.ends:
             if self.void < end[0] <= body["ackedSeq"] and end[3] == "done":
-                self.checks.on_noted(end[1])
+                self.checks.on_noted(end[1], self.ended_at[end[0]])
         self.ends = [end for end in self.ends if end[0] > body["ackedSeq"]]
         if "deadlineMs" in body:
             self.extend(body["deadlineMs"])
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -21,6 +21,8 @@
 /// IP number and port, for example "127.0.0.1:8080".
 using NetworkAddress = StrongId<struct NetworkAddressTag>;
 
+/// Something that targets say of themselves, for example their kind of machine.
+using LabelId = StrongId<struct LabelIdTag>;
 /// A pool of targets that run the same sort of tasks.
 using ServiceId = StrongId<struct ServiceIdTag>;
 /// A named entrance for jobs, with its own priority and bounds.
--- a/src/gateway/job_step.h
+++ b/src/gateway/job_step.h
@@ -6,6 +6,7 @@
 #include "base/resources.h"
 #include "base/time.h"
 #include "base/units.h"
+#include "runs/placement_rule.h"
 
 namespace sapphirecrank::gateway {
 
@@ -16,6 +17,9 @@
   base::Resources need;
   /// The caller's rough guess of a task's run time; zero if not given.
   base::Duration estimate{0};
+  runs::PlacementRule rule;
+  /// The tasks run until the job is cancelled, and begin again however they end.
+  bool is_lasting = false;
   /// Earlier steps whose tasks must all be done first.
   std::vector<base::StepIndex> after;
 };
--- a/src/gateway/job_table.cc
+++ b/src/gateway/job_table.cc
@@ -61,6 +61,7 @@
     part.priority = job.priority;
     part.attempts = job.attempts;
     part.payload = job.payload;
+    part.rule = wanted.rule;
     for (uint32_t index = 0; index < wanted.count.value(); ++index) {
       part.tasks.push_back(
           {{job.id, base::OccurrenceNumber(), step, base::TaskIndex(index)}, wanted.need});
--- a/src/protocol/cluster_codec.cc
+++ b/src/protocol/cluster_codec.cc
@@ -36,6 +36,8 @@
   map["time_left"] = Value(message.time_left);
   map["stored"] = message.is_stored;
   map["first_run"] = Value(message.first_run);
+  map["label"] = Value(message.rule.label);
+  map["most_per_target"] = Value(message.rule.most_per_target);
   json tasks = json::array();
   for (const runs::PartTask& task : message.tasks) {
     tasks.push_back({{"occurrence", Value(task.name.occurrence)},
@@ -58,6 +60,8 @@
   message.time_left = ReadDuration(reader, "time_left");
   message.is_stored = reader.Flag("stored");
   reader.Read("first_run", message.first_run);
+  reader.Read("label", message.rule.label);
+  reader.Read("most_per_target", message.rule.most_per_target);
   message.tasks = DecodeArray<runs::PartTask>(reader, "tasks", [&message](FieldReader& item) {
     runs::PartTask task;
     task.name.job = message.key.job;
@@ -127,12 +131,17 @@
 }
 
 json EncodeBody(const runs::TargetReport& message) {
+  json labels = json::array();
+  for (const base::LabelId& label : message.labels) {
+    labels.push_back({{"label", Value(label)}});
+  }
   return {{"type", kTargetReport},
           {"id", Value(message.id)},
           {"service", Value(message.service)},
           {"address", Value(message.address)},
           {"data_centre", Value(message.data_centre)},
           {"rack", Value(message.rack)},
+          {"labels", std::move(labels)},
           {"born", Value(message.born)},
           {"report", Value(message.number)},
           {"capacity", EncodeResources(message.capacity)},
@@ -148,6 +157,11 @@
   reader.Read("address", message.address);
   reader.Read("data_centre", message.data_centre);
   reader.Read("rack", message.rack);
+  message.labels = DecodeArray<base::LabelId>(reader, "labels", [](FieldReader& item) {
+    base::LabelId label;
+    item.Read("label", label);
+    return label;
+  });
   reader.Read("born", message.born);
   reader.Read("report", message.number);
   message.capacity = DecodeResources(reader, "capacity");
--- a/src/runs/leased_target.cc
+++ b/src/runs/leased_target.cc
@@ -26,6 +26,28 @@
   }
 }
 
+bool LeasedTarget::Allows(const PlacementRule& rule, const TaskName& task) const {
+  const std::vector<base::LabelId>& labels = this->report.labels;
+  if (!rule.label.empty() && std::find(labels.begin(), labels.end(), rule.label) == labels.end()) {
+    return false;
+  }
+  if (rule.most_per_target <= base::TaskCount(0)) {
+    return true;
+  }
+  TaskName name = task;
+  name.index = base::TaskIndex(0);
+  base::TaskCount beside;
+  for (auto run = this->runs.lower_bound({name, base::RunNumber(0)}); run != this->runs.end();
+       ++run) {
+    name.index = run->first.task.index;
+    if (!(run->first.task == name)) {
+      break;
+    }
+    beside += base::TaskCount(1);
+  }
+  return beside < rule.most_per_target;
+}
+
 void LeasedTarget::ExtendLease(base::Duration lease, base::TimePoint now) {
   this->lease_end = std::max(this->lease_end,
                              now + std::chrono::duration_cast<base::Duration>(lease * kSlowClock));
--- a/src/runs/leased_target.h
+++ b/src/runs/leased_target.h
@@ -4,6 +4,7 @@
 
 #include "base/resources.h"
 #include "base/time.h"
+#include "runs/placement_rule.h"
 #include "runs/run_key.h"
 #include "runs/target_report.h"
 #include "runs/target_run.h"
@@ -61,6 +62,10 @@
   /// Takes note of an order sent now that may extend the target's lease.
   void ExtendLease(base::Duration lease, base::TimePoint now);
 
+  /// Tells whether a further task of the step of `task` may begin beside the runs that are here.
+  /// Thread safety: pure.
+  bool Allows(const PlacementRule& rule, const TaskName& task) const;
+
   /// Returns what is free. Thread safety: pure.
   base::Resources Free() const {
     base::Resources free = this->report.capacity;
--- a/src/runs/service_pool.cc
+++ b/src/runs/service_pool.cc
@@ -172,14 +172,14 @@
          now - target.heard_at < this->settings.silence_limit;
 }
 
-LeasedTarget* ServicePool::Choose(const Resources& need, TimePoint now) {
+LeasedTarget* ServicePool::Choose(const PlacementRule& rule, const PartTask& task, TimePoint now) {
   // Best fit keeps whole targets free for tasks that need much.
   LeasedTarget* best = nullptr;
   base::MilliCores best_free;
   for (auto& [id, target] : this->targets) {
     const Resources free = target.Free();
-    if (free.Fits(need) && this->CanStart(target, now) &&
-        (best == nullptr || free.processors < best_free)) {
+    if (free.Fits(task.need) && this->CanStart(target, now) &&
+        (best == nullptr || free.processors < best_free) && target.Allows(rule, task.name)) {
       best = &target;
       best_free = free.processors;
     }
@@ -194,25 +194,35 @@
       ++next;
       continue;
     }
-    std::vector<size_t> held;
-    while (!placed.waiting.empty()) {
-      const size_t task = placed.waiting.back();
-      if (this->present.count(placed.part.tasks[task].name) > 0) {
-        held.push_back(task);
-        placed.waiting.pop_back();
-        continue;
-      }
-      LeasedTarget* target = this->Choose(placed.part.tasks[task].need, now);
-      if (target == nullptr) {
-        placed.waiting.insert(placed.waiting.end(), held.begin(), held.end());
-        return;
-      }
+    const bool is_placed = this->StartWaiting(placed, now, effects);
+    if (!is_placed && !placed.part.rule.IsSet()) {
+      // Parts behind this one must not take the room that it waits for.
+      return;
+    }
+    next = placed.waiting.empty() ? this->queue.erase(next) : std::next(next);
+  }
+}
+
+bool ServicePool::StartWaiting(PlacedPart& placed, TimePoint now, PoolEffects& effects) {
+  std::vector<size_t> held;
+  bool has_room = true;
+  while (has_room && !placed.waiting.empty()) {
+    const size_t task = placed.waiting.back();
+    const PartTask& wanted = placed.part.tasks[task];
+    if (this->present.count(wanted.name) > 0) {
+      held.push_back(task);
+      placed.waiting.pop_back();
+      continue;
+    }
+    LeasedTarget* target = this->Choose(placed.part.rule, wanted, now);
+    has_room = target != nullptr;
+    if (has_room) {
       placed.waiting.pop_back();
       this->StartTask(placed, task, *target, now, effects);
     }
-    placed.waiting = std::move(held);
-    next = placed.waiting.empty() ? this->queue.erase(next) : std::next(next);
   }
+  placed.waiting.insert(placed.waiting.end(), held.begin(), held.end());
+  return has_room;
 }
 
 void ServicePool::StartTask(PlacedPart& placed, size_t task, LeasedTarget& target, TimePoint now,
--- a/src/runs/target_report.h
+++ b/src/runs/target_report.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <vector>
+
 #include "base/ids.h"
 #include "base/resources.h"
 #include "base/time.h"
@@ -13,6 +15,7 @@
   base::NetworkAddress address;
   base::DataCentreId data_centre;
   base::RackId rack;
+  std::vector<base::LabelId> labels;
   /// Start of this life of the target; a target may start again under its id.
   base::Incarnation born;
   /// Rises with each report of one life.
--- a/src/runs/task_part.h
+++ b/src/runs/task_part.h
@@ -6,6 +6,7 @@
 #include "base/time.h"
 #include "runs/part_key.h"
 #include "runs/part_task.h"
+#include "runs/placement_rule.h"
 
 namespace sapphirecrank::runs {
 
@@ -21,7 +22,9 @@
   base::AttemptCount attempts{1};
   /// Handed to each task.
   std::string payload;
+  /// Tasks of one step.
   std::vector<PartTask> tasks;
+  PlacementRule rule;
   /// A part that has not begun after this long is refused.
   base::Duration wait_limit{0};
   /// Everything is stopped after this long.
--- a/src/stored/job_runner.cc
+++ b/src/stored/job_runner.cc
@@ -252,6 +252,13 @@
         }
         return Judgement::kNoted;
       }
+      if (stored->job.steps[step].is_lasting) {
+        if (!is_outdated) {
+          task.part = PartNumber();
+          task.not_before = this->hooks.now() + kPlaceAgain;
+        }
+        return Judgement::kNoted;
+      }
       if (HasEnded(known, notice.key.run)) {
         return Judgement::kNoted;
       }
@@ -294,6 +301,7 @@
   part.service = job.service;
   part.priority = job.priority;
   part.payload = job.payload;
+  part.rule = job.steps[step.value()].rule;
   part.wait_limit = kPlaceWait;
   part.time_left = kUnlimited;
   part.is_stored = true;
--- a/tests/protocol/message_codec_test.cc
+++ b/tests/protocol/message_codec_test.cc
@@ -120,6 +120,7 @@
   part.time_left = std::chrono::milliseconds(1500);
   part.is_stored = true;
   part.first_run = base::RunNumber(65);
+  part.rule = {base::LabelId("b"), base::TaskCount(2)};
   part.tasks = {{{part.key.job, base::OccurrenceNumber(1), base::StepIndex(2), base::TaskIndex(5)},
                  {base::MilliCores(6800), base::ByteCount(64), base::AcceleratorCount(1)}}};
   const auto decoded =
@@ -132,6 +133,8 @@
   CHECK(copy.wait_limit == part.wait_limit);
   CHECK(copy.is_stored);
   CHECK(copy.first_run == part.first_run);
+  CHECK(copy.rule.label == part.rule.label);
+  CHECK(copy.rule.most_per_target == part.rule.most_per_target);
   CHECK(copy.time_left == part.time_left);
   CHECK(copy.tasks[0].name == part.tasks[0].name);
   CHECK(copy.tasks[0].need == part.tasks[0].need);
--- a/tests/runs/service_pool_test.cc
+++ b/tests/runs/service_pool_test.cc
@@ -736,3 +736,39 @@
   LONGS_EQUAL(1, adopted.notices.size());
   CHECK(adopted.notices[0].kind == runs::RunNotice::Kind::kReturned);
 }
+
+// Guards against a task on a target without the label that it requires, and against one such task
+// that keeps all others waiting.
+TEST(ServicePool, StartsTasksOnTargetsWithTheirLabelOnly) {
+  this->Adopt(this->target);
+  runs::TaskPart part = this->Part("job", 1);
+  part.rule.label = base::LabelId("b");
+  this->Place(part);
+  this->Place(this->Part("other", 1));
+  const PoolEffects first = this->Take();
+  LONGS_EQUAL(1, first.starts.size());
+  CHECK(first.starts[0].key.task.job == base::SubmissionId("other"));
+  runs::TargetReport report = this->target.Report(this->now);
+  report.labels = {base::LabelId("a"), base::LabelId("b")};
+  this->pool.OnReport(report, this->token, this->now, this->effects);
+  const PoolEffects second = this->Take();
+  LONGS_EQUAL(1, second.starts.size());
+  CHECK(second.starts[0].key.task.job == base::SubmissionId("job"));
+}
+
+// Guards against more tasks of a step on one target than the step allows, also while one of them is
+// being stopped.
+TEST(ServicePool, KeepsTasksOfAStepApart) {
+  this->Adopt(this->target);
+  runs::TaskPart part = this->Part("job", 2);
+  part.rule.most_per_target = base::TaskCount(1);
+  this->Place(part);
+  const PoolEffects first = this->Take();
+  LONGS_EQUAL(1, first.starts.size());
+  testing::SimulatedTarget second_target("t2", Cores(16),
+                                         base::TimePoint{std::chrono::seconds(90)});
+  this->Adopt(second_target);
+  const PoolEffects second = this->Take();
+  LONGS_EQUAL(1, second.starts.size());
+  CHECK(second.starts[0].target.id == base::TargetId("t2"));
+}
