--- a/scripts/check_includes.py
+++ b/scripts/check_includes.py
@@ -12,7 +12,7 @@
 
 DECISION_PACKAGES = {
     "base", "scheduling", "limits", "targets", "jobs", "dispatch", "consensus", "membership", "runs",
-    "gateway", "cluster"}
+    "gateway", "cluster", "stored"}
 FORBIDDEN = re.compile(
     r'#include\s+["<]((protocol|frontend|outbound|peers|entryhost|clusterhost)/|nlohmann|websocketpp|asio|boost/asio|'
     r"curl/|microhttpd|sys/socket|netinet|arpa/|valijson|prometheus)")
