--- a/src/clusterhost/allocator_host.cc
+++ b/src/clusterhost/allocator_host.cc
@@ -22,7 +22,6 @@
 namespace {
 
 constexpr base::Duration kGroupTick = std::chrono::milliseconds(25);
-constexpr base::Duration kKeeperTick = std::chrono::milliseconds(25);
 constexpr base::Duration kPoolTick = std::chrono::milliseconds(20);
 constexpr base::Duration kRoomInterval = std::chrono::milliseconds(50);
 // Targets come and go within seconds; a list that is a little old is good enough.
@@ -202,8 +201,8 @@
       this->pool.OnGatewayAlive(this->self, this->now());
     }
     this->pool.Tick();
+    this->keeper.Tick();
   });
-  this->timers->RunEvery(kKeeperTick, [this] { this->keeper.Tick(); });
   this->timers->RunEvery(kRoomInterval, [this] { this->ReportRoom(); });
   this->timers->RunEvery(kSaveInterval,
                          [this] { this->file_thread->Run(0, [this] { this->SaveTargets(); }); });
