--- /dev/null
+++ b/tests/clusterhost/job_keeper_test.cc
@@ -0,0 +1,156 @@
+#include "clusterhost/job_keeper.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/manual_clock.h"
+#include "observability/logger.h"
+#include "stored/job_command.h"
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+using clusterhost::JobKeeper;
+using clusterhost::PutOutcome;
+using std::chrono::milliseconds;
+using stored::JobCommand;
+using stored::JobReply;
+using stored::JobRequest;
+
+TEST_GROUP(JobKeeper) {
+  base::ManualClock clock;
+  observability::Logger logger{observability::LogLevel::kError,
+                               observability::Logger::StandardOutput()};
+  std::string leader = "self";
+  std::vector<std::pair<base::HostId, protocol::Message>> sent;
+  std::vector<std::pair<std::string, std::function<void(PutOutcome)>>> changes;
+  std::vector<runs::TaskPart> placed;
+  JobKeeper keeper{{base::HostId("self"), base::DataCentreId("x"), std::chrono::seconds(10)},
+                   this->Hooks(),
+                   this->logger};
+
+  JobKeeper::Hooks Hooks() {
+    JobKeeper::Hooks hooks;
+    hooks.now = this->clock.Hook();
+    hooks.leader = [this] { return base::HostId(this->leader); };
+    hooks.send = [this](const base::HostId& host, protocol::Message message) {
+      this->sent.emplace_back(host, std::move(message));
+      return true;
+    };
+    hooks.change_jobs = [this](std::string change, std::function<void(PutOutcome)> on_put) {
+      this->changes.emplace_back(std::move(change), std::move(on_put));
+    };
+    hooks.place_here = [this](const runs::TaskPart& part) { this->placed.push_back(part); };
+    hooks.cancel_here = [](const base::SubmissionId& /*job*/) {};
+    hooks.on_answers_here = [](const runs::NoticeAnswers& /*answers*/) {};
+    return hooks;
+  }
+
+  /// Lets time pass on the host that leads.
+  void Lead(int count) {
+    for (int passed = 0; passed < count; passed += 100) {
+      this->clock.Advance(milliseconds(100));
+      this->keeper.OnLease(base::Term(1));
+      this->keeper.Tick();
+    }
+  }
+
+  void Ask(JobRequest::Kind kind, size_t payload = 10) {
+    gateway::Job job;
+    job.id = base::SubmissionId("job");
+    job.service = base::ServiceId("s");
+    job.payload = std::string(payload, 'x');
+    gateway::JobStep step;
+    step.count = base::TaskCount(1);
+    job.steps = {step};
+    JobRequest request;
+    request.number = base::JobRequestNumber(1);
+    request.kind = kind;
+    request.id = job.id;
+    if (kind == JobRequest::Kind::kSubmit) {
+      request.command = JobCommand{JobCommand::Submit{job}}.Encode();
+    }
+    this->keeper.OnMessage(base::HostId("gateway"), request);
+  }
+
+  /// Has the group agree on what was proposed last.
+  void Commit() {
+    const auto change = std::move(this->changes.back());
+    this->changes.pop_back();
+    this->keeper.jobs().Apply(change.first);
+    change.second(PutOutcome::kAcknowledged);
+  }
+
+  JobReply LastReply() { return std::get<JobReply>(this->sent.back().second); }
+};
+
+// Guards against a job that is accepted before the group has agreed on it.
+TEST(JobKeeper, AcceptsAJobOnceItIsAgreedOn) {
+  this->Lead(100);
+  this->Ask(JobRequest::Kind::kSubmit);
+  LONGS_EQUAL(0, this->sent.size());
+  this->Commit();
+  CHECK(this->LastReply().outcome == JobReply::Outcome::kDone);
+  // The same id again is the same job.
+  this->Ask(JobRequest::Kind::kSubmit);
+  LONGS_EQUAL(0, this->changes.size());
+  CHECK(this->LastReply().outcome == JobReply::Outcome::kDone);
+}
+
+// Guards against a refusal of a job that may be agreed on later.
+TEST(JobKeeper, IsUncertainOfAJobThatIsNotAgreedOnInTime) {
+  this->Lead(100);
+  this->Ask(JobRequest::Kind::kSubmit);
+  this->changes.back().second(PutOutcome::kUnknown);
+  CHECK(this->LastReply().outcome == JobReply::Outcome::kUncertain);
+}
+
+// Guards against answers from a host whose records may be old.
+TEST(JobKeeper, NamesTheLeaderIfItDoesNotLead) {
+  this->leader = "other";
+  this->Ask(JobRequest::Kind::kQuery);
+  CHECK(this->LastReply().outcome == JobReply::Outcome::kOtherLeader);
+  CHECK(this->LastReply().leader == base::HostId("other"));
+}
+
+// Guards against payloads that fill the memory of all allocators.
+TEST(JobKeeper, RefusesJobsBeyondItsMemory) {
+  this->Lead(100);
+  this->Ask(JobRequest::Kind::kSubmit, 24U << 20U);
+  this->Commit();
+  JobRequest request;
+  request.kind = JobRequest::Kind::kSubmit;
+  request.id = base::SubmissionId("next");
+  gateway::Job job;
+  job.id = request.id;
+  request.command = JobCommand{JobCommand::Submit{job}}.Encode();
+  this->keeper.OnMessage(base::HostId("gateway"), request);
+  LONGS_EQUAL(0, this->changes.size());
+  CHECK(this->LastReply().outcome == JobReply::Outcome::kRefused);
+}
+
+// Guards against an end that an allocator acknowledges to its target before it is agreed on.
+TEST(JobKeeper, AnswersNoticesOfEndsOnceTheyAreAgreedOn) {
+  this->Lead(3000);
+  runs::RoomReport room;
+  room.services.push_back(
+      {base::ServiceId("s"), base::TaskCount(5), base::TaskCount(5), base::TaskCount(0)});
+  this->keeper.OnRoom(base::HostId("self"), room);
+  this->Ask(JobRequest::Kind::kSubmit);
+  this->Commit();
+  LONGS_EQUAL(1, this->placed.size());
+  runs::RunNotice notice;
+  notice.key = {this->placed[0].tasks[0].name, this->placed[0].first_run};
+  notice.kind = runs::RunNotice::Kind::kDone;
+  this->sent.clear();
+  this->keeper.OnMessage(base::HostId("allocator"), runs::RunNotices{{notice}});
+  LONGS_EQUAL(0, this->sent.size());
+  this->Commit();
+  LONGS_EQUAL(1, this->sent.size());
+  CHECK(this->sent[0].first == base::HostId("allocator"));
+  LONGS_EQUAL(1, std::get<runs::NoticeAnswers>(this->sent[0].second).noted.size());
+  this->Ask(JobRequest::Kind::kQuery);
+  CHECK(this->LastReply().state == stored::JobState::kCompleted);
+}
--- /dev/null
+++ b/tests/clusterhost/notice_sender_test.cc
@@ -0,0 +1,56 @@
+#include "clusterhost/notice_sender.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <vector>
+
+#include "base/manual_clock.h"
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+
+TEST_GROUP(NoticeSender) {
+  base::ManualClock clock;
+  std::vector<runs::RunNotices> sent;
+  clusterhost::NoticeSender sender{{this->clock.Hook(), [this](const runs::RunNotices& message) {
+                                      this->sent.push_back(message);
+                                    }}};
+
+  static runs::RunNotice Notice(uint32_t run) {
+    runs::RunNotice notice;
+    notice.key.run = base::RunNumber(run);
+    return notice;
+  }
+};
+
+// Guards against an end that is never acknowledged because its notice was lost with a leader.
+TEST(NoticeSender, RepeatsNoticesUntilTheyAreAnswered) {
+  this->sender.Add({Notice(1), Notice(2)});
+  LONGS_EQUAL(1, this->sent.size());
+  LONGS_EQUAL(2, this->sent[0].notices.size());
+  this->sender.Tick();
+  LONGS_EQUAL(1, this->sent.size());
+  this->sender.OnAnswers({{Notice(1)}, {}});
+  this->clock.Advance(milliseconds(200));
+  this->sender.Tick();
+  LONGS_EQUAL(2, this->sent.size());
+  LONGS_EQUAL(1, this->sent[1].notices.size());
+  this->sender.OnAnswers({{}, {Notice(2)}});
+  this->clock.Advance(milliseconds(200));
+  this->sender.Tick();
+  LONGS_EQUAL(2, this->sent.size());
+}
+
+// Guards against a message beyond the limit of links after an hour without a leader.
+TEST(NoticeSender, DividesManyNotices) {
+  std::vector<runs::RunNotice> many;
+  for (uint32_t i = 0; i < 1200; ++i) {
+    many.push_back(Notice(i));
+  }
+  this->sender.Add(many);
+  this->sender.Tick();
+  this->sender.Tick();
+  LONGS_EQUAL(3, this->sent.size());
+  LONGS_EQUAL(500, this->sent[0].notices.size());
+  LONGS_EQUAL(200, this->sent[2].notices.size());
+}
