--- a/src/stored/job_runner.cc
+++ b/src/stored/job_runner.cc
@@ -99,12 +99,12 @@
   }
   std::set<std::pair<HostId, SubmissionId>> placed;
   this->shards.ForEach([&placed](Shard& shard) {
-    for (const auto& [id, entry] : shard) {
+    for (const auto& [id, entry] : shard.jobs) {
       for (const auto& [part, host] : entry.parts) {
         placed.emplace(host, id);
       }
     }
-    shard.clear();
+    shard = Shard();
   });
   for (const auto& [host, id] : placed) {
     this->hooks.cancel(host, id);
@@ -127,10 +127,11 @@
   std::set<HostId> hosts;
   this->stored_jobs.With(id, [&](const StoredJob* stored) {
     if (stored == nullptr) {
-      shard.erase(id);
+      shard.jobs.erase(id);
+      shard.waiting.erase(id);
       return;
     }
-    auto [found, is_new] = shard.try_emplace(id);
+    auto [found, is_new] = shard.jobs.try_emplace(id);
     Entry& entry = found->second;
     if (is_new) {
       entry.priority = stored->job.priority;
@@ -153,9 +154,14 @@
         }
       }
     }
-    if (stored->phase == StoredJob::Phase::kOpen || entry.ended_at) {
+    if (stored->phase == StoredJob::Phase::kOpen) {
+      shard.waiting.insert(id);
       return;
     }
+    if (entry.ended_at) {
+      return;
+    }
+    shard.waiting.erase(id);
     entry.ended_at = this->hooks.now();
     for (const auto& [part, host] : entry.parts) {
       hosts.insert(host);
@@ -194,8 +200,8 @@
 void JobRunner::OnPartEnd(const HostId& allocator, const runs::PartEnd& end) {
   const SubmissionId& id = end.key.job;
   this->shards.With(id, [&](Shard& shard) {
-    auto found = shard.find(id);
-    if (found == shard.end()) {
+    auto found = shard.jobs.find(id);
+    if (found == shard.jobs.end()) {
       return;
     }
     auto part = found->second.parts.find(end.key.part);
@@ -205,13 +211,14 @@
     // Notices of the ends of its runs may come later, but for a part that has begun no run.
     const Duration delay = end.kind == runs::PartEnd::Kind::kNotRun ? kPlaceAgain : kLostDelay;
     Release(found->second, end.key.part, this->hooks.now() + delay);
+    shard.waiting.insert(id);
   });
 }
 
 void JobRunner::OnAllocatorLost(const HostId& allocator) {
   const TimePoint not_before = this->hooks.now() + kLostDelay;
   this->shards.ForEach([&](Shard& shard) {
-    for (auto& [id, entry] : shard) {
+    for (auto& [id, entry] : shard.jobs) {
       std::vector<PartNumber> lost;
       for (const auto& [part, host] : entry.parts) {
         if (host == allocator) {
@@ -220,6 +227,7 @@
       }
       for (const PartNumber part : lost) {
         Release(entry, part, not_before);
+        shard.waiting.insert(id);
       }
     }
   });
@@ -232,9 +240,9 @@
     return this->stored_jobs.With(id, [&](const StoredJob* stored) {
       const size_t step = notice.key.task.step.value();
       const size_t index = notice.key.task.index.value();
-      auto found = shard.find(id);
+      auto found = shard.jobs.find(id);
       if (stored == nullptr || step >= stored->steps.size() ||
-          index >= stored->steps[step].size() || found == shard.end()) {
+          index >= stored->steps[step].size() || found == shard.jobs.end()) {
         return Judgement::kNoted;
       }
       Entry& entry = found->second;
@@ -249,6 +257,7 @@
         if (!is_outdated && !task.ending_run) {
           task.part = PartNumber();
           task.not_before = this->hooks.now() + kLostDelay;
+          shard.waiting.insert(id);
         }
         return Judgement::kNoted;
       }
@@ -256,6 +265,7 @@
         if (!is_outdated) {
           task.part = PartNumber();
           task.not_before = this->hooks.now() + kPlaceAgain;
+          shard.waiting.insert(id);
         }
         return Judgement::kNoted;
       }
@@ -275,14 +285,19 @@
 }
 
 std::optional<JobRunner::Placement> JobRunner::PlaceStep(Entry& entry, const StoredJob& stored,
-                                                         StepIndex step) {
+                                                         StepIndex step, bool& has_more) {
   const TimePoint now = this->hooks.now();
   std::vector<Task>& tasks = entry.steps[step.value()];
   std::vector<size_t> wanted;
   for (size_t i = 0; i < tasks.size(); ++i) {
-    if (!stored.steps[step.value()][i].done_by && tasks[i].part == PartNumber() &&
-        !tasks[i].ending_run && now >= tasks[i].not_before) {
+    if (stored.steps[step.value()][i].done_by || tasks[i].part != PartNumber() ||
+        tasks[i].ending_run) {
+      continue;
+    }
+    if (now >= tasks[i].not_before) {
       wanted.push_back(i);
+    } else {
+      has_more = true;
     }
   }
   if (wanted.empty()) {
@@ -292,6 +307,7 @@
   const auto allocator =
       this->hooks.choose(job.service, base::TaskCount(static_cast<int64_t>(wanted.size())));
   if (!allocator) {
+    has_more = true;
     return std::nullopt;
   }
   entry.last_part = entry.last_part.Next();
@@ -319,10 +335,12 @@
 std::vector<JobRunner::Placement> JobRunner::PlaceReady(const SubmissionId& id) {
   std::vector<Placement> placements;
   this->shards.With(id, [&](Shard& shard) {
-    auto found = shard.find(id);
-    if (found == shard.end() || found->second.ended_at) {
+    auto found = shard.jobs.find(id);
+    if (found == shard.jobs.end() || found->second.ended_at) {
+      shard.waiting.erase(id);
       return;
     }
+    bool has_more = false;
     this->stored_jobs.With(id, [&](const StoredJob* stored) {
       if (stored == nullptr || stored->phase != StoredJob::Phase::kOpen) {
         return;
@@ -335,12 +353,15 @@
         if (!is_ready) {
           continue;
         }
-        auto placement = this->PlaceStep(found->second, *stored, StepIndex(i));
+        auto placement = this->PlaceStep(found->second, *stored, StepIndex(i), has_more);
         if (placement) {
           placements.push_back(std::move(*placement));
         }
       }
     });
+    if (!has_more) {
+      shard.waiting.erase(id);
+    }
   });
   return placements;
 }
@@ -366,16 +387,15 @@
   if (!this->MayPlace()) {
     return;
   }
-  std::vector<std::tuple<base::Priority, uint64_t, SubmissionId>> open;
-  this->shards.ForEach([&open](Shard& shard) {
-    for (const auto& [id, entry] : shard) {
-      if (!entry.ended_at) {
-        open.emplace_back(entry.priority, entry.arrival, id);
-      }
+  std::vector<std::tuple<base::Priority, uint64_t, SubmissionId>> waiting;
+  this->shards.ForEach([&waiting](Shard& shard) {
+    for (const SubmissionId& id : shard.waiting) {
+      const Entry& entry = shard.jobs.at(id);
+      waiting.emplace_back(entry.priority, entry.arrival, id);
     }
   });
-  std::sort(open.begin(), open.end());
-  for (const auto& [priority, arrival, id] : open) {
+  std::sort(waiting.begin(), waiting.end());
+  for (const auto& [priority, arrival, id] : waiting) {
     this->Place(id);
   }
 }
@@ -391,7 +411,7 @@
   }
   std::vector<SubmissionId> old;
   this->shards.ForEach([&](Shard& shard) {
-    for (const auto& [id, entry] : shard) {
+    for (const auto& [id, entry] : shard.jobs) {
       if (entry.ended_at && now - *entry.ended_at >= this->settings.retention &&
           old.size() < kMostForgotten) {
         old.push_back(id);
@@ -411,8 +431,8 @@
 
 JobState JobRunner::StateOf(const SubmissionId& id) {
   return this->shards.With(id, [&](Shard& shard) {
-    auto found = shard.find(id);
-    const bool has_begun = found != shard.end() && found->second.has_begun;
+    auto found = shard.jobs.find(id);
+    const bool has_begun = found != shard.jobs.end() && found->second.has_begun;
     return this->stored_jobs.With(id, [has_begun](const StoredJob* stored) {
       if (stored == nullptr) {
         return JobState::kUnknown;
@@ -435,7 +455,7 @@
 size_t JobRunner::PendingIn(const base::QueueId& queue) {
   size_t pending = 0;
   this->shards.ForEach([&](Shard& shard) {
-    for (const auto& [id, entry] : shard) {
+    for (const auto& [id, entry] : shard.jobs) {
       if (entry.queue == queue && !entry.ended_at && !entry.has_begun) {
         ++pending;
       }
--- a/src/stored/job_runner.h
+++ b/src/stored/job_runner.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -113,15 +114,21 @@
     base::HostId allocator;
     runs::TaskPart part;
   };
-  using Shard = std::map<base::SubmissionId, Entry>;
+  struct Shard {
+    std::map<base::SubmissionId, Entry> jobs;
+    /// Jobs that may have tasks to place, so that the others cost nothing while they are kept.
+    std::set<base::SubmissionId> waiting;
+  };
 
   void StartLeading(base::Term term);
   void StopLeading();
   void CheckLease();
   /// Brings the entry of a job in line with its record; returns the allocators to cancel it at.
   std::vector<base::HostId> Update(Shard& shard, const base::SubmissionId& id);
-  /// Returns the part for what can be placed of a step, if anything can.
-  std::optional<Placement> PlaceStep(Entry& entry, const StoredJob& stored, base::StepIndex step);
+  /// Returns the part for what can be placed of a step, if anything can. `has_more` is set if some
+  /// tasks have to wait.
+  std::optional<Placement> PlaceStep(Entry& entry, const StoredJob& stored, base::StepIndex step,
+                                     bool& has_more);
   std::vector<Placement> PlaceReady(const base::SubmissionId& id);
   bool MayPlace();
   void Place(const base::SubmissionId& id);
