--- a/src/stored/job_runner.h
+++ b/src/stored/job_runner.h
@@ -24,13 +24,14 @@
 ///
 /// What is placed is known in memory only. A new leader waits until no run of the former one can be
 /// present; a host that loses its lease stops what it has placed. Thread safety: all methods may be
-/// called from any thread; state is in shards by job. Hooks run without a lock.
+/// called from any thread; state is in shards by job.
 class JobRunner {
  public:
   /// Behaviour handed in; all members must be set.
   struct Hooks {
     base::Clock now;
-    /// Picks the allocator for some tasks of a service, if there is one.
+    /// Picks the allocator for some tasks of a service, if there is one. Runs under a shard's lock
+    /// and must not wait; the other hooks run without one.
     std::function<std::optional<base::HostId>(const base::ServiceId&, base::TaskCount)> choose;
     /// Sends a part to an allocator; false means that it was surely not sent.
     std::function<bool(const base::HostId&, const runs::TaskPart&)> place;
