clusterhost: Stop the group's thread without dropping its pointer

Cause: since messages share a write, functions of the group's thread queue further ones, and read the pointer to their pool while Stop reset it. WorkerPool has a Stop of its own now, and the group keeps its pool.

--- a/src/base/worker_pool.cc
+++ b/src/base/worker_pool.cc
@@ -17,7 +17,9 @@
   }
 }
 
-WorkerPool::~WorkerPool() {
+WorkerPool::~WorkerPool() { this->Stop(); }
+
+void WorkerPool::Stop() {
   for (const auto& lane : this->lanes) {
     {
       std::lock_guard<std::mutex> lock(lane->mutex);
@@ -26,7 +28,9 @@
     lane->changed.notify_one();
   }
   for (const auto& lane : this->lanes) {
-    lane->thread.join();
+    if (lane->thread.joinable()) {
+      lane->thread.join();
+    }
   }
 }
 
--- a/src/base/worker_pool.h
+++ b/src/base/worker_pool.h
@@ -14,8 +14,8 @@
 
 /// Runs functions on a fixed number of threads; functions with the same key run in order.
 ///
-/// Thread safety: `Run` may be called from any thread, also from a function of the pool. The
-/// destructor must not run on a thread of the pool.
+/// Thread safety: `Run` may be called from any thread, also from a function of the pool. `Stop` and
+/// the destructor must not run on a thread of the pool, nor at the same time.
 class WorkerPool {
  public:
   using Function = std::function<void()>;
@@ -23,7 +23,7 @@
   /// Starts `count` threads called `name`. Precondition: `count` > 0.
   WorkerPool(const std::string& name, size_t count);
 
-  /// Runs what is queued, then joins the threads.
+  /// Stops as `Stop` does.
   ~WorkerPool();
 
   WorkerPool(const WorkerPool&) = delete;
@@ -32,6 +32,9 @@
   /// Queues `function`. Functions with equal `key` run one after the other in order of arrival.
   void Run(size_t key, Function function);
 
+  /// Runs what is queued, then joins the threads. What is queued later is never run.
+  void Stop();
+
  private:
   struct Lane {
     std::mutex mutex;
--- a/src/clusterhost/cluster_group.cc
+++ b/src/clusterhost/cluster_group.cc
@@ -44,7 +44,7 @@
       hooks(std::move(hooks)),
       planner(this->settings.voters, this->settings.replace_after),
       incarnation(this->settings.incarnation),
-      thread(std::make_unique<base::WorkerPool>("cluster-group", 1)) {}
+      thread("cluster-group", 1) {}
 
 ClusterGroup::~ClusterGroup() { this->Stop(); }
 
@@ -250,13 +250,9 @@
   });
 }
 
-void ClusterGroup::Stop() { this->thread.reset(); }
+void ClusterGroup::Stop() { this->thread.Stop(); }
 
-void ClusterGroup::Run(std::function<void()> function) {
-  if (this->thread != nullptr) {
-    this->thread->Run(0, std::move(function));
-  }
-}
+void ClusterGroup::Run(std::function<void()> function) { this->thread.Run(0, std::move(function)); }
 
 void ClusterGroup::Step() {
   this->node->Flush();
--- a/src/clusterhost/cluster_group.h
+++ b/src/clusterhost/cluster_group.h
@@ -153,7 +153,7 @@
   base::HostId leader;
   std::unique_ptr<consensus::RaftDisk> disk;
   std::unique_ptr<consensus::RaftNode> node;
-  std::unique_ptr<base::WorkerPool> thread;
+  base::WorkerPool thread;
 };
 
 }  // namespace sapphirecrank::clusterhost
--- a/tests/base/worker_pool_test.cc
+++ b/tests/base/worker_pool_test.cc
@@ -22,3 +22,18 @@
     LONGS_EQUAL(i, seen[i]);
   }
 }
+
+// Guards against a pool that its own functions can't use while it is stopped, and against functions
+// that run after that.
+TEST(WorkerPool, StopRunsWhatItsFunctionsQueueAndNothingLater) {
+  std::vector<int> seen;
+  WorkerPool pool("test", 1);
+  pool.Run(0, [&] {
+    seen.push_back(1);
+    pool.Run(0, [&seen] { seen.push_back(2); });
+  });
+  pool.Stop();
+  pool.Run(0, [&seen] { seen.push_back(3); });
+  pool.Stop();
+  LONGS_EQUAL(2, seen.size());
+}
