stored: Number parts on when a leader gets its lease back

Cause: a leader that stood still lost its lease and got it back in the same term. Parts were numbered from the start of the term again, and runs with them.

Parts now begin above all that this host has used.

--- a/src/stored/job_runner.cc
+++ b/src/stored/job_runner.cc
@@ -84,6 +84,9 @@
   {
     MutexLock lock(this->lead_mutex);
     this->term = current;
+    // A leader may lose its lease and get it back in the same term.
+    this->parts_begin = std::max(this->parts_begin,
+                                 PartNumber(static_cast<uint32_t>(current.value()) * kPartsOfTerm));
     this->place_from = this->hooks.now() + kTakeOverDelay;
   }
   std::vector<SubmissionId> ids;
@@ -98,14 +101,20 @@
     return;
   }
   std::set<std::pair<HostId, SubmissionId>> placed;
-  this->shards.ForEach([&placed](Shard& shard) {
+  PartNumber last_part;
+  this->shards.ForEach([&](Shard& shard) {
     for (const auto& [id, entry] : shard.jobs) {
+      last_part = std::max(last_part, entry.last_part);
       for (const auto& [part, host] : entry.parts) {
         placed.emplace(host, id);
       }
     }
     shard = Shard();
   });
+  {
+    MutexLock lock(this->lead_mutex);
+    this->parts_begin = std::max(this->parts_begin, last_part);
+  }
   for (const auto& [host, id] : placed) {
     this->hooks.cancel(host, id);
   }
@@ -137,12 +146,14 @@
       entry.priority = stored->job.priority;
       entry.queue = stored->job.queue;
       entry.arrival = this->next_arrival++;
-      MutexLock lock(this->lead_mutex);
-      entry.last_part = PartNumber(static_cast<uint32_t>(this->term.value()) * kPartsOfTerm);
       for (const auto& step : stored->steps) {
         entry.steps.emplace_back(step.size());
       }
     }
+    {
+      MutexLock lock(this->lead_mutex);
+      entry.last_part = std::max(entry.last_part, this->parts_begin);
+    }
     for (size_t step = 0; step < entry.steps.size(); ++step) {
       for (size_t i = 0; i < entry.steps[step].size(); ++i) {
         Task& task = entry.steps[step][i];
--- a/src/stored/job_runner.h
+++ b/src/stored/job_runner.h
@@ -145,6 +145,9 @@
   std::atomic<bool> is_leading{false};
   base::Mutex lead_mutex;
   base::Term term GUARDED_BY(lead_mutex);
+  /// All parts of this leadership have higher numbers, and all earlier ones of this host lower
+  /// ones.
+  base::PartNumber parts_begin GUARDED_BY(lead_mutex);
   base::TimePoint leads_until GUARDED_BY(lead_mutex);
   base::TimePoint place_from GUARDED_BY(lead_mutex);
   base::TimePoint next_forget GUARDED_BY(lead_mutex);
--- a/tests/stored/job_runner_test.cc
+++ b/tests/stored/job_runner_test.cc
@@ -121,6 +121,24 @@
   CHECK(again[0].second.first_run > base::RunNumber(4U << 16U));
 }
 
+// Guards against run numbers that a leader uses twice when it gets its lease back without an
+// election: the end of the second run passed for that of the first, and the task ran again (hunt of
+// a copy of satna-listky with stored jobs on gateway-standstill, TWICE, seed 74084029668).
+TEST(JobRunner, NumbersRunsOnAfterItsLeaseWasInterrupted) {
+  this->Lead();
+  this->Submit("job");
+  const auto first = this->Take();
+  this->clock.Advance(milliseconds(600));
+  this->runner.Tick();
+  CHECK_FALSE(this->runner.IsLeading());
+  this->Pass(3000);
+  const auto second = this->Take();
+  LONGS_EQUAL(1, second.size());
+  CHECK(second[0].second.first_run.value() >=
+        first[0].second.first_run.value() + runs::TaskPart::kMostRuns);
+  CHECK(second[0].second.key.part > first[0].second.key.part);
+}
+
 // Guards against tasks that are lost because their job came before any allocator had room.
 TEST(JobRunner, PlacesWhatWaitedForRoom) {
   this->Lead();
