runs: Return stored tasks that no target of the host can run

Cause: ExpireBatches applies the wait limit only to batches without a start.

Change: a waiting task of a stored batch is returned to the stored job manager once it has waited for the batch's wait limit, no run of it may be active, and no target of the host can start it even with free capacity. Tasks that only wait for capacity in use stay.

--- a/src/runs/placed_batch.h
+++ b/src/runs/placed_batch.h
@@ -19,6 +19,8 @@
     bool is_returned = false;
     /// The target that the task runs on; empty while the task waits.
     base::TargetId target;
+    /// When the task was last queued.
+    base::TimePoint queued_at;
   };
 
   TaskBatch batch;
--- a/src/runs/service_scheduler.cc
+++ b/src/runs/service_scheduler.cc
@@ -149,7 +149,7 @@
   }
   placed.batch = std::move(batch);
   for (size_t i = placed.tasks.size(); i > 0; --i) {
-    this->EnqueueTask(placed, i - 1);
+    this->EnqueueTask(placed, i - 1, now);
   }
   this->StartQueuedTasks(now, actions);
 }
@@ -278,8 +278,9 @@
   actions.start_requests.push_back(std::move(request));
 }
 
-void ServiceScheduler::EnqueueTask(PlacedBatch& placed, size_t task_position) {
+void ServiceScheduler::EnqueueTask(PlacedBatch& placed, size_t task_position, TimePoint now) {
   placed.tasks[task_position].target = TargetId();
+  placed.tasks[task_position].queued_at = now;
   placed.waiting_tasks.push_back(task_position);
   this->batch_queue.emplace(QueueKey(placed.batch.priority, placed.arrival_number),
                             placed.batch.key);
@@ -324,7 +325,7 @@
       key.run.value() + 1 >= batch.first_run_number.value() + TaskBatch::kMaximumRunsPerTask) {
     this->ReturnTask(target, key, run, now, actions);
   } else {
-    this->EnqueueTask(placed, run.task_position);
+    this->EnqueueTask(placed, run.task_position, now);
   }
 }
 
@@ -795,6 +796,47 @@
   this->batches.erase(batch_iterator);
 }
 
+bool ServiceScheduler::HasUsableTarget(const PlacementRule& rule, const BatchTask& task,
+                                       TimePoint now) const {
+  return std::any_of(this->targets.begin(), this->targets.end(), [&](const auto& entry) {
+    const LeasedTarget& target = entry.second;
+    return target.report.capacity.CanFit(task.required_resources) &&
+           this->CanStartRuns(target, now) && target.SatisfiesPlacementRule(rule, task.key);
+  });
+}
+
+void ServiceScheduler::ReturnTasksWithoutTarget(
+    std::map<BatchKey, PlacedBatch>::iterator batch_iterator, TimePoint now,
+    SchedulerActions& actions) {
+  PlacedBatch& placed = batch_iterator->second;
+  std::vector<size_t> returned_positions;
+  for (const size_t position : placed.waiting_tasks) {
+    const bool has_waited = now - placed.tasks[position].queued_at >= placed.batch.wait_limit;
+    if (has_waited && this->reserved_tasks.count(placed.batch.tasks[position].key) == 0) {
+      returned_positions.push_back(position);
+    }
+  }
+  // All tasks of a batch belong to one step and have the same requirements.
+  if (returned_positions.empty() ||
+      this->HasUsableTarget(placed.batch.placement_rule,
+                            placed.batch.tasks[returned_positions.front()], now)) {
+    return;
+  }
+  for (const size_t position : returned_positions) {
+    PlacedBatch::TaskState& task = placed.tasks[position];
+    placed.waiting_tasks.erase(
+        std::find(placed.waiting_tasks.begin(), placed.waiting_tasks.end(), position));
+    task.is_returned = true;
+    const RunKey key{placed.batch.tasks[position].key,
+                     std::max(task.last_run_number, placed.batch.first_run_number)};
+    actions.run_events.push_back({placed.batch.service, TargetId(), base::Incarnation(),
+                                  base::SequenceNumber(), key, RunEvent::Kind::kReturned});
+    actions.decisions.push_back(
+        {"task returned", key, {}, {}, "no target of this host can run the task"});
+    this->FinishTask(batch_iterator, now, actions);
+  }
+}
+
 void ServiceScheduler::ExpireBatches(TimePoint now, SchedulerActions& actions) {
   for (auto found = this->batches.begin(); found != this->batches.end();) {
     auto next = std::next(found);
@@ -806,6 +848,8 @@
     } else if (age >= placed.batch.time_left) {
       this->EndBatch(found, BatchResult::Outcome::kUnfinished, "the deadline has passed", now,
                      actions);
+    } else if (placed.batch.is_stored) {
+      this->ReturnTasksWithoutTarget(found, now, actions);
     }
     found = next;
   }
--- a/src/runs/service_scheduler.h
+++ b/src/runs/service_scheduler.h
@@ -99,7 +99,7 @@
   bool StartBatchTasks(PlacedBatch& placed, base::TimePoint now, SchedulerActions& actions);
   void StartTask(PlacedBatch& placed, size_t task_position, LeasedTarget& target,
                  base::TimePoint now, SchedulerActions& actions);
-  void EnqueueTask(PlacedBatch& placed, size_t task_position);
+  void EnqueueTask(PlacedBatch& placed, size_t task_position, base::TimePoint now);
   void StopRun(LeasedTarget& target, const RunKey& key, TargetRun& run, base::TimePoint now,
                SchedulerActions& actions);
   /// Removes a run, frees the resources that it used, and returns it.
@@ -144,6 +144,12 @@
   void EndBatch(std::map<BatchKey, PlacedBatch>::iterator batch_iterator,
                 std::optional<BatchResult::Outcome> outcome, const char* reason,
                 base::TimePoint now, SchedulerActions& actions);
+  /// Returns the waiting tasks of a stored batch to the stored job manager if they have waited for
+  /// `wait_limit` and no target that this host can use has the capacity for them, in use or not.
+  void ReturnTasksWithoutTarget(std::map<BatchKey, PlacedBatch>::iterator batch_iterator,
+                                base::TimePoint now, SchedulerActions& actions);
+  /// Returns whether a task of the batch could start on some target once its capacity is free.
+  bool HasUsableTarget(const PlacementRule& rule, const BatchTask& task, base::TimePoint now) const;
   /// Ends the batches whose `wait_limit` or `time_left` has passed.
   void ExpireBatches(base::TimePoint now, SchedulerActions& actions);
 
--- a/tests/runs/service_scheduler_test.cc
+++ b/tests/runs/service_scheduler_test.cc
@@ -830,3 +830,45 @@
   LONGS_EQUAL(1, second.start_requests.size());
   CHECK(second.start_requests[0].target.id == base::TargetId("t2"));
 }
+
+// Guards against a stored task that waits without limit on a host whose only target was lost,
+// although targets of other hosts could run it.
+TEST(ServiceScheduler, ReturnsAStoredTaskWhoseRunWasLostIfNoTargetCanRunIt) {
+  this->AdoptTarget(this->target);
+  this->PlaceBatch(this->MakeStoredBatch("job", 2));
+  const SchedulerActions started = this->TakeActions();
+  this->ExecuteRequests(started);
+  this->FinishRun(this->TakeActions(), started.start_requests[0].key,
+                  FinishedRun::Outcome::kSucceeded);
+  const SchedulerActions polled = this->TakeActions();
+  this->scheduler.OnPollResponse(polled.poll_requests.back(),
+                                 {TargetCallStatus::kIncarnationMismatch, {}}, this->now,
+                                 this->pending_actions);
+  this->now += milliseconds(99);
+  this->scheduler.Tick(this->now, this->pending_actions);
+  LONGS_EQUAL(0, this->TakeActions().run_events.size());
+  this->now += milliseconds(1);
+  this->scheduler.Tick(this->now, this->pending_actions);
+  const SchedulerActions returned = this->TakeActions();
+  LONGS_EQUAL(1, returned.run_events.size());
+  CHECK(returned.run_events[0].kind == runs::RunEvent::Kind::kReturned);
+  CHECK(returned.run_events[0].key == started.start_requests[1].key);
+  LONGS_EQUAL(1, returned.batch_results.size());
+  CHECK(returned.batch_results[0].outcome == BatchResult::Outcome::kUnfinished);
+  LONGS_EQUAL(0, this->scheduler.BatchCount());
+}
+
+// Guards against returning a stored task that only waits for capacity in use, which would delay it
+// by the time that the stored job manager waits after a lost run.
+TEST(ServiceScheduler, KeepsAStoredTaskThatWaitsForCapacityInUse) {
+  this->AdoptTarget(this->target);
+  this->PlaceBatch(this->MakeStoredBatch("job", 3));
+  const SchedulerActions started = this->TakeActions();
+  LONGS_EQUAL(2, started.start_requests.size());
+  this->ExecuteRequests(started);
+  this->TakeActions();
+  this->now += milliseconds(200);
+  this->scheduler.Tick(this->now, this->pending_actions);
+  LONGS_EQUAL(0, this->TakeActions().run_events.size());
+  LONGS_EQUAL(1, this->scheduler.BatchCount());
+}
