protocol: Refuse containers of impossible size instead of throwing

Cause: the base class of DepthLimitedJsonBuilder throws out_of_range.408 for an array or map head with a size above the container's maximum, also where exceptions are disabled. One malformed message from any sender that can connect ended the process; the message is decoded before the sender's hello is checked.

Change: sizes above the maximum message size abort parsing.

--- a/src/protocol/depth_limited_json_builder.h
+++ b/src/protocol/depth_limited_json_builder.h
@@ -3,12 +3,16 @@
 #include <cstddef>
 #include <nlohmann/json.hpp>
 
+#include "protocol/message_codec.h"
+
 namespace sapphirecrank::protocol {
 
-/// Builds a JSON document from parser events and aborts parsing at a maximum nesting depth.
+/// Builds a JSON document from parser events and aborts parsing at a maximum nesting depth, or at
+/// an array or object whose announced size is impossible.
 ///
 /// The CBOR parser recurses for each level. Without the limit, a message of a few megabytes of
-/// nested arrays from an untrusted sender would overflow the stack.
+/// nested arrays from an untrusted sender would overflow the stack. The base class throws an
+/// exception for a size above the maximum of its containers, also where exceptions are disabled.
 ///
 /// Thread safety: none; each thread uses its own object.
 class DepthLimitedJsonBuilder : public nlohmann::detail::json_sax_dom_parser<nlohmann::json> {
@@ -18,14 +22,26 @@
   /// Builds into `document`, which must outlive this object.
   explicit DepthLimitedJsonBuilder(nlohmann::json& document) : Base(document, false) {}
 
-  /// Parser event handlers. They return false beyond the maximum depth, which aborts parsing.
-  bool start_object(size_t size) { return this->EnterNesting() && Base::start_object(size); }
+  /// Parser event handlers. They return false beyond a limit, which aborts parsing.
+  bool start_object(size_t size) {
+    return IsPossibleSize(size) && this->EnterNesting() && Base::start_object(size);
+  }
   bool end_object() { return this->LeaveNesting() && Base::end_object(); }
-  bool start_array(size_t size) { return this->EnterNesting() && Base::start_array(size); }
+  bool start_array(size_t size) {
+    return IsPossibleSize(size) && this->EnterNesting() && Base::start_array(size);
+  }
   bool end_array() { return this->LeaveNesting() && Base::end_array(); }
 
  private:
   static constexpr size_t kMaximumNestingDepth = 16;
+  // Each element takes at least one byte of the message.
+  static constexpr auto kMaximumElementCount = static_cast<size_t>(kMaximumMessageSize.value());
+  // The parser's size of a container whose end is marked instead of its size.
+  static constexpr auto kUnknownSize = static_cast<size_t>(-1);
+
+  static bool IsPossibleSize(size_t size) {
+    return size <= kMaximumElementCount || size == kUnknownSize;
+  }
 
   bool EnterNesting() { return ++this->nesting_depth <= kMaximumNestingDepth; }
   bool LeaveNesting() {
