gateway: Request the configuration instead of receiving each copy

Cause: each allocator sent every committed version with its whole document to every gateway.

The protocol version is 5. A catalog can't be replaced by an older one any more.

--- a/src/clusterhost/allocator_host.cc
+++ b/src/clusterhost/allocator_host.cc
@@ -24,6 +24,8 @@
 constexpr base::Duration kGroupTickInterval = std::chrono::milliseconds(25);
 constexpr base::Duration kSchedulerTickInterval = std::chrono::milliseconds(20);
 constexpr base::Duration kCapacityReportInterval = std::chrono::milliseconds(50);
+// In a storm of configuration changes, one announcement covers several.
+constexpr base::Duration kAnnouncementInterval = std::chrono::milliseconds(50);
 // Targets come and go within seconds; the saved list may be slightly out of date.
 constexpr base::Duration kTargetSaveInterval = std::chrono::seconds(2);
 constexpr base::Duration kDrainPollInterval = std::chrono::milliseconds(20);
@@ -221,6 +223,7 @@
     this->job_manager.Tick();
   });
   this->timer_queue->RunEvery(kCapacityReportInterval, [this] { this->ReportCapacity(); });
+  this->timer_queue->RunEvery(kAnnouncementInterval, [this] { this->AnnounceStateIfChanged(); });
   this->timer_queue->RunEvery(kTargetSaveInterval, [this] {
     this->target_file_thread->Enqueue(0, [this] { this->SaveTargets(); });
   });
@@ -402,6 +405,7 @@
     is_new_view = new_view.epoch != this->view.epoch;
     this->configuration = record;
     this->view = new_view;
+    this->is_announcement_due = true;
     // A partitioned host is missing from the view for a while. It keeps using its targets: the
     // fencing tokens keep it away from targets that another host has adopted.
     is_member =
@@ -428,16 +432,35 @@
     this->logger.Info("configuration committed",
                       {{"version", std::to_string(record.version.value())}});
   }
+}
+
+void AllocatorHost::AnnounceStateIfChanged() {
+  {
+    MutexLock lock(this->state_mutex);
+    if (!std::exchange(this->is_announcement_due, false)) {
+      return;
+    }
+  }
   for (const HostId& host : this->network->ReachablePeers()) {
     this->SendClusterUpdate(host);
   }
 }
 
+void AllocatorHost::SendConfiguration(const HostId& host) {
+  cluster::ConfigurationResponse response;
+  {
+    MutexLock lock(this->state_mutex);
+    response.configuration = this->configuration;
+  }
+  // A gateway that is lost requests the configuration again once it is reachable.
+  (void)this->network->SendReliably(host, std::move(response));
+}
+
 void AllocatorHost::SendClusterUpdate(const HostId& host) {
   cluster::ClusterUpdate update;
   {
     MutexLock lock(this->state_mutex);
-    update.configuration = this->configuration;
+    update.configuration_version = this->configuration.version;
     update.view = this->view;
   }
   for (const ClusterView::Member& member : update.view.members) {
@@ -490,6 +513,8 @@
     }
   } else if (const auto* update = std::get_if<cluster::ClusterUpdate>(&message)) {
     this->AddSeeds(update->allocator_addresses);
+  } else if (std::holds_alternative<cluster::ConfigurationRequest>(message)) {
+    this->SendConfiguration(from);
   }
 }
 
--- a/src/clusterhost/allocator_host.h
+++ b/src/clusterhost/allocator_host.h
@@ -115,6 +115,9 @@
       REQUIRES(state_mutex);
   bool IsSelf(const cluster::ClusterView::Member& member) const;
   void SendClusterUpdate(const base::HostId& host);
+  void SendConfiguration(const base::HostId& host);
+  /// Sends a `ClusterUpdate` to all reachable hosts if the state has changed since the last one.
+  void AnnounceStateIfChanged();
   void ReportCapacity();
   void LoadTargets();
   void RemoveSilentTargets();
@@ -142,6 +145,7 @@
   std::set<base::HostId> leaving_hosts GUARDED_BY(state_mutex);
   std::map<base::TargetId, KnownTarget> targets GUARDED_BY(state_mutex);
   runs::CapacityReport last_capacity_report GUARDED_BY(state_mutex);
+  bool is_announcement_due GUARDED_BY(state_mutex) = false;
   /// This process is a member of `view`.
   bool is_in_view GUARDED_BY(state_mutex) = false;
   bool is_leaving GUARDED_BY(state_mutex) = false;
--- a/src/clusterhost/gateway_host.cc
+++ b/src/clusterhost/gateway_host.cc
@@ -56,6 +56,7 @@
       decode_catalog(std::move(decode_catalog)),
       now(base::SteadyClock()),
       logger(logger),
+      configuration_fetcher(this->ConfigurationFetcherHooks()),
       allocator_selector(this->settings.data_centre),
       dispatcher(HostId(this->settings.advertised_peer_address.value()),
                  this->JobDispatcherHooks()),
@@ -68,6 +69,15 @@
   this->network->Stop();
 }
 
+gateway::ConfigurationFetcher::Hooks GatewayHost::ConfigurationFetcherHooks() {
+  gateway::ConfigurationFetcher::Hooks hooks;
+  hooks.now = this->now;
+  hooks.request_configuration = [this](const HostId& host) {
+    return this->network->SendReliably(host, cluster::ConfigurationRequest());
+  };
+  return hooks;
+}
+
 gateway::JobDispatcher::Hooks GatewayHost::JobDispatcherHooks() {
   gateway::JobDispatcher::Hooks hooks;
   hooks.now = this->now;
@@ -129,6 +139,7 @@
   }
   this->timer_queue = std::make_unique<base::TimerQueue>("timers");
   this->timer_queue->RunEvery(kTickInterval, [this] {
+    this->configuration_fetcher.Tick();
     this->dispatcher.Tick();
     this->job_client.Tick();
   });
@@ -169,20 +180,27 @@
   } else if (const auto* response = std::get_if<stored::JobResponse>(&message)) {
     this->job_client.OnResponse(from, *response);
   } else if (const auto* update = std::get_if<cluster::ClusterUpdate>(&message)) {
-    this->OnClusterUpdate(*update);
+    this->OnClusterUpdate(from, *update);
+  } else if (const auto* configuration = std::get_if<cluster::ConfigurationResponse>(&message)) {
+    this->configuration_fetcher.OnResponse(from, configuration->configuration.version);
+    this->OnConfiguration(configuration->configuration);
   }
 }
 
-void GatewayHost::OnClusterUpdate(const cluster::ClusterUpdate& update) {
+void GatewayHost::OnClusterUpdate(const HostId& from, const cluster::ClusterUpdate& update) {
   this->AddSeeds(update.allocator_addresses);
+  this->configuration_fetcher.OnAnnouncement(
+      from, update.configuration_version,
+      this->network->PeerDataCentre(from) == this->settings.data_centre);
+}
+
+void GatewayHost::OnConfiguration(const cluster::ConfigurationRecord& configuration) {
   const auto current_catalog = this->CurrentCatalog();
-  const base::Version current_version =
-      current_catalog == nullptr ? base::Version() : current_catalog->version;
-  if (update.configuration.version <= current_version) {
+  if (current_catalog != nullptr && configuration.version <= current_catalog->version) {
     return;
   }
-  auto decoded = this->decode_catalog(update.configuration);
-  const std::string version = std::to_string(update.configuration.version.value());
+  auto decoded = this->decode_catalog(configuration);
+  const std::string version = std::to_string(configuration.version.value());
   if (!decoded) {
     this->logger.Error("configuration not applied: it can't be decoded",
                        {{"version", version}, {"reason", decoded.error().message}});
@@ -190,6 +208,9 @@
   }
   {
     MutexLock lock(this->catalog_mutex);
+    if (this->catalog != nullptr && this->catalog->version >= decoded->version) {
+      return;
+    }
     this->catalog = std::make_shared<const cluster::Catalog>(std::move(*decoded));
   }
   this->logger.Info("configuration applied", {{"version", version}});
@@ -197,6 +218,7 @@
 
 void GatewayHost::OnAllocatorLost(const HostId& host) {
   this->logger.Warning("allocator unreachable", {{"host", host.value()}});
+  this->configuration_fetcher.OnAllocatorLost(host);
   this->allocator_selector.OnAllocatorLost(host);
   this->dispatcher.OnAllocatorLost(host);
   this->job_client.OnAllocatorLost(host);
--- a/src/clusterhost/gateway_host.h
+++ b/src/clusterhost/gateway_host.h
@@ -11,8 +11,10 @@
 #include "base/timer_queue.h"
 #include "cluster/catalog.h"
 #include "cluster/cluster_update.h"
+#include "cluster/configuration_record.h"
 #include "clusterhost/cluster_host_settings.h"
 #include "gateway/allocator_selector.h"
+#include "gateway/configuration_fetcher.h"
 #include "gateway/job_dispatcher.h"
 #include "observability/request_metrics.h"
 #include "peers/peer_network.h"
@@ -70,9 +72,11 @@
 
  private:
   void OnMessage(const base::HostId& from, const protocol::Message& message);
-  void OnClusterUpdate(const cluster::ClusterUpdate& update);
+  void OnClusterUpdate(const base::HostId& from, const cluster::ClusterUpdate& update);
+  void OnConfiguration(const cluster::ConfigurationRecord& configuration);
   void OnAllocatorLost(const base::HostId& host);
   void OnJobEnd(const gateway::Job& job, const gateway::JobResult& result, base::Duration age);
+  gateway::ConfigurationFetcher::Hooks ConfigurationFetcherHooks();
   gateway::JobDispatcher::Hooks JobDispatcherHooks();
   stored::JobClient::Hooks JobClientHooks();
   peers::PeerNetwork::Hooks PeerHooks();
@@ -88,6 +92,7 @@
   // Queues aren't known at construction, as they come with the configuration. The metrics are
   // therefore separated by priority class only.
   observability::RequestMetrics metrics{std::vector<base::TeamId>()};
+  gateway::ConfigurationFetcher configuration_fetcher;
   gateway::AllocatorSelector allocator_selector;
   gateway::JobDispatcher dispatcher;
   stored::JobClient job_client;
--- a/src/protocol/cluster_codec.cc
+++ b/src/protocol/cluster_codec.cc
@@ -183,8 +183,7 @@
     allocators.push_back({{"address", ToJson(address)}});
   }
   return {{"type", kClusterUpdateType},
-          {"version", ToJson(message.configuration.version)},
-          {"document", BytesToJson(message.configuration.document)},
+          {"version", ToJson(message.configuration_version)},
           {"epoch", ToJson(message.view.epoch)},
           {"members", std::move(members)},
           {"allocators", std::move(allocators)}};
@@ -192,8 +191,7 @@
 
 Message DecodeClusterUpdate(FieldReader& reader) {
   cluster::ClusterUpdate message;
-  reader.Read("version", message.configuration.version);
-  message.configuration.document = reader.ReadBytes("document");
+  reader.Read("version", message.configuration_version);
   reader.Read("epoch", message.view.epoch);
   message.view.members =
       DecodeArray<cluster::ClusterView::Member>(reader, "members", [](FieldReader& item) {
@@ -212,6 +210,27 @@
   return message;
 }
 
+json EncodeMessage(const cluster::ConfigurationRequest& /*message*/) {
+  return {{"type", kConfigurationRequestType}};
+}
+
+Message DecodeConfigurationRequest(FieldReader& /*reader*/) {
+  return cluster::ConfigurationRequest();
+}
+
+json EncodeMessage(const cluster::ConfigurationResponse& message) {
+  return {{"type", kConfigurationResponseType},
+          {"version", ToJson(message.configuration.version)},
+          {"document", BytesToJson(message.configuration.document)}};
+}
+
+Message DecodeConfigurationResponse(FieldReader& reader) {
+  cluster::ConfigurationResponse message;
+  reader.Read("version", message.configuration.version);
+  message.configuration.document = reader.ReadBytes("document");
+  return message;
+}
+
 json EncodeMessage(const cluster::JoinRequest& message) {
   return {{"type", kJoinRequestType}, {"member", ToJson(message.member)}};
 }
--- a/src/protocol/cluster_codec.h
+++ b/src/protocol/cluster_codec.h
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 
 #include "cluster/cluster_update.h"
+#include "cluster/configuration_request.h"
+#include "cluster/configuration_response.h"
 #include "cluster/join_request.h"
 #include "protocol/field_reader.h"
 #include "protocol/message.h"
@@ -41,6 +43,14 @@
 nlohmann::json EncodeMessage(const cluster::ClusterUpdate& message);
 Message DecodeClusterUpdate(FieldReader& reader);
 
+constexpr const char* kConfigurationRequestType = "configuration_request";
+nlohmann::json EncodeMessage(const cluster::ConfigurationRequest& message);
+Message DecodeConfigurationRequest(FieldReader& reader);
+
+constexpr const char* kConfigurationResponseType = "configuration_response";
+nlohmann::json EncodeMessage(const cluster::ConfigurationResponse& message);
+Message DecodeConfigurationResponse(FieldReader& reader);
+
 constexpr const char* kJoinRequestType = "join_request";
 nlohmann::json EncodeMessage(const cluster::JoinRequest& message);
 Message DecodeJoinRequest(FieldReader& reader);
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -3,6 +3,8 @@
 #include <variant>
 
 #include "cluster/cluster_update.h"
+#include "cluster/configuration_request.h"
+#include "cluster/configuration_response.h"
 #include "cluster/join_request.h"
 #include "jobs/job_record.h"
 #include "jobs/record_ack.h"
@@ -36,7 +38,8 @@
                  ForwardAnnouncement, ConsensusMessage, jobs::JobRecord, jobs::RecordAck,
                  ForwardSubmission, SubmissionResponse, CancelSubmission, runs::TaskBatch,
                  runs::BatchResult, runs::BatchCancel, runs::CapacityReport, runs::TargetReport,
-                 cluster::ClusterUpdate, cluster::JoinRequest, runs::RunEvents,
+                 cluster::ClusterUpdate, cluster::ConfigurationRequest,
+                 cluster::ConfigurationResponse, cluster::JoinRequest, runs::RunEvents,
                  runs::RunEventAcknowledgements, stored::JobRequest, stored::JobResponse>;
 
 }  // namespace sapphirecrank::protocol
--- a/src/protocol/message_codec.cc
+++ b/src/protocol/message_codec.cc
@@ -255,6 +255,8 @@
     {kCapacityReportType, DecodeCapacityReport},
     {kTargetReportType, DecodeTargetReport},
     {kClusterUpdateType, DecodeClusterUpdate},
+    {kConfigurationRequestType, DecodeConfigurationRequest},
+    {kConfigurationResponseType, DecodeConfigurationResponse},
     {kJoinRequestType, DecodeJoinRequest},
     {kRunEventsType, DecodeRunEvents},
     {kRunEventAcknowledgementsType, DecodeRunEventAcknowledgements},
--- a/src/protocol/message_codec.h
+++ b/src/protocol/message_codec.h
@@ -14,7 +14,7 @@
 constexpr base::ByteCount kMaximumMessageSize{8LL * 1024 * 1024};
 
 /// Version of the encoding. Hosts with different versions refuse to connect to each other.
-constexpr uint32_t kProtocolVersion = 4;
+constexpr uint32_t kProtocolVersion = 5;
 
 /// Encodes an envelope as CBOR. Thread safety: pure.
 std::string EncodeEnvelope(const Envelope& envelope);
--- a/tests/protocol/message_codec_test.cc
+++ b/tests/protocol/message_codec_test.cc
@@ -82,6 +82,8 @@
           base::DataCentreId("d"), true, {runs::CapacityReport::ServiceCapacity{}}},
       runs::TargetReport{},
       cluster::ClusterUpdate{},
+      cluster::ConfigurationRequest{},
+      cluster::ConfigurationResponse{},
       cluster::JoinRequest{},
       runs::RunEvents{},
       runs::RunEventAcknowledgements{},
@@ -173,10 +175,21 @@
   CHECK(copy.acknowledged[0].kind == event.kind);
 }
 
-// Guards against a configuration or view that changes on its way to the gateways.
+// Guards against a configuration that changes on its way to the gateways.
+TEST(MessageCodec, ConfigurationsSurviveEncoding) {
+  const cluster::ConfigurationResponse response{{base::Version(9), "document"}};
+  const auto decoded = DecodeEnvelope(EncodeEnvelope(
+      {base::SequenceNumber(1), base::SequenceNumber(0), base::SessionNumber(4), response}));
+  CHECK_TRUE(decoded.has_value());
+  const auto& copy = std::get<cluster::ConfigurationResponse>(decoded->message);
+  CHECK(copy.configuration.version == base::Version(9));
+  STRCMP_EQUAL("document", copy.configuration.document.c_str());
+}
+
+// Guards against a version or view that changes on its way to the gateways.
 TEST(MessageCodec, ClusterUpdatesSurviveEncoding) {
   cluster::ClusterUpdate update;
-  update.configuration = {base::Version(9), "document"};
+  update.configuration_version = base::Version(9);
   update.view = {base::Epoch(4),
                  {{base::HostId("a"), base::Incarnation(~0ULL), base::DataCentreId("x")}}};
   update.allocator_addresses = {base::NetworkAddress("10.0.0.1:7")};
@@ -184,8 +197,7 @@
       {base::SequenceNumber(1), base::SequenceNumber(0), base::SessionNumber(4), update}));
   CHECK_TRUE(decoded.has_value());
   const auto& copy = std::get<cluster::ClusterUpdate>(decoded->message);
-  CHECK(copy.configuration.version == base::Version(9));
-  STRCMP_EQUAL("document", copy.configuration.document.c_str());
+  CHECK(copy.configuration_version == base::Version(9));
   CHECK(copy.view.epoch == base::Epoch(4));
   CHECK(copy.view.members == update.view.members);
   CHECK(copy.allocator_addresses == update.allocator_addresses);
@@ -246,6 +258,15 @@
   CHECK_FALSE(DecodeEnvelope(std::string(4UL * 1024 * 1024, '\x81')).has_value());
 }
 
+// Guards against a single message with an impossible array or map size, which ended the process
+// with an exception. The property test below found it with seed 5880425218946443369.
+TEST(MessageCodec, ImpossibleContainerSizesAreRefused) {
+  const std::string size(8, '\x6c');
+  CHECK_FALSE(DecodeEnvelope("\x9b" + size).has_value());
+  CHECK_FALSE(DecodeEnvelope("\xbb" + size).has_value());
+  CHECK_FALSE(DecodeEnvelope("\xa1\x61\x61\x9b" + size).has_value());
+}
+
 // Guards against a crash on corrupted or truncated bytes, and against an error that names no field.
 TEST(MessageCodec, CorruptedBytesDoNotCrash) {
   const bool holds = rc::check([] {
