runs, gateway: Avoid failing targets, stalled runs and silent allocators

Cause: the scheduler had no view of a target's health. A gateway placed jobs with a silent allocator for the second until it counts as lost, and refused a job if the first chosen allocator could not be reached. PlaceReadySteps recorded batches that were never sent if a later step found no allocator.

Change: ServiceScheduler ejects targets with targets::TargetHealthTracker, prefers targets on which the task has not failed, and stops runs whose listed progress stands still (twice per task at most). Allocators repeat an unchanged capacity report every 100 ms; the selector prefers allocators that reported in the last 250 ms and leaves out those silent for 500 ms. A batch that can't be sent goes to another allocator.

New tests: RetriesAFailedTaskOnAnotherTarget, EjectsATargetThatFailsAllItsTasks, MovesAStalledRunToAnotherTarget, KeepsASlowRunThatMakesProgress, AvoidsAllocatorsThatHaveFallenSilent, PlacesBatchesElsewhereIfTheAllocatorIsUnreachable, SendsTheStepsThatFindAnAllocator.

--- a/src/clusterhost/allocator_host.cc
+++ b/src/clusterhost/allocator_host.cc
@@ -24,10 +24,13 @@
 constexpr base::Duration kGroupTickInterval = std::chrono::milliseconds(25);
 constexpr base::Duration kSchedulerTickInterval = std::chrono::milliseconds(20);
 constexpr base::Duration kCapacityReportInterval = std::chrono::milliseconds(50);
+// An unchanged report is repeated, so that its receivers notice when this host falls silent.
+constexpr base::Duration kCapacityReportRepeatInterval = std::chrono::milliseconds(100);
 // In a storm of configuration changes, one announcement covers several.
 constexpr base::Duration kAnnouncementInterval = std::chrono::milliseconds(50);
-// Targets come and go within seconds; the saved list may be slightly out of date.
-constexpr base::Duration kTargetSaveInterval = std::chrono::seconds(2);
+// Targets come and go within seconds; the saved list may be slightly out of date. The interval is
+// well below the time for which a draining target may still get runs after it was acknowledged.
+constexpr base::Duration kTargetSaveInterval = std::chrono::milliseconds(500);
 constexpr base::Duration kDrainPollInterval = std::chrono::milliseconds(20);
 constexpr base::Duration kDeliveryTimeout = std::chrono::milliseconds(500);
 
@@ -344,9 +347,29 @@
     return base::MakeErrorResult(base::ErrorCode::kUnavailable,
                                  "the target's owner is unreachable");
   }
+  if (report.is_draining) {
+    this->ForwardToOtherAllocators(report, owner);
+  }
   return owner;
 }
 
+void AllocatorHost::ForwardToOtherAllocators(const runs::TargetReport& report,
+                                             const HostId& owner) {
+  std::vector<HostId> others;
+  {
+    MutexLock lock(this->state_mutex);
+    for (const ClusterView::Member& member : this->view.members) {
+      if (member.host != owner && member.host != this->self) {
+        others.push_back(member.host);
+      }
+    }
+  }
+  for (const HostId& host : others) {
+    // A lost host gets the state of the target from its next report.
+    (void)this->network->SendReliably(host, report);
+  }
+}
+
 base::Result<void> AllocatorHost::OnTargetLeave(const base::TargetId& target) {
   runs::TargetReport report;
   {
@@ -550,10 +573,12 @@
   {
     MutexLock lock(this->state_mutex);
     report.is_leaving = this->is_leaving;
-    if (report == this->last_capacity_report) {
+    if (report == this->last_capacity_report &&
+        this->now() - this->last_capacity_report_at < kCapacityReportRepeatInterval) {
       return;
     }
     this->last_capacity_report = report;
+    this->last_capacity_report_at = this->now();
   }
   this->job_manager.OnCapacityReport(this->self, report);
   for (const HostId& host : this->network->ReachablePeers()) {
--- a/src/clusterhost/allocator_host.h
+++ b/src/clusterhost/allocator_host.h
@@ -110,6 +110,9 @@
   void OnBatchEnd(const runs::BatchResult& result);
   void OnDecision(const runs::RunDecision& decision);
   void RecordTargetReport(const runs::TargetReport& report);
+  /// Sends the report of a draining target to the allocators that don't own it. Otherwise one of
+  /// them that becomes its owner would start runs there because of an older report.
+  void ForwardToOtherAllocators(const runs::TargetReport& report, const base::HostId& owner);
   std::optional<cluster::ClusterView::Member> ReachableMember(const base::HostId& host);
   const cluster::ClusterView::Member* FindOwner(const runs::TargetReport& report)
       REQUIRES(state_mutex);
@@ -145,6 +148,7 @@
   std::set<base::HostId> leaving_hosts GUARDED_BY(state_mutex);
   std::map<base::TargetId, KnownTarget> targets GUARDED_BY(state_mutex);
   runs::CapacityReport last_capacity_report GUARDED_BY(state_mutex);
+  base::TimePoint last_capacity_report_at GUARDED_BY(state_mutex);
   bool is_announcement_due GUARDED_BY(state_mutex) = false;
   /// This process is a member of `view`.
   bool is_in_view GUARDED_BY(state_mutex) = false;
--- a/src/clusterhost/gateway_host.cc
+++ b/src/clusterhost/gateway_host.cc
@@ -57,7 +57,7 @@
       now(base::SteadyClock()),
       logger(logger),
       configuration_fetcher(this->ConfigurationFetcherHooks()),
-      allocator_selector(this->settings.data_centre),
+      allocator_selector(this->settings.data_centre, this->now),
       dispatcher(HostId(this->settings.advertised_peer_address.value()),
                  this->JobDispatcherHooks()),
       job_client(this->JobClientHooks()),
@@ -93,6 +93,9 @@
   };
   hooks.on_job_end = [this](const gateway::Job& job, const gateway::JobResult& result,
                             base::Duration age) { this->OnJobEnd(job, result, age); };
+  hooks.on_allocator_unreachable = [this](const HostId& host) {
+    this->allocator_selector.OnAllocatorLost(host);
+  };
   return hooks;
 }
 
--- a/src/clusterhost/stored_job_manager.cc
+++ b/src/clusterhost/stored_job_manager.cc
@@ -57,7 +57,7 @@
     : settings(settings),
       hooks(std::move(hooks)),
       logger(logger),
-      allocator_selector(this->settings.data_centre),
+      allocator_selector(this->settings.data_centre, this->hooks.now),
       state_machine([this](const std::vector<SubmissionId>& job_ids) {
         this->scheduler.OnJobsChanged(job_ids);
       }),
--- a/src/gateway/allocator_selector.cc
+++ b/src/gateway/allocator_selector.cc
@@ -11,13 +11,20 @@
 using base::HostId;
 using base::TaskCount;
 
-AllocatorSelector::AllocatorSelector(base::DataCentreId data_centre)
-    : data_centre(std::move(data_centre)) {}
+namespace {
+
+constexpr base::Duration kPreferredReportAge = std::chrono::milliseconds(250);
+constexpr base::Duration kMaximumReportAge = std::chrono::milliseconds(500);
+
+}  // namespace
+
+AllocatorSelector::AllocatorSelector(base::DataCentreId data_centre, base::Clock now)
+    : data_centre(std::move(data_centre)), now(std::move(now)) {}
 
 void AllocatorSelector::OnCapacityReport(const HostId& allocator,
                                          const runs::CapacityReport& report) {
   base::MutexLock lock(this->mutex);
-  this->capacity_reports[allocator] = report;
+  this->capacity_reports[allocator] = {report, this->now()};
 }
 
 void AllocatorSelector::OnAllocatorLost(const HostId& allocator) {
@@ -41,10 +48,17 @@
   base::MutexLock lock(this->mutex);
   std::optional<HostId> best;
   runs::CapacityReport::ServiceCapacity* best_capacity = nullptr;
-  // Prefers allocators with free capacity for all tasks, then those in this data centre, where
-  // traffic costs least, then the one with the least backlog relative to its total capacity.
-  std::tuple<bool, bool, double> best_rank;
-  for (auto& [host, report] : this->capacity_reports) {
+  // Prefers allocators with a recent report, then those with free capacity for all tasks, then
+  // those in this data centre, where traffic costs least, then the one with the least backlog
+  // relative to its total capacity.
+  std::tuple<bool, bool, bool, double> best_rank;
+  const base::TimePoint current_time = this->now();
+  for (auto& [host, received] : this->capacity_reports) {
+    runs::CapacityReport& report = received.report;
+    const base::Duration report_age = current_time - received.received_at;
+    if (report_age >= kMaximumReportAge) {
+      continue;
+    }
     for (runs::CapacityReport::ServiceCapacity& capacity : report.service_capacities) {
       if (capacity.service != service || report.is_leaving ||
           capacity.total_task_capacity <= TaskCount(0)) {
@@ -57,6 +71,7 @@
         continue;
       }
       const auto rank = std::make_tuple(
+          report_age < kPreferredReportAge,
           capacity.free_task_capacity >= count && capacity.waiting_task_count == TaskCount(0),
           report.data_centre == this->data_centre, -backlog);
       if (!best || rank > best_rank) {
--- a/src/gateway/allocator_selector.h
+++ b/src/gateway/allocator_selector.h
@@ -13,10 +13,14 @@
 
 /// Chooses an allocator for tasks by the capacity that the allocators have reported.
 ///
+/// Allocators report at least every 100 ms. One that has missed two reports is chosen only if there
+/// is no other, and after 0.5 s not at all: a host counts as lost only after a second, and jobs
+/// that were placed with it in that time can't be served any more.
+///
 /// Thread safety: all methods may be called from any thread.
 class AllocatorSelector {
  public:
-  explicit AllocatorSelector(base::DataCentreId data_centre);
+  AllocatorSelector(base::DataCentreId data_centre, base::Clock now);
 
   /// Replaces the capacity known of `allocator` with its report.
   void OnCapacityReport(const base::HostId& allocator, const runs::CapacityReport& report);
@@ -43,9 +47,15 @@
                                                           base::TaskCount count,
                                                           double maximum_backlog);
 
+  struct ReceivedReport {
+    runs::CapacityReport report;
+    base::TimePoint received_at;
+  };
+
   base::DataCentreId data_centre;
+  base::Clock now;
   base::Mutex mutex;
-  std::map<base::HostId, runs::CapacityReport> capacity_reports GUARDED_BY(mutex);
+  std::map<base::HostId, ReceivedReport> capacity_reports GUARDED_BY(mutex);
 };
 
 }  // namespace sapphirecrank::gateway
--- a/src/gateway/job_dispatcher.cc
+++ b/src/gateway/job_dispatcher.cc
@@ -50,7 +50,7 @@
     const JobStep& job_step = job.steps[i];
     const auto allocator = this->hooks.choose_allocator(job.service, job_step.task_count);
     if (!allocator) {
-      return {};
+      continue;
     }
     entry.placed_steps.insert(step);
     entry.last_batch = entry.last_batch.Next();
@@ -62,6 +62,7 @@
     batch.maximum_attempts = job.maximum_attempts;
     batch.payload = job.payload;
     batch.placement_rule = job_step.placement_rule;
+    batch.expected_run_time = job_step.estimated_run_time;
     for (uint32_t index = 0; index < job_step.task_count.value(); ++index) {
       batch.tasks.push_back({{job.id, base::OccurrenceNumber(), step, base::TaskIndex(index)},
                              job_step.required_resources});
@@ -101,16 +102,39 @@
           this->EndJob(shard, found, NotRunResult("no allocator has targets of the service")));
     }
   });
-  this->SendPlacements(placements);
+  this->SendPlacements(std::move(placements));
   this->NotifyJobEnds(ended_jobs);
 }
 
-void JobDispatcher::SendPlacements(const std::vector<Placement>& placements) {
-  for (const Placement& placement : placements) {
-    if (!this->hooks.place_batch(placement.allocator, placement.batch)) {
-      this->OnBatchEnd(placement.allocator,
-                       {placement.batch.key, runs::BatchResult::Outcome::kNotRun,
-                        "the allocator is not reachable"});
+bool JobDispatcher::AssignBatch(const runs::BatchKey& key, const HostId& allocator) {
+  return this->shards.WithShard(key.job, [&](Shard& shard) {
+    auto found = shard.find(key.job);
+    if (found == shard.end()) {
+      return false;
+    }
+    auto batch = found->second.open_batches.find(key.batch);
+    if (batch == found->second.open_batches.end()) {
+      return false;
+    }
+    batch->second.first = allocator;
+    return true;
+  });
+}
+
+void JobDispatcher::SendPlacements(std::vector<Placement> placements) {
+  for (Placement& placement : placements) {
+    const runs::TaskBatch& batch = placement.batch;
+    while (this->AssignBatch(batch.key, placement.allocator) &&
+           !this->hooks.place_batch(placement.allocator, batch)) {
+      this->hooks.on_allocator_unreachable(placement.allocator);
+      const auto other = this->hooks.choose_allocator(
+          batch.service, base::TaskCount(static_cast<int64_t>(batch.tasks.size())));
+      if (!other || *other == placement.allocator) {
+        this->OnBatchEnd(placement.allocator, {batch.key, runs::BatchResult::Outcome::kNotRun,
+                                               "no allocator is reachable"});
+        break;
+      }
+      placement.allocator = *other;
     }
   }
 }
@@ -218,7 +242,7 @@
         return;
     }
   });
-  this->SendPlacements(placements);
+  this->SendPlacements(std::move(placements));
   this->NotifyJobEnds(ended_jobs);
 }
 
--- a/src/gateway/job_dispatcher.h
+++ b/src/gateway/job_dispatcher.h
@@ -39,6 +39,8 @@
     std::function<void(const base::HostId&, const base::SubmissionId&)> cancel_job;
     /// Records the end of a job for logs and metrics; `age` is the time since its submission.
     std::function<void(const Job&, const JobResult&, base::Duration age)> on_job_end;
+    /// A batch could not be sent to this allocator. `choose_allocator` should prefer others then.
+    std::function<void(const base::HostId&)> on_allocator_unreachable;
   };
 
   JobDispatcher(base::HostId self, Hooks hooks);
@@ -100,12 +102,15 @@
   using Shard = std::map<base::SubmissionId, JobEntry>;
 
   bool IsStepReady(const JobEntry& entry, base::StepIndex step) const;
-  /// Creates batches for all steps that can start. Returns none if a step finds no allocator.
+  /// Creates batches for the steps that can start and find an allocator.
   std::vector<Placement> PlaceReadySteps(JobEntry& entry);
   /// Removes a job from its shard. The caller notifies the end after it has released the lock.
   EndedJob EndJob(Shard& shard, Shard::iterator job_iterator, JobResult result) const;
-  /// Sends the batches to their allocators. One that can't be sent ends as not run.
-  void SendPlacements(const std::vector<Placement>& placements);
+  /// Sends the batches to their allocators. One that can't be sent goes to another allocator, and
+  /// ends as not run if there is none.
+  void SendPlacements(std::vector<Placement> placements);
+  /// Assigns an open batch to `allocator`. Returns false if the batch has ended.
+  bool AssignBatch(const runs::BatchKey& key, const base::HostId& allocator);
   /// Cancels the open batches of ended jobs, calls the callers' callbacks and `on_job_end`.
   void NotifyJobEnds(const std::vector<EndedJob>& ended_jobs);
   /// Ends the jobs for which `is_due` returns true as unfinished, with `reason`.
--- a/src/protocol/cluster_codec.cc
+++ b/src/protocol/cluster_codec.cc
@@ -32,6 +32,7 @@
   map["priority"] = ToJson(message.priority);
   map["attempts"] = ToJson(message.maximum_attempts);
   map["payload"] = BytesToJson(message.payload);
+  map["expected_run_time"] = ToJson(message.expected_run_time);
   map["wait_limit"] = ToJson(message.wait_limit);
   map["time_left"] = ToJson(message.time_left);
   map["stored"] = message.is_stored;
@@ -56,6 +57,7 @@
   reader.Read("priority", message.priority);
   reader.Read("attempts", message.maximum_attempts);
   message.payload = reader.ReadBytes("payload");
+  message.expected_run_time = ReadDuration(reader, "expected_run_time");
   message.wait_limit = ReadDuration(reader, "wait_limit");
   message.time_left = ReadDuration(reader, "time_left");
   message.is_stored = reader.ReadBool("stored");
--- a/src/runs/placed_batch.h
+++ b/src/runs/placed_batch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,9 @@
     bool is_returned = false;
     /// The target that the task runs on; empty while the task waits.
     base::TargetId target;
+    /// Targets on which a run of the task has failed or stalled. Others are preferred for the next.
+    std::set<base::TargetId> failed_targets;
+    int stalled_run_count = 0;
     /// When the task was last queued.
     base::TimePoint queued_at;
   };
--- a/src/runs/service_scheduler.cc
+++ b/src/runs/service_scheduler.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <string>
 
+#include "targets/health_state.h"
+
 namespace sapphirecrank::runs {
 
 using base::Duration;
@@ -31,6 +33,17 @@
 // listed at all may have ended too.
 constexpr size_t kMaximumListedEnds = 500;
 constexpr double kMeanSmoothingFactor = 0.02;
+// A run without progress for this long, or for this multiple of its expected run time if that is
+// longer, has stalled. Progress comes in steps of 1 %, so that a run that takes 30 times as long as
+// expected still makes a step in that time.
+constexpr Duration kMinimumStallTime = milliseconds(150);
+constexpr double kStallTimePerExpectedRunTime = 0.3;
+// A task that stalls on several targets is slow by itself; it is then left to run.
+constexpr int kMaximumStalledRuns = 2;
+// A run that takes longer than this multiple of its expected run time is checked for progress more
+// often than polls return by themselves.
+constexpr int kOverdueRunTimeFactor = 3;
+constexpr Duration kProgressCheckInterval = milliseconds(100);
 
 }  // namespace
 
@@ -76,6 +89,7 @@
   target.report = report;
   target.clock_read_at = now;
   target.last_heard_at = now;
+  this->target_health.AddTarget(report.id);
   this->PollIfDue(target, now, actions);
   this->StartQueuedTasks(now, actions);
 }
@@ -188,24 +202,34 @@
 }
 
 bool ServiceScheduler::CanStartRuns(const LeasedTarget& target, TimePoint now) const {
+  const targets::HealthState health = this->target_health.StateOf(target.report.id);
+  if (health == targets::HealthState::kEjected ||
+      (health == targets::HealthState::kProbation && !target.runs.empty())) {
+    return false;
+  }
   return target.phase == LeasedTarget::Phase::kInUse && !target.report.is_draining &&
          !target.pending_acknowledgements.IsAwaitingLeaseExpiry() &&
          target.unknown_run_count == 0 && now >= target.backoff_until &&
          now - target.last_heard_at < this->settings.target_silence_limit;
 }
 
-LeasedTarget* ServiceScheduler::ChooseTarget(const PlacementRule& rule, const BatchTask& task,
+LeasedTarget* ServiceScheduler::ChooseTarget(const PlacedBatch& placed, size_t task_position,
                                              TimePoint now) {
+  const BatchTask& task = placed.batch.tasks[task_position];
+  const std::set<TargetId>& failed_targets = placed.tasks[task_position].failed_targets;
   // Best fit keeps whole targets free for tasks that require many resources.
   LeasedTarget* best = nullptr;
-  base::MilliCores best_free_processors;
+  std::pair<bool, base::MilliCores> best_rank;
   for (auto& [id, target] : this->targets) {
     const Resources free = target.FreeResources();
-    if (free.CanFit(task.required_resources) && this->CanStartRuns(target, now) &&
-        (best == nullptr || free.processors < best_free_processors) &&
-        target.SatisfiesPlacementRule(rule, task.key)) {
+    if (!free.CanFit(task.required_resources) || !this->CanStartRuns(target, now)) {
+      continue;
+    }
+    const auto rank = std::make_pair(failed_targets.count(id) > 0, free.processors);
+    if ((best == nullptr || rank < best_rank) &&
+        target.SatisfiesPlacementRule(placed.batch.placement_rule, task.key)) {
       best = &target;
-      best_free_processors = free.processors;
+      best_rank = rank;
     }
   }
   return best;
@@ -239,7 +263,7 @@
       placed.waiting_tasks.pop_back();
       continue;
     }
-    LeasedTarget* target = this->ChooseTarget(placed.batch.placement_rule, batch_task, now);
+    LeasedTarget* target = this->ChooseTarget(placed, task_position, now);
     has_target = target != nullptr;
     if (has_target) {
       placed.waiting_tasks.pop_back();
@@ -574,8 +598,11 @@
                                    target.fencing_token, "this host has no record of the run"});
       actions.stop_requests.push_back(
           {{target.report.id, target.report.address, target.fencing_token}, active.key});
-    } else if (run->second.phase == TargetRun::Phase::kStarting) {
-      run->second.phase = TargetRun::Phase::kRunning;
+    } else {
+      if (run->second.phase == TargetRun::Phase::kStarting) {
+        run->second.phase = TargetRun::Phase::kRunning;
+      }
+      this->CheckProgress(target, active, run->second, now, actions);
     }
   }
   std::vector<RunKey> missing_runs;
@@ -609,6 +636,70 @@
   this->PollIfDue(target, now, actions);
 }
 
+void ServiceScheduler::RecordTargetHealth(const LeasedTarget& target, bool succeeded, TimePoint now,
+                                          SchedulerActions& actions) {
+  const TargetId& id = target.report.id;
+  const targets::HealthState before = this->target_health.StateOf(id);
+  const targets::HealthState after = this->target_health.OnTaskOutcome(id, succeeded, now);
+  if (after == before) {
+    return;
+  }
+  if (after == targets::HealthState::kEjected) {
+    actions.decisions.push_back({"target ejected",
+                                 {},
+                                 id,
+                                 target.fencing_token,
+                                 "its last runs have all failed or stalled"});
+  } else if (after == targets::HealthState::kHealthy) {
+    actions.decisions.push_back(
+        {"target healthy again", {}, id, target.fencing_token, "its trial runs have succeeded"});
+  }
+}
+
+void ServiceScheduler::CheckProgress(LeasedTarget& target, const ActiveRun& active, TargetRun& run,
+                                     TimePoint now, SchedulerActions& actions) {
+  if (run.progress_percent != active.progress_percent) {
+    run.progress_percent = active.progress_percent;
+    run.progressed_at = now;
+    return;
+  }
+  auto found = this->batches.find(run.batch);
+  if (run.is_orphan || run.phase != TargetRun::Phase::kRunning || found == this->batches.end() ||
+      found->second.batch.expected_run_time <= Duration(0)) {
+    return;
+  }
+  PlacedBatch::TaskState& task = found->second.tasks[run.task_position];
+  const Duration stall_time = std::max(
+      kMinimumStallTime, std::chrono::duration_cast<Duration>(
+                             found->second.batch.expected_run_time * kStallTimePerExpectedRunTime));
+  if (now - run.progressed_at < stall_time || task.stalled_run_count >= kMaximumStalledRuns) {
+    return;
+  }
+  ++task.stalled_run_count;
+  task.failed_targets.insert(target.report.id);
+  actions.decisions.push_back({"stalled run stopped", active.key, target.report.id,
+                               target.fencing_token, "the run has made no progress"});
+  this->RecordTargetHealth(target, false, now, actions);
+  this->StopRun(target, active.key, run, now, actions);
+}
+
+Duration ServiceScheduler::PollWait(const LeasedTarget& target, TimePoint now) const {
+  if (target.unknown_run_count > 0) {
+    return Duration(0);
+  }
+  Duration wait = this->settings.poll_wait;
+  for (const auto& [key, run] : target.runs) {
+    auto found = this->batches.find(run.batch);
+    if (found == this->batches.end() || found->second.batch.expected_run_time <= Duration(0)) {
+      continue;
+    }
+    const Duration until_overdue = kOverdueRunTimeFactor * found->second.batch.expected_run_time -
+                                   (now - run.start_requested_at);
+    wait = std::min(wait, std::max(kProgressCheckInterval, until_overdue));
+  }
+  return wait;
+}
+
 void ServiceScheduler::OnRunEnd(LeasedTarget& target, const FinishedRun& finished_run,
                                 TimePoint now, SchedulerActions& actions) {
   if (target.runs.count(finished_run.key) == 0) {
@@ -626,11 +717,14 @@
   }
   PlacedBatch& placed = found->second;
   if (finished_run.outcome == FinishedRun::Outcome::kSucceeded) {
+    this->RecordTargetHealth(target, true, now, actions);
     placed.tasks[run.task_position].is_done = true;
     this->FinishTask(found, now, actions);
   } else if (finished_run.outcome == FinishedRun::Outcome::kFailed) {
     actions.decisions.push_back({"run failed", finished_run.key, target.report.id,
                                  target.fencing_token, "the target lists the run as failed"});
+    this->RecordTargetHealth(target, false, now, actions);
+    placed.tasks[run.task_position].failed_targets.insert(target.report.id);
     this->RecordRunFailure(target, finished_run.key, run, now, actions);
   } else {
     actions.decisions.push_back({"run ended early", finished_run.key, target.report.id,
@@ -723,6 +817,7 @@
   actions.decisions.push_back({"target dropped", {}, target, found->second.fencing_token, reason});
   this->AbandonRuns(found->second, may_run_until, reason, now, actions);
   this->targets.erase(found);
+  this->target_health.RemoveTarget(target);
 }
 
 void ServiceScheduler::PollIfDue(LeasedTarget& target, TimePoint now, SchedulerActions& actions) {
@@ -752,7 +847,7 @@
   // elsewhere.
   if (has_runs && !is_adopting && target.overdue_poll_count == 0 &&
       !target.pending_acknowledgements.IsAwaitingLeaseExpiry()) {
-    request.maximum_wait = target.unknown_run_count > 0 ? Duration(0) : this->settings.poll_wait;
+    request.maximum_wait = this->PollWait(target, now);
     const Duration lease = this->gateway_liveness.MaximumLeaseFor(target, now);
     if (lease > Duration(0)) {
       request.lease_end = target.ClockAt(now) + lease;
@@ -857,6 +952,10 @@
 
 void ServiceScheduler::Tick(TimePoint now, SchedulerActions& actions) {
   this->ExpireBatches(now, actions);
+  for (const TargetId& id : this->target_health.BeginProbations(now)) {
+    actions.decisions.push_back(
+        {"target on probation", {}, id, {}, "the time of its ejection has ended"});
+  }
   while (!this->reservation_expiries.empty() && this->reservation_expiries.begin()->first < now) {
     this->reserved_tasks.erase(
         this->reserved_tasks.find(this->reservation_expiries.begin()->second));
--- a/src/runs/service_scheduler.h
+++ b/src/runs/service_scheduler.h
@@ -15,6 +15,7 @@
 #include "runs/scheduler_actions.h"
 #include "runs/scheduler_settings.h"
 #include "runs/target_call_response.h"
+#include "targets/target_health_tracker.h"
 
 namespace sapphirecrank::runs {
 
@@ -93,7 +94,8 @@
   using QueueKey = std::pair<base::Priority, uint64_t>;
 
   bool CanStartRuns(const LeasedTarget& target, base::TimePoint now) const;
-  LeasedTarget* ChooseTarget(const PlacementRule& rule, const BatchTask& task, base::TimePoint now);
+  /// Returns the target for the next run of a task, or null if it fits on none.
+  LeasedTarget* ChooseTarget(const PlacedBatch& placed, size_t task_position, base::TimePoint now);
   void StartQueuedTasks(base::TimePoint now, SchedulerActions& actions);
   /// Starts waiting tasks of a batch until one fits no target; returns false in that case.
   bool StartBatchTasks(PlacedBatch& placed, base::TimePoint now, SchedulerActions& actions);
@@ -124,6 +126,15 @@
                 SchedulerActions& actions);
   void RecordRunFailure(const LeasedTarget& target, const RunKey& key, const TargetRun& run,
                         base::TimePoint now, SchedulerActions& actions);
+  /// Records the outcome of a run that tells whether its target is healthy.
+  void RecordTargetHealth(const LeasedTarget& target, bool succeeded, base::TimePoint now,
+                          SchedulerActions& actions);
+  /// Records the progress of a run that its target lists as active. Stops the run if it makes no
+  /// progress, so that its task is started on another target.
+  void CheckProgress(LeasedTarget& target, const ActiveRun& active, TargetRun& run,
+                     base::TimePoint now, SchedulerActions& actions);
+  /// Returns how long the target may hold back its response to the next poll.
+  base::Duration PollWait(const LeasedTarget& target, base::TimePoint now) const;
   void ReconcileRuns(LeasedTarget& target, const TargetRunList& run_list, base::TimePoint sent_at,
                      base::TimePoint now, SchedulerActions& actions);
   /// Removes all runs of a target and queues or returns their tasks. The runs may stay active until
@@ -157,6 +168,9 @@
   std::map<base::TargetId, LeasedTarget> targets;
   std::map<BatchKey, PlacedBatch> batches;
   std::map<QueueKey, BatchKey> batch_queue;
+  // Targets that fail the tasks of most jobs get no runs for a while, although they report that
+  // they are ready.
+  targets::TargetHealthTracker target_health;
   GatewayLiveness gateway_liveness;
   // Tasks with a run that may be active on some target. No second run of such a task may start.
   std::multiset<JobTaskKey> reserved_tasks;
--- a/src/runs/target_run.h
+++ b/src/runs/target_run.h
@@ -29,6 +29,10 @@
   bool has_lease_expired = false;
   /// No other run of the task may start while this one may be active.
   bool reserves_task = true;
+  /// Progress that the target last listed, and since when it has listed the same; unset before the
+  /// target has listed the run.
+  std::optional<int> progress_percent;
+  base::TimePoint progressed_at;
   base::TimePoint start_requested_at;
   /// When the batch ended while the run was still there. From then on the caller may submit its job
   /// again through another gateway. Unset before.
--- a/src/runs/task_batch.h
+++ b/src/runs/task_batch.h
@@ -26,6 +26,9 @@
   /// The tasks of the batch; all belong to one step of the job.
   std::vector<BatchTask> tasks;
   PlacementRule placement_rule;
+  /// Rough estimate of a task's run time. Zero if there is none, as for tasks that run until their
+  /// job is cancelled; their runs are then not checked for progress.
+  base::Duration expected_run_time{0};
   /// If no task has started after this time, the batch ends with `BatchResult::Outcome::kNotRun`.
   base::Duration wait_limit{0};
   /// After this time all runs of the batch are stopped.
--- a/src/stored/job_scheduler.cc
+++ b/src/stored/job_scheduler.cc
@@ -337,6 +337,8 @@
   batch.priority = job.priority;
   batch.payload = job.payload;
   batch.placement_rule = job.steps[step.value()].placement_rule;
+  const gateway::JobStep& job_step = job.steps[step.value()];
+  batch.expected_run_time = job_step.is_long_running ? Duration(0) : job_step.estimated_run_time;
   batch.wait_limit = kBatchWaitLimit;
   batch.time_left = kNoDeadline;
   batch.is_stored = true;
@@ -385,9 +387,19 @@
   return placements;
 }
 
+bool JobScheduler::IsLeading() {
+  // After a pause of the process, other threads may run before `Tick` notices that the lease has
+  // expired.
+  MutexLock lock(this->leadership_mutex);
+  return this->is_leading && this->hooks.now() < this->leadership_expires_at;
+}
+
 bool JobScheduler::MayPlaceTasks() {
+  if (!this->IsLeading()) {
+    return false;
+  }
   MutexLock lock(this->leadership_mutex);
-  return this->is_leading && this->hooks.now() >= this->placement_starts_at;
+  return this->hooks.now() >= this->placement_starts_at;
 }
 
 void JobScheduler::PlaceJob(const SubmissionId& id) {
--- a/tests/gateway/allocator_selector_test.cc
+++ b/tests/gateway/allocator_selector_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include "base/manual_clock.h"
+
 using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
 using base::HostId;
 using base::ServiceId;
@@ -19,7 +21,10 @@
 
 }  // namespace
 
-TEST_GROUP(AllocatorSelector) { gateway::AllocatorSelector selector{base::DataCentreId("near")}; };
+TEST_GROUP(AllocatorSelector) {
+  base::ManualClock clock;
+  gateway::AllocatorSelector selector{base::DataCentreId("near"), this->clock.AsClock()};
+};
 
 // Guards against traffic between data centres while this one has free capacity.
 TEST(AllocatorSelector, PrefersItsOwnDataCentreWhileItHasFreeCapacity) {
@@ -43,3 +48,18 @@
   this->selector.OnAllocatorLost(HostId("b"));
   CHECK_FALSE(this->selector.ChooseAllocator(ServiceId("s"), TaskCount(1)).has_value());
 }
+
+// Pattern: loss of an allocator. Guards against placing jobs with a silent allocator for the second
+// until it counts as lost; none of these jobs is served.
+TEST(AllocatorSelector, AvoidsAllocatorsThatHaveFallenSilent) {
+  this->selector.OnCapacityReport(HostId("near"), MakeReport("near", 20, 0));
+  this->clock.Advance(std::chrono::milliseconds(250));
+  this->selector.OnCapacityReport(HostId("far"), MakeReport("far", 1, 9));
+  CHECK(*this->selector.ChooseAllocator(ServiceId("s"), TaskCount(4)) == HostId("far"));
+  this->selector.OnAllocatorLost(HostId("far"));
+  CHECK(*this->selector.ChooseAllocator(ServiceId("s"), TaskCount(4)) == HostId("near"));
+  this->clock.Advance(std::chrono::milliseconds(250));
+  CHECK_FALSE(this->selector.ChooseAllocator(ServiceId("s"), TaskCount(4)).has_value());
+  this->selector.OnCapacityReport(HostId("near"), MakeReport("near", 20, 0));
+  CHECK(*this->selector.ChooseAllocator(ServiceId("s"), TaskCount(4)) == HostId("near"));
+}
--- a/tests/gateway/job_dispatcher_test.cc
+++ b/tests/gateway/job_dispatcher_test.cc
@@ -22,6 +22,7 @@
   uint64_t next_caller = 1;
   std::vector<std::pair<base::HostId, runs::TaskBatch>> placed_batches;
   std::vector<std::pair<base::HostId, base::SubmissionId>> cancelled_jobs;
+  std::vector<base::HostId> unreachable_allocators;
   std::vector<JobResult> results;
   JobDispatcher dispatcher{
       base::HostId("g1"),
@@ -36,7 +37,8 @@
        [this](const base::HostId& host, const base::SubmissionId& job) {
          this->cancelled_jobs.emplace_back(host, job);
        },
-       [](const gateway::Job&, const JobResult&, base::Duration) {}}};
+       [](const gateway::Job&, const JobResult&, base::Duration) {},
+       [this](const base::HostId& host) { this->unreachable_allocators.push_back(host); }}};
 
   gateway::Job MakeJob(int steps = 1) {
     gateway::Job job;
@@ -163,3 +165,73 @@
                                                    BatchResult::Outcome::kCompleted, ""});
   LONGS_EQUAL(0, this->results.size());
 }
+
+// Pattern: loss of an allocator. Guards against refusing a job because the first chosen allocator
+// can't be reached, although another one has free capacity.
+TEST(JobDispatcher, PlacesBatchesElsewhereIfTheAllocatorIsUnreachable) {
+  std::vector<base::HostId> attempted;
+  std::vector<base::HostId> allocators{base::HostId("a1"), base::HostId("a2")};
+  std::optional<JobResult> result;
+  JobDispatcher::Hooks hooks;
+  hooks.now = this->clock.AsClock();
+  hooks.choose_allocator = [&allocators](const base::ServiceId&, base::TaskCount) {
+    return allocators.empty() ? std::nullopt : std::make_optional(allocators.front());
+  };
+  hooks.place_batch = [&attempted](const base::HostId& host, const runs::TaskBatch&) {
+    attempted.push_back(host);
+    return host == base::HostId("a2");
+  };
+  hooks.cancel_job = [](const base::HostId&, const base::SubmissionId&) {};
+  hooks.on_job_end = [](const gateway::Job&, const JobResult&, base::Duration) {};
+  hooks.on_allocator_unreachable = [&allocators](const base::HostId&) {
+    allocators.erase(allocators.begin());
+  };
+  JobDispatcher other_dispatcher(base::HostId("g1"), hooks);
+  other_dispatcher.Submit(this->MakeJob(), 1,
+                          [&result](const JobResult& ended) { result = ended; });
+  CHECK((attempted == std::vector<base::HostId>{base::HostId("a1"), base::HostId("a2")}));
+  CHECK_FALSE(result.has_value());
+  other_dispatcher.OnBatchEnd(
+      base::HostId("a2"), {{base::HostId("g1"), base::SubmissionId("job"), base::BatchNumber(1)},
+                           BatchResult::Outcome::kCompleted,
+                           "test"});
+  CHECK(result->outcome == JobResult::Outcome::kCompleted);
+}
+
+// Guards against batches that are recorded as placed but never sent, because a later step of the
+// job finds no allocator: the job then waits until its deadline.
+TEST(JobDispatcher, SendsTheStepsThatFindAnAllocator) {
+  gateway::Job job = this->MakeJob(2);
+  job.steps[1].dependencies.clear();
+  job.steps[1].task_count = base::TaskCount(3);
+  JobDispatcher::Hooks hooks;
+  size_t placed_count = 0;
+  bool has_capacity = false;
+  std::optional<JobResult> result;
+  hooks.now = this->clock.AsClock();
+  hooks.choose_allocator = [&has_capacity](const base::ServiceId&, base::TaskCount count) {
+    return has_capacity || count == base::TaskCount(2) ? std::make_optional(base::HostId("a1"))
+                                                       : std::nullopt;
+  };
+  hooks.place_batch = [&placed_count](const base::HostId&, const runs::TaskBatch&) {
+    ++placed_count;
+    return true;
+  };
+  hooks.cancel_job = [](const base::HostId&, const base::SubmissionId&) {};
+  hooks.on_job_end = [](const gateway::Job&, const JobResult&, base::Duration) {};
+  hooks.on_allocator_unreachable = [](const base::HostId&) {};
+  JobDispatcher other_dispatcher(base::HostId("g1"), hooks);
+  const auto end_batch = [&other_dispatcher](uint32_t number) {
+    other_dispatcher.OnBatchEnd(base::HostId("a1"), {{base::HostId("g1"), base::SubmissionId("job"),
+                                                      base::BatchNumber(number)},
+                                                     BatchResult::Outcome::kCompleted,
+                                                     "test"});
+  };
+  other_dispatcher.Submit(std::move(job), 1, [&result](const JobResult& ended) { result = ended; });
+  LONGS_EQUAL(1, placed_count);
+  has_capacity = true;
+  end_batch(1);
+  LONGS_EQUAL(2, placed_count);
+  end_batch(2);
+  CHECK(result->outcome == JobResult::Outcome::kCompleted);
+}
--- a/tests/runs/service_scheduler_test.cc
+++ b/tests/runs/service_scheduler_test.cc
@@ -872,3 +872,109 @@
   LONGS_EQUAL(0, this->TakeActions().run_events.size());
   LONGS_EQUAL(1, this->scheduler.BatchCount());
 }
+
+// Pattern: target that fails its tasks while its reports say that it is ready. Guards against a
+// retry on the target where the task has just failed.
+TEST(ServiceScheduler, RetriesAFailedTaskOnAnotherTarget) {
+  testing::SimulatedTarget other("t2", Cores(16), base::TimePoint{std::chrono::seconds(90)});
+  this->AdoptTarget(this->target);
+  this->PlaceBatch(this->MakeBatch("job", 1));
+  const SchedulerActions started = this->TakeActions();
+  this->ExecuteRequests(started);
+  const SchedulerActions polled = this->TakeActions();
+  this->AdoptTarget(other);
+  this->FinishRun(polled, started.start_requests[0].key, FinishedRun::Outcome::kFailed);
+  const SchedulerActions retried = this->TakeActions();
+  LONGS_EQUAL(1, retried.start_requests.size());
+  CHECK(retried.start_requests[0].target.id == base::TargetId("t2"));
+}
+
+// Pattern: target that fails its tasks while its reports say that it is ready. Guards against
+// giving it the tasks of one job after the other, which all use up their attempts there.
+TEST(ServiceScheduler, EjectsATargetThatFailsAllItsTasks) {
+  std::vector<testing::SimulatedTarget> others;
+  for (const char* id : {"t2", "t3", "t4", "t5"}) {
+    others.emplace_back(id, Cores(16), base::TimePoint{std::chrono::seconds(90)});
+    this->AdoptTarget(others.back());
+  }
+  this->AdoptTarget(this->target);
+  size_t failing_starts = 0;
+  for (int i = 0; i < 40; ++i) {
+    this->PlaceBatch(this->MakeBatch(("job" + std::to_string(i)).c_str(), 1));
+    SchedulerActions actions = this->TakeActions();
+    for (int round = 0; round < 3 && !actions.start_requests.empty(); ++round) {
+      const runs::StartRequest request = actions.start_requests[0];
+      testing::SimulatedTarget* runner = &this->target;
+      for (testing::SimulatedTarget& other : others) {
+        runner = request.target.id == other.MakeReport(this->now).id ? &other : runner;
+      }
+      const bool is_failing = runner == &this->target;
+      failing_starts += is_failing ? 1 : 0;
+      this->scheduler.OnStartResponse(request, runner->StartRun(request, Cores(7), this->now),
+                                      this->now, this->pending_actions);
+      runner->FinishRun(request.key, is_failing ? FinishedRun::Outcome::kFailed
+                                                : FinishedRun::Outcome::kSucceeded);
+      this->now += milliseconds(1);
+      const SchedulerActions polled = this->TakeActions();
+      LONGS_EQUAL(1, polled.poll_requests.size());
+      this->scheduler.OnPollResponse(polled.poll_requests[0],
+                                     runner->Poll(polled.poll_requests[0], this->now), this->now,
+                                     this->pending_actions);
+      actions = this->TakeActions();
+    }
+  }
+  CHECK(failing_starts <= 5);
+}
+
+// Pattern: target on which tasks stand still. Guards against a task that waits for its deadline
+// there although another target could run it.
+TEST(ServiceScheduler, MovesAStalledRunToAnotherTarget) {
+  testing::SimulatedTarget other("t2", Cores(16), base::TimePoint{std::chrono::seconds(90)});
+  this->AdoptTarget(this->target);
+  runs::TaskBatch batch = this->MakeBatch("job", 1);
+  batch.expected_run_time = milliseconds(50);
+  this->PlaceBatch(batch);
+  this->ExecuteRequests(this->TakeActions());
+  SchedulerActions actions = this->TakeActions();
+  this->AdoptTarget(other);
+  std::vector<runs::StartRequest> started_elsewhere;
+  for (int i = 0; i < 20 && started_elsewhere.empty(); ++i) {
+    this->now += milliseconds(50);
+    this->ReportGatewayAlive("g1");
+    this->ExecuteRequests({{}, actions.stop_requests, {}, {}, {}, {}});
+    for (const runs::PollRequest& poll : actions.poll_requests) {
+      this->scheduler.OnPollResponse(poll, this->target.Poll(poll, this->now), this->now,
+                                     this->pending_actions);
+    }
+    this->scheduler.Tick(this->now, this->pending_actions);
+    actions = this->TakeActions();
+    started_elsewhere = actions.start_requests;
+  }
+  LONGS_EQUAL(1, started_elsewhere.size());
+  CHECK(started_elsewhere[0].target.id == base::TargetId("t2"));
+  LONGS_EQUAL(0, this->target.active_runs().size());
+}
+
+// Guards against stopping a run that is slow but makes progress.
+TEST(ServiceScheduler, KeepsASlowRunThatMakesProgress) {
+  this->AdoptTarget(this->target);
+  runs::TaskBatch batch = this->MakeBatch("job", 1);
+  batch.expected_run_time = milliseconds(50);
+  this->PlaceBatch(batch);
+  this->ExecuteRequests(this->TakeActions());
+  SchedulerActions actions = this->TakeActions();
+  for (int percent = 0; percent < 20; ++percent) {
+    this->now += milliseconds(50);
+    this->ReportGatewayAlive("g1");
+    for (const runs::PollRequest& poll : actions.poll_requests) {
+      PollResponse response = this->target.Poll(poll, this->now);
+      for (runs::ActiveRun& active : response.run_list.active_runs) {
+        active.progress_percent = percent;
+      }
+      this->scheduler.OnPollResponse(poll, response, this->now, this->pending_actions);
+    }
+    this->scheduler.Tick(this->now, this->pending_actions);
+    actions = this->TakeActions();
+    LONGS_EQUAL(0, actions.stop_requests.size());
+  }
+}
