platform, peers, stored: Withstand odd input, pauses and hand-overs

A body of 4 MiB of '[' took some 50 bytes of memory a byte. A job id that isn't UTF-8 ended the allocator with an exception from the JSON encoder. Writing a deeply nested payload as text overflowed the stack of an entry host. - An unexpected exception in a request handler or peer message ended the process. - After a pause beyond its lease, a leader placed stored tasks before its next tick. - A new owner that knew only an older report of a draining target, or had loaded it from its file, started runs there.

--- a/src/clusterhost/stored_job_manager.h
+++ b/src/clusterhost/stored_job_manager.h
@@ -55,7 +55,7 @@
   stored::JobStateMachine& job_state_machine() { return this->state_machine; }
 
   /// Tells whether this host schedules the stored jobs.
-  bool IsLeading() const { return this->scheduler.IsLeading(); }
+  bool IsLeading() { return this->scheduler.IsLeading(); }
 
   /// Handles a message about stored jobs; returns false and does nothing for any other message.
   bool OnMessage(const base::HostId& from, const protocol::Message& message);
--- a/src/frontend/work_parser.cc
+++ b/src/frontend/work_parser.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "json/document_parser.h"
 #include "json/object_reader.h"
 
 namespace sapphirecrank::frontend {
@@ -63,7 +64,7 @@
 /// Parses a JSON document and reads the fields of its object with `read_fields`.
 template <typename ParsedType, typename Function>
 base::Result<ParsedType> ReadDocument(const std::string& body, Function read_fields) {
-  const Json document = Json::parse(body, nullptr, false);
+  const Json document = json::ParseDocument(body);
   if (document.is_discarded()) {
     return base::MakeErrorResult(base::ErrorCode::kInvalidArgument,
                                  "the request body is not valid JSON", "body");
--- a/src/json/bounded_document_builder.h
+++ b/src/json/bounded_document_builder.h
@@ -3,24 +3,23 @@
 #include <cstddef>
 #include <nlohmann/json.hpp>
 
-#include "protocol/message_codec.h"
+namespace sapphirecrank::json {
 
-namespace sapphirecrank::protocol {
-
-/// Builds a JSON document from parser events and aborts parsing at a maximum nesting depth, or at
-/// an array or object whose announced size is impossible.
+/// Builds a document from the events of a JSON or CBOR parser, and aborts parsing at a maximum
+/// nesting depth or at an array or object whose announced size is impossible.
 ///
-/// The CBOR parser recurses for each level. Without the limit, a message of a few megabytes of
-/// nested arrays from an untrusted sender would overflow the stack. The base class throws an
+/// The CBOR parser recurses for each level, and so does writing a document as text. A few megabytes
+/// of nested arrays from an untrusted sender would overflow the stack. The base class throws an
 /// exception for a size above the maximum of its containers, also where exceptions are disabled.
 ///
 /// Thread safety: none; each thread uses its own object.
-class DepthLimitedJsonBuilder : public nlohmann::detail::json_sax_dom_parser<nlohmann::json> {
+class BoundedDocumentBuilder : public nlohmann::detail::json_sax_dom_parser<nlohmann::json> {
  public:
   using Base = nlohmann::detail::json_sax_dom_parser<nlohmann::json>;
 
   /// Builds into `document`, which must outlive this object.
-  explicit DepthLimitedJsonBuilder(nlohmann::json& document) : Base(document, false) {}
+  BoundedDocumentBuilder(nlohmann::json& document, size_t maximum_nesting_depth)
+      : Base(document, false), maximum_nesting_depth(maximum_nesting_depth) {}
 
   /// Parser event handlers. They return false beyond a limit, which aborts parsing.
   bool start_object(size_t size) {
@@ -33,9 +32,8 @@
   bool end_array() { return this->LeaveNesting() && Base::end_array(); }
 
  private:
-  static constexpr size_t kMaximumNestingDepth = 16;
-  // Each element takes at least one byte of the message.
-  static constexpr auto kMaximumElementCount = static_cast<size_t>(kMaximumMessageSize.value());
+  // Each element takes at least one byte, and no message or body is this large.
+  static constexpr size_t kMaximumElementCount = 64 << 20;
   // The parser's size of a container whose end is marked instead of its size.
   static constexpr auto kUnknownSize = static_cast<size_t>(-1);
 
@@ -43,13 +41,14 @@
     return size <= kMaximumElementCount || size == kUnknownSize;
   }
 
-  bool EnterNesting() { return ++this->nesting_depth <= kMaximumNestingDepth; }
+  bool EnterNesting() { return ++this->nesting_depth <= this->maximum_nesting_depth; }
   bool LeaveNesting() {
     --this->nesting_depth;
     return true;
   }
 
+  size_t maximum_nesting_depth;
   size_t nesting_depth = 0;
 };
 
-}  // namespace sapphirecrank::protocol
+}  // namespace sapphirecrank::json
--- a/src/peers/peer_network.cc
+++ b/src/peers/peer_network.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <deque>
+#include <exception>
 #include <future>
 #include <map>
 #include <set>
@@ -203,7 +204,12 @@
       [this](const connection_hdl& connection) { this->accepted_connections.erase(connection); });
   this->server.set_message_handler(
       [this](const connection_hdl& connection, const WebSocketServer::message_ptr& message) {
-        this->OnAcceptedMessage(connection, message->get_payload());
+        try {
+          this->OnAcceptedMessage(connection, message->get_payload());
+        } catch (const std::exception& error) {
+          // An unexpected error in the handling of one message must not end the process.
+          this->RefuseConnection(connection, HostId(), error.what());
+        }
       });
   this->server.listen(websocketpp::lib::asio::ip::tcp::endpoint(ip, port));
   this->server.start_accept();
@@ -321,7 +327,12 @@
       [this, &peer, id](const connection_hdl&) { this->OnLinkOpened(peer, id); });
   link->set_message_handler(
       [this, &peer, id](const connection_hdl&, const WebSocketClient::message_ptr& message) {
-        this->OnLinkMessage(peer, id, message->get_payload());
+        try {
+          this->OnLinkMessage(peer, id, message->get_payload());
+        } catch (const std::exception& handling_error) {
+          this->hooks.on_connection_error(peer.address.host, handling_error.what());
+          this->DropLink(peer);
+        }
       });
   const auto on_ended = [this, &peer, id](const connection_hdl& connection) {
     websocketpp::lib::error_code lookup_error;
--- a/src/protocol/message_codec.cc
+++ b/src/protocol/message_codec.cc
@@ -3,8 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "json/bounded_document_builder.h"
 #include "protocol/cluster_codec.h"
-#include "protocol/depth_limited_json_builder.h"
 #include "protocol/field_reader.h"
 #include "protocol/job_codec.h"
 #include "protocol/json_fields.h"
@@ -20,6 +20,8 @@
 
 namespace {
 
+constexpr size_t kMaximumNestingDepth = 16;
+
 // Each message type has a name on the wire, an encoder and a decoder. Adding a field requires a new
 // protocol version unless the decoder treats the field as optional.
 
@@ -298,7 +300,7 @@
                                  "message");
   }
   json map;
-  DepthLimitedJsonBuilder builder(map);
+  ::sapphirecrank::json::BoundedDocumentBuilder builder(map, kMaximumNestingDepth);
   if (!json::sax_parse(bytes, &builder, json::input_format_t::cbor)) {
     return MalformedMessageError("message");
   }
--- a/src/stored/job_scheduler.h
+++ b/src/stored/job_scheduler.h
@@ -71,7 +71,7 @@
   void OnLeaseHeld(base::Term current_term);
 
   /// Tells whether this host schedules the stored jobs.
-  bool IsLeading() const { return this->is_leading; }
+  bool IsLeading();
 
   /// Updates the entries of jobs whose records have changed, and places what is ready of them.
   void OnJobsChanged(const std::vector<base::SubmissionId>& ids);
--- a/tests/clusterhost/cluster_test.cc
+++ b/tests/clusterhost/cluster_test.cc
@@ -397,3 +397,31 @@
   }));
   CHECK_TRUE(this->IsJobCompleted("done"));
 }
+
+// Pattern: hand-over of a leaving target. Guards against runs on a draining target by a new owner
+// that only knows an older report of it.
+TEST(Cluster, NewOwnerStartsNothingOnADrainingTarget) {
+  CHECK_TRUE(this->PutConfigurationAnywhere(3));
+  CHECK_TRUE(this->ReportUntilJobCompletes("first"));
+  for (auto& allocator : this->allocators) {
+    CHECK_TRUE(this->WaitUntil(
+        [&] { return allocator->OnTargetReport(this->target.MakeReport()).has_value(); }));
+  }
+  runs::TargetReport draining = this->target.MakeReport();
+  draining.is_draining = true;
+  const auto owner = this->allocators[0]->OnTargetReport(draining);
+  CHECK_TRUE(owner.has_value());
+  std::this_thread::sleep_for(milliseconds(300));
+  const size_t starts = this->target.StartCount();
+  for (size_t i = 0; i < this->seeds.size(); ++i) {
+    if (this->seeds[i].value() == owner->value()) {
+      this->StopAllocator(i);
+    }
+  }
+  // The remaining hosts agree on a new owner within about two seconds.
+  for (int i = 0; i < 100; ++i) {
+    (void)this->RunJob("later" + std::to_string(i));
+    std::this_thread::sleep_for(milliseconds(40));
+  }
+  LONGS_EQUAL(starts, this->target.StartCount());
+}
--- a/tests/peers/peer_network_test.cc
+++ b/tests/peers/peer_network_test.cc
@@ -6,6 +6,7 @@
 #include <condition_variable>
 #include <memory>
 #include <mutex>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,9 @@
     hooks.on_message = [this](const HostId&, const protocol::Message& message) {
       if (const auto* cancel = std::get_if<protocol::CancelTasks>(&message)) {
         this->RecordEvent([&] { this->received.push_back(cancel->submission.value()); });
+        if (cancel->submission == base::SubmissionId("unexpected")) {
+          throw std::runtime_error("unexpected message");
+        }
       }
     };
     hooks.on_peer_up = [this](const HostId&, base::Incarnation) {
@@ -179,6 +183,21 @@
   LONGS_EQUAL(0, first->up_count);
 }
 
+// Guards against an unexpected error in the handling of one message that ends the process, and
+// against handling the message again after the link was replaced.
+TEST(PeerNetwork, ContinuesAfterAnErrorInTheHandlingOfAMessage) {
+  auto first = this->StartFirstHost();
+  auto second = this->StartSecondHost(2);
+  first->WaitFor([&] { return first->up_count > 0; });
+  for (const char* submission : {"unexpected", "next"}) {
+    CHECK_TRUE(first->network->SendReliably(HostId("b"),
+                                            protocol::CancelTasks{base::SubmissionId(submission)}));
+  }
+  second->WaitFor([&] { return second->received.size() >= 2; });
+  CHECK((second->received == std::vector<std::string>{"unexpected", "next"}));
+  CHECK_TRUE(second->HasConnectionError("unexpected message"));
+}
+
 // Guards against a host that waits for ever on an open connection over which nothing passes any
 // more while new connections work, and against messages lost or duplicated when the link is
 // replaced.
--- a/tests/platform/message_codec_test.cc
+++ b/tests/platform/message_codec_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <chrono>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -58,6 +60,71 @@
   CHECK_FALSE(platform::DecodeTargetReport("i-1", unknown_state.dump()).has_value());
 }
 
+// Pattern: odd entry of another writer. Guards against an entry that ends the process, that makes a
+// target with impossible resources attract all work, or that blocks later reports of the same id.
+TEST(PlatformMessageCodec, RejectsOddHeartbeats) {
+  const Json odd_fields = {{{"address", "10.0.0.9:65536"}},
+                           {{"address", "10.0.0.9:0"}},
+                           {{"address", "10.0.0.9:-1"}},
+                           {{"address", "10.0.0.9"}},
+                           {{"address", "host:80"}},
+                           {{"address", "10.0.0.9:80/x"}},
+                           {{"seq", ~0ULL}},
+                           {{"seq", 1e300}},
+                           {{"seq", 1LL << 62U}},
+                           {{"clockMs", 1LL << 62U}},
+                           {{"born", ~0ULL}},
+                           {{"born", 1LL << 62U}},
+                           {{"born", "x"}},
+                           {{"service", "a b"}},
+                           {{"service", std::string(300, 's')}},
+                           {{"capacity", {{"cpu", 1LL << 62U}}}},
+                           {{"capacity", {{"cpu", -1}}}},
+                           {{"capacity", {{"cpu", 1000}, {"memMb", 1LL << 50U}}}},
+                           {{"capacity", {{"cpu", 1000}, {"gpus", 1LL << 33U}}}}};
+  for (const Json& odd_field : odd_fields) {
+    Json heartbeat = MakeHeartbeat();
+    heartbeat.update(odd_field);
+    CHECK_FALSE_TEXT(platform::DecodeTargetReport("i-1", heartbeat.dump()).has_value(),
+                     odd_field.dump().c_str());
+  }
+  const std::string body = MakeHeartbeat().dump();
+  CHECK_FALSE(platform::DecodeTargetReport("i-1\r\nX: y", body).has_value());
+  CHECK_FALSE(platform::DecodeTargetReport("\xff", body).has_value());
+  CHECK_FALSE(platform::DecodeTargetReport("i-1", R"({"seq":1e999})").has_value());
+  Json nested = MakeHeartbeat();
+  nested["unknown"] = Json::parse(std::string(100, '[') + std::string(100, ']'));
+  CHECK_FALSE(platform::DecodeTargetReport("i-1", nested.dump()).has_value());
+  CHECK_FALSE(platform::DecodeTargetReport("i-1", std::string(4UL * 1024 * 1024, '[')).has_value());
+}
+
+// Guards against a job whose id or resources end an allocator with an exception, or free capacity
+// on a target instead of using it.
+TEST(PlatformMessageCodec, RejectsOddJobs) {
+  CHECK_TRUE(platform::DecodeJobId("5c0e7a21d94b36f8").has_value());
+  for (const char* id : {"", "\xff", "a b", "a\r\n"}) {
+    CHECK_FALSE(platform::DecodeJobId(id).has_value());
+  }
+  for (const char* resources : {R"("cpu":-1)", R"("memMb":9223372036854775807)", R"("gpus":1e9)",
+                                R"("cpu":18446744073709551615)", R"("cpu":"x")"}) {
+    const std::string body =
+        std::string(R"({"spec":"s","bestEffort":true,"steps":[{"count":1,)") + resources + "}]}";
+    CHECK_FALSE_TEXT(platform::DecodeJob(body).has_value(), resources);
+  }
+  const auto job = platform::DecodeJob(
+      R"({"steps":[{"count":1,"cpu":1000,"estRuntimeMs":9223372036854775807}]})");
+  CHECK_TRUE(job.has_value());
+  CHECK(job->steps[0].estimated_run_time <= std::chrono::hours(24 * 30));
+}
+
+// Guards against an exception for a text that isn't UTF-8 while a request is encoded.
+TEST(PlatformMessageCodec, EncodesTextThatIsNotUtf8) {
+  runs::StartRequest request;
+  request.key.task.job = base::SubmissionId("\xff");
+  request.payload = std::make_shared<const std::string>("\xfe");
+  CHECK_FALSE(platform::EncodeStartRequest(request).empty());
+}
+
 // Guards against an invalid configuration that is accepted.
 TEST(PlatformMessageCodec, RejectsInvalidConfigurations) {
   CHECK_TRUE(platform::DecodeConfiguration(MakeConfiguration().dump()).has_value());
--- a/tests/stored/job_scheduler_test.cc
+++ b/tests/stored/job_scheduler_test.cc
@@ -329,3 +329,15 @@
   this->AdvanceTime(5000);
   LONGS_EQUAL(0, this->TakePlacements().size());
 }
+
+// Guards against placing tasks with a lease that has expired while the process was paused: another
+// host may lead and place the same tasks.
+TEST(JobScheduler, PlacesNothingAfterAPauseBeyondTheLease) {
+  this->BecomeLeader();
+  this->clock.Advance(std::chrono::seconds(3));
+  this->Submit("job");
+  LONGS_EQUAL(0, this->TakePlacements().size());
+  CHECK_FALSE(this->scheduler.IsLeading());
+  this->scheduler.Tick();
+  LONGS_EQUAL(0, this->TakePlacements().size());
+}
