runs, platform: Settle unanswered start requests within the objective

A stop was then sent also if only the response was lost.

While a start is unanswered, polls return within 40 ms; a run that the target has listed as active is kept.

--- a/src/runs/service_scheduler.cc
+++ b/src/runs/service_scheduler.cc
@@ -44,6 +44,9 @@
 // often than polls return by themselves.
 constexpr int kOverdueRunTimeFactor = 3;
 constexpr Duration kProgressCheckInterval = milliseconds(100);
+// While the response to a start request is outstanding, polls return within the timeout of that
+// request. If only its response is lost, the poll shows that the run is active.
+constexpr Duration kStartCheckWait = milliseconds(40);
 
 }  // namespace
 
@@ -459,7 +462,12 @@
       this->PollIfDue(target, now, actions);
       return;
     case TargetCallStatus::kNoResponse:
-      this->StopRun(target, request.key, run, now, actions);
+      if (run.phase == TargetRun::Phase::kRunning) {
+        // Only the response was lost: the target has listed the run as active.
+        run.start_confirmed_at = now;
+      } else {
+        this->StopRun(target, request.key, run, now, actions);
+      }
       return;
     case TargetCallStatus::kFenced:
       if (request.target.fencing_token == target.fencing_token) {
@@ -689,6 +697,9 @@
   }
   Duration wait = this->settings.poll_wait;
   for (const auto& [key, run] : target.runs) {
+    if (run.phase == TargetRun::Phase::kStarting) {
+      wait = std::min(wait, kStartCheckWait);
+    }
     auto found = this->batches.find(run.batch);
     if (found == this->batches.end() || found->second.batch.expected_run_time <= Duration(0)) {
       continue;
--- a/tests/runs/service_scheduler_test.cc
+++ b/tests/runs/service_scheduler_test.cc
@@ -978,3 +978,29 @@
     LONGS_EQUAL(0, actions.stop_requests.size());
   }
 }
+
+// Pattern: lost answers. Guards against stopping a run that works only because the response to its
+// start request was lost.
+TEST(ServiceScheduler, KeepsAListedRunWhoseStartResponseWasLost) {
+  this->AdoptTarget(this->target);
+  this->PlaceBatch(this->MakeBatch("job", 1));
+  const SchedulerActions started = this->TakeActions();
+  this->target.StartRun(started.start_requests[0], Cores(7), this->now);
+  this->now += milliseconds(20);
+  this->scheduler.Tick(this->now, this->pending_actions);
+  const SchedulerActions polled = this->TakeActions();
+  LONGS_EQUAL(1, polled.poll_requests.size());
+  // The poll has to return before the start request times out.
+  CHECK(polled.poll_requests[0].maximum_wait <= milliseconds(50));
+  this->now += milliseconds(40);
+  this->scheduler.OnPollResponse(polled.poll_requests[0],
+                                 this->target.Poll(polled.poll_requests[0], this->now), this->now,
+                                 this->pending_actions);
+  this->scheduler.OnStartResponse(started.start_requests[0], TargetCallResponse(), this->now,
+                                  this->pending_actions);
+  const SchedulerActions kept = this->TakeActions();
+  LONGS_EQUAL(0, kept.stop_requests.size());
+  LONGS_EQUAL(0, kept.start_requests.size());
+  this->FinishRun(kept, started.start_requests[0].key, FinishedRun::Outcome::kSucceeded);
+  CHECK(this->TakeActions().batch_results[0].outcome == BatchResult::Outcome::kCompleted);
+}
