gateway: Refuse on arrival what the backlog outlasts, and spread returns

Cause: a job that could not be served waited three quarters of its slack at an allocator before it was refused, and every refused caller was told to come back after 1 s: all together, and into the same backlog.

Change: allocators report the waiting tasks by priority and the measured rate at which runs end. A gateway refuses a new job at once if the backlog ahead of it takes more than twice its maximum wait at every allocator. Retry-After follows the backlog; callers of lower priority are told to return later, spread over a longer time (gateway::RetryAfterPolicy).

--- a/src/clusterhost/gateway_host.cc
+++ b/src/clusterhost/gateway_host.cc
@@ -84,6 +84,10 @@
   hooks.choose_allocator = [this](const base::ServiceId& service, base::TaskCount count) {
     return this->allocator_selector.ChooseAllocator(service, count);
   };
+  hooks.expected_wait = [this](const base::ServiceId& service, base::TaskCount count,
+                               base::Priority priority) {
+    return this->allocator_selector.ExpectedWait(service, count, priority);
+  };
   hooks.place_batch = [this](const HostId& host, const runs::TaskBatch& batch) {
     return this->network->SendReliably(host, batch);
   };
--- a/src/gateway/allocator_selector.cc
+++ b/src/gateway/allocator_selector.cc
@@ -1,5 +1,6 @@
 #include "gateway/allocator_selector.h"
 
+#include <algorithm>
 #include <limits>
 #include <tuple>
 #include <utility>
@@ -87,6 +88,35 @@
   return best;
 }
 
+std::optional<base::Duration> AllocatorSelector::ExpectedWait(const base::ServiceId& service,
+                                                              TaskCount count,
+                                                              base::Priority priority) {
+  base::MutexLock lock(this->mutex);
+  std::optional<base::Duration> shortest;
+  const base::TimePoint current_time = this->now();
+  for (const auto& [host, received] : this->capacity_reports) {
+    if (current_time - received.received_at >= kMaximumReportAge || received.report.is_leaving) {
+      continue;
+    }
+    for (const runs::CapacityReport::ServiceCapacity& capacity :
+         received.report.service_capacities) {
+      if (capacity.service != service || capacity.total_task_capacity <= TaskCount(0)) {
+        continue;
+      }
+      TaskCount tasks_ahead = count - capacity.free_task_capacity;
+      for (const runs::WaitingTasks& waiting : capacity.waiting_by_priority) {
+        if (waiting.priority <= priority) {
+          tasks_ahead += waiting.count;
+        }
+      }
+      const base::Duration wait =
+          capacity.mean_end_interval * std::max<int64_t>(0, tasks_ahead.value());
+      shortest = std::min(shortest.value_or(wait), wait);
+    }
+  }
+  return shortest;
+}
+
 bool AllocatorSelector::HasReports() {
   base::MutexLock lock(this->mutex);
   return !this->capacity_reports.empty();
--- a/src/gateway/allocator_selector.h
+++ b/src/gateway/allocator_selector.h
@@ -38,6 +38,12 @@
   std::optional<base::HostId> ChooseAllocatorWithoutFullBacklog(const base::ServiceId& service,
                                                                 base::TaskCount count);
 
+  /// Returns how long `count` tasks of this priority would wait at the allocator where they would
+  /// wait least, by the reported backlogs and the rate at which capacity comes free. Returns none
+  /// if no allocator could take them, and zero if the rate is unknown.
+  std::optional<base::Duration> ExpectedWait(const base::ServiceId& service, base::TaskCount count,
+                                             base::Priority priority);
+
   /// Returns whether any allocator has reported its capacity and was not lost since.
   bool HasReports();
 
--- a/src/gateway/job_dispatcher.cc
+++ b/src/gateway/job_dispatcher.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/retry_after_policy.h"
+
 namespace sapphirecrank::gateway {
 
 using base::BatchNumber;
@@ -17,14 +19,22 @@
 // A job may wait for a limited time in addition to its run time. It is refused after this share of
 // that time, so that the caller can still submit it elsewhere.
 constexpr double kMaximumWaitShare = 0.75;
+// The backlog is an estimate from reports that are up to 100 ms old. A job is refused on arrival
+// only if the estimate exceeds its maximum wait by this factor.
+constexpr int kExcessWaitFactor = 2;
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 
 JobResult UnfinishedResult(const std::string& reason) {
   return {JobResult::Outcome::kUnfinished, kRetryAfter, reason};
 }
 
-JobResult NotRunResult(const std::string& reason) {
-  return {JobResult::Outcome::kNotRun, kRetryAfter, reason};
+/// Returns how long the tasks of a step may wait for capacity.
+Duration MaximumWait(const Job& job, const JobStep& step) {
+  const Duration allowed_wait =
+      job.latency_objective +
+      std::chrono::duration_cast<Duration>(step.estimated_run_time *
+                                           std::max(0.0, job.maximum_slowdown - 1));
+  return std::chrono::duration_cast<Duration>(allowed_wait * kMaximumWaitShare);
 }
 
 }  // namespace
@@ -32,6 +42,20 @@
 JobDispatcher::JobDispatcher(HostId self, Hooks hooks)
     : self(std::move(self)), hooks(std::move(hooks)), shards(kShardCount) {}
 
+JobResult JobDispatcher::NotRunResult(const Job& job, const std::string& reason) const {
+  const Duration expected_wait =
+      this->hooks.expected_wait(job.service, job.steps.front().task_count, job.priority)
+          .value_or(Duration(0));
+  return {JobResult::Outcome::kNotRun,
+          RetryAfterPolicy::RetryAfter(expected_wait, job.priority, job.id), reason};
+}
+
+bool JobDispatcher::IsBacklogTooLong(const Job& job) const {
+  const JobStep& step = job.steps.front();
+  const auto expected_wait = this->hooks.expected_wait(job.service, step.task_count, job.priority);
+  return expected_wait && *expected_wait > kExcessWaitFactor * MaximumWait(job, step);
+}
+
 bool JobDispatcher::IsStepReady(const JobEntry& entry, StepIndex step) const {
   const std::vector<StepIndex>& dependencies = entry.job.steps[step.value()].dependencies;
   return entry.placed_steps.count(step) == 0 &&
@@ -68,12 +92,7 @@
                              job_step.required_resources});
     }
     batch.time_left = job.time_left - (this->hooks.now() - entry.arrived_at);
-    const Duration allowed_wait =
-        job.latency_objective +
-        std::chrono::duration_cast<Duration>(job_step.estimated_run_time *
-                                             std::max(0.0, job.maximum_slowdown - 1));
-    batch.wait_limit = std::min(
-        batch.time_left, std::chrono::duration_cast<Duration>(allowed_wait * kMaximumWaitShare));
+    batch.wait_limit = std::min(batch.time_left, MaximumWait(job, job_step));
     placements.push_back({*allocator, std::move(batch)});
   }
   return placements;
@@ -93,13 +112,20 @@
     entry.job = std::move(job);
     entry.arrived_at = this->hooks.now();
     if (this->is_refusing_new_jobs) {
-      ended_jobs.push_back(this->EndJob(shard, found, NotRunResult("the gateway is stopping")));
+      ended_jobs.push_back(
+          this->EndJob(shard, found, this->NotRunResult(entry.job, "the gateway is stopping")));
+      return;
+    }
+    if (this->IsBacklogTooLong(entry.job)) {
+      ended_jobs.push_back(this->EndJob(
+          shard, found,
+          this->NotRunResult(entry.job, "the backlog is longer than the job may wait")));
       return;
     }
     placements = this->PlaceReadySteps(entry);
     if (placements.empty()) {
-      ended_jobs.push_back(
-          this->EndJob(shard, found, NotRunResult("no allocator has targets of the service")));
+      ended_jobs.push_back(this->EndJob(
+          shard, found, this->NotRunResult(entry.job, "no allocator has targets of the service")));
     }
   });
   this->SendPlacements(std::move(placements));
@@ -232,10 +258,11 @@
             this->EndJob(shard, found, {JobResult::Outcome::kFailed, {}, batch_result.reason}));
         return;
       case runs::BatchResult::Outcome::kNotRun:
-        ended_jobs.push_back(this->EndJob(shard, found,
-                                          entry.may_have_run || !entry.open_batches.empty()
-                                              ? UnfinishedResult(batch_result.reason)
-                                              : NotRunResult(batch_result.reason)));
+        ended_jobs.push_back(
+            this->EndJob(shard, found,
+                         entry.may_have_run || !entry.open_batches.empty()
+                             ? UnfinishedResult(batch_result.reason)
+                             : this->NotRunResult(entry.job, batch_result.reason)));
         return;
       case runs::BatchResult::Outcome::kUnfinished:
         ended_jobs.push_back(this->EndJob(shard, found, UnfinishedResult(batch_result.reason)));
--- a/src/gateway/job_dispatcher.h
+++ b/src/gateway/job_dispatcher.h
@@ -21,8 +21,9 @@
 /// Jobs are held in this process only. If all callers of a job leave, its deadline passes or one of
 /// its allocators is lost, its runs are stopped, and its result says that some tasks may have run.
 /// Thread safety: all methods may be called from any thread; state is in shards by job id, each
-/// under its own lock. The hooks `now` and `choose_allocator` may run under the lock of a shard, so
-/// they must not call this class; the other hooks and the callbacks run without a lock.
+/// under its own lock. The hooks `now`, `choose_allocator` and `expected_wait` may run under the
+/// lock of a shard, so they must not call this class; the other hooks and the callbacks run without
+/// a lock.
 class JobDispatcher {
  public:
   using ResultCallback = std::function<void(const JobResult&)>;
@@ -33,6 +34,11 @@
     /// Chooses the allocator for a number of tasks of a service, if there is one.
     std::function<std::optional<base::HostId>(const base::ServiceId&, base::TaskCount)>
         choose_allocator;
+    /// Returns how long a number of tasks of a service and priority would wait for capacity, or
+    /// none if no allocator could take them.
+    std::function<std::optional<base::Duration>(const base::ServiceId&, base::TaskCount,
+                                                base::Priority)>
+        expected_wait;
     /// Sends a batch to an allocator; false means that it was certainly not sent.
     std::function<bool(const base::HostId&, const runs::TaskBatch&)> place_batch;
     /// Cancels all batches of a job at an allocator.
@@ -101,6 +107,10 @@
   };
   using Shard = std::map<base::SubmissionId, JobEntry>;
 
+  /// Returns the result of a job that is refused and has not run.
+  JobResult NotRunResult(const Job& job, const std::string& reason) const;
+  /// Returns whether the backlog is certainly longer than the first step of a new job may wait.
+  bool IsBacklogTooLong(const Job& job) const;
   bool IsStepReady(const JobEntry& entry, base::StepIndex step) const;
   /// Creates batches for the steps that can start and find an allocator.
   std::vector<Placement> PlaceReadySteps(JobEntry& entry);
--- a/src/protocol/cluster_codec.cc
+++ b/src/protocol/cluster_codec.cc
@@ -105,10 +105,17 @@
 json EncodeMessage(const runs::CapacityReport& message) {
   json services = json::array();
   for (const runs::CapacityReport::ServiceCapacity& service : message.service_capacities) {
+    json waiting_by_priority = json::array();
+    for (const runs::WaitingTasks& waiting : service.waiting_by_priority) {
+      waiting_by_priority.push_back(
+          {{"priority", ToJson(waiting.priority)}, {"count", ToJson(waiting.count)}});
+    }
     services.push_back({{"service", ToJson(service.service)},
                         {"free", ToJson(service.free_task_capacity)},
                         {"total", ToJson(service.total_task_capacity)},
-                        {"waiting", ToJson(service.waiting_task_count)}});
+                        {"waiting", ToJson(service.waiting_task_count)},
+                        {"waiting_by_priority", std::move(waiting_by_priority)},
+                        {"end_interval", ToJson(service.mean_end_interval)}});
   }
   return {{"type", kCapacityReportType},
           {"data_centre", ToJson(message.data_centre)},
@@ -127,6 +134,14 @@
         item.Read("free", service.free_task_capacity);
         item.Read("total", service.total_task_capacity);
         item.Read("waiting", service.waiting_task_count);
+        service.waiting_by_priority = DecodeArray<runs::WaitingTasks>(
+            item, "waiting_by_priority", [](FieldReader& waiting_item) {
+              runs::WaitingTasks waiting;
+              waiting_item.Read("priority", waiting.priority);
+              waiting_item.Read("count", waiting.count);
+              return waiting;
+            });
+        service.mean_end_interval = ReadDuration(item, "end_interval");
         return service;
       });
   return message;
--- a/src/runs/capacity_report.h
+++ b/src/runs/capacity_report.h
@@ -3,7 +3,9 @@
 #include <vector>
 
 #include "base/ids.h"
+#include "base/time.h"
 #include "base/units.h"
+#include "runs/waiting_tasks.h"
 
 namespace sapphirecrank::runs {
 
@@ -18,11 +20,17 @@
     base::TaskCount total_task_capacity;
     /// Tasks that wait for free capacity.
     base::TaskCount waiting_task_count;
+    /// The waiting tasks by priority, the highest priority first.
+    std::vector<WaitingTasks> waiting_by_priority;
+    /// Mean time between two ends of runs, each of which frees the capacity of one task; zero if it
+    /// is unknown. It isn't compared, because it changes all the time.
+    base::Duration mean_end_interval{0};
 
     friend bool operator==(const ServiceCapacity& a, const ServiceCapacity& b) {
       return a.service == b.service && a.free_task_capacity == b.free_task_capacity &&
              a.total_task_capacity == b.total_task_capacity &&
-             a.waiting_task_count == b.waiting_task_count;
+             a.waiting_task_count == b.waiting_task_count &&
+             a.waiting_by_priority == b.waiting_by_priority;
     }
   };
 
--- a/src/runs/service_scheduler.cc
+++ b/src/runs/service_scheduler.cc
@@ -719,6 +719,7 @@
     return;
   }
   const TargetRun run = this->RemoveRun(target, finished_run.key);
+  this->task_end_rate.RecordEnd(now);
   if (run.is_stored && !run.has_lease_expired) {
     AddRunEndEvent(target, finished_run, actions);
   }
@@ -1010,9 +1011,16 @@
         base::TaskCount(target.report.capacity.processors.value() / processors_per_task);
   }
   for (const auto& [key, batch_key] : this->batch_queue) {
-    capacity.waiting_task_count +=
-        base::TaskCount(static_cast<int64_t>(this->batches.at(batch_key).waiting_tasks.size()));
+    const base::TaskCount waiting_count(
+        static_cast<int64_t>(this->batches.at(batch_key).waiting_tasks.size()));
+    capacity.waiting_task_count += waiting_count;
+    if (capacity.waiting_by_priority.empty() ||
+        capacity.waiting_by_priority.back().priority != key.first) {
+      capacity.waiting_by_priority.push_back({key.first, base::TaskCount(0)});
+    }
+    capacity.waiting_by_priority.back().count += waiting_count;
   }
+  capacity.mean_end_interval = this->task_end_rate.MeanInterval(now);
   return capacity;
 }
 
--- a/src/runs/service_scheduler.h
+++ b/src/runs/service_scheduler.h
@@ -15,6 +15,7 @@
 #include "runs/scheduler_actions.h"
 #include "runs/scheduler_settings.h"
 #include "runs/target_call_response.h"
+#include "runs/task_end_rate.h"
 #include "targets/target_health_tracker.h"
 
 namespace sapphirecrank::runs {
@@ -178,6 +179,7 @@
   // the time at which the lease of the target ends.
   std::multimap<base::TimePoint, JobTaskKey> reservation_expiries;
   uint64_t next_arrival_number = 1;
+  TaskEndRate task_end_rate;
   // Smoothed mean of the milli-cores that tasks require; 0 before the first task.
   double mean_required_processors = 0;
 };
--- a/tests/clusterhost/stored_job_manager_test.cc
+++ b/tests/clusterhost/stored_job_manager_test.cc
@@ -141,8 +141,11 @@
 TEST(StoredJobManager, AcknowledgesRunEndsOnceTheyAreCommitted) {
   this->AdvanceAsLeader(3000);
   runs::CapacityReport capacity_report;
-  capacity_report.service_capacities.push_back(
-      {base::ServiceId("s"), base::TaskCount(5), base::TaskCount(5), base::TaskCount(0)});
+  runs::CapacityReport::ServiceCapacity capacity;
+  capacity.service = base::ServiceId("s");
+  capacity.free_task_capacity = base::TaskCount(5);
+  capacity.total_task_capacity = base::TaskCount(5);
+  capacity_report.service_capacities.push_back(capacity);
   this->manager.OnCapacityReport(base::HostId("self"), capacity_report);
   this->SendRequest(JobRequest::Kind::kSubmit);
   this->CommitLastChange();
--- a/tests/gateway/allocator_selector_test.cc
+++ b/tests/gateway/allocator_selector_test.cc
@@ -14,8 +14,12 @@
 runs::CapacityReport MakeReport(const char* data_centre, int64_t free, int64_t waiting) {
   runs::CapacityReport report;
   report.data_centre = base::DataCentreId(data_centre);
-  report.service_capacities = {
-      {ServiceId("s"), TaskCount(free), TaskCount(30), TaskCount(waiting)}};
+  runs::CapacityReport::ServiceCapacity capacity;
+  capacity.service = ServiceId("s");
+  capacity.free_task_capacity = TaskCount(free);
+  capacity.total_task_capacity = TaskCount(30);
+  capacity.waiting_task_count = TaskCount(waiting);
+  report.service_capacities = {capacity};
   return report;
 }
 
@@ -63,3 +67,23 @@
   this->selector.OnCapacityReport(HostId("near"), MakeReport("near", 20, 0));
   CHECK(*this->selector.ChooseAllocator(ServiceId("s"), TaskCount(4)) == HostId("near"));
 }
+
+// Pattern: overload. Guards against an expected wait that counts tasks of lower priority, which
+// start later, or that ignores an allocator with free capacity.
+TEST(AllocatorSelector, ExpectsToWaitForTasksOfHigherOrEqualPriority) {
+  runs::CapacityReport report = MakeReport("near", 0, 30);
+  report.service_capacities[0].waiting_by_priority = {{base::Priority(0), TaskCount(10)},
+                                                      {base::Priority(2), TaskCount(20)}};
+  report.service_capacities[0].mean_end_interval = std::chrono::milliseconds(10);
+  this->selector.OnCapacityReport(HostId("near"), report);
+  const auto wait = [this](int32_t priority) {
+    return *this->selector.ExpectedWait(ServiceId("s"), TaskCount(4), base::Priority(priority));
+  };
+  CHECK(wait(0) == std::chrono::milliseconds(140));
+  CHECK(wait(1) == std::chrono::milliseconds(140));
+  CHECK(wait(2) == std::chrono::milliseconds(340));
+  this->selector.OnCapacityReport(HostId("far"), MakeReport("far", 8, 0));
+  CHECK(wait(2) == base::Duration(0));
+  CHECK_FALSE(
+      this->selector.ExpectedWait(ServiceId("other"), TaskCount(1), base::Priority(0)).has_value());
+}
--- a/tests/gateway/job_dispatcher_test.cc
+++ b/tests/gateway/job_dispatcher_test.cc
@@ -18,6 +18,7 @@
 TEST_GROUP(JobDispatcher) {
   base::ManualClock clock;
   std::optional<base::HostId> chosen_allocator{base::HostId("a1")};
+  std::optional<base::Duration> expected_wait;
   bool is_allocator_reachable = true;
   uint64_t next_caller = 1;
   std::vector<std::pair<base::HostId, runs::TaskBatch>> placed_batches;
@@ -28,6 +29,9 @@
       base::HostId("g1"),
       {this->clock.AsClock(),
        [this](const base::ServiceId&, base::TaskCount) { return this->chosen_allocator; },
+       [this](const base::ServiceId&, base::TaskCount, base::Priority) {
+         return this->expected_wait;
+       },
        [this](const base::HostId& host, const runs::TaskBatch& batch) {
          if (this->is_allocator_reachable) {
            this->placed_batches.emplace_back(host, batch);
@@ -183,6 +187,10 @@
   };
   hooks.cancel_job = [](const base::HostId&, const base::SubmissionId&) {};
   hooks.on_job_end = [](const gateway::Job&, const JobResult&, base::Duration) {};
+  hooks.expected_wait = [](const base::ServiceId&, base::TaskCount,
+                           base::Priority) -> std::optional<base::Duration> {
+    return std::nullopt;
+  };
   hooks.on_allocator_unreachable = [&allocators](const base::HostId&) {
     allocators.erase(allocators.begin());
   };
@@ -219,6 +227,10 @@
   };
   hooks.cancel_job = [](const base::HostId&, const base::SubmissionId&) {};
   hooks.on_job_end = [](const gateway::Job&, const JobResult&, base::Duration) {};
+  hooks.expected_wait = [](const base::ServiceId&, base::TaskCount,
+                           base::Priority) -> std::optional<base::Duration> {
+    return std::nullopt;
+  };
   hooks.on_allocator_unreachable = [](const base::HostId&) {};
   JobDispatcher other_dispatcher(base::HostId("g1"), hooks);
   const auto end_batch = [&other_dispatcher](uint32_t number) {
@@ -235,3 +247,20 @@
   end_batch(2);
   CHECK(result->outcome == JobResult::Outcome::kCompleted);
 }
+
+// Pattern: overload. Guards against a job that waits in a backlog that certainly outlasts it and is
+// refused only then, and against refusing jobs that may still start in time.
+TEST(JobDispatcher, RefusesJobsAtOnceIfTheBacklogOutlastsThem) {
+  gateway::Job job = this->MakeJob();
+  job.latency_objective = milliseconds(100);
+  this->expected_wait = milliseconds(140);
+  this->Submit(job);
+  LONGS_EQUAL(1, this->placed_batches.size());
+  LONGS_EQUAL(0, this->results.size());
+  job.id = base::SubmissionId("second");
+  this->expected_wait = milliseconds(2500);
+  this->Submit(job);
+  LONGS_EQUAL(1, this->placed_batches.size());
+  CHECK(this->results[0].outcome == JobResult::Outcome::kNotRun);
+  CHECK(this->results[0].retry_after >= milliseconds(2500));
+}
