scripts: Report crashes of tests behind known failures

Cause: run_tests.py blamed a crash on tests that had not started, hid it behind a failure of the same group that KNOWN-RED.txt lists, and left out a binary that can't list its tests.

Change: without CppUTest's closing line, the test that was started last has failed, in addition to reported failures; a binary without a list of tests is an error.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -2,7 +2,7 @@
 """Runs all CppUTest binaries of a directory and compares failures with KNOWN-RED.txt.
 
 Only the tests listed in KNOWN-RED.txt may fail. Each group runs in its own process, so that a
-crash fails only the tests of that group. Property tests run with a fixed RapidCheck seed unless
+crash fails only the test that was running. Property tests run with a fixed RapidCheck seed unless
 RC_PARAMS is set, so that each run gives the same verdict.
 """
 
@@ -16,6 +16,8 @@
 GROUP_TIMEOUT_SECONDS = 600
 STARTED_TEST = re.compile(r"TEST\((\w+), (\w+)\)")
 FAILED_TEST = re.compile(r"Failure in (?:IGNORE_)?TEST\((\w+), (\w+)\)")
+# CppUTest prints one of these lines after its last test.
+SUMMARY = re.compile(r"^(?:OK|Errors) \(", re.M)
 
 
 def read_known_failures(root):
@@ -32,9 +34,24 @@
     for name in output.stdout.split():
         group, test = name.split(".", 1)
         groups.setdefault(group, set()).add(test)
+    if output.returncode != 0 or not groups:
+        sys.exit(f"{binary.name} can't list its tests (exit code {output.returncode})")
     return groups
 
 
+def find_failed_tests(output, code, tests):
+    """Returns the tests of one group that failed, given the output and exit code of its run."""
+    failed = {test for _, test in FAILED_TEST.findall(output)}
+    if code != 0 and not SUMMARY.search(output):
+        # The process crashed or timed out: the test that it started last has failed.
+        started = [test for _, test in STARTED_TEST.findall(output) if test in tests]
+        failed |= {started[-1]} if started else tests
+    elif code != 0 and not failed:
+        # The process ended with an error after its last test, for example because of a leak.
+        failed = set(tests)
+    return failed
+
+
 def run_group(binary, group, tests):
     environment = dict(os.environ)
     environment.setdefault("RC_PARAMS", "seed=20261204")
@@ -45,12 +62,10 @@
             timeout=GROUP_TIMEOUT_SECONDS, env=environment)
         output, code = run.stdout + run.stderr, run.returncode
     except subprocess.TimeoutExpired as expired:
-        output, code = f"timed out: {expired}", -1
-    failed = {test for _, test in FAILED_TEST.findall(output)}
-    if code != 0 and not failed:
-        started = {test for _, test in STARTED_TEST.findall(output)}
-        failed = (tests - started) or tests
-    return binary.name, group, tests, failed, output
+        # The partial output is bytes although text was requested.
+        partial_output = (expired.stdout or b"").decode(errors="replace")
+        output, code = f"{partial_output}\ntimed out: {expired}", -1
+    return binary.name, group, tests, find_failed_tests(output, code, tests), output
 
 
 def main():
@@ -89,4 +104,5 @@
     return 1 if failed or not passed else 0
 
 
-sys.exit(main())
+if __name__ == "__main__":
+    sys.exit(main())
