runs: Keep the health of a target with the target

Cause: each placement and each capacity report looked the health of all targets up by their ids. At 1,100 targets that is a hash of a string for each of 220 targets and each of some 500 placements a second on an allocator.

Change: LeasedTarget holds a copy of the state, which changes only with outcomes and probations.

--- a/src/runs/leased_target.h
+++ b/src/runs/leased_target.h
@@ -9,6 +9,7 @@
 #include "runs/run_key.h"
 #include "runs/target_report.h"
 #include "runs/target_run.h"
+#include "targets/health_state.h"
 
 namespace sapphirecrank::runs {
 
@@ -41,6 +42,8 @@
   /// This host's time at which the target's clock was `report.clock`.
   base::TimePoint clock_read_at;
   base::TimePoint last_heard_at;
+  /// Copy of the state in the health tracker. Each placement reads it for all targets.
+  targets::HealthState health = targets::HealthState::kHealthy;
   /// No runs are started on the target before this time, after failed calls for example.
   base::TimePoint backoff_until;
   /// Calls without a response since the last one that had a response.
--- a/src/runs/service_scheduler.cc
+++ b/src/runs/service_scheduler.cc
@@ -93,6 +93,7 @@
   target.clock_read_at = now;
   target.last_heard_at = now;
   this->target_health.AddTarget(report.id);
+  target.health = this->target_health.StateOf(report.id);
   this->PollIfDue(target, now, actions);
   this->StartQueuedTasks(now, actions);
 }
@@ -205,9 +206,8 @@
 }
 
 bool ServiceScheduler::CanStartRuns(const LeasedTarget& target, TimePoint now) const {
-  const targets::HealthState health = this->target_health.StateOf(target.report.id);
-  if (health == targets::HealthState::kEjected ||
-      (health == targets::HealthState::kProbation && !target.runs.empty())) {
+  if (target.health == targets::HealthState::kEjected ||
+      (target.health == targets::HealthState::kProbation && !target.runs.empty())) {
     return false;
   }
   return target.phase == LeasedTarget::Phase::kInUse && !target.report.is_draining &&
@@ -644,11 +644,12 @@
   this->PollIfDue(target, now, actions);
 }
 
-void ServiceScheduler::RecordTargetHealth(const LeasedTarget& target, bool succeeded, TimePoint now,
+void ServiceScheduler::RecordTargetHealth(LeasedTarget& target, bool succeeded, TimePoint now,
                                           SchedulerActions& actions) {
   const TargetId& id = target.report.id;
-  const targets::HealthState before = this->target_health.StateOf(id);
+  const targets::HealthState before = target.health;
   const targets::HealthState after = this->target_health.OnTaskOutcome(id, succeeded, now);
+  target.health = after;
   if (after == before) {
     return;
   }
@@ -965,6 +966,7 @@
 void ServiceScheduler::Tick(TimePoint now, SchedulerActions& actions) {
   this->ExpireBatches(now, actions);
   for (const TargetId& id : this->target_health.BeginProbations(now)) {
+    this->targets.at(id).health = targets::HealthState::kProbation;
     actions.decisions.push_back(
         {"target on probation", {}, id, {}, "the time of its ejection has ended"});
   }
--- a/src/runs/service_scheduler.h
+++ b/src/runs/service_scheduler.h
@@ -128,7 +128,7 @@
   void RecordRunFailure(const LeasedTarget& target, const RunKey& key, const TargetRun& run,
                         base::TimePoint now, SchedulerActions& actions);
   /// Records the outcome of a run that tells whether its target is healthy.
-  void RecordTargetHealth(const LeasedTarget& target, bool succeeded, base::TimePoint now,
+  void RecordTargetHealth(LeasedTarget& target, bool succeeded, base::TimePoint now,
                           SchedulerActions& actions);
   /// Records the progress of a run that its target lists as active. Stops the run if it makes no
   /// progress, so that its task is started on another target.
