--- a/tests/clusterhost/cluster_test.cc
+++ b/tests/clusterhost/cluster_test.cc
@@ -403,21 +403,25 @@
 TEST(Cluster, NewOwnerStartsNothingOnADrainingTarget) {
   CHECK_TRUE(this->PutConfigurationAnywhere(3));
   CHECK_TRUE(this->ReportUntilJobCompletes("first"));
+  base::HostId owner;
   for (auto& allocator : this->allocators) {
-    CHECK_TRUE(this->WaitUntil(
-        [&] { return allocator->OnTargetReport(this->target.MakeReport()).has_value(); }));
+    CHECK_TRUE(this->WaitUntil([&] {
+      const auto reported = allocator->OnTargetReport(this->target.MakeReport());
+      owner = reported.value_or(base::HostId());
+      return reported.has_value();
+    }));
   }
+  size_t owner_index = 0;
+  while (this->seeds[owner_index].value() != owner.value()) {
+    ++owner_index;
+  }
+  // Targets report to their owner, so that the other hosts know only the reports from before.
   runs::TargetReport draining = this->target.MakeReport();
   draining.is_draining = true;
-  const auto owner = this->allocators[0]->OnTargetReport(draining);
-  CHECK_TRUE(owner.has_value());
+  CHECK_TRUE(this->allocators[owner_index]->OnTargetReport(draining).has_value());
   std::this_thread::sleep_for(milliseconds(300));
   const size_t starts = this->target.StartCount();
-  for (size_t i = 0; i < this->seeds.size(); ++i) {
-    if (this->seeds[i].value() == owner->value()) {
-      this->StopAllocator(i);
-    }
-  }
+  this->StopAllocator(owner_index);
   // The remaining hosts agree on a new owner within about two seconds.
   for (int i = 0; i < 100; ++i) {
     (void)this->RunJob("later" + std::to_string(i));
