--- a/tests/peers/peer_network_test.cc
+++ b/tests/peers/peer_network_test.cc
@@ -261,7 +261,16 @@
   to_second.BlackholeOpenConnections();
   to_first.BlackholeOpenConnections();
   first.WaitFor([&] { return first.loss_count > loss_count; });
-  const int acknowledgements_before = second.acknowledgement_count;
-  second.WaitFor([&] { return second.acknowledgement_count > acknowledgements_before; });
-  CHECK(second.reset_count_at_last_acknowledgement > reset_count);
+  // The network thread writes these members under the lock of `WaitFor`.
+  int acknowledgements_before = 0;
+  second.WaitFor([&] {
+    acknowledgements_before = second.acknowledgement_count;
+    return true;
+  });
+  int reset_count_at_acknowledgement = 0;
+  second.WaitFor([&] {
+    reset_count_at_acknowledgement = second.reset_count_at_last_acknowledgement;
+    return second.acknowledgement_count > acknowledgements_before;
+  });
+  CHECK(reset_count_at_acknowledgement > reset_count);
 }
