gateway: Decide in one place which reported capacity can be used

Cause: ChooseAllocatorBelowBacklog and ExpectedWait each repeated the conditions on a report: its age, whether the allocator is leaving, the service and the capacity. A change to one of them would let the expected wait count allocators that are never chosen.

Change: CanTakeTasks holds the conditions; both loops call it. Behaviour is the same.

--- a/src/gateway/allocator_selector.cc
+++ b/src/gateway/allocator_selector.cc
@@ -22,6 +22,14 @@
 AllocatorSelector::AllocatorSelector(base::DataCentreId data_centre, base::Clock now)
     : data_centre(std::move(data_centre)), now(std::move(now)) {}
 
+bool AllocatorSelector::CanTakeTasks(const ReceivedReport& received,
+                                     const runs::CapacityReport::ServiceCapacity& capacity,
+                                     const base::ServiceId& service, base::TimePoint now) {
+  return capacity.service == service && !received.report.is_leaving &&
+         capacity.total_task_capacity > TaskCount(0) &&
+         now - received.received_at < kMaximumReportAge;
+}
+
 void AllocatorSelector::OnCapacityReport(const HostId& allocator,
                                          const runs::CapacityReport& report) {
   base::MutexLock lock(this->mutex);
@@ -56,13 +64,8 @@
   const base::TimePoint current_time = this->now();
   for (auto& [host, received] : this->capacity_reports) {
     runs::CapacityReport& report = received.report;
-    const base::Duration report_age = current_time - received.received_at;
-    if (report_age >= kMaximumReportAge) {
-      continue;
-    }
     for (runs::CapacityReport::ServiceCapacity& capacity : report.service_capacities) {
-      if (capacity.service != service || report.is_leaving ||
-          capacity.total_task_capacity <= TaskCount(0)) {
+      if (!CanTakeTasks(received, capacity, service, current_time)) {
         continue;
       }
       const auto backlog =
@@ -72,7 +75,7 @@
         continue;
       }
       const auto rank = std::make_tuple(
-          report_age < kPreferredReportAge,
+          current_time - received.received_at < kPreferredReportAge,
           capacity.free_task_capacity >= count && capacity.waiting_task_count == TaskCount(0),
           report.data_centre == this->data_centre, -backlog);
       if (!best || rank > best_rank) {
@@ -95,12 +98,9 @@
   std::optional<base::Duration> shortest;
   const base::TimePoint current_time = this->now();
   for (const auto& [host, received] : this->capacity_reports) {
-    if (current_time - received.received_at >= kMaximumReportAge || received.report.is_leaving) {
-      continue;
-    }
     for (const runs::CapacityReport::ServiceCapacity& capacity :
          received.report.service_capacities) {
-      if (capacity.service != service || capacity.total_task_capacity <= TaskCount(0)) {
+      if (!CanTakeTasks(received, capacity, service, current_time)) {
         continue;
       }
       TaskCount tasks_ahead = count - capacity.free_task_capacity;
--- a/src/gateway/allocator_selector.h
+++ b/src/gateway/allocator_selector.h
@@ -58,6 +58,11 @@
     base::TimePoint received_at;
   };
 
+  /// Returns whether tasks of `service` may be placed by this part of a report.
+  static bool CanTakeTasks(const ReceivedReport& received,
+                           const runs::CapacityReport::ServiceCapacity& capacity,
+                           const base::ServiceId& service, base::TimePoint now);
+
   base::DataCentreId data_centre;
   base::Clock now;
   base::Mutex mutex;
