stored: Commit which runs are superseded before a task is placed again

Whether an end is superseded was known only from first_run_number in the memory of the leader that had placed the task again. The next leader began with 0 and recorded every end.

Before a task is placed again, the group now commits JobCommand::SupersedeRuns with the lowest run number whose end counts. The state machine ignores outcomes of lower runs, so that the order in the log decides between an outcome and a new start. A new leader supersedes the runs of all jobs that it finds before it places their tasks. After the commit of an outcome, the end is classified again before it is acknowledged.

On a related path, a host that had begun to lead, or had just stopped, acknowledged the end of a run for which it had no entry, although nothing was recorded. It now gives no answer.

Costs one more commit for each placement of a task but the first, except after a batch that started nothing.

--- a/src/clusterhost/stored_job_manager.cc
+++ b/src/clusterhost/stored_job_manager.cc
@@ -98,6 +98,11 @@
     this->hooks.propose_job_change(JobCommand{JobCommand::RemoveRecords{job_ids}}.Encode(),
                                    [](ProposalOutcome /*outcome*/) {});
   };
+  scheduler_hooks.supersede_runs = [this](const JobCommand::SupersedeRuns& command) {
+    this->LogSupersededRuns(command);
+    this->hooks.propose_job_change(JobCommand{command}.Encode(),
+                                   [](ProposalOutcome /*outcome*/) {});
+  };
   scheduler_hooks.on_leadership_change = [this](bool is_leading) {
     this->logger.Info(is_leading ? "started scheduling stored jobs"
                                  : "stopped scheduling stored jobs");
@@ -226,7 +231,7 @@
     return;  // The sender repeats them to the host that leads by then.
   }
   RunEventAcknowledgements acknowledgements;
-  RunEventAcknowledgements proposed_acknowledgements;
+  std::vector<RunEvent> proposed_events;
   JobCommand::RecordOutcomes command;
   for (const RunEvent& event : message.events) {
     switch (this->scheduler.ClassifyRunEvent(event)) {
@@ -235,29 +240,74 @@
         break;
       case JobScheduler::EventDisposition::kSuperseded:
         acknowledgements.superseded.push_back(event);
+        this->LogSupersededEvent(from, event);
         break;
       case JobScheduler::EventDisposition::kPropose:
-        proposed_acknowledgements.acknowledged.push_back(event);
+        proposed_events.push_back(event);
         command.outcomes.push_back({event.key, event.kind == RunEvent::Kind::kSucceeded});
         break;
+      case JobScheduler::EventDisposition::kIgnore:
+        break;
     }
   }
-  if (!acknowledgements.acknowledged.empty() || !acknowledgements.superseded.empty()) {
-    this->AcknowledgeRunEvents(from, acknowledgements);
-  }
+  this->AcknowledgeRunEvents(from, acknowledgements);
   if (command.outcomes.empty()) {
     return;
   }
   this->hooks.propose_job_change(JobCommand{command}.Encode(),
-                                 [this, from, proposed_acknowledgements](ProposalOutcome outcome) {
+                                 [this, from, proposed_events](ProposalOutcome outcome) {
                                    if (outcome == ProposalOutcome::kCommitted) {
-                                     this->AcknowledgeRunEvents(from, proposed_acknowledgements);
+                                     this->OnOutcomesCommitted(from, proposed_events);
                                    }
                                  });
 }
 
+void StoredJobManager::OnOutcomesCommitted(const HostId& from,
+                                           const std::vector<RunEvent>& events) {
+  // The runs of some events may have been superseded before the outcomes were committed.
+  RunEventAcknowledgements acknowledgements;
+  for (const RunEvent& event : events) {
+    switch (this->scheduler.ClassifyRunEvent(event)) {
+      case JobScheduler::EventDisposition::kAcknowledge:
+        acknowledgements.acknowledged.push_back(event);
+        break;
+      case JobScheduler::EventDisposition::kSuperseded:
+        acknowledgements.superseded.push_back(event);
+        this->LogSupersededEvent(from, event);
+        break;
+      case JobScheduler::EventDisposition::kPropose:
+      case JobScheduler::EventDisposition::kIgnore:
+        break;  // The sender repeats it.
+    }
+  }
+  this->AcknowledgeRunEvents(from, acknowledgements);
+}
+
+void StoredJobManager::LogSupersededRuns(const JobCommand::SupersedeRuns& command) {
+  for (const runs::RunKey& key : command.lowest_valid_runs) {
+    this->logger.Info("superseding earlier runs of a task",
+                      {{"job", key.task.job.value()},
+                       {"step", std::to_string(key.task.step.value())},
+                       {"task", std::to_string(key.task.index.value())},
+                       {"lowest_valid_run", std::to_string(key.run.value())}});
+  }
+}
+
+void StoredJobManager::LogSupersededEvent(const HostId& from, const RunEvent& event) {
+  this->logger.Info("run end doesn't count; its run is superseded",
+                    {{"job", event.key.task.job.value()},
+                     {"step", std::to_string(event.key.task.step.value())},
+                     {"task", std::to_string(event.key.task.index.value())},
+                     {"run", std::to_string(event.key.run.value())},
+                     {"target", event.target.value()},
+                     {"allocator", from.value()}});
+}
+
 void StoredJobManager::AcknowledgeRunEvents(const HostId& to,
                                             const RunEventAcknowledgements& acknowledgements) {
+  if (acknowledgements.acknowledged.empty() && acknowledgements.superseded.empty()) {
+    return;
+  }
   if (to == this->settings.self) {
     this->OnEventAcknowledgements(acknowledgements);
   } else {
--- a/src/stored/job_command.cc
+++ b/src/stored/job_command.cc
@@ -15,6 +15,26 @@
 constexpr char kRecordOutcomesTag = 'o';
 constexpr char kCancelTag = 'x';
 constexpr char kRemoveRecordsTag = 'f';
+// Program versions before this command ignore it.
+constexpr char kSupersedeRunsTag = 'u';
+
+void WriteRunKey(storage::ByteWriter& writer, const runs::RunKey& key) {
+  writer.WriteString(key.task.job.value());
+  writer.WriteU32(key.task.occurrence.value());
+  writer.WriteU32(key.task.step.value());
+  writer.WriteU32(key.task.index.value());
+  writer.WriteU32(key.run.value());
+}
+
+runs::RunKey ReadRunKey(storage::ByteReader& reader) {
+  runs::RunKey key;
+  key.task.job = base::SubmissionId(reader.ReadString());
+  key.task.occurrence = base::OccurrenceNumber(reader.ReadU32());
+  key.task.step = base::StepIndex(reader.ReadU32());
+  key.task.index = base::TaskIndex(reader.ReadU32());
+  key.run = base::RunNumber(reader.ReadU32());
+  return key;
+}
 
 void WriteChange(storage::ByteWriter& writer, const JobCommand::Submit& change) {
   writer.WriteBytes({&kSubmitTag, 1});
@@ -25,11 +45,7 @@
   writer.WriteBytes({&kRecordOutcomesTag, 1});
   writer.WriteU32(static_cast<uint32_t>(change.outcomes.size()));
   for (const TaskOutcome& outcome : change.outcomes) {
-    writer.WriteString(outcome.key.task.job.value());
-    writer.WriteU32(outcome.key.task.occurrence.value());
-    writer.WriteU32(outcome.key.task.step.value());
-    writer.WriteU32(outcome.key.task.index.value());
-    writer.WriteU32(outcome.key.run.value());
+    WriteRunKey(writer, outcome.key);
     writer.WriteU32(outcome.has_succeeded ? 1 : 0);
   }
 }
@@ -47,13 +63,17 @@
   }
 }
 
+void WriteChange(storage::ByteWriter& writer, const JobCommand::SupersedeRuns& change) {
+  writer.WriteBytes({&kSupersedeRunsTag, 1});
+  writer.WriteU32(static_cast<uint32_t>(change.lowest_valid_runs.size()));
+  for (const runs::RunKey& key : change.lowest_valid_runs) {
+    WriteRunKey(writer, key);
+  }
+}
+
 TaskOutcome ReadOutcome(storage::ByteReader& reader) {
   TaskOutcome outcome;
-  outcome.key.task.job = base::SubmissionId(reader.ReadString());
-  outcome.key.task.occurrence = base::OccurrenceNumber(reader.ReadU32());
-  outcome.key.task.step = base::StepIndex(reader.ReadU32());
-  outcome.key.task.index = base::TaskIndex(reader.ReadU32());
-  outcome.key.run = base::RunNumber(reader.ReadU32());
+  outcome.key = ReadRunKey(reader);
   outcome.has_succeeded = reader.ReadU32() != 0;
   return outcome;
 }
@@ -84,6 +104,15 @@
       command.change = std::move(change);
       return true;
     }
+    case kSupersedeRunsTag: {
+      JobCommand::SupersedeRuns change;
+      const uint32_t count = reader.ReadU32();
+      for (uint32_t i = 0; i < count && reader.ok(); ++i) {
+        change.lowest_valid_runs.push_back(ReadRunKey(reader));
+      }
+      command.change = std::move(change);
+      return true;
+    }
     default:
       return false;
   }
--- a/src/stored/job_command.h
+++ b/src/stored/job_command.h
@@ -22,12 +22,17 @@
   struct Cancel {
     base::SubmissionId id;
   };
+  /// For each task, all runs with lower numbers are superseded. Must be committed before a task is
+  /// started again, because a later leader has no other record of it.
+  struct SupersedeRuns {
+    std::vector<runs::RunKey> lowest_valid_runs;
+  };
   /// Removes the records of jobs that have ended. Open jobs are kept.
   struct RemoveRecords {
     std::vector<base::SubmissionId> ids;
   };
 
-  std::variant<Submit, RecordOutcomes, Cancel, RemoveRecords> change;
+  std::variant<Submit, RecordOutcomes, Cancel, RemoveRecords, SupersedeRuns> change;
 
   /// Returns the encoding for the log. Thread safety: pure.
   std::string Encode() const;
--- a/src/stored/job_scheduler.cc
+++ b/src/stored/job_scheduler.cc
@@ -36,6 +36,11 @@
 // capacity then.
 constexpr Duration kBatchWaitLimit = milliseconds(400);
 constexpr Duration kPlacementRetryDelay = milliseconds(50);
+// A proposal without a commit after this time is repeated. Commits take some 10 ms, and longer on a
+// slow disk; a leader that can't commit loses its lease after this time.
+constexpr Duration kProposalRetryDelay = milliseconds(500);
+// Bounds the size of a command in the log.
+constexpr size_t kMaximumSupersededRuns = 1000;
 // Stored jobs have no deadline.
 constexpr Duration kNoDeadline = std::chrono::hours(24 * 365);
 constexpr Duration kRemovalInterval = std::chrono::seconds(1);
@@ -95,7 +100,9 @@
   std::vector<SubmissionId> ids;
   this->stored_jobs.ForEachJob([&ids](const StoredJob& stored) { ids.push_back(stored.job.id); });
   this->is_leading = true;
-  this->OnJobsChanged(ids);
+  // Jobs that are submitted from now on come through `OnJobsChanged`: the lease is held only after
+  // all entries of earlier terms have been applied.
+  this->UpdateJobs(ids, true);
   this->hooks.on_leadership_change(true);
 }
 
@@ -135,7 +142,24 @@
   }
 }
 
-std::vector<HostId> JobScheduler::UpdateEntry(Shard& shard, const SubmissionId& id) {
+void JobScheduler::UpdateTask(TaskState& task, const StoredTask& stored_task) {
+  const auto is_settled = [&stored_task](RunNumber run) {
+    return stored_task.successful_run || HasRunEnded(stored_task, run) ||
+           run < stored_task.lowest_valid_run;
+  };
+  if (task.run_awaiting_commit && is_settled(*task.run_awaiting_commit)) {
+    task.run_awaiting_commit.reset();
+    task.batch = BatchNumber();
+  }
+  if (task.proposed_lowest_run != RunNumber() &&
+      task.proposed_lowest_run <= stored_task.lowest_valid_run) {
+    task.proposed_lowest_run = RunNumber();
+    task.may_have_runs = false;
+  }
+}
+
+std::vector<HostId> JobScheduler::UpdateEntry(Shard& shard, const SubmissionId& id,
+                                              bool may_have_runs) {
   std::set<HostId> allocators;
   this->stored_jobs.WithJob(id, [&](const StoredJob* stored) {
     if (stored == nullptr) {
@@ -149,8 +173,10 @@
       entry.priority = stored->job.priority;
       entry.queue = stored->job.queue;
       entry.arrival_number = this->next_arrival_number++;
+      TaskState new_task;
+      new_task.may_have_runs = may_have_runs;
       for (const auto& step : stored->steps) {
-        entry.steps.emplace_back(step.size());
+        entry.steps.emplace_back(step.size(), new_task);
       }
     }
     {
@@ -159,15 +185,10 @@
     }
     for (size_t step = 0; step < entry.steps.size(); ++step) {
       for (size_t i = 0; i < entry.steps[step].size(); ++i) {
-        TaskState& task = entry.steps[step][i];
         const StoredTask& stored_task = stored->steps[step][i];
         entry.has_begun =
             entry.has_begun || stored_task.successful_run || !stored_task.failed_runs.empty();
-        if (task.run_awaiting_commit &&
-            (stored_task.successful_run || HasRunEnded(stored_task, *task.run_awaiting_commit))) {
-          task.run_awaiting_commit.reset();
-          task.batch = BatchNumber();
-        }
+        UpdateTask(entry.steps[step][i], stored_task);
       }
     }
     if (stored->phase == StoredJob::Phase::kOpen) {
@@ -188,26 +209,31 @@
 }
 
 void JobScheduler::OnJobsChanged(const std::vector<SubmissionId>& ids) {
-  if (!this->is_leading) {
-    return;
+  if (this->is_leading) {
+    this->UpdateJobs(ids, false);
   }
+}
+
+void JobScheduler::UpdateJobs(const std::vector<SubmissionId>& ids, bool may_have_runs) {
   for (const SubmissionId& id : ids) {
-    const std::vector<HostId> allocators =
-        this->shards.WithShard(id, [&](Shard& shard) { return this->UpdateEntry(shard, id); });
+    const std::vector<HostId> allocators = this->shards.WithShard(
+        id, [&](Shard& shard) { return this->UpdateEntry(shard, id, may_have_runs); });
     for (const HostId& host : allocators) {
       this->hooks.cancel_job(host, id);
     }
-    this->PlaceJob(id);
   }
+  this->PlaceJobs(ids);
 }
 
-void JobScheduler::ReleaseBatch(JobEntry& entry, BatchNumber batch, TimePoint earliest_placement) {
+void JobScheduler::ReleaseBatch(JobEntry& entry, BatchNumber batch, TimePoint earliest_placement,
+                                bool may_have_runs) {
   entry.open_batches.erase(batch);
   for (std::vector<TaskState>& step : entry.steps) {
     for (TaskState& task : step) {
       if (task.batch == batch && !task.run_awaiting_commit) {
         task.batch = BatchNumber();
         task.earliest_placement = earliest_placement;
+        task.may_have_runs = may_have_runs;
       }
     }
   }
@@ -225,10 +251,9 @@
       return;
     }
     // Events of the batch's runs may still arrive, unless the batch has begun no run.
-    const Duration delay = result.outcome == runs::BatchResult::Outcome::kNotRun
-                               ? kPlacementRetryDelay
-                               : kLostRunDelay;
-    ReleaseBatch(found->second, result.key.batch, this->hooks.now() + delay);
+    const bool may_have_runs = result.outcome != runs::BatchResult::Outcome::kNotRun;
+    const Duration delay = may_have_runs ? kLostRunDelay : kPlacementRetryDelay;
+    ReleaseBatch(found->second, result.key.batch, this->hooks.now() + delay, may_have_runs);
     shard.jobs_to_place.insert(id);
   });
 }
@@ -244,7 +269,7 @@
         }
       }
       for (const BatchNumber batch : lost_batches) {
-        ReleaseBatch(entry, batch, earliest_placement);
+        ReleaseBatch(entry, batch, earliest_placement, true);
         shard.jobs_to_place.insert(id);
       }
     }
@@ -260,13 +285,17 @@
       const size_t index = event.key.task.index.value();
       auto found = shard.jobs.find(id);
       if (stored == nullptr || step >= stored->steps.size() ||
-          index >= stored->steps[step].size() || found == shard.jobs.end()) {
+          index >= stored->steps[step].size()) {
         return EventDisposition::kAcknowledge;
       }
+      if (found == shard.jobs.end()) {
+        return EventDisposition::kIgnore;
+      }
       JobEntry& entry = found->second;
       TaskState& task = entry.steps[step][index];
       const StoredTask& stored_task = stored->steps[step][index];
-      const bool is_superseded = event.key.run < task.first_run_number;
+      const bool is_superseded =
+          event.key.run < std::max(task.first_run_number, stored_task.lowest_valid_run);
       if (event.kind == Kind::kStarted) {
         entry.has_begun = true;
         return EventDisposition::kAcknowledge;
@@ -302,35 +331,80 @@
   });
 }
 
-std::optional<JobScheduler::Placement> JobScheduler::PlaceStep(JobEntry& entry,
-                                                               const StoredJob& stored,
-                                                               StepIndex step, bool& has_more) {
+bool JobScheduler::PlaceStep(JobEntry& entry, const StoredJob& stored, StepIndex step,
+                             ReadyWork& work) {
   const TimePoint now = this->hooks.now();
+  const gateway::Job& job = stored.job;
+  // The ends of long-running tasks aren't recorded.
+  const bool records_ends = !job.steps[step.value()].is_long_running;
   std::vector<TaskState>& tasks = entry.steps[step.value()];
   std::vector<size_t> ready_tasks;
+  std::vector<size_t> tasks_with_earlier_runs;
+  bool has_more = false;
   for (size_t i = 0; i < tasks.size(); ++i) {
     if (stored.steps[step.value()][i].successful_run || tasks[i].batch != BatchNumber() ||
         tasks[i].run_awaiting_commit) {
       continue;
     }
-    if (now >= tasks[i].earliest_placement) {
-      ready_tasks.push_back(i);
-    } else {
+    if (now < tasks[i].earliest_placement) {
       has_more = true;
+    } else if (tasks[i].may_have_runs && records_ends) {
+      has_more = true;
+      tasks_with_earlier_runs.push_back(i);
+    } else {
+      ready_tasks.push_back(i);
     }
   }
-  if (ready_tasks.empty()) {
-    return std::nullopt;
+  const size_t task_count = ready_tasks.size() + tasks_with_earlier_runs.size();
+  if (task_count == 0) {
+    return has_more;
   }
-  const gateway::Job& job = stored.job;
-  const auto allocator = this->hooks.choose_allocator(
-      job.service, base::TaskCount(static_cast<int64_t>(ready_tasks.size())));
+  // Without an allocator, the ends of earlier runs may still come and count.
+  const auto allocator =
+      this->hooks.choose_allocator(job.service, base::TaskCount(static_cast<int64_t>(task_count)));
   if (!allocator) {
-    has_more = true;
-    return std::nullopt;
+    return true;
   }
+  this->SupersedeEarlierRuns(entry, stored, step, tasks_with_earlier_runs, work);
+  if (ready_tasks.empty()) {
+    return has_more;
+  }
+  work.placements.push_back(this->MakePlacement(entry, stored, step, ready_tasks, *allocator));
+  return has_more;
+}
+
+void JobScheduler::SupersedeEarlierRuns(JobEntry& entry, const StoredJob& stored, StepIndex step,
+                                        const std::vector<size_t>& tasks, ReadyWork& work) {
+  const TimePoint now = this->hooks.now();
+  std::vector<TaskState>& states = entry.steps[step.value()];
+  BatchNumber next_batch;
+  for (const size_t i : tasks) {
+    TaskState& task = states[i];
+    if (now < task.next_proposal_at) {
+      continue;
+    }
+    if (task.proposed_lowest_run == RunNumber()) {
+      if (next_batch == BatchNumber()) {
+        entry.last_batch = entry.last_batch.Next();
+        next_batch = entry.last_batch;
+      }
+      task.proposed_lowest_run = FirstRunNumberOf(next_batch);
+    }
+    task.next_proposal_at = now + kProposalRetryDelay;
+    work.lowest_valid_runs.push_back(
+        {{stored.job.id, base::OccurrenceNumber(), step, base::TaskIndex(static_cast<uint32_t>(i))},
+         task.proposed_lowest_run});
+  }
+}
+
+JobScheduler::Placement JobScheduler::MakePlacement(JobEntry& entry, const StoredJob& stored,
+                                                    StepIndex step,
+                                                    const std::vector<size_t>& ready_tasks,
+                                                    const HostId& allocator) {
+  const gateway::Job& job = stored.job;
+  std::vector<TaskState>& tasks = entry.steps[step.value()];
   entry.last_batch = entry.last_batch.Next();
-  entry.open_batches[entry.last_batch] = *allocator;
+  entry.open_batches[entry.last_batch] = allocator;
   runs::TaskBatch batch;
   batch.key = {this->settings.self, job.id, entry.last_batch};
   batch.service = job.service;
@@ -346,15 +420,17 @@
   for (const size_t i : ready_tasks) {
     tasks[i].batch = entry.last_batch;
     tasks[i].first_run_number = batch.first_run_number;
+    tasks[i].may_have_runs = true;
+    tasks[i].next_proposal_at = TimePoint();
     batch.tasks.push_back(
         {{job.id, base::OccurrenceNumber(), step, base::TaskIndex(static_cast<uint32_t>(i))},
          job.steps[step.value()].required_resources});
   }
-  return Placement{*allocator, std::move(batch)};
+  return {allocator, std::move(batch)};
 }
 
-std::vector<JobScheduler::Placement> JobScheduler::PlaceReadySteps(const SubmissionId& id) {
-  std::vector<Placement> placements;
+JobScheduler::ReadyWork JobScheduler::PlaceReadySteps(const SubmissionId& id) {
+  ReadyWork work;
   this->shards.WithShard(id, [&](Shard& shard) {
     auto found = shard.jobs.find(id);
     if (found == shard.jobs.end() || found->second.ended_at) {
@@ -371,12 +447,8 @@
         const bool is_ready =
             std::all_of(dependencies.begin(), dependencies.end(),
                         [stored](StepIndex dependency) { return IsStepDone(*stored, dependency); });
-        if (!is_ready) {
-          continue;
-        }
-        auto placement = this->PlaceStep(found->second, *stored, StepIndex(i), has_more);
-        if (placement) {
-          placements.push_back(std::move(*placement));
+        if (is_ready) {
+          has_more = this->PlaceStep(found->second, *stored, StepIndex(i), work) || has_more;
         }
       }
     });
@@ -384,7 +456,7 @@
       shard.jobs_to_place.erase(id);
     }
   });
-  return placements;
+  return work;
 }
 
 bool JobScheduler::IsLeading() {
@@ -402,16 +474,28 @@
   return this->hooks.now() >= this->placement_starts_at;
 }
 
-void JobScheduler::PlaceJob(const SubmissionId& id) {
-  if (!this->MayPlaceTasks()) {
-    return;
-  }
-  for (const Placement& placement : this->PlaceReadySteps(id)) {
-    if (!this->hooks.place_batch(placement.allocator, placement.batch)) {
-      this->OnBatchEnd(placement.allocator,
-                       {placement.batch.key, runs::BatchResult::Outcome::kNotRun,
-                        "the allocator is not reachable"});
+void JobScheduler::PlaceJobs(const std::vector<SubmissionId>& ids) {
+  JobCommand::SupersedeRuns command;
+  for (const SubmissionId& id : ids) {
+    if (!this->MayPlaceTasks()) {
+      return;
+    }
+    const ReadyWork work = this->PlaceReadySteps(id);
+    for (const Placement& placement : work.placements) {
+      if (!this->hooks.place_batch(placement.allocator, placement.batch)) {
+        this->OnBatchEnd(placement.allocator,
+                         {placement.batch.key, runs::BatchResult::Outcome::kNotRun,
+                          "the allocator is not reachable"});
+      }
     }
+    command.lowest_valid_runs.insert(command.lowest_valid_runs.end(),
+                                     work.lowest_valid_runs.begin(), work.lowest_valid_runs.end());
+    if (command.lowest_valid_runs.size() >= kMaximumSupersededRuns) {
+      this->hooks.supersede_runs(std::exchange(command, {}));
+    }
+  }
+  if (!command.lowest_valid_runs.empty()) {
+    this->hooks.supersede_runs(command);
   }
 }
 
@@ -427,9 +511,12 @@
     }
   });
   std::sort(ordered_jobs.begin(), ordered_jobs.end());
-  for (const auto& [priority, arrival_number, id] : ordered_jobs) {
-    this->PlaceJob(id);
+  std::vector<SubmissionId> ordered_ids;
+  ordered_ids.reserve(ordered_jobs.size());
+  for (auto& [priority, arrival_number, id] : ordered_jobs) {
+    ordered_ids.push_back(std::move(id));
   }
+  this->PlaceJobs(ordered_ids);
 }
 
 void JobScheduler::RemoveEndedJobs() {
--- a/src/stored/job_scheduler.h
+++ b/src/stored/job_scheduler.h
@@ -15,6 +15,7 @@
 #include "runs/batch_result.h"
 #include "runs/run_event.h"
 #include "runs/task_batch.h"
+#include "stored/job_command.h"
 #include "stored/job_state.h"
 #include "stored/job_state_machine.h"
 
@@ -23,8 +24,10 @@
 /// Places the tasks of stored jobs with the allocators, on the host that leads the group.
 ///
 /// Placements are kept in memory only. A new leader places nothing until no run of the former
-/// leader can be left, and a host that loses its lease cancels what it has placed. Thread safety:
-/// all methods may be called from any thread. State is sharded by job.
+/// leader can be left, and a host that loses its lease cancels what it has placed. Before a task is
+/// placed again, the group records that its earlier runs are superseded, because their ends may
+/// reach a later leader, which doesn't know the placements of this one. Thread safety: all methods
+/// may be called from any thread. State is sharded by job.
 class JobScheduler {
  public:
   /// Behaviour that the owner supplies; all members must be set. `now` and `choose_allocator` may
@@ -41,6 +44,9 @@
     std::function<void(const base::HostId&, const base::SubmissionId&)> cancel_job;
     /// Proposes to the group to remove the records of these ended jobs.
     std::function<void(const std::vector<base::SubmissionId>&)> remove_job_records;
+    /// Proposes to the group to record that runs are superseded. A proposal that isn't committed is
+    /// repeated.
+    std::function<void(const JobCommand::SupersedeRuns&)> supersede_runs;
     /// Called with true after this host has begun to schedule the stored jobs, and with false after
     /// it has stopped.
     std::function<void(bool)> on_leadership_change;
@@ -55,6 +61,8 @@
     /// Answer that it is superseded: the task was placed again before the end was known, or has
     /// succeeded in another run.
     kSuperseded,
+    /// Send no answer: this host doesn't schedule the job, or doesn't yet. The event is repeated.
+    kIgnore,
   };
 
   struct Settings {
@@ -85,7 +93,8 @@
   void OnAllocatorLost(const base::HostId& allocator);
 
   /// Decides what has to be done with an allocator's run event, and marks the run's outcome as
-  /// awaiting its commit if that is `kPropose`. Precondition: `IsLeading()`.
+  /// awaiting its commit if that is `kPropose`. Returns `kIgnore` for a stored job if this host
+  /// doesn't lead.
   EventDisposition ClassifyRunEvent(const runs::RunEvent& event);
 
   /// Stops leading if the lease has expired, places waiting tasks, and removes records of ended
@@ -108,6 +117,13 @@
     base::TimePoint earliest_placement;
     /// The run whose outcome awaits its commit; unset if there is none.
     std::optional<base::RunNumber> run_awaiting_commit;
+    /// A run may have been started that isn't recorded as superseded. The task isn't placed again
+    /// before that.
+    bool may_have_runs = false;
+    /// The lowest valid run that was proposed; 0 if no proposal awaits its commit.
+    base::RunNumber proposed_lowest_run;
+    /// The proposal is repeated at this time.
+    base::TimePoint next_proposal_at;
   };
   struct JobEntry {
     base::Priority priority;
@@ -125,6 +141,12 @@
     base::HostId allocator;
     runs::TaskBatch batch;
   };
+  /// What to do for the tasks of a job that are ready.
+  struct ReadyWork {
+    std::vector<Placement> placements;
+    /// The lowest valid runs to propose, one for each task.
+    std::vector<runs::RunKey> lowest_valid_runs;
+  };
   struct Shard {
     std::map<base::SubmissionId, JobEntry> jobs;
     /// Jobs that may have tasks to place. Only these are visited to place waiting tasks, however
@@ -135,20 +157,31 @@
   void StartLeading(base::Term current_term);
   void StopLeading();
   void StopLeadingIfLeaseExpired();
+  /// Updates the entries of jobs from their records, and places what is ready of them.
+  /// `may_have_runs` says whether an earlier leader may have started tasks of jobs without an
+  /// entry.
+  void UpdateJobs(const std::vector<base::SubmissionId>& ids, bool may_have_runs);
   /// Updates the entry of a job from its record. Returns the allocators at which the job must be
   /// cancelled.
-  std::vector<base::HostId> UpdateEntry(Shard& shard, const base::SubmissionId& id);
-  /// Returns a batch of the tasks of a step that can be placed now, or nothing if none can. Sets
-  /// `has_more` if some tasks have to wait.
-  std::optional<Placement> PlaceStep(JobEntry& entry, const StoredJob& stored, base::StepIndex step,
-                                     bool& has_more);
-  std::vector<Placement> PlaceReadySteps(const base::SubmissionId& id);
+  std::vector<base::HostId> UpdateEntry(Shard& shard, const base::SubmissionId& id,
+                                        bool may_have_runs);
+  static void UpdateTask(TaskState& task, const StoredTask& stored_task);
+  /// Adds a batch of the tasks of a step that can be placed now, and proposals for those whose
+  /// earlier runs have to be superseded first. Returns whether some tasks have to wait.
+  bool PlaceStep(JobEntry& entry, const StoredJob& stored, base::StepIndex step, ReadyWork& work);
+  /// Marks tasks as waiting until their earlier runs are recorded as superseded, and adds the
+  /// proposals that are due.
+  void SupersedeEarlierRuns(JobEntry& entry, const StoredJob& stored, base::StepIndex step,
+                            const std::vector<size_t>& tasks, ReadyWork& work);
+  Placement MakePlacement(JobEntry& entry, const StoredJob& stored, base::StepIndex step,
+                          const std::vector<size_t>& tasks, const base::HostId& allocator);
+  ReadyWork PlaceReadySteps(const base::SubmissionId& id);
   bool MayPlaceTasks();
-  void PlaceJob(const base::SubmissionId& id);
+  void PlaceJobs(const std::vector<base::SubmissionId>& ids);
   void PlaceWaitingJobs();
   void RemoveEndedJobs();
   static void ReleaseBatch(JobEntry& entry, base::BatchNumber batch,
-                           base::TimePoint earliest_placement);
+                           base::TimePoint earliest_placement, bool may_have_runs);
 
   Settings settings;
   JobStateMachine& stored_jobs;
--- a/src/stored/job_state_machine.cc
+++ b/src/stored/job_state_machine.cc
@@ -1,6 +1,8 @@
 #include "stored/job_state_machine.h"
 
 #include <algorithm>
+#include <limits>
+#include <set>
 #include <utility>
 
 #include "storage/byte_reader.h"
@@ -15,6 +17,24 @@
 
 constexpr size_t kShardCount = 16;
 
+// Begins the last part of a snapshot, which has the superseded runs. A program version before it
+// takes the marker for the length of a job's id, finds too few bytes, and keeps the jobs that it
+// has read.
+constexpr uint32_t kSupersededRunsMarker = std::numeric_limits<uint32_t>::max();
+
+void AppendLowestValidRuns(const StoredJob& stored, std::vector<runs::RunKey>& lowest_valid_runs) {
+  for (uint32_t step = 0; step < stored.steps.size(); ++step) {
+    for (uint32_t i = 0; i < stored.steps[step].size(); ++i) {
+      const base::RunNumber lowest = stored.steps[step][i].lowest_valid_run;
+      if (stored.phase == StoredJob::Phase::kOpen && lowest != base::RunNumber()) {
+        lowest_valid_runs.push_back(
+            {{stored.job.id, base::OccurrenceNumber(), base::StepIndex(step), base::TaskIndex(i)},
+             lowest});
+      }
+    }
+  }
+}
+
 StoredTask* FindTask(StoredJob& stored, const runs::JobTaskKey& key) {
   if (key.step.value() >= stored.steps.size() ||
       key.index.value() >= stored.steps[key.step.value()].size()) {
@@ -74,7 +94,7 @@
       }
       StoredJob& stored = found->second;
       StoredTask* task = FindTask(stored, outcome.key.task);
-      if (task == nullptr || task->successful_run) {
+      if (task == nullptr || task->successful_run || outcome.key.run < task->lowest_valid_run) {
         return;
       }
       changed.push_back(id);
@@ -123,6 +143,25 @@
   return changed;
 }
 
+std::vector<SubmissionId> JobStateMachine::ApplyChange(const JobCommand::SupersedeRuns& change) {
+  std::set<SubmissionId> changed;
+  for (const runs::RunKey& key : change.lowest_valid_runs) {
+    const SubmissionId& id = key.task.job;
+    this->shards.WithShard(id, [&](Shard& shard) {
+      auto found = shard.find(id);
+      if (found == shard.end() || found->second.phase != StoredJob::Phase::kOpen) {
+        return;
+      }
+      StoredTask* task = FindTask(found->second, key.task);
+      if (task != nullptr && !task->successful_run) {
+        task->lowest_valid_run = std::max(task->lowest_valid_run, key.run);
+        changed.insert(id);
+      }
+    });
+  }
+  return {changed.begin(), changed.end()};
+}
+
 void JobStateMachine::EndJob(StoredJob& stored, StoredJob::Phase phase) {
   stored.phase = phase;
   this->payload_bytes -= static_cast<int64_t>(stored.job.payload.size());
@@ -131,7 +170,15 @@
 
 std::string JobStateMachine::TakeSnapshot() {
   storage::ByteWriter writer;
-  this->ForEachJob([&writer](const StoredJob& stored) { WriteStoredJob(writer, stored); });
+  std::vector<runs::RunKey> lowest_valid_runs;
+  this->ForEachJob([&](const StoredJob& stored) {
+    WriteStoredJob(writer, stored);
+    AppendLowestValidRuns(stored, lowest_valid_runs);
+  });
+  if (!lowest_valid_runs.empty()) {
+    writer.WriteU32(kSupersededRunsMarker);
+    writer.WriteString(JobCommand{JobCommand::SupersedeRuns{lowest_valid_runs}}.Encode());
+  }
   return writer.TakeBytes();
 }
 
@@ -140,6 +187,14 @@
   this->payload_bytes = 0;
   storage::ByteReader reader(state);
   while (reader.remaining_size() > 0) {
+    storage::ByteReader lookahead = reader;
+    if (lookahead.ReadU32() == kSupersededRunsMarker) {
+      const auto command = JobCommand::Decode(lookahead.ReadString());
+      if (command && std::holds_alternative<JobCommand::SupersedeRuns>(command->change)) {
+        (void)this->ApplyChange(std::get<JobCommand::SupersedeRuns>(command->change));
+      }
+      return;
+    }
     StoredJob stored = ReadStoredJob(reader);
     if (!reader.ok()) {
       return;
--- a/src/stored/job_state_machine.h
+++ b/src/stored/job_state_machine.h
@@ -59,6 +59,7 @@
   std::vector<base::SubmissionId> ApplyChange(const JobCommand::RecordOutcomes& change);
   std::vector<base::SubmissionId> ApplyChange(const JobCommand::Cancel& change);
   std::vector<base::SubmissionId> ApplyChange(const JobCommand::RemoveRecords& change);
+  std::vector<base::SubmissionId> ApplyChange(const JobCommand::SupersedeRuns& change);
   void EndJob(StoredJob& stored, StoredJob::Phase phase);
 
   ChangeCallback on_jobs_changed;
--- a/src/stored/stored_task.h
+++ b/src/stored/stored_task.h
@@ -13,6 +13,9 @@
   std::optional<base::RunNumber> successful_run;
   /// Failed runs; each counts as one attempt.
   std::vector<base::RunNumber> failed_runs;
+  /// Runs with a lower number are superseded: the task may have been started again after they were
+  /// given up, so their ends don't count. 0 if no run has been given up.
+  base::RunNumber lowest_valid_run;
 };
 
 }  // namespace sapphirecrank::stored
--- a/tests/clusterhost/stored_job_manager_test.cc
+++ b/tests/clusterhost/stored_job_manager_test.cc
@@ -88,6 +88,35 @@
     change.second(ProposalOutcome::kCommitted);
   }
 
+  /// Leads, and places a stored job of one task with this host as its allocator. Returns the event
+  /// of a successful run of the task.
+  runs::RunEvent PlaceJobAndSucceed() {
+    this->AdvanceAsLeader(3000);
+    this->ReportCapacity();
+    this->SendRequest(JobRequest::Kind::kSubmit);
+    this->CommitLastChange();
+    LONGS_EQUAL(1, this->placed_batches.size());
+    runs::RunEvent event;
+    event.key = {this->placed_batches[0].tasks[0].key, this->placed_batches[0].first_run_number};
+    event.kind = runs::RunEvent::Kind::kSucceeded;
+    this->sent_messages.clear();
+    return event;
+  }
+
+  void ReportCapacity() {
+    runs::CapacityReport capacity_report;
+    runs::CapacityReport::ServiceCapacity capacity;
+    capacity.service = base::ServiceId("s");
+    capacity.free_task_capacity = base::TaskCount(5);
+    capacity.total_task_capacity = base::TaskCount(5);
+    capacity_report.service_capacities.push_back(capacity);
+    this->manager.OnCapacityReport(base::HostId("self"), capacity_report);
+  }
+
+  runs::RunEventAcknowledgements LastAcknowledgements() {
+    return std::get<runs::RunEventAcknowledgements>(this->sent_messages.back().second);
+  }
+
   JobResponse LastResponse() { return std::get<JobResponse>(this->sent_messages.back().second); }
 };
 
@@ -139,29 +168,29 @@
 // Guards against the end of a run that an allocator acknowledges to its target before the end is
 // committed.
 TEST(StoredJobManager, AcknowledgesRunEndsOnceTheyAreCommitted) {
-  this->AdvanceAsLeader(3000);
-  runs::CapacityReport capacity_report;
-  runs::CapacityReport::ServiceCapacity capacity;
-  capacity.service = base::ServiceId("s");
-  capacity.free_task_capacity = base::TaskCount(5);
-  capacity.total_task_capacity = base::TaskCount(5);
-  capacity_report.service_capacities.push_back(capacity);
-  this->manager.OnCapacityReport(base::HostId("self"), capacity_report);
-  this->SendRequest(JobRequest::Kind::kSubmit);
-  this->CommitLastChange();
-  LONGS_EQUAL(1, this->placed_batches.size());
-  runs::RunEvent event;
-  event.key = {this->placed_batches[0].tasks[0].key, this->placed_batches[0].first_run_number};
-  event.kind = runs::RunEvent::Kind::kSucceeded;
-  this->sent_messages.clear();
+  const runs::RunEvent event = this->PlaceJobAndSucceed();
   this->manager.OnMessage(base::HostId("allocator"), runs::RunEvents{{event}});
   LONGS_EQUAL(0, this->sent_messages.size());
   this->CommitLastChange();
   LONGS_EQUAL(1, this->sent_messages.size());
   CHECK(this->sent_messages[0].first == base::HostId("allocator"));
-  LONGS_EQUAL(
-      1,
-      std::get<runs::RunEventAcknowledgements>(this->sent_messages[0].second).acknowledged.size());
+  LONGS_EQUAL(1, this->LastAcknowledgements().acknowledged.size());
   this->SendRequest(JobRequest::Kind::kQueryState);
   CHECK(this->LastResponse().state == stored::JobState::kCompleted);
 }
+
+// Guards against acknowledging the end of a run that was superseded while its outcome awaited the
+// commit: the outcome isn't recorded, and the task is started again.
+TEST(StoredJobManager, DoesNotAcknowledgeRunEndsThatWereSupersededBeforeTheirCommit) {
+  const runs::RunEvent event = this->PlaceJobAndSucceed();
+  this->manager.OnMessage(base::HostId("allocator"), runs::RunEvents{{event}});
+  const auto outcome = this->proposed_changes.back();
+  runs::RunKey lowest_valid_run = event.key;
+  lowest_valid_run.run = lowest_valid_run.run.Next();
+  this->manager.job_state_machine().Apply(
+      JobCommand{JobCommand::SupersedeRuns{{lowest_valid_run}}}.Encode());
+  this->manager.job_state_machine().Apply(outcome.first);
+  outcome.second(ProposalOutcome::kCommitted);
+  LONGS_EQUAL(0, this->LastAcknowledgements().acknowledged.size());
+  LONGS_EQUAL(1, this->LastAcknowledgements().superseded.size());
+}
--- a/tests/stored/job_scheduler_test.cc
+++ b/tests/stored/job_scheduler_test.cc
@@ -21,6 +21,8 @@
   std::vector<std::pair<base::HostId, runs::TaskBatch>> placed_batches;
   std::vector<std::pair<base::HostId, base::SubmissionId>> cancelled_jobs;
   std::vector<base::SubmissionId> removed_jobs;
+  std::vector<JobCommand::SupersedeRuns> superseded_runs;
+  bool commits_superseded_runs = true;
   std::string chosen_allocator = "a1";
   bool is_allocator_reachable = true;
   stored::JobStateMachine jobs{
@@ -50,6 +52,12 @@
     hooks.remove_job_records = [this](const std::vector<base::SubmissionId>& ids) {
       this->removed_jobs = ids;
     };
+    hooks.supersede_runs = [this](const JobCommand::SupersedeRuns& command) {
+      this->superseded_runs.push_back(command);
+      if (this->commits_superseded_runs) {
+        this->jobs.Apply(JobCommand{command}.Encode());
+      }
+    };
     hooks.on_leadership_change = [](bool /*leads*/) {};
     return hooks;
   }
@@ -224,6 +232,105 @@
   CHECK(this->scheduler.ClassifyRunEvent(late) == EventDisposition::kSuperseded);
 }
 
+// Guards against a next leader that counts the end of a run although its task was started again:
+// the placements of the former leader are lost with it.
+TEST(JobScheduler, NextLeaderDoesNotCountEndsOfRunsThatWerePlacedAgain) {
+  this->BecomeLeader();
+  this->Submit("job");
+  const auto first = this->TakePlacements();
+  this->scheduler.OnAllocatorLost(first[0].first);
+  this->AdvanceTime(2000);
+  const auto second = this->TakePlacements();
+  LONGS_EQUAL(1, second.size());
+  this->clock.Advance(milliseconds(600));
+  this->scheduler.Tick();
+  this->AdvanceTime(200, 4);
+  const RunEvent late = MakeEvent(first[0].second, 0, RunEvent::Kind::kSucceeded);
+  CHECK(this->scheduler.ClassifyRunEvent(late) == EventDisposition::kSuperseded);
+  const RunEvent succeeded = MakeEvent(second[0].second, 0, RunEvent::Kind::kSucceeded);
+  CHECK(this->scheduler.ClassifyRunEvent(succeeded) == EventDisposition::kPropose);
+}
+
+// Guards against a start of a task whose earlier run could still be counted by the next leader: the
+// leader may be lost before the record is committed.
+TEST(JobScheduler, PlacesTaskAgainOnlyAfterItsEarlierRunsAreSuperseded) {
+  this->BecomeLeader();
+  this->Submit("job");
+  const auto first = this->TakePlacements();
+  LONGS_EQUAL(0, this->superseded_runs.size());
+  this->commits_superseded_runs = false;
+  this->scheduler.OnAllocatorLost(first[0].first);
+  this->AdvanceTime(1900);
+  LONGS_EQUAL(1, this->superseded_runs.size());
+  LONGS_EQUAL(0, this->TakePlacements().size());
+  // A proposal without a commit is repeated.
+  this->AdvanceTime(600);
+  LONGS_EQUAL(2, this->superseded_runs.size());
+  LONGS_EQUAL(0, this->TakePlacements().size());
+  this->jobs.Apply(JobCommand{this->superseded_runs.back()}.Encode());
+  const auto second = this->TakePlacements();
+  LONGS_EQUAL(1, second.size());
+  CHECK(second[0].second.first_run_number >= this->superseded_runs[0].lowest_valid_runs[0].run);
+}
+
+// Guards against a new leader that starts tasks of the former one before their runs are superseded.
+TEST(JobScheduler, NewLeaderSupersedesRunsOfFormerLeaderFirst) {
+  this->Submit("job");
+  this->commits_superseded_runs = false;
+  this->BecomeLeader();
+  LONGS_EQUAL(0, this->TakePlacements().size());
+  this->jobs.Apply(JobCommand{this->superseded_runs.back()}.Encode());
+  LONGS_EQUAL(1, this->TakePlacements().size());
+}
+
+// Guards against a second start of a task whose earlier run has succeeded while the record that
+// supersedes it was under way: the group commits one of the two first.
+TEST(JobScheduler, DoesNotPlaceTaskWhoseOutcomeIsCommittedBeforeItsRunsAreSuperseded) {
+  this->BecomeLeader();
+  this->Submit("job");
+  const auto first = this->TakePlacements();
+  this->commits_superseded_runs = false;
+  this->scheduler.OnAllocatorLost(first[0].first);
+  this->AdvanceTime(2200);
+  const RunEvent succeeded = MakeEvent(first[0].second, 0, RunEvent::Kind::kSucceeded);
+  CHECK(this->scheduler.ClassifyRunEvent(succeeded) == EventDisposition::kPropose);
+  this->CommitOutcome(succeeded);
+  this->jobs.Apply(JobCommand{this->superseded_runs.back()}.Encode());
+  this->AdvanceTime(1000);
+  LONGS_EQUAL(0, this->TakePlacements().size());
+  CHECK(this->scheduler.JobStateOf(base::SubmissionId("job")) == JobState::kCompleted);
+}
+
+// Guards against a task that is never placed again because it awaits an outcome that was
+// superseded.
+TEST(JobScheduler, PlacesTaskWhoseProposedOutcomeIsSuperseded) {
+  this->BecomeLeader();
+  this->Submit("job");
+  const auto first = this->TakePlacements();
+  this->commits_superseded_runs = false;
+  this->scheduler.OnAllocatorLost(first[0].first);
+  this->AdvanceTime(2200);
+  const RunEvent late = MakeEvent(first[0].second, 0, RunEvent::Kind::kSucceeded);
+  CHECK(this->scheduler.ClassifyRunEvent(late) == EventDisposition::kPropose);
+  this->jobs.Apply(JobCommand{this->superseded_runs.back()}.Encode());
+  this->CommitOutcome(late);
+  CHECK(this->scheduler.ClassifyRunEvent(late) == EventDisposition::kSuperseded);
+  LONGS_EQUAL(1, this->TakePlacements().size());
+  CHECK(this->scheduler.JobStateOf(base::SubmissionId("job")) != JobState::kCompleted);
+}
+
+// Guards against acknowledging an end that isn't recorded: a host that begins to lead, or has just
+// stopped, has no entry for the job.
+TEST(JobScheduler, IgnoresEventsOfJobsThatItDoesNotSchedule) {
+  this->Submit("job");
+  RunEvent succeeded;
+  succeeded.key = {
+      {base::SubmissionId("job"), base::OccurrenceNumber(), base::StepIndex(), base::TaskIndex()},
+      base::RunNumber(9)};
+  succeeded.kind = RunEvent::Kind::kSucceeded;
+  CHECK(this->scheduler.ClassifyRunEvent(succeeded) == EventDisposition::kIgnore);
+}
+
 // Guards against the end of a run that is lost in a change of leaders, so that the task runs again.
 TEST(JobScheduler, ProposesOutcomesThatFormerLeaderDidNotRecord) {
   this->Submit("job");
--- a/tests/stored/job_state_machine_test.cc
+++ b/tests/stored/job_state_machine_test.cc
@@ -5,6 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "storage/byte_reader.h"
+#include "stored/job_codec.h"
+
 using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
 using stored::JobCommand;
 using stored::StoredJob;
@@ -50,6 +53,12 @@
     this->Apply({JobCommand::RecordOutcomes{{outcome}}});
   }
 
+  void SupersedeRuns(const char* id, uint32_t step, uint32_t index, uint32_t lowest_valid_run) {
+    this->Apply({JobCommand::SupersedeRuns{{{{base::SubmissionId(id), base::OccurrenceNumber(),
+                                              base::StepIndex(step), base::TaskIndex(index)},
+                                             base::RunNumber(lowest_valid_run)}}}});
+  }
+
   StoredJob::Phase PhaseOf(const char* id) {
     return this->jobs.WithJob(base::SubmissionId(id),
                               [](const StoredJob* stored) { return stored->phase; });
@@ -149,6 +158,57 @@
                                     [](const StoredJob* stored) { return stored != nullptr; }));
 }
 
+// Guards against a task that counts as done by a run that was given up before the task was started
+// again, and against failures of such runs that use up its attempts.
+TEST(JobStateMachine, OutcomesOfSupersededRunsDoNotCount) {
+  this->Submit("a");
+  this->SupersedeRuns("a", 0, 0, 65);
+  this->SupersedeRuns("a", 0, 0, 33);
+  this->RecordOutcome("a", 0, 0, 64, true);
+  this->RecordOutcome("a", 0, 0, 63, false);
+  this->RecordOutcome("a", 0, 0, 62, false);
+  this->jobs.WithJob(base::SubmissionId("a"), [](const StoredJob* stored) {
+    CHECK_FALSE(stored->steps[0][0].successful_run.has_value());
+    CHECK(stored->steps[0][0].failed_runs.empty());
+    CHECK(stored->steps[0][0].lowest_valid_run == base::RunNumber(65));
+  });
+  this->RecordOutcome("a", 0, 0, 65, true);
+  this->SupersedeRuns("a", 0, 0, 129);
+  this->jobs.WithJob(base::SubmissionId("a"), [](const StoredJob* stored) {
+    CHECK(stored->steps[0][0].successful_run == base::RunNumber(65));
+  });
+}
+
+// Guards against a host that counts the end of a superseded run after it has restored a snapshot.
+TEST(JobStateMachine, SnapshotsKeepSupersededRuns) {
+  this->Submit("a");
+  this->Submit("b");
+  this->SupersedeRuns("a", 1, 0, 65);
+  stored::JobStateMachine restored_jobs{[](const std::vector<base::SubmissionId>& /*ids*/) {}};
+  restored_jobs.Restore(this->jobs.TakeSnapshot());
+  restored_jobs.WithJob(base::SubmissionId("a"), [](const StoredJob* stored) {
+    CHECK(stored->steps[1][0].lowest_valid_run == base::RunNumber(65));
+    CHECK(stored->steps[0][0].lowest_valid_run == base::RunNumber());
+  });
+  CHECK(restored_jobs.TakeSnapshot() == this->jobs.TakeSnapshot());
+}
+
+// Guards against a host of an earlier program version that loses jobs, or makes up some, when it
+// restores a snapshot with superseded runs: it reads jobs until one is truncated.
+TEST(JobStateMachine, EarlierVersionsReadAllJobsOfASnapshotWithSupersededRuns) {
+  this->Submit("a");
+  this->Submit("b");
+  this->SupersedeRuns("a", 1, 0, 65);
+  const std::string snapshot = this->jobs.TakeSnapshot();
+  storage::ByteReader reader(snapshot);
+  CHECK(stored::ReadStoredJob(reader).job.id == base::SubmissionId("a"));
+  CHECK(stored::ReadStoredJob(reader).job.id == base::SubmissionId("b"));
+  CHECK_TRUE(reader.ok());
+  CHECK(reader.remaining_size() > 0);
+  stored::ReadStoredJob(reader);
+  CHECK_FALSE(reader.ok());
+}
+
 // Guards against a crash on a log entry that is truncated or of a later version.
 TEST(JobStateMachine, IgnoresInvalidCommands) {
   const std::string command = JobCommand{JobCommand::Submit{MakeJob("a")}}.Encode();
