stored: Reserve no capacity while superseded runs await their commit

Each tick chose an allocator for tasks that couldn't be placed yet, and the choice takes their number from the reported free capacity until the next report. Such tasks are now left out until their proposal is repeated.

--- a/src/stored/job_scheduler.cc
+++ b/src/stored/job_scheduler.cc
@@ -350,7 +350,9 @@
       has_more = true;
     } else if (tasks[i].may_have_runs && records_ends) {
       has_more = true;
-      tasks_with_earlier_runs.push_back(i);
+      if (now >= tasks[i].next_proposal_at) {
+        tasks_with_earlier_runs.push_back(i);
+      }
     } else {
       ready_tasks.push_back(i);
     }
@@ -374,15 +376,11 @@
 }
 
 void JobScheduler::SupersedeEarlierRuns(JobEntry& entry, const StoredJob& stored, StepIndex step,
-                                        const std::vector<size_t>& tasks, ReadyWork& work) {
+                                        const std::vector<size_t>& task_indices, ReadyWork& work) {
   const TimePoint now = this->hooks.now();
-  std::vector<TaskState>& states = entry.steps[step.value()];
   BatchNumber next_batch;
-  for (const size_t i : tasks) {
-    TaskState& task = states[i];
-    if (now < task.next_proposal_at) {
-      continue;
-    }
+  for (const size_t i : task_indices) {
+    TaskState& task = entry.steps[step.value()][i];
     if (task.proposed_lowest_run == RunNumber()) {
       if (next_batch == BatchNumber()) {
         entry.last_batch = entry.last_batch.Next();
@@ -399,7 +397,7 @@
 
 JobScheduler::Placement JobScheduler::MakePlacement(JobEntry& entry, const StoredJob& stored,
                                                     StepIndex step,
-                                                    const std::vector<size_t>& ready_tasks,
+                                                    const std::vector<size_t>& task_indices,
                                                     const HostId& allocator) {
   const gateway::Job& job = stored.job;
   std::vector<TaskState>& tasks = entry.steps[step.value()];
@@ -417,7 +415,7 @@
   batch.time_left = kNoDeadline;
   batch.is_stored = true;
   batch.first_run_number = FirstRunNumberOf(entry.last_batch);
-  for (const size_t i : ready_tasks) {
+  for (const size_t i : task_indices) {
     tasks[i].batch = entry.last_batch;
     tasks[i].first_run_number = batch.first_run_number;
     tasks[i].may_have_runs = true;
--- a/src/stored/job_scheduler.h
+++ b/src/stored/job_scheduler.h
@@ -165,16 +165,17 @@
   /// cancelled.
   std::vector<base::HostId> UpdateEntry(Shard& shard, const base::SubmissionId& id,
                                         bool may_have_runs);
+  /// Updates what awaits the commit of a task's record.
   static void UpdateTask(TaskState& task, const StoredTask& stored_task);
   /// Adds a batch of the tasks of a step that can be placed now, and proposals for those whose
   /// earlier runs have to be superseded first. Returns whether some tasks have to wait.
   bool PlaceStep(JobEntry& entry, const StoredJob& stored, base::StepIndex step, ReadyWork& work);
-  /// Marks tasks as waiting until their earlier runs are recorded as superseded, and adds the
-  /// proposals that are due.
+  /// Adds proposals to record that the earlier runs of these tasks of a step are superseded.
   void SupersedeEarlierRuns(JobEntry& entry, const StoredJob& stored, base::StepIndex step,
-                            const std::vector<size_t>& tasks, ReadyWork& work);
+                            const std::vector<size_t>& task_indices, ReadyWork& work);
+  /// Returns a batch of these tasks of a step, and records it in `entry`.
   Placement MakePlacement(JobEntry& entry, const StoredJob& stored, base::StepIndex step,
-                          const std::vector<size_t>& tasks, const base::HostId& allocator);
+                          const std::vector<size_t>& task_indices, const base::HostId& allocator);
   ReadyWork PlaceReadySteps(const base::SubmissionId& id);
   bool MayPlaceTasks();
   void PlaceJobs(const std::vector<base::SubmissionId>& ids);
