--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,13 +1,15 @@
 #!/usr/bin/env python3
 """Randomised fault soak of gateways and allocators as separate processes on loopback.
 
-Three allocators and two gateways run as real processes on addresses of their own (127.0.9.x). This
+Three allocators and two gateways run as real processes on addresses of their own (127.0.N.x). This
 program simulates the targets, the callers and the operator with the published protocol, and injects
 faults from outside:
 - Processes are killed, paused and stopped by signals.
 - A proxy in front of each target and of each host's peer port delays, resets or stalls its
   connections, in one or both directions.
-- Targets crash and restart.
+- Targets crash, and other ones join in their place; or they start again under their ids, and send
+  their first report early or late.
+- One allocator is cut off from the other two, which may be killed when the cut ends.
 - Allocators lose their disks, one at a time, or their disks are full.
 Jumps of the clock are not simulated, because the hosts use the time of day only in their logs.
 
@@ -24,9 +26,9 @@
 Checked at the end, after the faults: jobs are served again, all stored jobs have ended, and the
 newest acknowledged configuration is read back.
 
-Usage: soak.py [--seed N] [--seeds COUNT] [--seconds S] [--faults KIND,...] [--program PATH]. The
-exit code is 1 if a check failed; the logs of the processes are then kept, and their folder is
-printed.
+Usage: soak.py [--seed N] [--seeds COUNT] [--seconds S] [--faults KIND,...] [--program PATH]
+[--pause S] [--subnet N]. The exit code is 1 if a check failed; the logs of the processes are then kept, and
+their folder is printed.
 """
 
 import argparse
@@ -34,6 +36,7 @@
 import json
 import pathlib
 import random
+import re
 import resource
 import shutil
 import signal
@@ -44,8 +47,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DEFAULT_PROGRAM = ROOT / "build/release/src/sapphirecrank"
-ALLOCATORS = [f"127.0.9.{i}" for i in (1, 2, 3)]
-GATEWAYS = [f"127.0.9.{i}" for i in (11, 12)]
+ALLOCATORS, GATEWAYS = [], []  # Addresses; set from --subnet.
 CALLER_PORT, READINESS_PORT, CONTROL_PORT, PEER_PORT = 18761, 18762, 18763, 18764
 # Port on which hosts listen for peers. The proxy of each host forwards PEER_PORT to it.
 PEER_BIND_PORT = 18765
@@ -58,7 +60,8 @@
 # "silent" stalls both directions of a connection, "there" only the data to the server and "back"
 # only the data to the client.
 LINK_FAULT_KINDS = ["silent", "there", "back", "delay", "reset"]
-FAULT_KINDS = ["kill", "kill", "term", "pause", "hup", "crash", "wipe", "full", *LINK_FAULT_KINDS,
+FAULT_KINDS = ["kill", "kill", "term", "pause", "hup", "crash", "reborn", "reborn", "cut",
+               "cut-and-kill", "wipe", "full", *LINK_FAULT_KINDS,
                *(f"peer-{kind}" for kind in LINK_FAULT_KINDS)]
 CONFIGURATION_DELAY = 2.0
 # Bounds for stored jobs in seconds, as in the platform's documentation.
@@ -165,13 +168,16 @@
     def __init__(self, name, checks, rng):
         self.name, self.checks, self.rng = name, checks, rng
         self.incarnation_count = 0
+        self.is_up = True
+        self.next_heartbeat_at = 0.0
         self.start_incarnation()
 
-    def start_incarnation(self):
+    def start_incarnation(self, keeps_id=False):
         for key in [k for k, t in self.checks.running_targets.items() if t is self]:
             del self.checks.running_targets[key]
-        self.incarnation_count += 1
-        self.id = f"{self.name}-{self.incarnation_count}"
+        if not keeps_id:
+            self.incarnation_count += 1
+            self.id = f"{self.name}-{self.incarnation_count}"
         self.incarnation = time.time_ns() // 1000000
         self.incarnation_started_at = time.monotonic()
         (self.fencing_token, self.lease_end, self.last_end_number,
@@ -183,6 +189,22 @@
         self.end_times = {}
         self.run_ended = asyncio.Event()
 
+    async def restart(self, proxy, down_time, heartbeat_delay):
+        """Ends the target with its connections, and starts it again under the same id."""
+        if not self.is_up:
+            return
+        self.is_up = False
+        self.checks.log_event(f"{self.id}: incarnation {self.incarnation} ends, "
+                              f"active {list(self.active_runs)}")
+        # Nothing of the ended incarnation runs while the target is down.
+        self.start_incarnation(keeps_id=True)
+        proxy.reset()
+        await asyncio.sleep(down_time)
+        self.start_incarnation(keeps_id=True)
+        self.next_heartbeat_at = time.monotonic() + heartbeat_delay
+        self.is_up = True
+        self.checks.log_event(f"{self.id}: incarnation {self.incarnation} begins")
+
     def clock(self):
         return int((time.monotonic() - self.incarnation_started_at) * 1000)
 
@@ -239,10 +261,10 @@
         self.checks.started_jobs.add(key[0].split(".")[0])
         self.checks.on_start(key[0])
         self.checks.count("runs")
-        instance_id = self.id
+        incarnation = self.incarnation
         outcome = "failed" if self.rng.random() < 0.01 else "done"
         asyncio.get_running_loop().call_later(
-            spec["seconds"], lambda: self.id == instance_id and self.end_run(key, outcome))
+            spec["seconds"], lambda: self.incarnation == incarnation and self.end_run(key, outcome))
         return 200, {}
 
     def run_stop(self, body):
@@ -279,6 +301,8 @@
         try:
             while True:
                 line, headers, data = await read_message(reader)
+                if not self.is_up:
+                    return
                 path, body = line.split()[1], json.loads(data)
                 if headers.get("expect-instance") != self.id:
                     status, response = 421, {}
@@ -302,6 +326,8 @@
         """Sends heartbeats to the address in the last response, or to a random allocator."""
         address = None
         while True:
+            while not self.is_up or time.monotonic() < self.next_heartbeat_at:
+                await asyncio.sleep(0.01)
             self.check_lease()
             self.heartbeat_count += 1
             body = {"service": SERVICE, "address": self.address, "zone": "soak", "version": "v1",
@@ -320,12 +346,43 @@
             await asyncio.sleep(0.01)
 
 
+class Sender:
+    """Finds out which host has opened a connection to a peer port.
+
+    The host names itself in the first WebSocket frame, whose payload is masked with 4 bytes.
+    """
+
+    HEAD_SIZES = {126: 4, 127: 10}
+
+    def __init__(self):
+        self.received, self.address = b"", None
+
+    def on_data(self, data):
+        if self.address is not None or len(self.received) > 65536:
+            return
+        self.received += data
+        start = self.received.find(b"\r\n\r\n") + 4
+        if start < 4 or len(self.received) < start + 2:
+            return
+        size = self.received[start + 1] & 0x7f
+        mask_start = start + self.HEAD_SIZES.get(size, 2)
+        mask = self.received[mask_start:mask_start + 4]
+        payload = self.received[mask_start + 4:]
+        text = bytes(byte ^ mask[i % 4] for i, byte in enumerate(payload))
+        # "host" is a text string of CBOR: a byte with its length precedes the address.
+        for address in [*ALLOCATORS, *GATEWAYS]:
+            if b"dhost" + bytes([0x60 + len(address)]) + address.encode() in text:
+                self.address = address
+
+
 class Proxy:
     """Forwards connections to a target or a host, and injects the fault of its mode."""
 
     def __init__(self, address, port):
         self.address, self.port = address, port
         self.mode = "pass"
+        # Hosts whose connections to this one pass nothing in either direction.
+        self.cut_off_hosts = set()
         self.writers = set()
 
     async def serve(self, reader, writer):
@@ -335,19 +392,22 @@
             writer.close()
             return
         self.writers |= {writer, to_writer}
+        sender = Sender()
         try:
-            await asyncio.gather(self.forward(reader, to_writer, "there"),
-                                 self.forward(to_reader, writer, "back"))
+            await asyncio.gather(self.forward(reader, to_writer, "there", sender),
+                                 self.forward(to_reader, writer, "back", sender))
         except asyncio.CancelledError:
             pass
         self.writers -= {writer, to_writer}
 
-    async def forward(self, reader, writer, direction):
+    async def forward(self, reader, writer, direction, sender):
         try:
             while data := await reader.read(65536):
+                if direction == "there":
+                    sender.on_data(data)
                 if self.mode == "delay":
                     await asyncio.sleep(0.6)
-                while self.mode in ("silent", direction):
+                while self.mode in ("silent", direction) or sender.address in self.cut_off_hosts:
                     await asyncio.sleep(0.05)
                 writer.write(data)
                 await writer.drain()
@@ -411,9 +471,10 @@
 class Soak:
     """One soak with one seed: the processes, targets, callers and faults."""
 
-    def __init__(self, program, fault_kinds, seed, seconds, folder):
+    def __init__(self, program, fault_kinds, seed, seconds, maximum_pause, folder):
         self.rng = random.Random(seed)
         self.fault_kinds, self.seconds, self.folder = fault_kinds, seconds, folder
+        self.maximum_pause = maximum_pause
         self.checks = Checks(folder)
         self.hosts = [Host(program, folder, "allocator", a) for a in ALLOCATORS]
         self.hosts += [Host(program, folder, "gateway", a) for a in GATEWAYS]
@@ -605,11 +666,55 @@
             proxy.reset()
         elif kind == "crash":
             self.rng.choice(self.targets).start_incarnation()
+        elif kind == "reborn":
+            i = self.rng.randrange(TARGET_COUNT)
+            await self.targets[i].restart(self.proxies[i], self.rng.uniform(0.0, 0.4),
+                                          self.rng.choice([0.0, 0.05, 0.2, 1.0]))
+        elif kind in ("cut", "cut-and-kill"):
+            await self.cut_off_leader(duration * 2, kind == "cut-and-kill")
         else:
             proxy.mode = kind
             await asyncio.sleep(duration)
             proxy.mode = "pass"
 
+    def find_leader(self):
+        """Returns the allocator that leads the group, as the latest line in the logs says."""
+        latest = ("", ALLOCATORS[0])
+        for address in ALLOCATORS:
+            for line in (self.folder / f"{address}.log").read_text().splitlines():
+                found = re.search(r'time=(\S+) .*group leader changed.* leader="?([0-9.]+)', line)
+                if found and found.group(2) in ALLOCATORS:
+                    latest = max(latest, (found.group(1), found.group(2)))
+        return latest[1]
+
+    async def cut_off_leader(self, duration, kills_others):
+        """Cuts the leader off from the other allocators; targets and gateways reach all of them."""
+        leader = self.find_leader()
+        others = [h for h in self.hosts[:len(ALLOCATORS)] if h.address != leader]
+        if kills_others and any(h.has_active_fault for h in others):
+            return
+        self.checks.log_event(f"cut off leader {leader} for {duration:.1f} s")
+        self.set_cut(leader, True)
+        await asyncio.sleep(duration)
+        self.set_cut(leader, False)
+        if not kills_others or any(h.has_active_fault for h in others):
+            return
+        for host in others:
+            host.has_active_fault = True
+            host.kill()
+        await asyncio.sleep(0.5)
+        for host in others:
+            host.start()
+            host.has_active_fault = False
+
+    def set_cut(self, leader, is_cut):
+        for host, proxy in zip(self.hosts[:len(ALLOCATORS)], self.peer_proxies):
+            senders = set(ALLOCATORS) - {leader} if host.address == leader else {leader}
+            if is_cut:
+                proxy.cut_off_hosts |= senders
+            else:
+                proxy.cut_off_hosts -= senders
+
     async def lose_disk(self, host, duration):
         """Makes a host lose its disk; no other disk is lost until it has had time to catch up."""
         if self.is_disk_lost:
@@ -624,7 +729,7 @@
 
     async def inject_faults(self):
         while not self.is_stopping:
-            await asyncio.sleep(self.rng.uniform(0.2, 2.0))
+            await asyncio.sleep(self.rng.uniform(0.1, 1.0) * self.maximum_pause)
             await self.inject_random_fault()
 
     async def retry_until_recovered(self, attempt):
@@ -697,8 +802,9 @@
         self.checks.event_log.close()
 
 
-async def run_soak(program, fault_kinds, seed, seconds, folder):
-    soak = Soak(program, fault_kinds, seed, seconds, folder)
+async def run_soak(options, seed, folder):
+    soak = Soak(options.program, options.faults.split(","), seed, options.seconds, options.pause,
+                folder)
     try:
         await soak.run()
     finally:
@@ -714,12 +820,17 @@
     parser.add_argument("--faults", default=",".join(FAULT_KINDS),
                         help="comma-separated kinds of faults to inject")
     parser.add_argument("--program", type=pathlib.Path, default=DEFAULT_PROGRAM)
+    parser.add_argument("--pause", type=float, default=2.0,
+                        help="longest time between two faults, in seconds")
+    parser.add_argument("--subnet", type=int, default=9, choices=range(1, 255), metavar="N",
+                        help="the processes use 127.0.N.x; soaks side by side need different ones")
     options = parser.parse_args()
+    ALLOCATORS.extend(f"127.0.{options.subnet}.{i}" for i in (1, 2, 3))
+    GATEWAYS.extend(f"127.0.{options.subnet}.{i}" for i in (11, 12))
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
         folder = pathlib.Path(tempfile.mkdtemp(prefix="sapphirecrank-soak-"))
-        checks = asyncio.run(run_soak(options.program, options.faults.split(","), seed,
-                                      options.seconds, folder))
+        checks = asyncio.run(run_soak(options, seed, folder))
         counts = ", ".join(f"{name} {count}" for name, count in sorted(checks.counts.items()))
         print(f"seed {seed}: {'FAILED' if checks.violations else 'ok'}; {counts}", flush=True)
         if not checks.violations:
