--- a/src/clusterhost/stored_job_manager.cc
+++ b/src/clusterhost/stored_job_manager.cc
@@ -230,42 +230,28 @@
   if (!this->scheduler.IsLeading()) {
     return;  // The sender repeats them to the host that leads by then.
   }
-  RunEventAcknowledgements acknowledgements;
-  std::vector<RunEvent> proposed_events;
-  JobCommand::RecordOutcomes command;
-  for (const RunEvent& event : message.events) {
-    switch (this->scheduler.ClassifyRunEvent(event)) {
-      case JobScheduler::EventDisposition::kAcknowledge:
-        acknowledgements.acknowledged.push_back(event);
-        break;
-      case JobScheduler::EventDisposition::kSuperseded:
-        acknowledgements.superseded.push_back(event);
-        this->LogSupersededEvent(from, event);
-        break;
-      case JobScheduler::EventDisposition::kPropose:
-        proposed_events.push_back(event);
-        command.outcomes.push_back({event.key, event.kind == RunEvent::Kind::kSucceeded});
-        break;
-      case JobScheduler::EventDisposition::kIgnore:
-        break;
-    }
-  }
-  this->AcknowledgeRunEvents(from, acknowledgements);
-  if (command.outcomes.empty()) {
+  const std::vector<RunEvent> unrecorded_events = this->AnswerRunEvents(from, message.events);
+  if (unrecorded_events.empty()) {
     return;
   }
+  JobCommand::RecordOutcomes command;
+  for (const RunEvent& event : unrecorded_events) {
+    command.outcomes.push_back({event.key, event.kind == RunEvent::Kind::kSucceeded});
+  }
   this->hooks.propose_job_change(JobCommand{command}.Encode(),
-                                 [this, from, proposed_events](ProposalOutcome outcome) {
+                                 [this, from, unrecorded_events](ProposalOutcome outcome) {
                                    if (outcome == ProposalOutcome::kCommitted) {
-                                     this->OnOutcomesCommitted(from, proposed_events);
+                                     // Some runs may have been superseded before the commit. The
+                                     // sender repeats events without an answer.
+                                     (void)this->AnswerRunEvents(from, unrecorded_events);
                                    }
                                  });
 }
 
-void StoredJobManager::OnOutcomesCommitted(const HostId& from,
-                                           const std::vector<RunEvent>& events) {
-  // The runs of some events may have been superseded before the outcomes were committed.
+std::vector<RunEvent> StoredJobManager::AnswerRunEvents(const HostId& from,
+                                                        const std::vector<RunEvent>& events) {
   RunEventAcknowledgements acknowledgements;
+  std::vector<RunEvent> unrecorded_events;
   for (const RunEvent& event : events) {
     switch (this->scheduler.ClassifyRunEvent(event)) {
       case JobScheduler::EventDisposition::kAcknowledge:
@@ -276,11 +262,14 @@
         this->LogSupersededEvent(from, event);
         break;
       case JobScheduler::EventDisposition::kPropose:
+        unrecorded_events.push_back(event);
+        break;
       case JobScheduler::EventDisposition::kIgnore:
-        break;  // The sender repeats it.
+        break;
     }
   }
   this->AcknowledgeRunEvents(from, acknowledgements);
+  return unrecorded_events;
 }
 
 void StoredJobManager::LogSupersededRuns(const JobCommand::SupersedeRuns& command) {
--- a/src/clusterhost/stored_job_manager.h
+++ b/src/clusterhost/stored_job_manager.h
@@ -88,8 +88,10 @@
   void SendResponse(const base::HostId& to, const stored::JobRequest& request,
                     stored::JobResponse::Outcome outcome);
   void HandleRunEvents(const base::HostId& from, const runs::RunEvents& message);
-  /// Answers events whose outcomes the group has committed.
-  void OnOutcomesCommitted(const base::HostId& from, const std::vector<runs::RunEvent>& events);
+  /// Answers the events that need no further record. Returns those whose outcomes have to be
+  /// committed first.
+  std::vector<runs::RunEvent> AnswerRunEvents(const base::HostId& from,
+                                              const std::vector<runs::RunEvent>& events);
   void LogSupersededRuns(const stored::JobCommand::SupersedeRuns& command);
   void LogSupersededEvent(const base::HostId& from, const runs::RunEvent& event);
   void AcknowledgeRunEvents(const base::HostId& to,
