clusterhost: Log and count what a host knows of its group

Each allocator now logs the voters and learners at each change with term and index, the reason of each change that it proposes, why a learner isn't promoted, a time without a leader with the voters that it doesn't reach, and the reason of each failed read or change (at most one line a second for each message). The same is in the metrics. No decision changes.

--- a/src/cluster/membership_planner.cc
+++ b/src/cluster/membership_planner.cc
@@ -44,7 +44,7 @@
   return false;
 }
 
-std::optional<MembershipChange> MembershipPlanner::NextChange(
+std::optional<PlannedChange> MembershipPlanner::NextChange(
     const consensus::RaftMembership& membership, TimePoint now,
     const std::function<bool(const HostId&)>& is_reachable) {
   for (const HostId& voter : membership.voters) {
@@ -55,25 +55,29 @@
     const bool is_lost = now - reachable_at->second >= this->replacement_delay &&
                          this->HasReachableLearner(membership, is_reachable);
     if (this->IsSuperseded(voter, now) || is_lost) {
-      return MembershipChange{MembershipChange::Kind::kRemoveMember, voter};
+      return PlannedChange{{MembershipChange::Kind::kRemoveMember, voter},
+                           is_lost ? "unreachable, and a learner can take its place"
+                                   : "its host has lost this member's disk"};
     }
   }
   for (const auto& [member, requested_at] : this->join_requests) {
     const bool is_member =
         membership.voters.count(member) > 0 || membership.learners.count(member) > 0;
     if (!is_member && now - requested_at < kJoinRequestLifetime) {
-      return MembershipChange{MembershipChange::Kind::kAddLearner, member};
+      return PlannedChange{{MembershipChange::Kind::kAddLearner, member}, "asked to join"};
     }
   }
   for (const HostId& learner : membership.learners) {
     if (this->IsSuperseded(learner, now)) {
-      return MembershipChange{MembershipChange::Kind::kRemoveMember, learner};
+      return PlannedChange{{MembershipChange::Kind::kRemoveMember, learner},
+                           "its host has lost this member's disk"};
     }
   }
   for (const HostId& learner : membership.learners) {
     if (membership.voters.size() < this->desired_voter_count &&
         is_reachable(MemberName::ParseHost(learner))) {
-      return MembershipChange{MembershipChange::Kind::kPromoteLearner, learner};
+      return PlannedChange{{MembershipChange::Kind::kPromoteLearner, learner},
+                           "fewer voters than desired"};
     }
   }
   return std::nullopt;
--- a/src/cluster/membership_planner.h
+++ b/src/cluster/membership_planner.h
@@ -6,7 +6,7 @@
 
 #include "base/ids.h"
 #include "base/time.h"
-#include "consensus/membership_change.h"
+#include "cluster/planned_change.h"
 #include "consensus/raft_membership.h"
 
 namespace sapphirecrank::cluster {
@@ -27,7 +27,7 @@
   /// Returns the next membership change, if one is due. `is_reachable` tells whether a host (not a
   /// member name) is reachable. To be called regularly, because it records when voters are
   /// reachable.
-  std::optional<consensus::MembershipChange> NextChange(
+  std::optional<PlannedChange> NextChange(
       const consensus::RaftMembership& membership, base::TimePoint now,
       const std::function<bool(const base::HostId&)>& is_reachable);
 
--- a/src/clusterhost/allocator_host.cc
+++ b/src/clusterhost/allocator_host.cc
@@ -56,6 +56,8 @@
       self(this->settings.host.advertised_peer_address.value()),
       now(base::SteadyClock()),
       logger(logger),
+      group_monitor({this->now, [this](const HostId& host) { return this->IsReachable(host); }},
+                    logger, this->metrics),
       job_manager({this->self, this->settings.host.data_centre, this->settings.job_retention},
                   this->JobManagerHooks(), logger),
       scheduler(this->settings.scheduler, this->SchedulerHooks(std::move(calls))),
@@ -130,9 +132,7 @@
   ClusterGroup::Hooks hooks;
   hooks.now = this->now;
   hooks.reachable_member = [this](const HostId& host) { return this->ReachableMember(host); };
-  hooks.is_host_reachable = [this](const HostId& host) {
-    return host == this->self || this->network->IsPeerReachable(host);
-  };
+  hooks.is_host_reachable = [this](const HostId& host) { return this->IsReachable(host); };
   hooks.send_raft_message = [this](const consensus::RaftMessage& message) {
     this->network->SendBestEffort(cluster::MemberName::ParseHost(message.to),
                                   protocol::ConsensusMessage{message});
@@ -163,6 +163,15 @@
   hooks.restore_jobs_snapshot = [this](const std::string& state) {
     this->job_manager.job_state_machine().Restore(state);
   };
+  hooks.on_status = [this](const HostId& member, const consensus::RaftStatus& status) {
+    this->group_monitor.OnStatus(member, status);
+  };
+  hooks.on_membership_change = [this](const cluster::PlannedChange& planned) {
+    this->group_monitor.OnMembershipChange(planned);
+  };
+  hooks.on_promotion_delayed = [this](const HostId& learner, const std::string& reason) {
+    this->group_monitor.OnPromotionDelayed(learner, reason);
+  };
   hooks.on_storage_status = [this](const std::string& reason) {
     if (reason.empty()) {
       this->logger.Info("disk reopened after a failure");
@@ -299,6 +308,10 @@
   }
 }
 
+bool AllocatorHost::IsReachable(const HostId& host) const {
+  return host == this->self || this->network->IsPeerReachable(host);
+}
+
 std::optional<ClusterView::Member> AllocatorHost::ReachableMember(const HostId& host) {
   MutexLock lock(this->state_mutex);
   if (host == this->self) {
@@ -588,11 +601,20 @@
 
 void AllocatorHost::PutConfiguration(cluster::ConfigurationRecord record,
                                      ClusterGroup::ProposalCallback callback) {
-  this->group->PutConfiguration(std::move(record), std::move(callback));
+  const base::Version version = record.version;
+  this->group->PutConfiguration(
+      std::move(record), [this, version, callback = std::move(callback)](ProposalOutcome outcome) {
+        this->group_monitor.OnChange(version, outcome, this->Leader());
+        callback(outcome);
+      });
 }
 
 void AllocatorHost::ReadConfiguration(ClusterGroup::ReadCallback callback) {
-  this->group->ReadConfiguration(std::move(callback));
+  this->group->ReadConfiguration([this, callback = std::move(callback)](
+                                     const base::Result<cluster::ConfigurationRecord>& result) {
+    this->group_monitor.OnRead(result);
+    callback(result);
+  });
 }
 
 HostId AllocatorHost::Leader() {
--- a/src/clusterhost/allocator_host.h
+++ b/src/clusterhost/allocator_host.h
@@ -16,6 +16,7 @@
 #include "cluster/configuration_record.h"
 #include "clusterhost/cluster_group.h"
 #include "clusterhost/cluster_host_settings.h"
+#include "clusterhost/group_monitor.h"
 #include "clusterhost/stored_job_manager.h"
 #include "clusterhost/target_file.h"
 #include "observability/allocator_metrics.h"
@@ -113,6 +114,7 @@
   /// Sends the report of a draining target to the allocators that don't own it. Otherwise one of
   /// them that becomes its owner would start runs there because of an older report.
   void ForwardToOtherAllocators(const runs::TargetReport& report, const base::HostId& owner);
+  bool IsReachable(const base::HostId& host) const;
   std::optional<cluster::ClusterView::Member> ReachableMember(const base::HostId& host);
   const cluster::ClusterView::Member* FindOwner(const runs::TargetReport& report)
       REQUIRES(state_mutex);
@@ -154,6 +156,7 @@
   bool is_in_view GUARDED_BY(state_mutex) = false;
   bool is_leaving GUARDED_BY(state_mutex) = false;
 
+  GroupMonitor group_monitor;
   StoredJobManager job_manager;
   runs::RunScheduler scheduler;
   // After the start these two are used on `target_file_thread` only, because saving waits for
--- a/src/clusterhost/cluster_group.cc
+++ b/src/clusterhost/cluster_group.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "cluster/member_name.h"
+#include "cluster/planned_change.h"
 #include "consensus/raft_disk_storage.h"
 #include "consensus/raft_node.h"
 #include "storage/atomic_file.h"
@@ -196,6 +197,7 @@
     }
     this->ExpireProposals();
     this->CompleteReads();
+    this->hooks.on_status(this->member, this->node->Status());
   });
 }
 
@@ -309,11 +311,17 @@
   if (!this->node->HasLeaderLease()) {
     return;
   }
-  const auto change =
+  const auto planned =
       this->planner.NextChange(status.membership, now, this->hooks.is_host_reachable);
-  if (change) {
-    // A change that isn't possible yet is planned again at the next tick.
-    (void)this->node->ChangeMembership(*change);
+  if (!planned) {
+    return;
+  }
+  // A change that isn't possible yet is planned again at the next tick.
+  const auto proposed = this->node->ChangeMembership(planned->change);
+  if (proposed) {
+    this->hooks.on_membership_change(*planned);
+  } else if (proposed.error().code == base::ErrorCode::kInvalidArgument) {
+    this->hooks.on_promotion_delayed(planned->change.host, proposed.error().message);
   }
 }
 
@@ -339,7 +347,7 @@
         this->state->configuration().version != base::Version()) {
       read.callback(this->state->configuration());
     } else if (now - read.requested_at >= kResponseTimeout) {
-      read.callback(std::nullopt);
+      read.callback(base::MakeErrorResult(base::ErrorCode::kUnavailable, this->UnreadableReason()));
     } else {
       still_pending.push_back(std::move(read));
     }
@@ -347,6 +355,17 @@
   this->pending_reads = std::move(still_pending);
 }
 
+std::string ClusterGroup::UnreadableReason() const {
+  const consensus::RaftStatus status = this->node->Status();
+  if (status.leader.empty()) {
+    return "the group has no leader";
+  }
+  if (this->state->configuration().version == base::Version()) {
+    return "no configuration is known here";
+  }
+  return "the leader has not confirmed that this host is up to date: " + status.leader.value();
+}
+
 std::vector<ClusterView::Member> ClusterGroup::ReachableMembers() const {
   const consensus::RaftMembership membership = this->node->Status().membership;
   std::vector<ClusterView::Member> members;
--- a/src/clusterhost/cluster_group.h
+++ b/src/clusterhost/cluster_group.h
@@ -21,6 +21,7 @@
 namespace sapphirecrank::consensus {
 class RaftDiskStorage;
 class RaftNode;
+struct RaftStatus;
 }  // namespace sapphirecrank::consensus
 
 namespace sapphirecrank::clusterhost {
@@ -71,12 +72,20 @@
     std::function<void(const std::string&)> apply_jobs_command;
     std::function<std::string()> take_jobs_snapshot;
     std::function<void(const std::string&)> restore_jobs_snapshot;
+    /// The state of the group as this host knows it; called on each tick. The id is this host's
+    /// name in the group.
+    std::function<void(const base::HostId& member, const consensus::RaftStatus&)> on_status;
+    /// This host has proposed a membership change as leader.
+    std::function<void(const cluster::PlannedChange&)> on_membership_change;
+    /// A learner that should become a voter can't for this reason.
+    std::function<void(const base::HostId& learner, const std::string& reason)>
+        on_promotion_delayed;
     /// The disk has failed for this reason, or was reopened if the reason is empty.
     std::function<void(const std::string& reason)> on_storage_status;
   };
 
   using ProposalCallback = std::function<void(ProposalOutcome)>;
-  using ReadCallback = std::function<void(std::optional<cluster::ConfigurationRecord>)>;
+  using ReadCallback = std::function<void(const base::Result<cluster::ConfigurationRecord>&)>;
 
   ClusterGroup(Settings settings, Hooks hooks);
   ~ClusterGroup();
@@ -104,7 +113,8 @@
   void ProposeJobChange(std::string change, ProposalCallback callback);
 
   /// Linearizable read: `callback` gets the newest configuration once it is certain that no newer
-  /// one was committed before the call, or nothing if that isn't certain after 900 ms.
+  /// one was committed before the call, or the error `kUnavailable` with the reason if that isn't
+  /// certain after 900 ms.
   void ReadConfiguration(ReadCallback callback);
 
   /// Transfers leadership to another host if this one leads. To be called before this host stops.
@@ -140,6 +150,7 @@
   void UpdateMembership();
   void ExpireProposals();
   void CompleteReads();
+  std::string UnreadableReason() const;
   std::vector<cluster::ClusterView::Member> ReachableMembers() const;
 
   Settings settings;
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -141,6 +141,7 @@
   status.applied_index = this->applied_index;
   status.snapshot_index = this->snapshot.index;
   status.membership = this->raft_log.membership();
+  status.membership_index = this->raft_log.membership_index();
   status.has_storage = this->HasStorage();
   status.up_to_date_as_of = this->up_to_date_as_of;
   return status;
--- a/src/consensus/raft_status.h
+++ b/src/consensus/raft_status.h
@@ -17,7 +17,10 @@
   base::LogIndex commit_index;
   base::LogIndex applied_index;
   base::LogIndex snapshot_index;
+  /// Latest membership in the log; it may not be committed yet.
   RaftMembership membership;
+  /// Index of the entry with `membership`, or of the start of the log.
+  base::LogIndex membership_index;
   /// The host has working storage, so it votes and its acknowledgements count as durable.
   bool has_storage = false;
   /// All entries committed before this time are applied here; the clock's epoch if unknown.
--- a/src/observability/allocator_metrics.cc
+++ b/src/observability/allocator_metrics.cc
@@ -2,6 +2,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -12,6 +13,7 @@
 
 using prometheus::Counter;
 using prometheus::Family;
+using prometheus::Gauge;
 using prometheus::Histogram;
 
 namespace {
@@ -41,6 +43,25 @@
           .Name("sapphirecrank_target_call_seconds")
           .Help("Time until a target's answer, or until it counted as lost")
           .Register(this->registry);
+  Family<Counter>& configuration_requests =
+      prometheus::BuildCounter()
+          .Name("sapphirecrank_configuration_requests_total")
+          .Help("Reads and changes of the configuration by their outcome")
+          .Register(this->registry);
+  Family<Counter>& membership_changes =
+      prometheus::BuildCounter()
+          .Name("sapphirecrank_membership_changes_total")
+          .Help("Membership changes of the group that this host has proposed as leader")
+          .Register(this->registry);
+  Family<Gauge>& group_members = prometheus::BuildGauge()
+                                     .Name("sapphirecrank_group_members")
+                                     .Help("Members of the group that this host knows of")
+                                     .Register(this->registry);
+  Gauge& has_leader = prometheus::BuildGauge()
+                          .Name("sapphirecrank_group_has_leader")
+                          .Help("1 if this host knows a leader of the group, otherwise 0")
+                          .Register(this->registry)
+                          .Add({});
 };
 
 AllocatorMetrics::AllocatorMetrics() : impl(std::make_unique<Impl>()) {}
@@ -63,6 +84,28 @@
       .Observe(std::chrono::duration<double>(duration).count());
 }
 
+void AllocatorMetrics::OnConfigurationRequest(std::string_view operation,
+                                              std::string_view outcome) {
+  this->impl->configuration_requests
+      .Add({{"operation", std::string(operation)}, {"outcome", std::string(outcome)}})
+      .Increment();
+}
+
+void AllocatorMetrics::OnMembershipChange(std::string_view change) {
+  this->impl->membership_changes.Add({{"change", std::string(change)}}).Increment();
+}
+
+void AllocatorMetrics::SetGroupMembers(size_t voters, size_t reachable_voters, size_t learners) {
+  this->impl->group_members.Add({{"kind", "voter"}}).Set(static_cast<double>(voters));
+  this->impl->group_members.Add({{"kind", "reachable_voter"}})
+      .Set(static_cast<double>(reachable_voters));
+  this->impl->group_members.Add({{"kind", "learner"}}).Set(static_cast<double>(learners));
+}
+
+void AllocatorMetrics::SetHasLeader(bool has_leader) {
+  this->impl->has_leader.Set(has_leader ? 1 : 0);
+}
+
 std::string AllocatorMetrics::PrometheusText() const {
   return prometheus::TextSerializer().Serialize(this->impl->registry.Collect());
 }
--- a/src/observability/allocator_metrics.h
+++ b/src/observability/allocator_metrics.h
@@ -26,6 +26,20 @@
   /// response, until the call failed or timed out. `call` must be one of a few fixed values.
   void OnTargetCall(std::string_view call, bool has_response, base::Duration duration);
 
+  /// Counts a read or a change of the configuration. Both arguments must be of a few fixed values.
+  void OnConfigurationRequest(std::string_view operation, std::string_view outcome);
+
+  /// Counts a membership change of the group that this host has proposed. `change` must be one of a
+  /// few fixed values.
+  void OnMembershipChange(std::string_view change);
+
+  /// Sets how many members the group has, as far as this host knows, and how many of the voters it
+  /// reaches, itself included.
+  void SetGroupMembers(size_t voters, size_t reachable_voters, size_t learners);
+
+  /// Sets whether this host knows a leader of the group.
+  void SetHasLeader(bool has_leader);
+
   /// Returns all series in Prometheus' text format.
   std::string PrometheusText() const;
 
--- a/tests/cluster/membership_planner_test.cc
+++ b/tests/cluster/membership_planner_test.cc
@@ -19,9 +19,10 @@
   }
 
   std::optional<MembershipChange> NextChange() {
-    return this->planner.NextChange(this->membership, this->now, [this](const HostId& host) {
-      return this->unreachable_hosts.count(host) == 0;
-    });
+    const auto planned = this->planner.NextChange(
+        this->membership, this->now,
+        [this](const HostId& host) { return this->unreachable_hosts.count(host) == 0; });
+    return planned ? std::make_optional(planned->change) : std::nullopt;
   }
 };
 
--- a/tests/clusterhost/cluster_test.cc
+++ b/tests/clusterhost/cluster_test.cc
@@ -227,7 +227,7 @@
   base::Version ReadVersionAt(size_t i) {
     std::promise<base::Version> read;
     this->allocators[i]->ReadConfiguration(
-        [&read](const std::optional<cluster::ConfigurationRecord>& record) {
+        [&read](const base::Result<cluster::ConfigurationRecord>& record) {
           read.set_value(record ? record->version : base::Version());
         });
     return read.get_future().get();
