cluster: Move the membership of a group out of ClusterGroup

ClusterGroup runs on a thread and on a disk, so how its members change could only be tested with processes and in real time. GroupMembership holds this part: join requests, and the changes that the planner asks for. It needs only a replica and hooks. No decision changes.

--- a/src/clusterhost/cluster_group.cc
+++ b/src/clusterhost/cluster_group.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "cluster/member_name.h"
-#include "cluster/planned_change.h"
 #include "consensus/raft_disk_storage.h"
 #include "consensus/raft_node.h"
 #include "storage/atomic_file.h"
@@ -26,7 +25,6 @@
 // other's member names from the addresses alone.
 constexpr const char* kBootstrapStoreId = "first";
 constexpr const char* kStoreIdFile = "store";
-constexpr Duration kJoinRequestInterval = std::chrono::seconds(1);
 // Delay before a failed disk is reopened.
 constexpr Duration kReopenInterval = std::chrono::milliseconds(500);
 // Operators try another host after 1 s.
@@ -43,12 +41,22 @@
 ClusterGroup::ClusterGroup(Settings settings, Hooks hooks)
     : settings(std::move(settings)),
       hooks(std::move(hooks)),
-      planner(this->settings.desired_voter_count, this->settings.voter_replacement_delay),
+      group_membership(this->settings.membership, this->MembershipHooks()),
       incarnation(this->settings.incarnation),
       thread("cluster-group", 1) {}
 
 ClusterGroup::~ClusterGroup() { this->Stop(); }
 
+cluster::GroupMembership::Hooks ClusterGroup::MembershipHooks() const {
+  cluster::GroupMembership::Hooks membership_hooks;
+  membership_hooks.now = this->hooks.now;
+  membership_hooks.is_host_reachable = this->hooks.is_host_reachable;
+  membership_hooks.send_join_request = this->hooks.send_join_request;
+  membership_hooks.on_membership_change = this->hooks.on_membership_change;
+  membership_hooks.on_promotion_delayed = this->hooks.on_promotion_delayed;
+  return membership_hooks;
+}
+
 std::unique_ptr<cluster::ClusterState> ClusterGroup::MakeState() {
   cluster::ClusterState::Hooks state_hooks;
   state_hooks.now = this->hooks.now;
@@ -182,7 +190,7 @@
 
 void ClusterGroup::OnJoinRequest(const HostId& joining_member) {
   this->RunOnThread(
-      [this, joining_member] { this->planner.OnJoinRequest(joining_member, this->hooks.now()); });
+      [this, joining_member] { this->group_membership.OnJoinRequest(joining_member); });
 }
 
 void ClusterGroup::Tick() {
@@ -190,7 +198,7 @@
     this->ReopenStorageIfDue();
     this->node->Tick();
     this->state->Tick();
-    this->UpdateMembership();
+    this->group_membership.Tick(this->member, *this->node);
     this->FlushAndNotify();
     if (this->node->HasLeaderLease()) {
       this->hooks.on_lease_held(this->node->Status().term);
@@ -299,32 +307,6 @@
   this->pending_proposals.erase(proposal);
 }
 
-void ClusterGroup::UpdateMembership() {
-  const consensus::RaftStatus status = this->node->Status();
-  const bool is_member = status.membership.voters.count(this->member) > 0 ||
-                         status.membership.learners.count(this->member) > 0;
-  const TimePoint now = this->hooks.now();
-  if (!is_member && now >= this->next_join_request_at) {
-    this->next_join_request_at = now + kJoinRequestInterval;
-    this->hooks.send_join_request(this->member);
-  }
-  if (!this->node->HasLeaderLease()) {
-    return;
-  }
-  const auto planned =
-      this->planner.NextChange(status.membership, now, this->hooks.is_host_reachable);
-  if (!planned) {
-    return;
-  }
-  // A change that isn't possible yet is planned again at the next tick.
-  const auto proposed = this->node->ChangeMembership(planned->change);
-  if (proposed) {
-    this->hooks.on_membership_change(*planned);
-  } else if (proposed.error().code == base::ErrorCode::kInvalidArgument) {
-    this->hooks.on_promotion_delayed(planned->change.host, proposed.error().message);
-  }
-}
-
 void ClusterGroup::ExpireProposals() {
   const TimePoint now = this->hooks.now();
   for (auto proposal = this->pending_proposals.begin();
--- a/src/clusterhost/cluster_group.h
+++ b/src/clusterhost/cluster_group.h
@@ -12,7 +12,7 @@
 #include "base/thread_pool.h"
 #include "base/time.h"
 #include "cluster/cluster_state.h"
-#include "cluster/membership_planner.h"
+#include "cluster/group_membership.h"
 #include "clusterhost/proposal_outcome.h"
 #include "consensus/raft_message.h"
 #include "consensus/raft_storage.h"
@@ -43,10 +43,7 @@
     bool bootstrap = false;
     std::string data_folder;
     storage::FileSystem file_system;
-    /// Number of voters that the leader aims for.
-    size_t desired_voter_count = 3;
-    /// A voter that is unreachable for this long is replaced if another host can take its place.
-    base::Duration voter_replacement_delay = std::chrono::seconds(10);
+    cluster::GroupMembership::Settings membership;
   };
 
   /// Callbacks into the owner; all members must be set.
@@ -136,6 +133,7 @@
 
   base::Result<std::string> LoadStoreId();
   base::Result<void> OpenNode();
+  cluster::GroupMembership::Hooks MembershipHooks() const;
   std::unique_ptr<cluster::ClusterState> MakeState();
   consensus::RaftStorage MonitoredStorage();
   void ReopenStorageIfDue();
@@ -147,7 +145,6 @@
   void ScheduleFlush();
   bool Propose(const std::string& command, const ProposalCallback& callback);
   void ApplyEntry(const consensus::LogEntry& entry);
-  void UpdateMembership();
   void ExpireProposals();
   void CompleteReads();
   std::string UnreadableReason() const;
@@ -159,11 +156,10 @@
   std::string store_id;
   base::HostId member;
   std::unique_ptr<cluster::ClusterState> state;
-  cluster::MembershipPlanner planner;
+  cluster::GroupMembership group_membership;
   std::map<base::LogIndex, PendingProposal> pending_proposals;
   bool is_flush_scheduled = false;
   std::vector<PendingRead> pending_reads;
-  base::TimePoint next_join_request_at;
   // `on_state_change` is called once all committed entries are applied. After the disk was reopened
   // it isn't called before the state has caught up with the announced version and epoch, so that no
   // older version or view is announced.
