cluster: Show that hosts replaced in turn cost the group its majority

GroupSimulation runs replicas and their membership decisions in memory with a simulated clock: hosts are removed, replaced, frozen and cut off. Two tests of GroupMembership replace a host, wait until the settings allow the next loss (4 s after the successor's start), and lose the next one. Both fail: the group replaces a voter only after it has been unreachable for 10 s.

--- /dev/null
+++ b/tests/cluster/group_membership_test.cc
@@ -0,0 +1,60 @@
+#include "cluster/group_membership.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "tests/cluster/group_simulation.h"
+
+using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
+using cluster::GroupSimulation;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+// A host counts as lost until its successor has run for this long.
+constexpr auto kCatchUpTime = seconds(4);
+constexpr auto kElectionTime = seconds(5);
+
+}  // namespace
+
+TEST_GROUP(GroupMembership) {
+  GroupSimulation group{1, 3, 3, 3};
+
+  void setup() override { CHECK_TRUE(this->group.Commit(kElectionTime)); }
+
+  /// Ends `host` for good, starts its successor 1 s later, and returns once the loss no longer
+  /// counts.
+  void Replace(size_t host) {
+    const base::DataCentreId data_centre = this->group.data_centre(host);
+    this->group.RemoveForGood(host);
+    this->group.Run(seconds(1));
+    this->group.AddHost(data_centre);
+    this->group.Run(kCatchUpTime);
+  }
+
+  void CheckComplete() {
+    CHECK_TRUE(this->group.Commit(kElectionTime));
+    CHECK_TRUE_TEXT(this->group.IsComplete(true), this->group.Describe().c_str());
+    CHECK_TRUE(this->group.KeepsCommittedCommands());
+  }
+};
+
+// Guards against a group that loses its majority for good because hosts are replaced one after the
+// other, as fast as the settings allow.
+TEST(GroupMembership, KeepsAMajorityWhileAllHostsAreReplaced) {
+  for (size_t host = 0; host < 6; ++host) {
+    this->Replace(host);
+    this->CheckComplete();
+  }
+}
+
+// Guards against a loss of the majority when a host loses its disk as soon as the replacement of
+// another one no longer counts as a loss.
+TEST(GroupMembership, KeepsAMajorityWhenADiskIsLostAfterAReplacement) {
+  this->Replace(0);
+  this->group.LoseDisk(1);
+  this->group.Run(milliseconds(500));
+  this->group.Restart(1);
+  this->group.Run(kCatchUpTime);
+  this->CheckComplete();
+}
