consensus: Let a removed host learn of its removal

The leader stopped sending to a host as soon as its removal was in the log, so the removed host never got that entry. It took itself for a voter and didn't ask to join again.

A peer now stays until its removal is committed and it was sent the commit index.

--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -95,7 +95,7 @@
   entry.kind = LogEntry::Kind::kMembership;
   entry.membership = std::move(*membership);
   LogIndex index = this->AppendNewEntry(std::move(entry));
-  this->replication.UpdatePeers(this->hooks.now());
+  this->replication.UpdatePeers(this->hooks.now(), this->commit_index);
   return index;
 }
 
@@ -117,6 +117,10 @@
     for (auto& [to, body] : this->replication.CollectMessages(this->commit_index, this->snapshot)) {
       this->QueueMessage(to, std::move(body));
     }
+    if (this->replication.has_departing_peers() &&
+        this->raft_log.membership_index() <= this->commit_index) {
+      this->replication.UpdatePeers(this->hooks.now(), this->commit_index);
+    }
   }
   this->SendQueuedMessages();
   this->ApplyCommitted();
@@ -424,7 +428,7 @@
   entry.kind = LogEntry::Kind::kNoOperation;
   // The peers' next index is set before this entry is appended, so that the first message carries
   // the entry.
-  this->replication.StartLeadership(this->hooks.now());
+  this->replication.StartLeadership(this->hooks.now(), this->commit_index);
   this->AppendNewEntry(std::move(entry));
   this->TickLeader();
 }
--- a/src/consensus/replication.cc
+++ b/src/consensus/replication.cc
@@ -13,20 +13,25 @@
 Replication::Replication(const HostId& self, const RaftSettings& settings, const RaftLog& log)
     : self(self), settings(settings), log(log) {}
 
-void Replication::StartLeadership(TimePoint now) {
+void Replication::StartLeadership(TimePoint now, LogIndex commit_index) {
   this->progress_by_host.clear();
   this->round_tracker.Clear();
-  this->UpdatePeers(now);
+  this->UpdatePeers(now, commit_index);
 }
 
-void Replication::UpdatePeers(TimePoint now) {
-  const RaftMembership& membership = this->log.membership();
+void Replication::UpdatePeers(TimePoint now, LogIndex commit_index) {
+  const RaftMembership& latest = this->log.membership();
+  const RaftMembership& committed = this->log.MembershipAt(commit_index);
   std::map<HostId, ReplicationProgress> updated_progress;
-  for (const auto* hosts : {&membership.voters, &membership.learners}) {
+  this->are_peers_departing = false;
+  for (const auto* hosts :
+       {&latest.voters, &latest.learners, &committed.voters, &committed.learners}) {
     for (const HostId& host : *hosts) {
       if (host == this->self) {
         continue;
       }
+      this->are_peers_departing = this->are_peers_departing || (latest.voters.count(host) == 0 &&
+                                                                latest.learners.count(host) == 0);
       auto existing = this->progress_by_host.find(host);
       ReplicationProgress peer;
       peer.next_index = this->log.last_index().Next();
--- a/src/consensus/replication.h
+++ b/src/consensus/replication.h
@@ -27,12 +27,16 @@
   /// Precondition: `settings` and `log` outlive this object.
   Replication(const base::HostId& self, const RaftSettings& settings, const RaftLog& log);
 
-  /// Starts a term as leader: forgets all progress and takes the peers from the log's membership.
-  void StartLeadership(base::TimePoint now);
+  /// Starts a term as leader: forgets all progress and takes the peers as `UpdatePeers` does.
+  void StartLeadership(base::TimePoint now, base::LogIndex commit_index);
 
-  /// Adds and removes peers so that they match the log's latest membership. A new peer counts as
-  /// having responded at `now`.
-  void UpdatePeers(base::TimePoint now);
+  /// Adds and removes peers so that they are the members of the log's latest membership and of the
+  /// committed one. So a removed host learns of its removal. A new peer counts as having responded
+  /// at `now`.
+  void UpdatePeers(base::TimePoint now, base::LogIndex commit_index);
+
+  /// Tells whether there are peers that the latest membership doesn't have.
+  bool has_departing_peers() const { return this->are_peers_departing; }
 
   /// Starts a heartbeat round; `CollectMessages` returns its messages.
   void StartHeartbeatRound(base::TimePoint now);
@@ -82,6 +86,7 @@
   const RaftLog& log;
   std::map<base::HostId, ReplicationProgress> progress_by_host;
   HeartbeatRounds round_tracker;
+  bool are_peers_departing = false;
 };
 
 }  // namespace sapphirecrank::consensus
--- a/tests/consensus/raft_cluster_test.cc
+++ b/tests/consensus/raft_cluster_test.cc
@@ -193,6 +193,22 @@
   CheckNoViolations();
 }
 
+// Guards against a removed host that takes itself for a voter and doesn't ask to join again.
+TEST(RaftCluster, RemovedHostLearnsOfItsRemoval) {
+  StartCluster(3, 3);
+  int removed = (cluster->Leader() + 1) % 3;
+  CHECK(ChangeMembership(MembershipChange::Kind::kRemoveMember, removed));
+  CHECK(cluster->RunUntil(
+      [&] {
+        auto status = cluster->node(removed)->Status();
+        return status.membership.voters.count(RaftCluster::HostName(removed)) == 0 &&
+               status.membership_index <= status.commit_index;
+      },
+      seconds(1)));
+  CHECK(CommitOn({cluster->Leader()}));
+  CheckNoViolations();
+}
+
 // Guards against hosts without disks that don't get committed entries, or that don't know how up to
 // date they are.
 TEST(RaftCluster, LearnersWithoutDisksStayUpToDate) {
