cluster: Replace a lost voter within the time that the settings give

Cause: the leader removed a voter only after 10 s without contact. The settings allow the next loss as soon as the successor of a lost host has run for the catch-up time, 4 s on the deployments. A second loss in between left one voter of three, although the successors had the whole log as learners, and without a majority they could no longer become voters.

Change: - catch_up_s is a setting (0.1 to 3600, default 4). A voter is replaced after a quarter of it without contact. Hosts ask to join every 250 ms instead of every second. - The successor gets its vote before the unreachable voter is removed. Until the removal the lost voter may return and vote, so that the loss of another disk doesn't end the group. A voter whose disk is known to be lost is removed first, as before: its vote can't return. - All hosts observe who is reachable, so that a new leader doesn't start the delay anew, and a host that stood still counts no time. - Of several learners, the one in the data centre with the fewest voters is promoted, and votes move so that no data centre has more than needed. Learners that never return are removed. - A voter that has announced its stop is replaced at once if a learner can take its vote. - The latest join request of a host names its disk. An earlier one under the old name made the new member count as the lost one for 3 s.

--- a/src/cluster/group_membership.cc
+++ b/src/cluster/group_membership.cc
@@ -10,40 +10,66 @@
 
 namespace {
 
-constexpr base::Duration kJoinRequestInterval = std::chrono::seconds(1);
+constexpr base::Duration kJoinRequestInterval = std::chrono::milliseconds(250);
+// A voter that is unreachable is replaced after this part of the catch-up time. The rest is for its
+// successor to join, to get the log and to become a voter.
+constexpr int kReplacementDelayDivisor = 4;
 
 }  // namespace
 
 GroupMembership::GroupMembership(Settings settings, Hooks hooks)
     : settings(settings),
       hooks(std::move(hooks)),
-      planner(settings.desired_voter_count, settings.voter_replacement_delay) {}
+      planner(this->PlannerSettings(), this->PlannerHooks()) {}
+
+MembershipPlanner::Settings GroupMembership::PlannerSettings() const {
+  MembershipPlanner::Settings planner_settings;
+  planner_settings.desired_voter_count = this->settings.desired_voter_count;
+  planner_settings.replacement_delay = this->settings.catch_up_time / kReplacementDelayDivisor;
+  planner_settings.learner_removal_delay = this->settings.catch_up_time;
+  return planner_settings;
+}
+
+MembershipPlanner::Hooks GroupMembership::PlannerHooks() {
+  MembershipPlanner::Hooks planner_hooks;
+  planner_hooks.is_reachable = this->hooks.is_host_reachable;
+  planner_hooks.is_leaving = this->hooks.is_host_leaving;
+  planner_hooks.data_centre = this->hooks.host_data_centre;
+  planner_hooks.check_promotion = [this](const HostId& learner) {
+    return this->ticking_node->CheckPromotion(learner);
+  };
+  planner_hooks.on_promotion_delayed = this->hooks.on_promotion_delayed;
+  return planner_hooks;
+}
 
 void GroupMembership::OnJoinRequest(const HostId& joining_member) {
   this->planner.OnJoinRequest(joining_member, this->hooks.now());
 }
 
 void GroupMembership::Tick(const HostId& self, consensus::RaftNode& node) {
-  const consensus::RaftMembership membership = node.Status().membership;
-  const bool is_member = membership.voters.count(self) > 0 || membership.learners.count(self) > 0;
+  const consensus::RaftStatus status = node.Status();
   const base::TimePoint now = this->hooks.now();
-  if (!is_member && now >= this->next_join_request_at) {
-    this->next_join_request_at = now + kJoinRequestInterval;
-    this->hooks.send_join_request(self);
-  }
+  this->RequestToJoinIfDue(self, status);
+  this->planner.ObserveMembers(status.membership, now);
   if (!node.HasLeaderLease()) {
     return;
   }
-  const auto planned = this->planner.NextChange(membership, now, this->hooks.is_host_reachable);
-  if (!planned) {
-    return;
-  }
+  this->ticking_node = &node;
+  const auto planned = this->planner.NextChange(self, status.membership, now);
+  this->ticking_node = nullptr;
   // A change that isn't possible yet is planned again at the next tick.
-  const auto proposed = node.ChangeMembership(planned->change);
-  if (proposed) {
+  if (planned && node.ChangeMembership(planned->change)) {
     this->hooks.on_membership_change(*planned);
-  } else if (proposed.error().code == base::ErrorCode::kInvalidArgument) {
-    this->hooks.on_promotion_delayed(planned->change.host, proposed.error().message);
+  }
+}
+
+void GroupMembership::RequestToJoinIfDue(const HostId& self, const consensus::RaftStatus& status) {
+  const base::TimePoint now = this->hooks.now();
+  const bool is_member =
+      status.membership.voters.count(self) > 0 || status.membership.learners.count(self) > 0;
+  if (!is_member && now >= this->next_join_request_at) {
+    this->next_join_request_at = now + kJoinRequestInterval;
+    this->hooks.send_join_request(self);
   }
 }
 
--- a/src/cluster/group_membership.h
+++ b/src/cluster/group_membership.h
@@ -9,6 +9,7 @@
 
 namespace sapphirecrank::consensus {
 class RaftNode;
+struct RaftStatus;
 }  // namespace sapphirecrank::consensus
 
 namespace sapphirecrank::cluster {
@@ -22,14 +23,19 @@
   struct Settings {
     /// Number of voters that the leader aims for.
     size_t desired_voter_count = 3;
-    /// A voter that is unreachable for this long is replaced if another host can take its place.
-    base::Duration voter_replacement_delay = std::chrono::seconds(10);
+    /// A lost host counts as lost until it has been back, or its successor has run, for this long.
+    /// Within this time the group replaces its vote, so that it can lose the next one.
+    base::Duration catch_up_time = std::chrono::seconds(4);
   };
 
   /// Functions that this class calls. All members must be set.
   struct Hooks {
     base::Clock now;
     std::function<bool(const base::HostId& host)> is_host_reachable;
+    /// Tells whether a host, which may be this one, has announced that it is stopping.
+    std::function<bool(const base::HostId& host)> is_host_leaving;
+    /// Returns an empty id if the data centre isn't known.
+    std::function<base::DataCentreId(const base::HostId& host)> host_data_centre;
     /// Sends a request to join to all reachable allocators.
     std::function<void(const base::HostId& member)> send_join_request;
     /// This host has proposed a membership change as leader.
@@ -49,9 +55,15 @@
   void Tick(const base::HostId& self, consensus::RaftNode& node);
 
  private:
+  void RequestToJoinIfDue(const base::HostId& self, const consensus::RaftStatus& status);
+  MembershipPlanner::Settings PlannerSettings() const;
+  MembershipPlanner::Hooks PlannerHooks();
+
   Settings settings;
   Hooks hooks;
   MembershipPlanner planner;
+  // Set during `Tick`.
+  const consensus::RaftNode* ticking_node = nullptr;
   base::TimePoint next_join_request_at;
 };
 
--- a/src/cluster/membership_planner.cc
+++ b/src/cluster/membership_planner.cc
@@ -1,31 +1,107 @@
 #include "cluster/membership_planner.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "cluster/member_name.h"
 
 namespace sapphirecrank::cluster {
 
+using base::DataCentreId;
 using base::HostId;
 using base::TimePoint;
 using consensus::MembershipChange;
+using consensus::RaftMembership;
 
 namespace {
 
-// A host that isn't a member repeats its request every second. A request that has not been repeated
-// for this long is ignored.
+// A host that isn't a member repeats its request several times per second. A request that has not
+// been repeated for this long is ignored.
 constexpr base::Duration kJoinRequestLifetime = std::chrono::seconds(3);
+// After a longer gap this host may have stood still, so it doesn't know how long others were
+// unreachable.
+constexpr base::Duration kMaximumObservationGap = std::chrono::milliseconds(500);
+
+PlannedChange AddLearnerChange(const HostId& member) {
+  return {{MembershipChange::Kind::kAddLearner, member}, "asked to join"};
+}
+
+PlannedChange PromotionOf(const HostId& learner, std::string reason) {
+  return {{MembershipChange::Kind::kPromoteLearner, learner}, std::move(reason)};
+}
+
+PlannedChange RemovalOf(const HostId& member, std::string reason) {
+  return {{MembershipChange::Kind::kRemoveMember, member}, std::move(reason)};
+}
 
 }  // namespace
 
-MembershipPlanner::MembershipPlanner(size_t desired_voter_count, base::Duration replacement_delay)
-    : desired_voter_count(desired_voter_count), replacement_delay(replacement_delay) {}
+MembershipPlanner::MembershipPlanner(Settings settings, Hooks hooks)
+    : settings(settings), hooks(std::move(hooks)) {}
 
 void MembershipPlanner::OnJoinRequest(const HostId& member, TimePoint now) {
   this->join_requests[member] = now;
 }
 
+void MembershipPlanner::ObserveMembers(const RaftMembership& membership, TimePoint now) {
+  const bool has_stood_still = now - this->last_observed_at > kMaximumObservationGap;
+  this->last_observed_at = now;
+  std::map<HostId, TimePoint> observed;
+  for (const auto* members : {&membership.voters, &membership.learners}) {
+    for (const HostId& member : *members) {
+      const auto known = this->last_reachable_at.find(member);
+      const bool counts_as_reachable =
+          has_stood_still || known == this->last_reachable_at.end() || this->IsReachable(member);
+      observed[member] = counts_as_reachable ? now : known->second;
+    }
+  }
+  this->last_reachable_at = std::move(observed);
+  for (auto request = this->join_requests.begin(); request != this->join_requests.end();) {
+    const bool is_outdated = now - request->second >= kJoinRequestLifetime;
+    request = is_outdated ? this->join_requests.erase(request) : std::next(request);
+  }
+}
+
+std::optional<PlannedChange> MembershipPlanner::NextChange(const HostId& self,
+                                                           const RaftMembership& membership,
+                                                           TimePoint now) {
+  if (auto change = this->RemoveMemberWithLostDisk(membership, now)) {
+    return change;
+  }
+  if (auto change = this->AddLearner(membership, now)) {
+    return change;
+  }
+  if (membership.voters.size() > this->settings.desired_voter_count) {
+    return this->RemoveSurplusVoter(self, membership, now);
+  }
+  if (auto change = this->PromoteLearner(membership, now)) {
+    return change;
+  }
+  if (auto change = this->SpreadVoters(membership, now)) {
+    return change;
+  }
+  return this->RemoveLostLearner(membership, now);
+}
+
+bool MembershipPlanner::IsReachable(const HostId& member) const {
+  return this->hooks.is_reachable(MemberName::ParseHost(member));
+}
+
+bool MembershipPlanner::IsLeaving(const HostId& member) const {
+  return this->hooks.is_leaving(MemberName::ParseHost(member));
+}
+
+DataCentreId MembershipPlanner::DataCentreOf(const HostId& member) const {
+  return this->hooks.data_centre(MemberName::ParseHost(member));
+}
+
 bool MembershipPlanner::IsSuperseded(const HostId& member, TimePoint now) const {
+  const auto own_request = this->join_requests.find(member);
   for (const auto& [other, requested_at] : this->join_requests) {
-    if (other != member && MemberName::ParseHost(other) == MemberName::ParseHost(member) &&
+    const bool is_later =
+        own_request == this->join_requests.end() || requested_at > own_request->second;
+    if (other != member && is_later &&
+        MemberName::ParseHost(other) == MemberName::ParseHost(member) &&
         now - requested_at < kJoinRequestLifetime) {
       return true;
     }
@@ -33,51 +109,172 @@
   return false;
 }
 
-bool MembershipPlanner::HasReachableLearner(
-    const consensus::RaftMembership& membership,
-    const std::function<bool(const HostId&)>& is_reachable) const {
-  for (const HostId& learner : membership.learners) {
-    if (is_reachable(MemberName::ParseHost(learner))) {
-      return true;
-    }
-  }
-  return false;
+bool MembershipPlanner::HasBeenUnreachableFor(const HostId& member, base::Duration duration,
+                                              TimePoint now) const {
+  const auto reachable_at = this->last_reachable_at.find(member);
+  return reachable_at != this->last_reachable_at.end() && now - reachable_at->second >= duration;
+}
+
+bool MembershipPlanner::MustBeReplaced(const HostId& voter, TimePoint now) const {
+  return this->IsLeaving(voter) ||
+         this->HasBeenUnreachableFor(voter, this->settings.replacement_delay, now);
 }
 
-std::optional<PlannedChange> MembershipPlanner::NextChange(
-    const consensus::RaftMembership& membership, TimePoint now,
-    const std::function<bool(const HostId&)>& is_reachable) {
+MembershipPlanner::VoterCounts MembershipPlanner::CountVoters(const RaftMembership& membership,
+                                                              TimePoint now) const {
+  VoterCounts counts;
   for (const HostId& voter : membership.voters) {
-    auto reachable_at = this->last_reachable_at.try_emplace(voter, now).first;
-    if (is_reachable(MemberName::ParseHost(voter))) {
-      reachable_at->second = now;
+    if (!this->MustBeReplaced(voter, now)) {
+      ++counts[this->DataCentreOf(voter)];
     }
-    const bool is_lost = now - reachable_at->second >= this->replacement_delay &&
-                         this->HasReachableLearner(membership, is_reachable);
-    if (this->IsSuperseded(voter, now) || is_lost) {
-      return PlannedChange{{MembershipChange::Kind::kRemoveMember, voter},
-                           is_lost ? "unreachable, and a learner can take its place"
-                                   : "its host has lost this member's disk"};
+  }
+  return counts;
+}
+
+std::optional<PlannedChange> MembershipPlanner::RemoveMemberWithLostDisk(
+    const RaftMembership& membership, TimePoint now) const {
+  for (const auto* members : {&membership.voters, &membership.learners}) {
+    for (const HostId& member : *members) {
+      const bool is_last_voter =
+          membership.voters.size() == 1 && membership.voters.count(member) != 0;
+      if (!is_last_voter && this->IsSuperseded(member, now)) {
+        return RemovalOf(member, "its host has lost this member's disk");
+      }
     }
   }
+  return std::nullopt;
+}
+
+std::optional<PlannedChange> MembershipPlanner::AddLearner(const RaftMembership& membership,
+                                                           TimePoint now) const {
   for (const auto& [member, requested_at] : this->join_requests) {
     const bool is_member =
         membership.voters.count(member) > 0 || membership.learners.count(member) > 0;
-    if (!is_member && now - requested_at < kJoinRequestLifetime) {
-      return PlannedChange{{MembershipChange::Kind::kAddLearner, member}, "asked to join"};
+    if (!is_member && now - requested_at < kJoinRequestLifetime &&
+        !this->IsSuperseded(member, now)) {
+      return AddLearnerChange(member);
     }
   }
+  return std::nullopt;
+}
+
+std::optional<PlannedChange> MembershipPlanner::RemoveSurplusVoter(const HostId& self,
+                                                                   const RaftMembership& membership,
+                                                                   TimePoint now) const {
+  // A leader that is stopping transfers its leadership, and the next leader removes it.
+  if (this->IsLeaving(self)) {
+    return std::nullopt;
+  }
+  bool are_all_reachable = true;
+  for (const HostId& voter : membership.voters) {
+    if (voter != self && this->MustBeReplaced(voter, now)) {
+      return RemovalOf(voter, this->IsLeaving(voter) ? "its host is stopping; it has a successor"
+                                                     : "unreachable; it has a successor");
+    }
+    are_all_reachable = are_all_reachable && this->IsReachable(voter);
+  }
+  // The voter that is unreachable now may be the one to remove.
+  if (!are_all_reachable) {
+    return std::nullopt;
+  }
+  const VoterCounts voter_counts = this->CountVoters(membership, now);
+  std::optional<HostId> chosen;
+  size_t chosen_count = 0;
+  for (const HostId& voter : membership.voters) {
+    const auto count = voter_counts.find(this->DataCentreOf(voter));
+    if (voter != self && count != voter_counts.end() && count->second > chosen_count) {
+      chosen = voter;
+      chosen_count = count->second;
+    }
+  }
+  if (!chosen) {
+    return std::nullopt;
+  }
+  return RemovalOf(*chosen, "more voters than desired");
+}
+
+std::vector<HostId> MembershipPlanner::PromotionCandidates(const RaftMembership& membership,
+                                                           const VoterCounts& voter_counts) const {
+  const auto voters_nearby = [this, &voter_counts](const HostId& learner) {
+    const auto count = voter_counts.find(this->DataCentreOf(learner));
+    return count == voter_counts.end() ? 0 : count->second;
+  };
+  std::vector<HostId> candidates;
   for (const HostId& learner : membership.learners) {
-    if (this->IsSuperseded(learner, now)) {
-      return PlannedChange{{MembershipChange::Kind::kRemoveMember, learner},
-                           "its host has lost this member's disk"};
+    if (this->IsReachable(learner) && !this->IsLeaving(learner)) {
+      candidates.push_back(learner);
     }
   }
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [&voters_nearby](const HostId& a, const HostId& b) {
+                     return voters_nearby(a) < voters_nearby(b);
+                   });
+  return candidates;
+}
+
+std::optional<PlannedChange> MembershipPlanner::PromoteLearner(const RaftMembership& membership,
+                                                               TimePoint now) const {
+  std::string reason;
+  if (membership.voters.size() < this->settings.desired_voter_count) {
+    reason = "fewer voters than desired";
+  }
+  for (const HostId& voter : membership.voters) {
+    if (reason.empty() && this->MustBeReplaced(voter, now)) {
+      reason = "takes the place of " + voter.value();
+    }
+  }
+  if (reason.empty()) {
+    return std::nullopt;
+  }
+  const std::vector<HostId> candidates =
+      this->PromotionCandidates(membership, this->CountVoters(membership, now));
+  for (const HostId& learner : candidates) {
+    if (this->hooks.check_promotion(learner)) {
+      return PromotionOf(learner, reason);
+    }
+  }
+  if (!candidates.empty()) {
+    this->hooks.on_promotion_delayed(
+        candidates.front(), this->hooks.check_promotion(candidates.front()).error().message);
+  }
+  return std::nullopt;
+}
+
+std::optional<PlannedChange> MembershipPlanner::SpreadVoters(const RaftMembership& membership,
+                                                             TimePoint now) const {
+  const VoterCounts voter_counts = this->CountVoters(membership, now);
+  size_t counted_voters = 0;
+  size_t highest_count = 0;
+  for (const auto& [data_centre, count] : voter_counts) {
+    counted_voters += count;
+    highest_count = std::max(highest_count, count);
+  }
+  // A voter that is about to be replaced, or whose data centre isn't known, may even out the rest.
+  if (counted_voters < membership.voters.size() || voter_counts.count(DataCentreId()) != 0) {
+    return std::nullopt;
+  }
+  for (const HostId& voter : membership.voters) {
+    if (!this->IsReachable(voter)) {
+      return std::nullopt;
+    }
+  }
+  for (const HostId& learner : this->PromotionCandidates(membership, voter_counts)) {
+    const DataCentreId data_centre = this->DataCentreOf(learner);
+    const auto count = voter_counts.find(data_centre);
+    const size_t voters_nearby = count == voter_counts.end() ? 0 : count->second;
+    if (!data_centre.empty() && voters_nearby + 1 < highest_count &&
+        this->hooks.check_promotion(learner)) {
+      return PromotionOf(learner, "spreads the voters over the data centres");
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<PlannedChange> MembershipPlanner::RemoveLostLearner(const RaftMembership& membership,
+                                                                  TimePoint now) const {
   for (const HostId& learner : membership.learners) {
-    if (membership.voters.size() < this->desired_voter_count &&
-        is_reachable(MemberName::ParseHost(learner))) {
-      return PlannedChange{{MembershipChange::Kind::kPromoteLearner, learner},
-                           "fewer voters than desired"};
+    if (this->HasBeenUnreachableFor(learner, this->settings.learner_removal_delay, now)) {
+      return RemovalOf(learner, "unreachable learner");
     }
   }
   return std::nullopt;
--- a/src/clusterhost/allocator_host.cc
+++ b/src/clusterhost/allocator_host.cc
@@ -133,6 +133,11 @@
   hooks.now = this->now;
   hooks.reachable_member = [this](const HostId& host) { return this->ReachableMember(host); };
   hooks.is_host_reachable = [this](const HostId& host) { return this->IsReachable(host); };
+  hooks.is_host_leaving = [this](const HostId& host) { return this->IsLeaving(host); };
+  hooks.host_data_centre = [this](const HostId& host) {
+    return host == this->self ? this->settings.host.data_centre
+                              : this->network->PeerDataCentre(host);
+  };
   hooks.send_raft_message = [this](const consensus::RaftMessage& message) {
     this->network->SendBestEffort(cluster::MemberName::ParseHost(message.to),
                                   protocol::ConsensusMessage{message});
@@ -312,6 +317,11 @@
   return host == this->self || this->network->IsPeerReachable(host);
 }
 
+bool AllocatorHost::IsLeaving(const HostId& host) {
+  MutexLock lock(this->state_mutex);
+  return host == this->self ? this->is_leaving : this->leaving_hosts.count(host) > 0;
+}
+
 std::optional<ClusterView::Member> AllocatorHost::ReachableMember(const HostId& host) {
   MutexLock lock(this->state_mutex);
   if (host == this->self) {
--- a/src/clusterhost/allocator_host.h
+++ b/src/clusterhost/allocator_host.h
@@ -115,6 +115,7 @@
   /// them that becomes its owner would start runs there because of an older report.
   void ForwardToOtherAllocators(const runs::TargetReport& report, const base::HostId& owner);
   bool IsReachable(const base::HostId& host) const;
+  bool IsLeaving(const base::HostId& host);
   std::optional<cluster::ClusterView::Member> ReachableMember(const base::HostId& host);
   const cluster::ClusterView::Member* FindOwner(const runs::TargetReport& report)
       REQUIRES(state_mutex);
--- a/src/clusterhost/cluster_group.cc
+++ b/src/clusterhost/cluster_group.cc
@@ -51,6 +51,8 @@
   cluster::GroupMembership::Hooks membership_hooks;
   membership_hooks.now = this->hooks.now;
   membership_hooks.is_host_reachable = this->hooks.is_host_reachable;
+  membership_hooks.is_host_leaving = this->hooks.is_host_leaving;
+  membership_hooks.host_data_centre = this->hooks.host_data_centre;
   membership_hooks.send_join_request = this->hooks.send_join_request;
   membership_hooks.on_membership_change = this->hooks.on_membership_change;
   membership_hooks.on_promotion_delayed = this->hooks.on_promotion_delayed;
--- a/src/clusterhost/cluster_group.h
+++ b/src/clusterhost/cluster_group.h
@@ -53,6 +53,10 @@
     std::function<std::optional<cluster::ClusterView::Member>(const base::HostId&)>
         reachable_member;
     std::function<bool(const base::HostId&)> is_host_reachable;
+    /// Tells whether a host, which may be this one, is stopping.
+    std::function<bool(const base::HostId&)> is_host_leaving;
+    /// Returns an empty id if the host's data centre isn't known.
+    std::function<base::DataCentreId(const base::HostId&)> host_data_centre;
     /// Sends a message to the host in its `to` field; it may be lost.
     std::function<void(const consensus::RaftMessage&)> send_raft_message;
     /// Sends a request to join to all reachable allocators.
--- a/src/clusterhost/settings_file.cc
+++ b/src/clusterhost/settings_file.cc
@@ -15,6 +15,9 @@
 constexpr size_t kMaximumSeeds = 64;
 constexpr int64_t kMaximumPort = 65535;
 constexpr int64_t kMaximumToleratedDiskFailures = 4;
+constexpr double kMinimumCatchUpSeconds = 0.1;
+constexpr double kMaximumCatchUpSeconds = 3600;
+constexpr double kDefaultCatchUpSeconds = 4;
 constexpr int64_t kMaximumLeaseMilliseconds = 60000;
 constexpr int64_t kDefaultLeaseMilliseconds = 1000;
 // With a shorter delay, a host that misses two heartbeats would count as lost.
@@ -66,6 +69,9 @@
   settings.data_folder = reader.ReadString("data_folder", kMaximumTextLength, "");
   settings.tolerated_disk_failures =
       reader.ReadInteger("lost_disks_borne", 0, kMaximumToleratedDiskFailures, 1);
+  settings.catch_up_time =
+      std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(reader.ReadNumber(
+          "catch_up_s", kMinimumCatchUpSeconds, kMaximumCatchUpSeconds, kDefaultCatchUpSeconds)));
   settings.maximum_lease = std::chrono::milliseconds(reader.ReadInteger(
       "longest_lease_ms", 1, kMaximumLeaseMilliseconds, kDefaultLeaseMilliseconds));
   settings.resubmission_delay = std::chrono::milliseconds(reader.ReadInteger(
--- a/src/clusterhost/settings_file.h
+++ b/src/clusterhost/settings_file.h
@@ -35,6 +35,8 @@
   std::string data_folder;
   /// Number of disks that may fail at the same time.
   int64_t tolerated_disk_failures = 1;
+  /// A lost host counts as lost until it has been back, or its successor has run, for this long.
+  base::Duration catch_up_time{0};
   /// Maximum length of a target's lease.
   base::Duration maximum_lease{0};
   /// Minimum time that a caller waits before it resubmits a job that got no response.
--- a/src/json/object_reader.cc
+++ b/src/json/object_reader.cc
@@ -1,5 +1,7 @@
 #include "json/object_reader.h"
 
+#include <fmt/format.h>
+
 #include <utility>
 
 namespace sapphirecrank::json {
@@ -57,6 +59,19 @@
                                                  : this->ReadInteger(name, minimum, maximum);
 }
 
+double ObjectReader::ReadNumber(const std::string& name, double minimum, double maximum,
+                                double default_value) {
+  const Json* value = this->FindField(name, false);
+  if (value == nullptr) {
+    return default_value;
+  }
+  if (!value->is_number() || value->get<double>() < minimum || value->get<double>() > maximum) {
+    this->RecordError(name, fmt::format("must be a number from {} to {}", minimum, maximum));
+    return default_value;
+  }
+  return value->get<double>();
+}
+
 bool ObjectReader::ReadBool(const std::string& name, bool default_value) {
   const Json* value = this->FindField(name, false);
   if (value == nullptr) {
--- a/src/json/object_reader.h
+++ b/src/json/object_reader.h
@@ -35,6 +35,9 @@
   /// Returns `default_value` if the field is missing; otherwise as above.
   int64_t ReadInteger(const std::string& name, int64_t minimum, int64_t maximum,
                       int64_t default_value);
+  /// Returns a number from `minimum` to `maximum`, both included, which may have a fraction, or
+  /// `default_value` if the field is missing.
+  double ReadNumber(const std::string& name, double minimum, double maximum, double default_value);
   /// Returns `default_value` if the field is missing.
   bool ReadBool(const std::string& name, bool default_value);
   /// Returns any value, or null if the field is missing.
--- a/tests/cluster/group_membership_test.cc
+++ b/tests/cluster/group_membership_test.cc
@@ -32,9 +32,9 @@
     this->group.Run(kCatchUpTime);
   }
 
-  void CheckComplete() {
+  void CheckComplete(bool check_data_centres = true) {
     CHECK_TRUE(this->group.Commit(kElectionTime));
-    CHECK_TRUE_TEXT(this->group.IsComplete(true), this->group.Describe().c_str());
+    CHECK_TRUE_TEXT(this->group.IsComplete(check_data_centres), this->group.Describe().c_str());
     CHECK_TRUE(this->group.KeepsCommittedCommands());
   }
 };
--- a/tests/cluster/group_simulation.cc
+++ b/tests/cluster/group_simulation.cc
@@ -114,11 +114,16 @@
   started.node = std::make_unique<consensus::RaftNode>(
       this->MemberOf(started), base::Incarnation(this->next_incarnation++), ShortLogs(),
       started.disk_storage->recovered_state(), this->NodeHooks(started));
+  GroupMembership::Settings membership_settings;
+  membership_settings.desired_voter_count = this->initial_membership.voters.size();
   started.membership =
-      std::make_unique<GroupMembership>(GroupMembership::Settings(), this->MembershipHooks(host));
+      std::make_unique<GroupMembership>(membership_settings, this->MembershipHooks(host));
 }
 
-void GroupSimulation::AnnounceStop(size_t host) { this->hosts[host]->is_leaving = true; }
+void GroupSimulation::AnnounceStop(size_t host) {
+  this->hosts[host]->is_leaving = true;
+  this->hosts[host]->node->TransferLeadership();
+}
 
 void GroupSimulation::SetFrozen(size_t host, bool is_frozen) {
   this->hosts[host]->is_frozen = is_frozen;
@@ -134,12 +139,16 @@
 
 bool GroupSimulation::IsRunning(size_t host) const { return this->hosts[host]->node != nullptr; }
 
-bool GroupSimulation::AreConnected(size_t a, size_t b) const {
+bool GroupSimulation::IsLinkUp(size_t a, size_t b) const {
   const Host& first = *this->hosts[a];
   const Host& second = *this->hosts[b];
   const bool are_on_one_side = this->split_side.count(a) == this->split_side.count(b);
-  return a == b || (first.node && second.node && !first.is_frozen && !second.is_frozen &&
-                    !first.is_cut_off && !second.is_cut_off && are_on_one_side);
+  return first.node && second.node && !first.is_cut_off && !second.is_cut_off && are_on_one_side;
+}
+
+bool GroupSimulation::AreConnected(size_t a, size_t b) const {
+  return a == b ||
+         (this->IsLinkUp(a, b) && !this->hosts[a]->is_frozen && !this->hosts[b]->is_frozen);
 }
 
 bool GroupSimulation::IsReachable(size_t from, const HostId& address) const {
@@ -214,6 +223,12 @@
   hooks.is_host_reachable = [this, host](const HostId& address) {
     return this->IsReachable(host, address);
   };
+  hooks.is_host_leaving = [this](const HostId& address) {
+    return this->hosts[this->IndexOf(address)]->is_leaving;
+  };
+  hooks.host_data_centre = [this](const HostId& address) {
+    return this->hosts[this->IndexOf(address)]->data_centre;
+  };
   hooks.send_join_request = [this, host](const HostId& member) {
     for (size_t to = 0; to < this->hosts.size(); ++to) {
       if (to != host && this->IsReachable(host, this->hosts[to]->address)) {
@@ -240,9 +255,9 @@
   for (const auto& [arrival, message] : due_messages) {
     const size_t from = this->IndexOf(MemberName::ParseHost(message.from));
     const size_t to = this->IndexOf(MemberName::ParseHost(message.to));
-    if (arrival > now || (this->AreConnected(from, to) && !this->CanRun(to))) {
+    if (arrival > now || (this->IsLinkUp(from, to) && !this->CanRun(to))) {
       this->raft_messages.emplace(arrival, message);
-    } else if (this->AreConnected(from, to)) {
+    } else if (this->IsLinkUp(from, to)) {
       this->hosts[to]->node->ReceiveMessage(message);
     }
   }
--- a/tests/cluster/group_simulation.h
+++ b/tests/cluster/group_simulation.h
@@ -45,7 +45,8 @@
   /// Ends the process of a host whose disk is lost; `Restart` starts it with an empty one.
   void LoseDisk(size_t host);
 
-  /// Announces that a host is stopping. The caller ends it with `Kill` or `RemoveForGood`.
+  /// Announces that a host is stopping, and transfers its leadership. The caller ends it with
+  /// `Kill` or `RemoveForGood`.
   void AnnounceStop(size_t host);
 
   /// Stops a process for a while; its messages and its timers wait.
@@ -77,9 +78,6 @@
   /// the loss of one data centre leaves a majority if `check_data_centres` is set.
   bool IsComplete(bool check_data_centres) const;
 
-  /// Tells whether the host's vote still waits for a successor.
-  bool IsVoteHandoverPending(size_t host) const;
-
   bool IsRunning(size_t host) const;
   size_t host_count() const { return this->hosts.size(); }
   const base::DataCentreId& data_centre(size_t host) const {
@@ -116,6 +114,8 @@
 
   base::HostId MemberOf(const Host& host) const;
   size_t IndexOf(const base::HostId& address) const;
+  /// Tells whether messages pass between two hosts. Those for a frozen one wait.
+  bool IsLinkUp(size_t a, size_t b) const;
   bool AreConnected(size_t a, size_t b) const;
   bool IsReachable(size_t from, const base::HostId& address) const;
   consensus::RaftNode::Hooks NodeHooks(Host& host);
--- a/tests/clusterhost/settings_file_test.cc
+++ b/tests/clusterhost/settings_file_test.cc
@@ -14,13 +14,14 @@
   const auto settings = SettingsFile::Parse(
       R"({"name":"core-1","data_centre":"x","address":"10.0.0.1","control_listen":"10.0.0.1:80",)"
       R"("peer_port":7700,"seeds":["10.0.0.1:80","10.0.0.2:80"],"bootstrap":true,)"
-      R"("data_folder":"/data","lost_disks_borne":2,"longest_lease_ms":900,"resubmission_delay_ms":1100,"peer_bind_port":7701,"job_retention_s":90})");
+      R"("data_folder":"/data","lost_disks_borne":2,"catch_up_s":2.5,"longest_lease_ms":900,"resubmission_delay_ms":1100,"peer_bind_port":7701,"job_retention_s":90})");
   CHECK_TRUE(settings.has_value());
   STRCMP_EQUAL("10.0.0.1:7700", settings->advertised_peer_address.value().c_str());
   STRCMP_EQUAL("10.0.0.1:7701", settings->peer_bind_address.value().c_str());
   STRCMP_EQUAL("10.0.0.2:7700", settings->seeds.at(1).value().c_str());
   CHECK_TRUE(settings->bootstrap);
   LONGS_EQUAL(2, settings->tolerated_disk_failures);
+  CHECK(settings->catch_up_time == std::chrono::milliseconds(2500));
   CHECK(settings->maximum_lease == std::chrono::milliseconds(900));
   CHECK(settings->resubmission_delay == std::chrono::milliseconds(1100));
   CHECK(settings->job_retention == std::chrono::seconds(90));
@@ -40,6 +41,20 @@
   STRCMP_EQUAL("peer_port", invalid_port.error().field.c_str());
 }
 
+// Guards against a time within which no lost voter could be replaced, and against a host that waits
+// for hours before it replaces one.
+TEST(ClusterSettingsFile, ChecksTheRangeOfTheCatchUpTime) {
+  const std::string before = R"({"name":"n","data_centre":"x","address":"10.0.0.1","peer_port":1,)";
+  for (const std::string invalid : {"0", "3601", "-1", "\"4\""}) {
+    const auto settings =
+        SettingsFile::Parse(before + R"("seeds":["a:1"],"catch_up_s":)" + invalid + "}");
+    CHECK_FALSE(settings.has_value());
+    STRCMP_EQUAL("catch_up_s", settings.error().field.c_str());
+  }
+  const auto defaults = SettingsFile::Parse(before + R"("seeds":["a:1"]})");
+  CHECK(defaults->catch_up_time == std::chrono::seconds(4));
+}
+
 // Guards against runs of a lost gateway's job that are still active when the caller resubmits the
 // job.
 TEST(ClusterSettingsFile, HostTimeoutEndsBeforeCallersResubmit) {
