cluster: Let a host that was removed while it was unreachable join again

What callers saw: nothing yet; found by the search of related paths. Such a host returned with a log in which it was still a member, so it sent no join request, the leader sent it nothing, and it failed each read of the configuration for good. The group had one host less to replace the next voter with.

Cause: only a host that is missing from its own log asked to join.

A host now also asks to join when it has known no leader for 2 s, which the leader ignores for members, and a host without a vote forgets a leader that is silent for an election timeout.

Evidence: GroupMembership ARemovedHostJoinsAgainWhenItReturns and VotesReturnToADataCentreThatIsBack and RaftCluster LearnerForgetsALeaderThatIsSilent fail on the commit before and pass now (cluster_tests 23, consensus_tests 24, release).

--- a/src/cluster/group_membership.cc
+++ b/src/cluster/group_membership.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr base::Duration kJoinRequestInterval = std::chrono::milliseconds(250);
+// Longer than an election takes.
+constexpr base::Duration kLeaderlessJoinDelay = std::chrono::seconds(2);
 // A voter that is unreachable is replaced after this part of the catch-up time. The rest is for its
 // successor to join, to get the log and to become a voter.
 constexpr int kReplacementDelayDivisor = 4;
@@ -20,7 +22,8 @@
 GroupMembership::GroupMembership(Settings settings, Hooks hooks)
     : settings(settings),
       hooks(std::move(hooks)),
-      planner(this->PlannerSettings(), this->PlannerHooks()) {}
+      planner(this->PlannerSettings(), this->PlannerHooks()),
+      last_leader_at(this->hooks.now()) {}
 
 MembershipPlanner::Settings GroupMembership::PlannerSettings() const {
   MembershipPlanner::Settings planner_settings;
@@ -65,9 +68,14 @@
 
 void GroupMembership::RequestToJoinIfDue(const HostId& self, const consensus::RaftStatus& status) {
   const base::TimePoint now = this->hooks.now();
+  if (!status.leader.empty()) {
+    this->last_leader_at = now;
+  }
   const bool is_member =
       status.membership.voters.count(self) > 0 || status.membership.learners.count(self) > 0;
-  if (!is_member && now >= this->next_join_request_at) {
+  // A host that was removed while it was unreachable is still a member in its own log.
+  const bool may_have_been_removed = now - this->last_leader_at >= kLeaderlessJoinDelay;
+  if ((!is_member || may_have_been_removed) && now >= this->next_join_request_at) {
     this->next_join_request_at = now + kJoinRequestInterval;
     this->hooks.send_join_request(self);
   }
--- a/src/cluster/group_membership.h
+++ b/src/cluster/group_membership.h
@@ -65,6 +65,7 @@
   // Set during `Tick`.
   const consensus::RaftNode* ticking_node = nullptr;
   base::TimePoint next_join_request_at;
+  base::TimePoint last_leader_at;
 };
 
 }  // namespace sapphirecrank::cluster
--- a/src/consensus/raft_node.cc
+++ b/src/consensus/raft_node.cc
@@ -47,6 +47,7 @@
   if (this->CanCampaign()) {
     this->StartPreVote();
   } else {
+    this->leader = HostId();
     this->ResetElectionDeadline();
   }
 }
--- a/tests/cluster/group_membership_test.cc
+++ b/tests/cluster/group_membership_test.cc
@@ -58,3 +58,31 @@
   this->group.Run(kCatchUpTime);
   this->CheckComplete();
 }
+
+// Guards against a host that is removed while it is unreachable and doesn't join again when it
+// returns.
+TEST(GroupMembership, ARemovedHostJoinsAgainWhenItReturns) {
+  this->group.SetCutOff(0, true);
+  this->group.AddHost(this->group.data_centre(0));
+  this->group.Run(kCatchUpTime);
+  this->CheckComplete();
+  this->group.SetCutOff(0, false);
+  this->group.Run(kCatchUpTime);
+  this->group.RemoveForGood(1);
+  this->group.Run(kCatchUpTime);
+  this->CheckComplete(false);
+}
+
+// Guards against a loss of two voters in the data centre whose host took over the vote of another
+// one's.
+TEST(GroupMembership, VotesReturnToADataCentreThatIsBack) {
+  this->group.AddHost(base::DataCentreId("dc1"));
+  this->group.Run(kCatchUpTime);
+  this->group.SetCutOff(0, true);
+  this->group.Run(kCatchUpTime);
+  CHECK_TRUE(this->group.IsComplete(false));
+  CHECK_FALSE(this->group.IsComplete(true));
+  this->group.SetCutOff(0, false);
+  this->group.Run(kCatchUpTime);
+  this->CheckComplete();
+}
--- a/tests/consensus/raft_cluster_test.cc
+++ b/tests/consensus/raft_cluster_test.cc
@@ -209,6 +209,22 @@
   CheckNoViolations();
 }
 
+// Guards against a learner that names a leader that is gone, and answers operators with its
+// address.
+TEST(RaftCluster, LearnerForgetsALeaderThatIsSilent) {
+  StartCluster(3, 4);
+  CHECK(ChangeMembership(MembershipChange::Kind::kAddLearner, 3));
+  CHECK(CommitOn({3}));
+  CHECK_FALSE(cluster->node(3)->Status().leader.empty());
+  cluster->Isolate(3);
+  cluster->Run(seconds(2));
+  CHECK(cluster->node(3)->Status().leader.empty());
+  cluster->HealNetwork();
+  CHECK(CommitOn({3}));
+  CHECK_FALSE(cluster->node(3)->Status().leader.empty());
+  CheckNoViolations();
+}
+
 // Guards against hosts without disks that don't get committed entries, or that don't know how up to
 // date they are.
 TEST(RaftCluster, LearnersWithoutDisksStayUpToDate) {
