clusterhost: Hand over the vote of a host that is stopping

What callers could see: a host is replaced as planned, its successor first, then SIGTERM. It counted as a voter until it had been unreachable for the replacement delay. The successor has had its time by then, so the settings allow the next loss at once, and that one took the majority with it for good.

Cause: Drain transferred the leadership, but not the vote.

While a host drains, the leader promotes a learner and removes the host's vote. The host waits for that for 1 s at most, and transfers its leadership again as long as it leads. Without a learner that can take over, as after a restart in place of three hosts, it keeps its vote.

--- a/src/cluster/group_membership.cc
+++ b/src/cluster/group_membership.cc
@@ -1,12 +1,15 @@
 #include "cluster/group_membership.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "cluster/member_name.h"
 #include "consensus/raft_node.h"
 
 namespace sapphirecrank::cluster {
 
 using base::HostId;
+using consensus::RaftMembership;
 
 namespace {
 
@@ -53,6 +56,7 @@
   const consensus::RaftStatus status = node.Status();
   const base::TimePoint now = this->hooks.now();
   this->RequestToJoinIfDue(self, status);
+  this->has_vote_to_hand_over = this->HasVoteToHandOver(self, status.membership);
   this->planner.ObserveMembers(status.membership, now);
   if (!node.HasLeaderLease()) {
     return;
@@ -81,4 +85,16 @@
   }
 }
 
+bool GroupMembership::HasVoteToHandOver(const HostId& self,
+                                        const RaftMembership& membership) const {
+  const auto can_take_over = [this](const HostId& learner) {
+    const HostId host = MemberName::ParseHost(learner);
+    return this->hooks.is_host_reachable(host) && !this->hooks.is_host_leaving(host);
+  };
+  const bool has_successor =
+      membership.voters.size() > this->settings.desired_voter_count ||
+      std::any_of(membership.learners.begin(), membership.learners.end(), can_take_over);
+  return has_successor && membership.voters.count(self) > 0;
+}
+
 }  // namespace sapphirecrank::cluster
--- a/src/cluster/group_membership.h
+++ b/src/cluster/group_membership.h
@@ -54,8 +54,14 @@
   /// several times per 100 ms.
   void Tick(const base::HostId& self, consensus::RaftNode& node);
 
+  /// Tells whether the host had a vote at the last tick that another one can take over. A host that
+  /// stops waits for that, because it may not return.
+  bool is_vote_handover_pending() const { return this->has_vote_to_hand_over; }
+
  private:
   void RequestToJoinIfDue(const base::HostId& self, const consensus::RaftStatus& status);
+  bool HasVoteToHandOver(const base::HostId& self,
+                         const consensus::RaftMembership& membership) const;
   MembershipPlanner::Settings PlannerSettings() const;
   MembershipPlanner::Hooks PlannerHooks();
 
@@ -66,6 +72,7 @@
   const consensus::RaftNode* ticking_node = nullptr;
   base::TimePoint next_join_request_at;
   base::TimePoint last_leader_at;
+  bool has_vote_to_hand_over = false;
 };
 
 }  // namespace sapphirecrank::cluster
--- a/src/clusterhost/allocator_host.cc
+++ b/src/clusterhost/allocator_host.cc
@@ -33,6 +33,8 @@
 constexpr base::Duration kTargetSaveInterval = std::chrono::milliseconds(500);
 constexpr base::Duration kDrainPollInterval = std::chrono::milliseconds(20);
 constexpr base::Duration kDeliveryTimeout = std::chrono::milliseconds(500);
+// Enough for an announcement by heartbeat and two commits.
+constexpr base::Duration kVoteHandoverTimeout = std::chrono::milliseconds(1000);
 
 std::string TaskKeyText(const runs::RunKey& key) {
   if (key.task.job.empty()) {
@@ -304,6 +306,13 @@
     std::this_thread::sleep_for(kDrainPollInterval);
   }
   this->group->TransferLeadership();
+  // Otherwise the group would have one vote less until it replaces that of this host, which may not
+  // return.
+  const base::TimePoint handover_deadline = this->now() + kVoteHandoverTimeout;
+  while (this->group->IsVoteHandoverPending() && this->now() < handover_deadline) {
+    std::this_thread::sleep_for(kDrainPollInterval);
+    this->group->TransferLeadership();
+  }
   this->network->WaitUntilDelivered(kDeliveryTimeout);
 }
 
--- a/src/clusterhost/cluster_group.cc
+++ b/src/clusterhost/cluster_group.cc
@@ -201,6 +201,7 @@
     this->node->Tick();
     this->state->Tick();
     this->group_membership.Tick(this->member, *this->node);
+    this->is_vote_handover_pending = this->group_membership.is_vote_handover_pending();
     this->FlushAndNotify();
     if (this->node->HasLeaderLease()) {
       this->hooks.on_lease_held(this->node->Status().term);
--- a/src/clusterhost/cluster_group.h
+++ b/src/clusterhost/cluster_group.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -121,6 +122,9 @@
   /// Transfers leadership to another host if this one leads. To be called before this host stops.
   void TransferLeadership();
 
+  /// Tells whether this host has a vote that a learner can take over, as of the last tick.
+  bool IsVoteHandoverPending() const { return this->is_vote_handover_pending; }
+
   /// Stops the thread. Later calls do nothing, and pending callbacks may never be called.
   void Stop();
 
@@ -176,6 +180,7 @@
   base::HostId leader;
   std::unique_ptr<consensus::RaftDiskStorage> disk;
   std::unique_ptr<consensus::RaftNode> node;
+  std::atomic<bool> is_vote_handover_pending{false};
   base::ThreadPool thread;
 };
 
--- a/tests/cluster/group_membership_test.cc
+++ b/tests/cluster/group_membership_test.cc
@@ -73,6 +73,35 @@
   this->CheckComplete(false);
 }
 
+// Guards against a host that is stopped for good after its successor has joined, and still counts
+// as a voter when the next one is lost.
+TEST(GroupMembership, AStoppingHostHandsItsVoteOver) {
+  const size_t leader = this->group.Leader();
+  const size_t stopping = (leader + 1) % 3;
+  this->group.AddHost(this->group.data_centre(stopping));
+  this->group.Run(kCatchUpTime);
+  this->group.AnnounceStop(stopping);
+  this->group.Run(milliseconds(500));
+  CHECK_FALSE(this->group.IsVoteHandoverPending(stopping));
+  this->group.RemoveForGood(stopping);
+  this->group.RemoveForGood(3 - leader - stopping);
+  this->group.Run(kElectionTime);
+  CHECK_TRUE(this->group.Commit(kElectionTime));
+}
+
+// Guards against a restart that costs a group without spare hosts a vote.
+TEST(GroupMembership, ARestartInPlaceKeepsTheVote) {
+  const size_t stopping = (this->group.Leader() + 1) % 3;
+  this->group.AnnounceStop(stopping);
+  this->group.Run(milliseconds(100));
+  CHECK_FALSE(this->group.IsVoteHandoverPending(stopping));
+  this->group.Kill(stopping);
+  this->group.Run(seconds(2));
+  this->group.Restart(stopping);
+  this->group.Run(seconds(1));
+  this->CheckComplete();
+}
+
 // Guards against a loss of two voters in the data centre whose host took over the vote of another
 // one's.
 TEST(GroupMembership, VotesReturnToADataCentreThatIsBack) {
--- a/tests/cluster/group_simulation.cc
+++ b/tests/cluster/group_simulation.cc
@@ -370,6 +370,10 @@
          voter_count == this->initial_membership.voters.size();
 }
 
+bool GroupSimulation::IsVoteHandoverPending(size_t host) const {
+  return this->hosts[host]->membership->is_vote_handover_pending();
+}
+
 std::string GroupSimulation::Describe() const {
   std::string text;
   for (const auto& host : this->hosts) {
--- a/tests/cluster/group_simulation.h
+++ b/tests/cluster/group_simulation.h
@@ -78,6 +78,9 @@
   /// the loss of one data centre leaves a majority if `check_data_centres` is set.
   bool IsComplete(bool check_data_centres) const;
 
+  /// Tells whether the host's vote still waits for a successor.
+  bool IsVoteHandoverPending(size_t host) const;
+
   bool IsRunning(size_t host) const;
   size_t host_count() const { return this->hosts.size(); }
   const base::DataCentreId& data_centre(size_t host) const {
--- a/tests/clusterhost/cluster_test.cc
+++ b/tests/clusterhost/cluster_test.cc
@@ -112,7 +112,7 @@
   SucceedingTarget target;
   std::vector<base::NetworkAddress> seeds;
   std::vector<std::unique_ptr<testing::TemporaryFolder>> folders;
-  std::array<std::atomic<bool>, 3> is_disk_full{};
+  std::array<std::atomic<bool>, 4> is_disk_full{};
   std::vector<std::unique_ptr<AllocatorHost>> allocators;
   std::vector<std::shared_ptr<SucceedingTarget::CallingAllocator>> calling_allocators;
   std::unique_ptr<GatewayHost> gateway;
@@ -120,10 +120,7 @@
 
   void setup() override {
     for (int i = 0; i < 3; ++i) {
-      this->seeds.emplace_back(testing::FreeLoopbackAddress());
-      this->folders.push_back(std::make_unique<testing::TemporaryFolder>());
-      this->allocators.emplace_back();
-      this->calling_allocators.emplace_back();
+      this->AddAddress();
     }
     for (size_t i = 0; i < this->seeds.size(); ++i) {
       this->StartAllocator(i, 1, true);
@@ -146,6 +143,13 @@
     }
   }
 
+  void AddAddress() {
+    this->seeds.emplace_back(testing::FreeLoopbackAddress());
+    this->folders.push_back(std::make_unique<testing::TemporaryFolder>());
+    this->allocators.emplace_back();
+    this->calling_allocators.emplace_back();
+  }
+
   void StopAllocator(size_t i) {
     if (this->allocators[i] != nullptr) {
       this->calling_allocators[i]->Stop();
@@ -364,6 +368,25 @@
   CHECK_TRUE(this->WaitUntil([this] { return this->ReadVersionAt(0) == base::Version(6); }));
 }
 
+// Guards against a host that is stopped for good while its vote still counts, so that the loss of
+// the next one ends the group although its successor had joined.
+TEST(Cluster, StoppedHostHandsItsVoteOver) {
+  CHECK_TRUE(this->PutConfigurationAnywhere(3));
+  this->AddAddress();
+  this->StartAllocator(3, 1, false);
+  CHECK_TRUE(this->WaitUntil([this] { return this->ReadVersionAt(3) == base::Version(3); }));
+  this->allocators[0]->Drain();
+  this->StopAllocator(0);
+  this->StopAllocator(1);
+  bool is_changed = false;
+  // Without a leader this takes 10 s; an election takes about a second.
+  for (int i = 0; i < 500 && !is_changed; ++i) {
+    is_changed = this->PutConfigurationAt(2, 4) || this->PutConfigurationAt(3, 4);
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  CHECK_TRUE(is_changed);
+}
+
 // Guards against a stored job that doesn't run, or whose tasks run twice.
 TEST(Cluster, RunsStoredJobs) {
   CHECK_TRUE(this->PutConfigurationAnywhere(3));
