--- a/src/clusterhost/group_monitor.cc
+++ b/src/clusterhost/group_monitor.cc
@@ -159,12 +159,19 @@
 }
 
 void GroupMonitor::OnChange(base::Version version, ProposalOutcome outcome, const HostId& leader) {
+  const auto log_answer = [this, version, &leader](const char* text) {
+    this->metrics.OnConfigurationRequest("change", text);
+    this->logger.Info("configuration change answered",
+                      {{"version", std::to_string(version.value())},
+                       {"outcome", text},
+                       {"leader", leader.value()}});
+  };
   switch (outcome) {
     case ProposalOutcome::kCommitted:
-      this->metrics.OnConfigurationRequest("change", "committed");
+      log_answer("committed");
       return;
     case ProposalOutcome::kNotLeader:
-      this->metrics.OnConfigurationRequest("change", "other_leader");
+      log_answer("other_leader");
       return;
     case ProposalOutcome::kUnknown:
       this->metrics.OnConfigurationRequest("change", "not_confirmed");
--- a/tests/clusterhost/group_monitor_test.cc
+++ b/tests/clusterhost/group_monitor_test.cc
@@ -96,6 +96,8 @@
   this->monitor.OnChange(base::Version(7), clusterhost::ProposalOutcome::kUnknown, HostId());
   CHECK_EQUAL(1, this->CountLines("configuration not read"));
   CHECK_EQUAL(1, this->CountLines("configuration change not confirmed"));
+  this->monitor.OnChange(base::Version(8), clusterhost::ProposalOutcome::kCommitted, HostId("a"));
+  CHECK_EQUAL(1, this->CountLines("configuration change answered\" version=8 outcome=committed"));
   const std::string text = this->metrics.PrometheusText();
   CHECK(
       text.find(
