--- a/src/consensus/raft_log.cc
+++ b/src/consensus/raft_log.cc
@@ -79,11 +79,11 @@
 
 base::ByteCount RaftLog::SizeFrom(LogIndex index) const {
   assert(index > this->base_entry_index);
-  uint64_t size = 0;
+  base::ByteCount size;
   for (LogIndex next = index; next <= this->last_index(); next = next.Next()) {
-    size += this->EntryAt(next).command.size();
+    size += base::ByteCount(static_cast<int64_t>(this->EntryAt(next).command.size()));
   }
-  return base::ByteCount(size);
+  return size;
 }
 
 void RaftLog::CompactTo(LogIndex index) {
