entryhost: Change the voters of a data centre to those of the settings

What operators would see: a host is replaced as docs/OPERATIONS.md describes. The new host never gets a view and refuses all work. After the second replacement the data centre has no majority for good.

Cause: the voters are those on disk, which are those of the first start. Changed settings had no effect on them, so that the votes stayed with hosts that were gone.

The leader of the group now adds the hosts of its settings as learners, promotes them, and then removes the others, one change at a time. A leader with older settings removes nobody, because it can't promote a host that is gone. Hosts log the committed voters. A data centre with two hosts needs another order of steps, which OPERATIONS.md gives; no test shows that one.

--- a/src/entryhost/entry_host.cc
+++ b/src/entryhost/entry_host.cc
@@ -771,6 +771,13 @@
   hooks.on_view_agreed = [this](base::Epoch epoch, const auto& members) {
     this->OnViewAgreed(epoch, members);
   };
+  hooks.on_membership_committed = [this](const consensus::RaftMembership& membership) {
+    std::string voters;
+    for (const HostId& voter : membership.voters) {
+      voters += (voters.empty() ? "" : ",") + voter.value();
+    }
+    this->logger.Info("group membership committed", {{"voters", voters}});
+  };
   return hooks;
 }
 
--- a/src/entryhost/view_consensus.cc
+++ b/src/entryhost/view_consensus.cc
@@ -5,6 +5,7 @@
 
 #include "consensus/raft_disk_storage.h"
 #include "consensus/raft_node.h"
+#include "consensus/raft_status.h"
 #include "storage/posix_file_system.h"
 
 namespace sapphirecrank::entryhost {
@@ -23,11 +24,11 @@
 }  // namespace
 
 ViewConsensus::ViewConsensus(Member self, base::DataCentreId data_centre,
-                             consensus::RaftMembership initial_membership,
+                             consensus::RaftMembership configured_membership,
                              membership::ViewLease& view_lease, Hooks hooks)
     : self(std::move(self)),
       data_centre(std::move(data_centre)),
-      initial_membership(std::move(initial_membership)),
+      configured_membership(std::move(configured_membership)),
       view_lease(view_lease),
       hooks(std::move(hooks)),
       view_state_machine({this->hooks.now, this->hooks.reachable_members,
@@ -45,11 +46,12 @@
 
 base::Result<void> ViewConsensus::OpenStorage(const std::string& data_folder) {
   consensus::RecoveredState recovered;
-  recovered.snapshot.membership = this->initial_membership;
+  recovered.snapshot.membership = this->configured_membership.configured();
   consensus::RaftNode::Hooks node_hooks;
   if (!data_folder.empty()) {
-    auto opened_storage = consensus::RaftDiskStorage::Open(
-        storage::MakePosixFileSystem(), data_folder + "/view", this->initial_membership);
+    auto opened_storage =
+        consensus::RaftDiskStorage::Open(storage::MakePosixFileSystem(), data_folder + "/view",
+                                         this->configured_membership.configured());
     if (!opened_storage) {
       return tl::make_unexpected(opened_storage.error());
     }
@@ -86,7 +88,9 @@
   this->RunOnThread([this] {
     this->raft_node->Tick();
     this->view_state_machine.Tick();
+    this->ChangeMembershipIfNeeded();
     this->FlushAndConfirmLease();
+    this->ReportMembershipChange();
   });
 }
 
@@ -105,6 +109,29 @@
   }
 }
 
+void ViewConsensus::ChangeMembershipIfNeeded() {
+  if (!this->raft_node->HasLeaderLease()) {
+    return;
+  }
+  const auto change = this->configured_membership.NextChange(
+      this->raft_node->Status().membership, [this](const base::HostId& learner) {
+        return this->raft_node->CheckPromotion(learner).has_value();
+      });
+  if (change) {
+    // The next tick repeats a change that isn't accepted.
+    (void)this->raft_node->ChangeMembership(*change);
+  }
+}
+
+void ViewConsensus::ReportMembershipChange() {
+  const consensus::RaftStatus status = this->raft_node->Status();
+  if (status.membership_index <= status.commit_index &&
+      this->reported_membership != status.membership) {
+    this->reported_membership = status.membership;
+    this->hooks.on_membership_committed(status.membership);
+  }
+}
+
 void ViewConsensus::FlushAndConfirmLease() {
   this->raft_node->Flush();
   const base::TimePoint up_to_date_as_of = this->raft_node->Status().up_to_date_as_of;
--- a/src/entryhost/view_consensus.h
+++ b/src/entryhost/view_consensus.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -12,6 +13,7 @@
 #include "base/time.h"
 #include "consensus/raft_membership.h"
 #include "consensus/raft_message.h"
+#include "entryhost/configured_membership.h"
 #include "membership/view_lease.h"
 #include "membership/view_state_machine.h"
 
@@ -40,12 +42,16 @@
     std::function<void(const consensus::RaftMessage&)> send_best_effort;
     /// Called with each agreed view in the order of epochs, after the view lease has adopted it.
     std::function<void(base::Epoch, const std::vector<Member>&)> on_view_agreed;
+    /// Called with the members of the group at the start and whenever a change of them is
+    /// committed.
+    std::function<void(const consensus::RaftMembership&)> on_membership_committed;
   };
 
-  /// `initial_membership` is the group's membership when it starts for the first time.
+  /// `configured_membership` is the group's membership when it starts for the first time. If it
+  /// differs from the stored one later, the group's leader changes the members to it.
   /// Precondition: `view_lease` outlives this object.
   ViewConsensus(Member self, base::DataCentreId data_centre,
-                consensus::RaftMembership initial_membership, membership::ViewLease& view_lease,
+                consensus::RaftMembership configured_membership, membership::ViewLease& view_lease,
                 Hooks hooks);
   ~ViewConsensus();
 
@@ -68,16 +74,19 @@
 
  private:
   void RunOnThread(std::function<void()> function);
+  void ChangeMembershipIfNeeded();
+  void ReportMembershipChange();
   void FlushAndConfirmLease();
   void OnViewAgreed(base::Epoch epoch, const std::vector<Member>& members);
 
   Member self;
   base::DataCentreId data_centre;
-  consensus::RaftMembership initial_membership;
+  ConfiguredMembership configured_membership;
   membership::ViewLease& view_lease;
   Hooks hooks;
   // After `OpenStorage` only the replica's thread uses the members from here to `raft_node`.
   base::Epoch agreed_epoch;
+  std::optional<consensus::RaftMembership> reported_membership;
   membership::ViewStateMachine view_state_machine;
   std::unique_ptr<consensus::RaftDiskStorage> raft_storage;
   std::unique_ptr<consensus::RaftNode> raft_node;
