peers: Close abandoned connection attempts

Cause: an attempt that hadn't opened after 0.4 s was abandoned, but a WebSocket that isn't open can't be closed, so its socket stayed until websocketpp's connect timeout of 5 s. Each host without power held several descriptors of all other hosts for as long as they ran.

Evidence: PeerNetwork ClosesAbandonedConnectionAttempts failed before (1 of 1) and passes; peers_tests 13 of 13 pass (release).

--- a/src/peers/peer_network.cc
+++ b/src/peers/peer_network.cc
@@ -356,6 +356,11 @@
   const WebSocketClient::connection_ptr link = std::exchange(peer.link, nullptr);
   peer.is_link_open = false;
   websocketpp::lib::error_code ignored;
+  if (link->get_state() == websocketpp::session::state::connecting) {
+    // A WebSocket that isn't open yet can't be closed; it would keep its descriptor for 5 s.
+    link->get_raw_socket().close(ignored);
+    return;
+  }
   link->close(kGoingAway, "no answer", ignored);
 }
 
--- a/tests/peers/peer_network_test.cc
+++ b/tests/peers/peer_network_test.cc
@@ -1,13 +1,20 @@
 #include "peers/peer_network.h"
 
 #include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <condition_variable>
+#include <filesystem>
+#include <iterator>
 #include <memory>
 #include <mutex>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "tests/support/blackhole_proxy.h"
@@ -109,6 +116,47 @@
   std::condition_variable changed;
 };
 
+/// An address that doesn't respond to new connections, as that of a host without power: its queue
+/// of connections is full.
+class SilentAddress {
+ public:
+  SilentAddress() {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    this->sockets.push_back(socket(AF_INET, SOCK_STREAM, 0));
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
+    auto* generic_address = reinterpret_cast<sockaddr*>(&address);
+    CHECK_EQUAL(0, bind(this->sockets[0], generic_address, size));
+    CHECK_EQUAL(0, listen(this->sockets[0], 0));
+    CHECK_EQUAL(0, getsockname(this->sockets[0], generic_address, &size));
+    constexpr int kQueuedConnections = 4;
+    for (int i = 0; i < kQueuedConnections; ++i) {
+      this->sockets.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+      (void)connect(this->sockets.back(), generic_address, size);
+    }
+    this->text = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  }
+
+  ~SilentAddress() {
+    for (const int socket : this->sockets) {
+      close(socket);
+    }
+  }
+
+  std::string text;
+
+ private:
+  std::vector<int> sockets;
+};
+
+/// Returns the number of open file descriptors of this process.
+std::ptrdiff_t OpenDescriptorCount() {
+  return std::distance(std::filesystem::directory_iterator("/proc/self/fd"),
+                       std::filesystem::directory_iterator());
+}
+
 }  // namespace
 
 TEST_GROUP(PeerNetwork) {
@@ -274,3 +322,15 @@
   });
   CHECK(reset_count_at_acknowledgement > reset_count);
 }
+
+// Guards against descriptors that run out because of hosts that are gone for good: an abandoned
+// connection attempt has to be closed before the next one begins.
+TEST(PeerNetwork, ClosesAbandonedConnectionAttempts) {
+  const SilentAddress gone_host;
+  const TestHost host("a", 1, "secret", this->first_address, "b", gone_host.text);
+  const std::ptrdiff_t count_before = OpenDescriptorCount();
+  // Enough for several attempts.
+  std::this_thread::sleep_for(std::chrono::seconds(4));
+  // The first attempt may have begun before the count.
+  CHECK(OpenDescriptorCount() <= count_before + 1);
+}
