--- a/tests/entryhost/view_consensus_test.cc
+++ b/tests/entryhost/view_consensus_test.cc
@@ -178,3 +178,25 @@
   group.Start("e", {"a", "d", "e"});
   CHECK_TRUE(group.WaitForViewOfRunningHosts());
 }
+
+// Guards against a data centre with two hosts that loses its majority when one is replaced: the
+// successor has to get its vote before the other host is drained.
+TEST(ViewConsensus, HostOfTwoIsReplacedByAHostThatStartsFirst) {
+  ViewGroup group;
+  for (const char* host : {"a", "b"}) {
+    group.Start(host, {"a", "b"});
+  }
+  CHECK_TRUE(group.WaitForViewOfRunningHosts());
+  for (const char* host : {"a", "b"}) {
+    group.Stop(host);
+    group.Start(host, {"a", "b", "d"});
+  }
+  group.Start("d", {"a", "b", "d"});
+  CHECK_TRUE(group.WaitForViewOfRunningHosts());
+  group.Stop("b");
+  for (const char* host : {"a", "d"}) {
+    group.Stop(host);
+    group.Start(host, {"a", "d"});
+  }
+  CHECK_TRUE(group.WaitForViewOfRunningHosts());
+}
