clusterhost: Connect to the members that the log names

What callers could see: after a restart of all allocators, nothing works for good. A cluster may have more allocators than seeds, and its voters may be none of the seeds. Allocators connected to their seeds and to the members of the committed view, which isn't known before there is a leader, so that the voters sent their vote requests to nobody.

Allocators now connect to the voters and learners in their log.

--- a/src/clusterhost/allocator_host.cc
+++ b/src/clusterhost/allocator_host.cc
@@ -10,6 +10,7 @@
 #include "cluster/cluster_update.h"
 #include "cluster/member_name.h"
 #include "clusterhost/peer_setup.h"
+#include "consensus/raft_status.h"
 #include "observability/log_field.h"
 #include "observability/logger.h"
 
@@ -172,6 +173,7 @@
   };
   hooks.on_status = [this](const HostId& member, const consensus::RaftStatus& status) {
     this->group_monitor.OnStatus(member, status);
+    this->ConnectToMembers(status.membership);
   };
   hooks.on_membership_change = [this](const cluster::PlannedChange& planned) {
     this->group_monitor.OnMembershipChange(planned);
@@ -322,6 +324,19 @@
   }
 }
 
+void AllocatorHost::ConnectToMembers(const consensus::RaftMembership& membership) {
+  if (membership == this->connected_membership) {
+    return;
+  }
+  this->connected_membership = membership;
+  for (const auto* members : {&membership.voters, &membership.learners}) {
+    for (const HostId& member : *members) {
+      this->network->AddPeer(
+          MakePeerAddress(base::NetworkAddress(cluster::MemberName::ParseHost(member).value())));
+    }
+  }
+}
+
 bool AllocatorHost::IsReachable(const HostId& host) const {
   return host == this->self || this->network->IsPeerReachable(host);
 }
--- a/src/clusterhost/allocator_host.h
+++ b/src/clusterhost/allocator_host.h
@@ -19,6 +19,7 @@
 #include "clusterhost/group_monitor.h"
 #include "clusterhost/stored_job_manager.h"
 #include "clusterhost/target_file.h"
+#include "consensus/raft_membership.h"
 #include "observability/allocator_metrics.h"
 #include "peers/peer_network.h"
 #include "runs/run_scheduler.h"
@@ -115,6 +116,9 @@
   /// Sends the report of a draining target to the allocators that don't own it. Otherwise one of
   /// them that becomes its owner would start runs there because of an older report.
   void ForwardToOtherAllocators(const runs::TargetReport& report, const base::HostId& owner);
+  /// Connects to the members of the group. After a restart of all hosts, the log may be the only
+  /// place that names the voters: seeds may be other hosts, and there is no view without a leader.
+  void ConnectToMembers(const consensus::RaftMembership& membership);
   bool IsReachable(const base::HostId& host) const;
   bool IsLeaving(const base::HostId& host);
   std::optional<cluster::ClusterView::Member> ReachableMember(const base::HostId& host);
@@ -158,6 +162,8 @@
   bool is_in_view GUARDED_BY(state_mutex) = false;
   bool is_leaving GUARDED_BY(state_mutex) = false;
 
+  // Used on the group's thread only.
+  consensus::RaftMembership connected_membership;
   GroupMonitor group_monitor;
   StoredJobManager job_manager;
   runs::RunScheduler scheduler;
--- a/tests/clusterhost/cluster_test.cc
+++ b/tests/clusterhost/cluster_test.cc
@@ -111,6 +111,8 @@
                                observability::Logger::StandardOutputHooks()};
   SucceedingTarget target;
   std::vector<base::NetworkAddress> seeds;
+  /// If not empty, the seeds in the settings of hosts that start from now on.
+  std::vector<base::NetworkAddress> reloaded_seeds;
   std::vector<std::unique_ptr<testing::TemporaryFolder>> folders;
   std::array<std::atomic<bool>, 4> is_disk_full{};
   std::vector<std::unique_ptr<AllocatorHost>> allocators;
@@ -125,15 +127,7 @@
     for (size_t i = 0; i < this->seeds.size(); ++i) {
       this->StartAllocator(i, 1, true);
     }
-    this->gateway = std::make_unique<GatewayHost>(
-        this->HostSettings(testing::FreeLoopbackAddress(), 9),
-        [](const cluster::ConfigurationRecord& record) -> base::Result<cluster::Catalog> {
-          cluster::Catalog catalog;
-          catalog.version = record.version;
-          return catalog;
-        },
-        this->logger);
-    CHECK_TRUE(this->gateway->Start().has_value());
+    this->gateway = this->StartGateway(testing::FreeLoopbackAddress(), 9);
   }
 
   void teardown() override {
@@ -163,10 +157,23 @@
     settings.data_centre = base::DataCentreId("x");
     settings.incarnation = base::Incarnation(incarnation);
     settings.advertised_peer_address = base::NetworkAddress(address);
-    settings.seeds = this->seeds;
+    settings.seeds = this->reloaded_seeds.empty() ? this->seeds : this->reloaded_seeds;
     return settings;
   }
 
+  std::unique_ptr<GatewayHost> StartGateway(const std::string& address, uint64_t incarnation) {
+    auto started = std::make_unique<GatewayHost>(
+        this->HostSettings(address, incarnation),
+        [](const cluster::ConfigurationRecord& record) -> base::Result<cluster::Catalog> {
+          cluster::Catalog catalog;
+          catalog.version = record.version;
+          return catalog;
+        },
+        this->logger);
+    CHECK_TRUE(started->Start().has_value());
+    return started;
+  }
+
   /// Returns a file system whose writes fail while `is_disk_full[i]` is set.
   storage::FileSystem MakeFileSystem(size_t i) {
     storage::FileSystem file_system = storage::MakePosixFileSystem();
@@ -387,6 +394,37 @@
   CHECK_TRUE(is_changed);
 }
 
+// Guards against a group without a leader for good when all hosts restart and the voters are none
+// of the hosts in each other's settings: a cluster may have more allocators than seeds.
+TEST(Cluster, VotersFindEachOtherAfterARestartWithoutTheirSeeds) {
+  CHECK_TRUE(this->PutConfigurationAnywhere(3));
+  for (size_t i = 0; i < this->seeds.size(); ++i) {
+    this->StopAllocator(i);
+  }
+  this->reloaded_seeds = {base::NetworkAddress(testing::FreeLoopbackAddress())};
+  for (size_t i = 0; i < this->seeds.size(); ++i) {
+    this->StartAllocator(i, 2, false);
+  }
+  bool is_read = false;
+  // A read that fails takes 0.9 s; an election takes about a second.
+  for (int i = 0; i < 20 && !is_read; ++i) {
+    is_read = this->ReadVersionAt(1) == base::Version(3);
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  CHECK_TRUE(is_read);
+}
+
+// Guards against a gateway that never finds the cluster although its reloaded settings name a host
+// that runs: it knew only hosts that are gone.
+TEST(Cluster, GatewayFindsTheClusterAfterItsSeedsAreReloaded) {
+  CHECK_TRUE(this->PutConfigurationAnywhere(3));
+  this->reloaded_seeds = {base::NetworkAddress(testing::FreeLoopbackAddress())};
+  const auto late_gateway = this->StartGateway(testing::FreeLoopbackAddress(), 2);
+  CHECK_FALSE(late_gateway->IsReady());
+  late_gateway->AddSeeds({this->seeds[0]});
+  CHECK_TRUE(this->WaitUntil([&] { return late_gateway->IsReady(); }));
+}
+
 // Guards against a stored job that doesn't run, or whose tasks run twice.
 TEST(Cluster, RunsStoredJobs) {
   CHECK_TRUE(this->PutConfigurationAnywhere(3));
