clusterhost: Tell allocators from other hosts at the same address

A gateway at the address of a lost voter made that voter count as reachable, so that it was never replaced and the next loss ended the group. On other gateways, requests for stored jobs also went to that gateway, which doesn't respond to them; each cost 1 s.

Cause: a host is named by its address, and each process of the cluster that responds there counted as it.

A host counts as an allocator once its present process has sent a ClusterUpdate or a CapacityReport, which only allocators send, every 0.1 s.

--- a/src/clusterhost/allocator_host.cc
+++ b/src/clusterhost/allocator_host.cc
@@ -337,8 +337,15 @@
   }
 }
 
-bool AllocatorHost::IsReachable(const HostId& host) const {
-  return host == this->self || this->network->IsPeerReachable(host);
+bool AllocatorHost::IsReachable(const HostId& host) {
+  if (host == this->self) {
+    return true;
+  }
+  if (!this->network->IsPeerReachable(host)) {
+    return false;
+  }
+  MutexLock lock(this->state_mutex);
+  return this->allocator_hosts.count(host) > 0;
 }
 
 bool AllocatorHost::IsLeaving(const HostId& host) {
@@ -356,7 +363,8 @@
                                this->settings.host.data_centre};
   }
   auto found = this->reachable_hosts.find(host);
-  if (found == this->reachable_hosts.end() || this->leaving_hosts.count(host) > 0) {
+  if (found == this->reachable_hosts.end() || this->leaving_hosts.count(host) > 0 ||
+      this->allocator_hosts.count(host) == 0) {
     return std::nullopt;
   }
   const base::DataCentreId data_centre = this->network->PeerDataCentre(host);
@@ -556,13 +564,23 @@
   {
     MutexLock lock(this->state_mutex);
     this->reachable_hosts.erase(host);
+    this->allocator_hosts.erase(host);
   }
   this->logger.Warning("host unreachable", {{"host", host.value()}});
   this->scheduler.CancelJobsOfGateway(host);
   this->job_manager.OnHostLost(host);
 }
 
+void AllocatorHost::RecordAllocator(const HostId& host) {
+  MutexLock lock(this->state_mutex);
+  this->allocator_hosts.insert(host);
+}
+
 void AllocatorHost::OnMessage(const HostId& from, const protocol::Message& message) {
+  if (std::holds_alternative<cluster::ClusterUpdate>(message) ||
+      std::holds_alternative<runs::CapacityReport>(message)) {
+    this->RecordAllocator(from);
+  }
   if (this->job_manager.OnMessage(from, message)) {
     return;
   }
--- a/src/clusterhost/allocator_host.h
+++ b/src/clusterhost/allocator_host.h
@@ -119,7 +119,10 @@
   /// Connects to the members of the group. After a restart of all hosts, the log may be the only
   /// place that names the voters: seeds may be other hosts, and there is no view without a leader.
   void ConnectToMembers(const consensus::RaftMembership& membership);
-  bool IsReachable(const base::HostId& host) const;
+  /// Tells whether the host is this one or a reachable allocator.
+  bool IsReachable(const base::HostId& host);
+  /// Records that the process at `host` is an allocator.
+  void RecordAllocator(const base::HostId& host);
   bool IsLeaving(const base::HostId& host);
   std::optional<cluster::ClusterView::Member> ReachableMember(const base::HostId& host);
   const cluster::ClusterView::Member* FindOwner(const runs::TargetReport& report)
@@ -154,6 +157,9 @@
   base::HostId leader GUARDED_BY(state_mutex);
   std::map<base::HostId, base::Incarnation> reachable_hosts GUARDED_BY(state_mutex);
   std::set<base::HostId> leaving_hosts GUARDED_BY(state_mutex);
+  // Hosts whose present process has sent a message that only allocators send. A gateway may use the
+  // address of a member that is gone.
+  std::set<base::HostId> allocator_hosts GUARDED_BY(state_mutex);
   std::map<base::TargetId, KnownTarget> targets GUARDED_BY(state_mutex);
   runs::CapacityReport last_capacity_report GUARDED_BY(state_mutex);
   base::TimePoint last_capacity_report_at GUARDED_BY(state_mutex);
--- a/src/clusterhost/gateway_host.cc
+++ b/src/clusterhost/gateway_host.cc
@@ -1,5 +1,6 @@
 #include "clusterhost/gateway_host.h"
 
+#include <algorithm>
 #include <thread>
 #include <utility>
 
@@ -106,8 +107,15 @@
 stored::JobClient::Hooks GatewayHost::JobClientHooks() {
   stored::JobClient::Hooks hooks;
   hooks.now = this->now;
-  // Gateways connect to allocators only.
-  hooks.reachable_allocators = [this] { return this->network->ReachablePeers(); };
+  hooks.reachable_allocators = [this] {
+    std::vector<HostId> hosts = this->network->ReachablePeers();
+    hosts.erase(std::remove_if(hosts.begin(), hosts.end(),
+                               [this](const HostId& host) {
+                                 return !this->allocator_selector.HasReportOf(host);
+                               }),
+                hosts.end());
+    return hosts;
+  };
   hooks.send_request = [this](const HostId& host, const stored::JobRequest& request) {
     return this->network->SendReliably(host, request);
   };
--- a/src/gateway/allocator_selector.cc
+++ b/src/gateway/allocator_selector.cc
@@ -122,4 +122,9 @@
   return !this->capacity_reports.empty();
 }
 
+bool AllocatorSelector::HasReportOf(const HostId& allocator) {
+  base::MutexLock lock(this->mutex);
+  return this->capacity_reports.count(allocator) != 0;
+}
+
 }  // namespace sapphirecrank::gateway
--- a/src/gateway/allocator_selector.h
+++ b/src/gateway/allocator_selector.h
@@ -47,6 +47,10 @@
   /// Returns whether any allocator has reported its capacity and was not lost since.
   bool HasReports();
 
+  /// Returns whether this allocator has reported its capacity and was not lost since. Another kind
+  /// of host may use the address of an allocator that is gone.
+  bool HasReportOf(const base::HostId& allocator);
+
  private:
   /// `maximum_backlog` is an exclusive limit, as a share of the allocator's total task capacity.
   std::optional<base::HostId> ChooseAllocatorBelowBacklog(const base::ServiceId& service,
--- a/tests/clusterhost/cluster_test.cc
+++ b/tests/clusterhost/cluster_test.cc
@@ -174,6 +174,19 @@
     return started;
   }
 
+  /// Tells whether a leader has proposed to remove a member.
+  bool HasRemovedMember() {
+    for (const auto& allocator : this->allocators) {
+      if (allocator != nullptr &&
+          allocator->MetricsText().find(
+              "sapphirecrank_membership_changes_total{change=\"remove_member\"}") !=
+              std::string::npos) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /// Returns a file system whose writes fail while `is_disk_full[i]` is set.
   storage::FileSystem MakeFileSystem(size_t i) {
     storage::FileSystem file_system = storage::MakePosixFileSystem();
@@ -425,6 +438,21 @@
   CHECK_TRUE(this->WaitUntil([&] { return late_gateway->IsReady(); }));
 }
 
+// Guards against a lost voter that is never replaced because a gateway uses its address, so that
+// the loss of the next voter ends the group.
+TEST(Cluster, ReplacesALostVoterWhoseAddressAGatewayUses) {
+  CHECK_TRUE(this->PutConfigurationAnywhere(3));
+  this->AddAddress();
+  this->StartAllocator(3, 1, false);
+  CHECK_TRUE(this->WaitUntil([this] { return this->ReadVersionAt(3) == base::Version(3); }));
+  this->StopAllocator(0);
+  const auto other_gateway = this->StartGateway(this->seeds[0].value(), 2);
+  CHECK_TRUE(this->WaitUntil([this] { return this->HasRemovedMember(); }));
+  this->StopAllocator(1);
+  CHECK_TRUE(this->WaitUntil(
+      [this] { return this->PutConfigurationAt(2, 4) || this->PutConfigurationAt(3, 4); }));
+}
+
 // Guards against a stored job that doesn't run, or whose tasks run twice.
 TEST(Cluster, RunsStoredJobs) {
   CHECK_TRUE(this->PutConfigurationAnywhere(3));
--- a/tests/gateway/allocator_selector_test.cc
+++ b/tests/gateway/allocator_selector_test.cc
@@ -87,3 +87,13 @@
   CHECK_FALSE(
       this->selector.ExpectedWait(ServiceId("other"), TaskCount(1), base::Priority(0)).has_value());
 }
+
+// Guards against requests to a gateway that uses the address of an allocator that is gone.
+TEST(AllocatorSelector, KnowsWhichHostsAreAllocators) {
+  CHECK_FALSE(this->selector.HasReportOf(HostId("a")));
+  this->selector.OnCapacityReport(HostId("a"), MakeReport("near", 20, 0));
+  CHECK_TRUE(this->selector.HasReportOf(HostId("a")));
+  CHECK_FALSE(this->selector.HasReportOf(HostId("b")));
+  this->selector.OnAllocatorLost(HostId("a"));
+  CHECK_FALSE(this->selector.HasReportOf(HostId("a")));
+}
