clusterhost: Take the time for a graceful stop from the settings

Cause: gateways and allocators planned their stop for the 6 s of the present deployments, though the settings give the time as graceS. With less, the platform would kill a gateway before it has drained; with more, it would cut off requests for which there was time.

With 6 s all times are as before. The other bounds in the settings file may have fractions now, too, as DEPLOY.md says that bounds can have: a fraction kept a host from starting.

Not run on a deployment with another value.

--- a/src/clusterhost/settings_file.cc
+++ b/src/clusterhost/settings_file.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <ratio>
 
 #include "json/object_reader.h"
 
@@ -18,14 +19,23 @@
 constexpr double kMinimumCatchUpSeconds = 0.1;
 constexpr double kMaximumCatchUpSeconds = 3600;
 constexpr double kDefaultCatchUpSeconds = 4;
-constexpr int64_t kMaximumLeaseMilliseconds = 60000;
-constexpr int64_t kDefaultLeaseMilliseconds = 1000;
+constexpr double kMinimumStopSeconds = 0.1;
+constexpr double kMaximumStopSeconds = 3600;
+constexpr double kDefaultStopSeconds = 6;
+constexpr double kMaximumLeaseMilliseconds = 60000;
+constexpr double kDefaultLeaseMilliseconds = 1000;
 // With a shorter delay, a host that misses two heartbeats would count as lost.
-constexpr int64_t kMinimumResubmissionDelayMilliseconds = 900;
-constexpr int64_t kMaximumResubmissionDelayMilliseconds = 60000;
-constexpr int64_t kDefaultResubmissionDelayMilliseconds = 1300;
-constexpr int64_t kMaximumRetentionSeconds = 24LL * 60 * 60;
-constexpr int64_t kDefaultRetentionSeconds = 120;
+constexpr double kMinimumResubmissionDelayMilliseconds = 900;
+constexpr double kMaximumResubmissionDelayMilliseconds = 60000;
+constexpr double kDefaultResubmissionDelayMilliseconds = 1300;
+constexpr double kMaximumRetentionSeconds = 24.0 * 60 * 60;
+constexpr double kDefaultRetentionSeconds = 120;
+
+/// Converts a number of seconds or milliseconds, which may have a fraction.
+template <typename Period>
+base::Duration ToDuration(double count) {
+  return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double, Period>(count));
+}
 
 }  // namespace
 
@@ -69,16 +79,17 @@
   settings.data_folder = reader.ReadString("data_folder", kMaximumTextLength, "");
   settings.tolerated_disk_failures =
       reader.ReadInteger("lost_disks_borne", 0, kMaximumToleratedDiskFailures, 1);
-  settings.catch_up_time =
-      std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(reader.ReadNumber(
-          "catch_up_s", kMinimumCatchUpSeconds, kMaximumCatchUpSeconds, kDefaultCatchUpSeconds)));
-  settings.maximum_lease = std::chrono::milliseconds(reader.ReadInteger(
+  settings.catch_up_time = ToDuration<std::ratio<1>>(reader.ReadNumber(
+      "catch_up_s", kMinimumCatchUpSeconds, kMaximumCatchUpSeconds, kDefaultCatchUpSeconds));
+  settings.stop_time = ToDuration<std::ratio<1>>(reader.ReadNumber(
+      "stop_time_s", kMinimumStopSeconds, kMaximumStopSeconds, kDefaultStopSeconds));
+  settings.maximum_lease = ToDuration<std::milli>(reader.ReadNumber(
       "longest_lease_ms", 1, kMaximumLeaseMilliseconds, kDefaultLeaseMilliseconds));
-  settings.resubmission_delay = std::chrono::milliseconds(reader.ReadInteger(
+  settings.resubmission_delay = ToDuration<std::milli>(reader.ReadNumber(
       "resubmission_delay_ms", kMinimumResubmissionDelayMilliseconds,
       kMaximumResubmissionDelayMilliseconds, kDefaultResubmissionDelayMilliseconds));
-  settings.job_retention = std::chrono::seconds(
-      reader.ReadInteger("job_retention_s", 1, kMaximumRetentionSeconds, kDefaultRetentionSeconds));
+  settings.job_retention = ToDuration<std::ratio<1>>(
+      reader.ReadNumber("job_retention_s", 1, kMaximumRetentionSeconds, kDefaultRetentionSeconds));
   reader.RejectUnknownFields();
   if (error) {
     return tl::make_unexpected(*error);
--- a/src/clusterhost/settings_file.h
+++ b/src/clusterhost/settings_file.h
@@ -37,6 +37,8 @@
   int64_t tolerated_disk_failures = 1;
   /// A lost host counts as lost until it has been back, or its successor has run, for this long.
   base::Duration catch_up_time{0};
+  /// Time from the signal to stop until the platform kills the process.
+  base::Duration stop_time{0};
   /// Maximum length of a target's lease.
   base::Duration maximum_lease{0};
   /// Minimum time that a caller waits before it resubmits a job that got no response.
--- a/tests/clusterhost/settings_file_test.cc
+++ b/tests/clusterhost/settings_file_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <string>
+
 #include "clusterhost/cluster_host_settings.h"
 
 using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
@@ -55,6 +57,28 @@
   CHECK(defaults->catch_up_time == std::chrono::seconds(4));
 }
 
+// Guards against a host that doesn't start because a bound of its deployment isn't a whole number,
+// and against a stop that takes longer than the platform allows.
+TEST(ClusterSettingsFile, TakesBoundsOfTheDeploymentWithFractions) {
+  const std::string before = R"({"name":"n","data_centre":"x","address":"10.0.0.1","peer_port":1,)";
+  const auto settings = SettingsFile::Parse(
+      before +
+      R"("seeds":["a:1"],"stop_time_s":7.5,)"
+      R"("longest_lease_ms":800.5,"resubmission_delay_ms":1300.5,"job_retention_s":0.5e2})");
+  CHECK_TRUE(settings.has_value());
+  CHECK(settings->stop_time == std::chrono::milliseconds(7500));
+  CHECK(settings->maximum_lease == std::chrono::microseconds(800500));
+  CHECK(settings->resubmission_delay == std::chrono::microseconds(1300500));
+  CHECK(settings->job_retention == std::chrono::seconds(50));
+  const auto defaults = SettingsFile::Parse(before + R"("seeds":["a:1"]})");
+  CHECK(defaults->stop_time == std::chrono::seconds(6));
+  for (const std::string field : {"stop_time_s"}) {
+    const auto invalid = SettingsFile::Parse(before + R"("seeds":["a:1"],")" + field + R"(":-1})");
+    CHECK_FALSE(invalid.has_value());
+    STRCMP_EQUAL(field.c_str(), invalid.error().field.c_str());
+  }
+}
+
 // Guards against runs of a lost gateway's job that are still active when the caller resubmits the
 // job.
 TEST(ClusterSettingsFile, HostTimeoutEndsBeforeCallersResubmit) {
