clusterhost: Take the interval of target reports from the settings

Cause: a target counted as silent after 3.5 s and was dropped after 10 s, which are two reports and a redirect, and several reports, at the heartbeatMs of the present deployments. With a longer interval, targets would get no runs between two of their reports.

Not run on a deployment with another value.

--- a/src/clusterhost/settings_file.cc
+++ b/src/clusterhost/settings_file.cc
@@ -22,6 +22,9 @@
 constexpr double kMinimumStopSeconds = 0.1;
 constexpr double kMaximumStopSeconds = 3600;
 constexpr double kDefaultStopSeconds = 6;
+constexpr double kMinimumReportIntervalMilliseconds = 10;
+constexpr double kMaximumReportIntervalMilliseconds = 3600.0 * 1000;
+constexpr double kDefaultReportIntervalMilliseconds = 1500;
 constexpr double kMaximumLeaseMilliseconds = 60000;
 constexpr double kDefaultLeaseMilliseconds = 1000;
 // With a shorter delay, a host that misses two heartbeats would count as lost.
@@ -83,6 +86,9 @@
       "catch_up_s", kMinimumCatchUpSeconds, kMaximumCatchUpSeconds, kDefaultCatchUpSeconds));
   settings.stop_time = ToDuration<std::ratio<1>>(reader.ReadNumber(
       "stop_time_s", kMinimumStopSeconds, kMaximumStopSeconds, kDefaultStopSeconds));
+  settings.target_report_interval = ToDuration<std::milli>(
+      reader.ReadNumber("target_report_interval_ms", kMinimumReportIntervalMilliseconds,
+                        kMaximumReportIntervalMilliseconds, kDefaultReportIntervalMilliseconds));
   settings.maximum_lease = ToDuration<std::milli>(reader.ReadNumber(
       "longest_lease_ms", 1, kMaximumLeaseMilliseconds, kDefaultLeaseMilliseconds));
   settings.resubmission_delay = ToDuration<std::milli>(reader.ReadNumber(
--- a/src/clusterhost/settings_file.h
+++ b/src/clusterhost/settings_file.h
@@ -39,6 +39,8 @@
   base::Duration catch_up_time{0};
   /// Time from the signal to stop until the platform kills the process.
   base::Duration stop_time{0};
+  /// Time between two reports of a target.
+  base::Duration target_report_interval{0};
   /// Maximum length of a target's lease.
   base::Duration maximum_lease{0};
   /// Minimum time that a caller waits before it resubmits a job that got no response.
--- a/src/runs/scheduler_settings.h
+++ b/src/runs/scheduler_settings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+
 #include "base/time.h"
 
 namespace sapphirecrank::runs {
@@ -23,6 +25,13 @@
   base::Duration target_silence_limit = std::chrono::milliseconds(3500);
   /// Targets that haven't been heard from for this long are dropped.
   base::Duration drop_target_after = std::chrono::seconds(10);
+
+  /// Sets the limits for silent targets to those for targets that report at this interval.
+  void SetTargetReportInterval(base::Duration interval) {
+    constexpr base::Duration kRedirectTime = std::chrono::milliseconds(500);
+    this->target_silence_limit = 2 * interval + kRedirectTime;
+    this->drop_target_after = std::max(this->drop_target_after, 2 * this->target_silence_limit);
+  }
 };
 
 }  // namespace sapphirecrank::runs
--- a/tests/clusterhost/settings_file_test.cc
+++ b/tests/clusterhost/settings_file_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "clusterhost/cluster_host_settings.h"
+#include "runs/scheduler_settings.h"
 
 using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
 using clusterhost::SettingsFile;
@@ -63,22 +64,36 @@
   const std::string before = R"({"name":"n","data_centre":"x","address":"10.0.0.1","peer_port":1,)";
   const auto settings = SettingsFile::Parse(
       before +
-      R"("seeds":["a:1"],"stop_time_s":7.5,)"
+      R"("seeds":["a:1"],"stop_time_s":7.5,"target_report_interval_ms":750.5,)"
       R"("longest_lease_ms":800.5,"resubmission_delay_ms":1300.5,"job_retention_s":0.5e2})");
   CHECK_TRUE(settings.has_value());
   CHECK(settings->stop_time == std::chrono::milliseconds(7500));
+  CHECK(settings->target_report_interval == std::chrono::microseconds(750500));
   CHECK(settings->maximum_lease == std::chrono::microseconds(800500));
   CHECK(settings->resubmission_delay == std::chrono::microseconds(1300500));
   CHECK(settings->job_retention == std::chrono::seconds(50));
   const auto defaults = SettingsFile::Parse(before + R"("seeds":["a:1"]})");
   CHECK(defaults->stop_time == std::chrono::seconds(6));
-  for (const std::string field : {"stop_time_s"}) {
+  CHECK(defaults->target_report_interval == std::chrono::milliseconds(1500));
+  for (const std::string field : {"stop_time_s", "target_report_interval_ms"}) {
     const auto invalid = SettingsFile::Parse(before + R"("seeds":["a:1"],")" + field + R"(":-1})");
     CHECK_FALSE(invalid.has_value());
     STRCMP_EQUAL(field.c_str(), invalid.error().field.c_str());
   }
 }
 
+// Guards against targets that count as silent between two of their reports.
+TEST(ClusterSettingsFile, LimitsForSilentTargetsFollowTheirReportInterval) {
+  using std::chrono::milliseconds;
+  runs::SchedulerSettings settings;
+  settings.SetTargetReportInterval(milliseconds(1500));
+  CHECK(settings.target_silence_limit == milliseconds(3500));
+  CHECK(settings.drop_target_after == std::chrono::seconds(10));
+  settings.SetTargetReportInterval(milliseconds(5000));
+  CHECK(settings.target_silence_limit > 2 * milliseconds(5000));
+  CHECK(settings.drop_target_after > settings.target_silence_limit);
+}
+
 // Guards against runs of a lost gateway's job that are still active when the caller resubmits the
 // job.
 TEST(ClusterSettingsFile, HostTimeoutEndsBeforeCallersResubmit) {
