stored: Wait for lost runs as long as leases can last

Cause: tasks of a lost allocator or of a former leader were placed again after a constant 1.8 s, which relies on leases that end 1.2 s after the last contact. Both values that bound a lease come from the settings (longest_lease_ms, resubmission_delay_ms). Where both are longer, a task would have been started while its earlier run was active.

The delay is now that of the longest lease and 0.6 s, and at least 1.8 s, which it is with the settings of all present deployments.

Not run on a deployment with other values.

--- a/src/clusterhost/cluster_host_settings.h
+++ b/src/clusterhost/cluster_host_settings.h
@@ -46,6 +46,17 @@
     constexpr base::Duration kClockDriftMargin = std::chrono::milliseconds(100);
     return this->resubmission_delay - kClockDriftMargin;
   }
+
+  /// Returns the time after which the runs of a lost allocator or leader are gone and their ends
+  /// are known, for leases of at most `maximum_lease`. Thread safety: pure.
+  base::Duration LostRunDelay(base::Duration maximum_lease) const {
+    // For the next owner to read how the runs ended.
+    constexpr base::Duration kReadingTime = std::chrono::milliseconds(600);
+    constexpr base::Duration kMinimumDelay = std::chrono::milliseconds(1800);
+    const base::Duration longest_lease =
+        std::min(this->LeaseAfterGatewayContact(), this->EffectiveHostTimeout() + maximum_lease);
+    return std::max(kMinimumDelay, longest_lease + kReadingTime);
+  }
 };
 
 }  // namespace sapphirecrank::clusterhost
--- a/src/clusterhost/stored_job_manager.cc
+++ b/src/clusterhost/stored_job_manager.cc
@@ -61,8 +61,8 @@
       state_machine([this](const std::vector<SubmissionId>& job_ids) {
         this->scheduler.OnJobsChanged(job_ids);
       }),
-      scheduler({this->settings.self, this->settings.job_retention}, this->state_machine,
-                this->SchedulerHooks()),
+      scheduler({this->settings.self, this->settings.job_retention, this->settings.lost_run_delay},
+                this->state_machine, this->SchedulerHooks()),
       event_sender({this->hooks.now, [this](const runs::RunEvents& message) {
                       const HostId leader = this->hooks.leader();
                       if (leader == this->settings.self) {
--- a/src/clusterhost/stored_job_manager.h
+++ b/src/clusterhost/stored_job_manager.h
@@ -31,6 +31,8 @@
     base::DataCentreId data_centre;
     /// How long the record of a job is kept after the job has ended.
     base::Duration job_retention = std::chrono::seconds(120);
+    /// See `stored::JobScheduler::Settings`.
+    base::Duration lost_run_delay = std::chrono::milliseconds(1800);
   };
 
   /// Callbacks into the owner; all members must be set.
--- a/src/stored/job_scheduler.cc
+++ b/src/stored/job_scheduler.cc
@@ -25,13 +25,6 @@
 // A host that can't renew its lease for this long cancels what it has placed. The lease itself
 // lasts 0.4 s; writes to a slow disk delay its renewal.
 constexpr Duration kLeaseRenewalTimeout = milliseconds(500);
-// Time after an election until the runs of a former leader are gone. The election comes at least
-// 0.5 s after the former leader's last lease began. That leader stops leading 0.5 s after it last
-// saw the lease, and the leases of the targets end 1.2 s after an allocator last heard from it.
-constexpr Duration kTakeoverDelay = milliseconds(1800);
-// Time after the loss of an allocator until the runs on its targets are gone and the next owners of
-// these targets have read how they ended.
-constexpr Duration kLostRunDelay = milliseconds(1800);
 // A batch that has begun no run after this time is placed again, with an allocator that has free
 // capacity then.
 constexpr Duration kBatchWaitLimit = milliseconds(400);
@@ -95,7 +88,9 @@
     this->batch_number_base =
         std::max(this->batch_number_base,
                  BatchNumber(static_cast<uint32_t>(current_term.value()) * kBatchNumbersPerTerm));
-    this->placement_starts_at = this->hooks.now() + kTakeoverDelay;
+    // The election came at least 0.5 s after the former leader's last lease began. That leader
+    // stopped leading 0.5 s after it last saw the lease.
+    this->placement_starts_at = this->hooks.now() + this->settings.lost_run_delay;
   }
   std::vector<SubmissionId> ids;
   this->stored_jobs.ForEachJob([&ids](const StoredJob& stored) { ids.push_back(stored.job.id); });
@@ -252,14 +247,14 @@
     }
     // Events of the batch's runs may still arrive, unless the batch has begun no run.
     const bool may_have_runs = result.outcome != runs::BatchResult::Outcome::kNotRun;
-    const Duration delay = may_have_runs ? kLostRunDelay : kPlacementRetryDelay;
+    const Duration delay = may_have_runs ? this->settings.lost_run_delay : kPlacementRetryDelay;
     ReleaseBatch(found->second, result.key.batch, this->hooks.now() + delay, may_have_runs);
     shard.jobs_to_place.insert(id);
   });
 }
 
 void JobScheduler::OnAllocatorLost(const HostId& allocator) {
-  const TimePoint earliest_placement = this->hooks.now() + kLostRunDelay;
+  const TimePoint earliest_placement = this->hooks.now() + this->settings.lost_run_delay;
   this->shards.ForEachShard([&](Shard& shard) {
     for (auto& [id, entry] : shard.jobs) {
       std::vector<BatchNumber> lost_batches;
@@ -303,7 +298,7 @@
       if (event.kind == Kind::kReturned) {
         if (!is_superseded && !task.run_awaiting_commit) {
           task.batch = BatchNumber();
-          task.earliest_placement = this->hooks.now() + kLostRunDelay;
+          task.earliest_placement = this->hooks.now() + this->settings.lost_run_delay;
           shard.jobs_to_place.insert(id);
         }
         return EventDisposition::kAcknowledge;
--- a/src/stored/job_scheduler.h
+++ b/src/stored/job_scheduler.h
@@ -69,6 +69,10 @@
     base::HostId self;
     /// Time for which the record of an ended job is kept.
     base::Duration job_retention = std::chrono::seconds(120);
+    /// Time after the loss of an allocator until the runs on its targets are gone and the next
+    /// owners of these targets have read how they ended; also the time after an election until the
+    /// runs of a former leader are gone. The leases of the targets have to end within it.
+    base::Duration lost_run_delay = std::chrono::milliseconds(1800);
   };
 
   /// Precondition: `stored_jobs` outlives this object.
--- a/tests/clusterhost/settings_file_test.cc
+++ b/tests/clusterhost/settings_file_test.cc
@@ -82,6 +82,21 @@
   }
 }
 
+// Guards against a second run of a task while a run on a target of a lost allocator is active, on a
+// deployment with longer leases and a longer delay before callers resubmit.
+TEST(ClusterSettingsFile, LostRunsAreWaitedForUntilTheirLeasesEnd) {
+  using std::chrono::milliseconds;
+  clusterhost::ClusterHostSettings settings;
+  CHECK(settings.LostRunDelay(milliseconds(1000)) == milliseconds(1800));
+  settings.resubmission_delay = milliseconds(10000);
+  CHECK(settings.LostRunDelay(milliseconds(5000)) >=
+        settings.EffectiveHostTimeout() + milliseconds(5000));
+  settings.resubmission_delay = milliseconds(3000);
+  CHECK(settings.LostRunDelay(milliseconds(60000)) >= settings.LeaseAfterGatewayContact());
+  settings.resubmission_delay = milliseconds(900);
+  CHECK(settings.LostRunDelay(milliseconds(1)) == milliseconds(1800));
+}
+
 // Guards against targets that count as silent between two of their reports.
 TEST(ClusterSettingsFile, LimitsForSilentTargetsFollowTheirReportInterval) {
   using std::chrono::milliseconds;
--- a/tests/stored/job_scheduler_test.cc
+++ b/tests/stored/job_scheduler_test.cc
@@ -25,8 +25,11 @@
   bool commits_superseded_runs = true;
   std::string chosen_allocator = "a1";
   bool is_allocator_reachable = true;
-  stored::JobStateMachine jobs{
-      [this](const std::vector<base::SubmissionId>& ids) { this->scheduler.OnJobsChanged(ids); }};
+  /// The scheduler that learns of changes of the jobs.
+  JobScheduler* notified_scheduler = &this->scheduler;
+  stored::JobStateMachine jobs{[this](const std::vector<base::SubmissionId>& ids) {
+    this->notified_scheduler->OnJobsChanged(ids);
+  }};
   JobScheduler scheduler{
       {base::HostId("self"), std::chrono::seconds(10)}, this->jobs, this->Hooks()};
 
@@ -117,6 +120,27 @@
   LONGS_EQUAL(1, this->TakePlacements().size());
 }
 
+// Guards against a second run of a task on a deployment whose leases last longer than usual.
+TEST(JobScheduler, NewLeaderWaitsForRunsAsLongAsTheSettingsSay) {
+  JobScheduler patient_scheduler{
+      {base::HostId("self"), std::chrono::seconds(10), std::chrono::seconds(4)},
+      this->jobs,
+      this->Hooks()};
+  this->notified_scheduler = &patient_scheduler;
+  const auto lead_for = [this, &patient_scheduler](int duration_ms) {
+    for (int i = 0; i < duration_ms; i += 100) {
+      this->clock.Advance(milliseconds(100));
+      patient_scheduler.OnLeaseHeld(base::Term(3));
+      patient_scheduler.Tick();
+    }
+  };
+  this->Submit("job");
+  lead_for(3900);
+  LONGS_EQUAL(0, this->TakePlacements().size());
+  lead_for(300);
+  LONGS_EQUAL(1, this->TakePlacements().size());
+}
+
 // Guards against a former leader whose runs stay active when the next leader may start its own.
 TEST(JobScheduler, CancelsPlacedJobsWhenLeaseExpires) {
   this->BecomeLeader();
