--- a/src/clusterhost/allocator_host.h
+++ b/src/clusterhost/allocator_host.h
@@ -19,6 +19,7 @@
 #include "clusterhost/group_monitor.h"
 #include "clusterhost/stored_job_manager.h"
 #include "clusterhost/target_file.h"
+#include "consensus/raft_membership.h"
 #include "observability/allocator_metrics.h"
 #include "peers/peer_network.h"
 #include "runs/run_scheduler.h"
@@ -115,7 +116,13 @@
   /// Sends the report of a draining target to the allocators that don't own it. Otherwise one of
   /// them that becomes its owner would start runs there because of an older report.
   void ForwardToOtherAllocators(const runs::TargetReport& report, const base::HostId& owner);
-  bool IsReachable(const base::HostId& host) const;
+  /// Connects to the members of the group. After a restart of all hosts, the log may be the only
+  /// place that names the voters: seeds may be other hosts, and there is no view without a leader.
+  void ConnectToMembers(const consensus::RaftMembership& membership);
+  /// Tells whether the host is this one or a reachable allocator.
+  bool IsReachable(const base::HostId& host);
+  /// Records that the process at `host` is an allocator.
+  void RecordAllocator(const base::HostId& host);
   bool IsLeaving(const base::HostId& host);
   std::optional<cluster::ClusterView::Member> ReachableMember(const base::HostId& host);
   const cluster::ClusterView::Member* FindOwner(const runs::TargetReport& report)
@@ -150,6 +157,9 @@
   base::HostId leader GUARDED_BY(state_mutex);
   std::map<base::HostId, base::Incarnation> reachable_hosts GUARDED_BY(state_mutex);
   std::set<base::HostId> leaving_hosts GUARDED_BY(state_mutex);
+  // Hosts whose present process has sent a message that only allocators send. A gateway may use the
+  // address of a member that is gone.
+  std::set<base::HostId> allocator_hosts GUARDED_BY(state_mutex);
   std::map<base::TargetId, KnownTarget> targets GUARDED_BY(state_mutex);
   runs::CapacityReport last_capacity_report GUARDED_BY(state_mutex);
   base::TimePoint last_capacity_report_at GUARDED_BY(state_mutex);
@@ -158,6 +168,8 @@
   bool is_in_view GUARDED_BY(state_mutex) = false;
   bool is_leaving GUARDED_BY(state_mutex) = false;
 
+  // Used on the group's thread only.
+  consensus::RaftMembership connected_membership;
   GroupMonitor group_monitor;
   StoredJobManager job_manager;
   runs::RunScheduler scheduler;
--- a/src/consensus/membership_change.h
+++ b/src/consensus/membership_change.h
@@ -23,7 +23,7 @@
   Kind kind = Kind::kAddLearner;
   base::HostId host;
   /// Set for `kReplaceVoter` only.
-  base::HostId replaced_voter;
+  base::HostId replaced_voter{};
 };
 
 }  // namespace sapphirecrank::consensus
--- a/src/consensus/raft_membership.h
+++ b/src/consensus/raft_membership.h
@@ -16,7 +16,7 @@
   std::set<base::HostId> learners;
   /// While a voter is being replaced, the voters before that; otherwise empty. A quorum then needs
   /// a majority of both sets (joint consensus).
-  std::set<base::HostId> outgoing_voters;
+  std::set<base::HostId> outgoing_voters{};
 
   /// Returns the number of voters that form a majority of `voters`.
   size_t QuorumSize() const { return this->voters.size() / 2 + 1; }
