consensus: Send learners committed entries only

What callers could see: after the loss of one host, which is always allowed, the group elects no leader again.

Cause: a leader that is cut off appends a replacement, in whose membership a learner is a voter. Another leader's first entry reaches only that learner, and this leader is lost.

A host without a vote in the latest and the committed membership gets entries up to the commit index.

A stopping host may now use the whole stop time to hand over its vote.

IsComplete of the simulation took a change of the learners that was in progress for a missing voter; it now compares the committed voters with the latest ones, which is as strict for voters.

--- a/src/clusterhost/allocator_host.cc
+++ b/src/clusterhost/allocator_host.cc
@@ -313,7 +313,7 @@
   this->group->TransferLeadership();
   // Otherwise the group would have one vote less until it replaces that of this host, which may not
   // return.
-  const base::TimePoint handover_deadline = this->now() + kVoteHandoverTimeout;
+  const base::TimePoint handover_deadline = deadline + kVoteHandoverTimeout;
   while (this->group->IsVoteHandoverPending() && this->now() < handover_deadline) {
     std::this_thread::sleep_for(kDrainPollInterval);
     this->group->TransferLeadership();
--- a/src/clusterhost/allocator_host.h
+++ b/src/clusterhost/allocator_host.h
@@ -68,9 +68,9 @@
   base::Result<void> Start();
 
   /// Announces that this host is leaving and waits until all task batches have ended, for
-  /// `Settings::drain_limit` at most. Then transfers leadership, waits for 1 s at most until
-  /// another host has taken over its vote if one can, and for 0.5 s at most until the sent messages
-  /// are acknowledged.
+  /// `Settings::drain_limit` at most. Meanwhile transfers leadership, waits until another
+  /// host has taken over its vote if one can, up to 1 s after that limit, and for 0.5 s at most
+  /// until the sent messages are acknowledged.
   void Drain();
 
   /// Connects to further allocators at these peer addresses; known ones are ignored. Precondition:
--- a/src/consensus/replication.cc
+++ b/src/consensus/replication.cc
@@ -69,12 +69,12 @@
   }
   peer.snapshot_index = LogIndex();
   for (;;) {
-    bool has_unsent_data =
-        peer.next_index <= this->log.last_index() || peer.sent_commit_index < commit_index;
+    bool has_unsent_data = peer.next_index <= this->LastIndexFor(host, commit_index) ||
+                           peer.sent_commit_index < commit_index;
     if (!peer.is_heartbeat_due && (peer.is_paused || !has_unsent_data)) {
       return;
     }
-    messages.emplace_back(host, this->MakeAppendRequest(peer, commit_index));
+    messages.emplace_back(host, this->MakeAppendRequest(host, peer, commit_index));
     peer.is_heartbeat_due = false;
     peer.is_paused = peer.is_probing;
   }
@@ -105,11 +105,22 @@
   peer.is_paused = true;
 }
 
-AppendRequest Replication::MakeAppendRequest(ReplicationProgress& peer, LogIndex commit_index) {
+LogIndex Replication::LastIndexFor(const HostId& host, LogIndex commit_index) const {
+  const bool has_vote =
+      this->log.membership().IsVoter(host) || this->log.MembershipAt(commit_index).IsVoter(host);
+  return has_vote ? this->log.last_index() : commit_index;
+}
+
+AppendRequest Replication::MakeAppendRequest(const HostId& host, ReplicationProgress& peer,
+                                             LogIndex commit_index) {
   AppendRequest request;
   request.previous_index = LogIndex(peer.next_index.value() - 1);
   request.previous_term = this->log.TermAt(request.previous_index).value_or(base::Term());
   request.entries = this->log.EntriesUpToSize(peer.next_index, this->settings.maximum_append_bytes);
+  while (!request.entries.empty() &&
+         request.entries.back().index > this->LastIndexFor(host, commit_index)) {
+    request.entries.pop_back();
+  }
   request.commit_index = commit_index;
   request.heartbeat_round = this->round_tracker.latest_started_round();
   request.confirmed_freshness_token = peer.confirmed_token;
--- a/src/consensus/replication.h
+++ b/src/consensus/replication.h
@@ -83,7 +83,12 @@
                            Messages& messages);
   void CollectSnapshotChunk(const base::HostId& host, ReplicationProgress& peer,
                             const RaftSnapshot& snapshot, Messages& messages);
-  AppendRequest MakeAppendRequest(ReplicationProgress& peer, base::LogIndex commit_index);
+  /// Returns the index of the last entry that a host may get. Learners get committed entries only:
+  /// with others, a learner that just became a voter in another leader's log could refuse its vote
+  /// to the only candidate that is left.
+  base::LogIndex LastIndexFor(const base::HostId& host, base::LogIndex commit_index) const;
+  AppendRequest MakeAppendRequest(const base::HostId& host, ReplicationProgress& peer,
+                                  base::LogIndex commit_index);
 
   base::HostId self;
   const RaftSettings& settings;
--- a/tests/cluster/group_simulation.cc
+++ b/tests/cluster/group_simulation.cc
@@ -357,7 +357,11 @@
       }
     }
   }
-  return status.membership_index <= status.commit_index &&
+  // Until the voters are committed, a next leader may still count those before. A change of the
+  // learners may be in progress.
+  const consensus::RaftMembership& committed =
+      this->hosts[leader]->node->log().MembershipAt(status.commit_index);
+  return committed.voters == status.membership.voters && committed.outgoing_voters.empty() &&
          status.membership.outgoing_voters.empty() &&
          voter_count == this->initial_membership.voters.size();
 }
--- a/tests/consensus/raft_cluster_test.cc
+++ b/tests/consensus/raft_cluster_test.cc
@@ -288,6 +288,41 @@
   CheckNoViolations();
 }
 
+// Guards against a group without a leader after the loss of one host: a learner got an uncommitted
+// entry of that host and refuses its vote to the candidate in whose log it is a voter.
+TEST(RaftCluster, LearnersGetCommittedEntriesOnly) {
+  StartCluster(3, 4);
+  int old_leader = cluster->Leader();
+  CHECK(ChangeMembership(MembershipChange::Kind::kAddLearner, 3));
+  cluster->Run(seconds(2));
+  CHECK_EQUAL(old_leader, cluster->Leader());
+  cluster->Isolate(old_leader);
+  MembershipChange change{MembershipChange::Kind::kReplaceVoter, RaftCluster::HostName(3),
+                          RaftCluster::HostName((old_leader + 1) % 3)};
+  CHECK(cluster->node(old_leader)->ChangeMembership(change).has_value());
+  CHECK(cluster->RunUntil([&] { return cluster->Leader() >= 0 && cluster->Leader() != old_leader; },
+                          seconds(10)));
+  int lost = cluster->Leader();
+  int other = 3 - old_leader - lost;
+  cluster->CutLink(lost, other);
+  auto& messages = cluster->messages_in_flight();
+  for (auto message = messages.begin(); message != messages.end();) {
+    const bool is_cut = message->second.from == RaftCluster::HostName(lost) &&
+                        message->second.to == RaftCluster::HostName(other);
+    message = is_cut ? messages.erase(message) : std::next(message);
+  }
+  cluster->Run(milliseconds(50));
+  cluster->Crash(lost);
+  cluster->HealNetwork();
+  CHECK(cluster->RunUntil(
+      [&] {
+        int leader = cluster->Leader();
+        return leader >= 0 && cluster->node(leader)->HasLeaderLease();
+      },
+      seconds(60)));
+  CheckNoViolations();
+}
+
 // Guards against hosts without disks that don't get committed entries, or that don't know how up to
 // date they are.
 TEST(RaftCluster, LearnersWithoutDisksStayUpToDate) {
--- a/tests/entryhost/configured_membership_test.cc
+++ b/tests/entryhost/configured_membership_test.cc
@@ -40,6 +40,8 @@
       return "promote " + change->host.value();
     case MembershipChange::Kind::kRemoveMember:
       return "remove " + change->host.value();
+    case MembershipChange::Kind::kReplaceVoter:
+      return "replace " + change->replaced_voter.value();
   }
   return "unknown";
 }
