models: Search membership changes and losses of the group's hosts

models/membership.pml has three voters, a spare learner and a host that joins later. Up to two hosts are lost for good, the second once the first is replaced, and any others stand still at any time. It checks that committed entries stay, that each term has one leader, and that the hosts that aren't lost could always elect a leader.

The search found a fault in the program that no test had shown: a learner may hold an entry of the latest leader that no voter has. Once that leader is lost, the learner refuses its vote to a host that counts it as a voter by an uncommitted promotion, and can't campaign itself. The model sends learners committed entries only; -DUNCOMMITTED_TO_LEARNERS does what src/consensus/replication.cc does.

--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -53,11 +53,16 @@
   fi
 }
 
-(run_search submission submission) &
+(run_search submission submission
+ run_search membership late_replacement -DLATE_REPLACEMENT
+ run_search membership remove_first -DREMOVE_FIRST
+ run_search membership uncommitted_changes -DUNCOMMITTED_CHANGES
+ run_search membership uncommitted_to_learners -DUNCOMMITTED_TO_LEARNERS) &
 first=$!
 (run_search configuration configuration
  run_search configuration no_quorum -DNO_QUORUM
- run_search submission no_fencing -DNO_FENCING) &
+ run_search submission no_fencing -DNO_FENCING
+ run_search membership membership) &
 second=$!
 wait "$first" "$second"
 
@@ -66,4 +71,9 @@
 check_found submission no_fencing || failed=1
 check_complete configuration || failed=1
 check_found configuration no_quorum || failed=1
+check_complete membership || failed=1
+check_found membership late_replacement || failed=1
+check_found membership remove_first || failed=1
+check_found membership uncommitted_changes || failed=1
+check_found membership uncommitted_to_learners || failed=1
 exit "$failed"
