--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -57,6 +57,7 @@
  run_search membership late_replacement -DLATE_REPLACEMENT
  run_search membership remove_first -DREMOVE_FIRST
  run_search membership uncommitted_changes -DUNCOMMITTED_CHANGES
+ run_search membership promote_first -DPROMOTE_FIRST
  run_search membership uncommitted_to_learners -DUNCOMMITTED_TO_LEARNERS) &
 first=$!
 (run_search configuration configuration
@@ -75,5 +76,6 @@
 check_found membership late_replacement || failed=1
 check_found membership remove_first || failed=1
 check_found membership uncommitted_changes || failed=1
+check_found membership promote_first || failed=1
 check_found membership uncommitted_to_learners || failed=1
 exit "$failed"
