scripts: Replace allocators in the fault soak

The fault kind replace ends an allocator for good and starts a successor with a new address and an empty disk: killed or planned, also the leader, right after another lost disk, and while another allocator is cut off, paused or restarted. The settings give catch_up_s. A new check requires that the configuration can be changed and read while no allocator counts as lost, and the operator follows redirects, as the protocol says.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -11,6 +11,11 @@
   their first report early or late.
 - One allocator is cut off from the other two, which may be killed when the cut ends.
 - Allocators lose their disks, one at a time, or their disks are full.
+- An allocator is replaced: it is killed, or stopped after its successor has started, and never
+  returns. The successor has a new address and an empty disk. Some replacements follow another lost
+  disk as soon as that one no longer counts as lost, hit the leader, or come while another allocator
+  is cut off, paused or restarted. Processes learn the new address from their peers; in some runs
+  SIGHUP also announces it. A process gets new seeds when it starts.
 Jumps of the clock are not simulated, because the hosts use the time of day only in their logs.
 
 Checked during the run, from what callers and targets observe:
@@ -23,16 +28,20 @@
   previous step is done, or more than CANCEL_DELAY after its job was cancelled.
 - No stored job is unknown more than VISIBLE_DELAY after it was accepted, or reported as completed
   before all its tasks are done.
+- While no allocator counts as lost, a change of the configuration is acknowledged within
+  ACKNOWLEDGEMENT_DELAY and read back from all allocators within CONFIGURATION_DELAY. This is checked
+  after some replacements, with the injection of faults suspended, and after the last fault.
 Checked at the end, after the faults: jobs are served again, all stored jobs have ended, and the
-newest acknowledged configuration is read back.
+newest acknowledged configuration is read back from the allocators that exist then.
 
 Usage: soak.py [--seed N] [--seeds COUNT] [--seconds S] [--faults KIND,...] [--program PATH]
-[--pause S] [--subnet N]. The exit code is 1 if a check failed; the logs of the processes are then kept, and
+[--pause S] [--subnet N] [--omit-catch-up]. The exit code is 1 if a check failed; the logs of the processes are then kept, and
 their folder is printed.
 """
 
 import argparse
 import asyncio
+import contextlib
 import json
 import pathlib
 import random
@@ -47,7 +56,10 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DEFAULT_PROGRAM = ROOT / "build/release/src/sapphirecrank"
-ALLOCATORS, GATEWAYS = [], []  # Addresses; set from --subnet.
+# Addresses, set from --subnet. ALLOCATORS is the operator's list of the allocators at present;
+# FORMER_ALLOCATORS holds the addresses of those that were replaced.
+ALLOCATORS, FORMER_ALLOCATORS, GATEWAYS = [], [], []
+FIRST_SUCCESSOR_NUMBER = 21  # Last number of the address of the first successor.
 CALLER_PORT, READINESS_PORT, CONTROL_PORT, PEER_PORT = 18761, 18762, 18763, 18764
 # Port on which hosts listen for peers. The proxy of each host forwards PEER_PORT to it.
 PEER_BIND_PORT = 18765
@@ -61,15 +73,21 @@
 # only the data to the client.
 LINK_FAULT_KINDS = ["silent", "there", "back", "delay", "reset"]
 FAULT_KINDS = ["kill", "kill", "term", "pause", "hup", "crash", "reborn", "reborn", "cut",
-               "cut-and-kill", "wipe", "full", *LINK_FAULT_KINDS,
+               "cut-and-kill", "wipe", "replace", "full", *LINK_FAULT_KINDS,
                *(f"peer-{kind}" for kind in LINK_FAULT_KINDS)]
 CONFIGURATION_DELAY = 2.0
 # Bounds for stored jobs in seconds, as in the platform's documentation.
 VISIBLE_DELAY, CANCEL_DELAY = 3.0, 3.0
 RECOVERY_LIMIT = 40.0
-# The settings tolerate one lost disk. A disk counts as lost until its host has been back for this
-# many seconds.
+# The settings tolerate one lost disk. A host, and with it its disk, counts as lost until it has been
+# back, or its successor has been up, for this many seconds.
 CATCH_UP_TIME = 4.0
+# A change of the configuration is acknowledged within this many seconds while no host counts as lost.
+ACKNOWLEDGEMENT_DELAY = 4.0
+# Seeds may be those of the operator's list this many seconds before the process started.
+SEED_DELAY = 3.0
+# The protocol says how many redirects a caller follows.
+MAXIMUM_REDIRECTS = 2
 SERVICE, HOST, PREFIX = "soak-service", "soak.example", "/q/"
 
 
@@ -85,8 +103,11 @@
     return head[0], headers, body
 
 
-async def call(address, method, path, body=None, headers=(), timeout=2.0):
-    """Makes one call; returns (status, body), with status 0 if there was no response."""
+async def call(address, method, path, body=None, headers=(), timeout=2.0, redirects=0):
+    """Makes one call; returns (status, body), with status 0 if there was no response.
+
+    Follows as many redirects as given; the timeout applies to each call.
+    """
     host, port = address.rsplit(":", 1)
     writer = None
     async def exchange():
@@ -96,11 +117,15 @@
         lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"Content-Length: {len(data)}",
                  "Content-Type: application/json", *headers]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + data)
-        line, _, response = await read_message(reader)
-        return int(line.split()[1]), response
+        line, response_headers, response = await read_message(reader)
+        return int(line.split()[1]), response, response_headers.get("location", "")
 
     try:
-        return await asyncio.wait_for(exchange(), timeout)
+        status, response, location = await asyncio.wait_for(exchange(), timeout)
+        if status == 307 and redirects > 0 and location:
+            leader = location.removeprefix("http://").split("/")[0]
+            return await call(leader, method, path, body, headers, timeout, redirects - 1)
+        return status, response
     except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
         return 0, b""
     finally:
@@ -370,7 +395,7 @@
         payload = self.received[mask_start + 4:]
         text = bytes(byte ^ mask[i % 4] for i, byte in enumerate(payload))
         # "host" is a text string of CBOR: a byte with its length precedes the address.
-        for address in [*ALLOCATORS, *GATEWAYS]:
+        for address in [*ALLOCATORS, *FORMER_ALLOCATORS, *GATEWAYS]:
             if b"dhost" + bytes([0x60 + len(address)]) + address.encode() in text:
                 self.address = address
 
@@ -384,6 +409,10 @@
         # Hosts whose connections to this one pass nothing in either direction.
         self.cut_off_hosts = set()
         self.writers = set()
+        self.server = None
+
+    async def listen(self, port):
+        self.server = await asyncio.start_server(self.serve, self.address, port)
 
     async def serve(self, reader, writer):
         try:
@@ -424,17 +453,36 @@
 class Host:
     """A gateway or allocator process, which this program starts and ends."""
 
-    def __init__(self, program, folder, role, address):
+    def __init__(self, program, folder, role, address, seeds, is_successor=False,
+                 catch_up_time=CATCH_UP_TIME):
         self.program, self.folder, self.role, self.address = program, folder, role, address
+        self.seeds, self.catch_up_time = seeds, catch_up_time
         self.data = folder / f"data-{address}"
+        self.peer_proxy = Proxy(address, PEER_BIND_PORT)
+        # The number of faults because of which the host counts as lost, and until when it counts
+        # as lost after them.
+        self.loss_count, self.lost_until = 0, time.monotonic() + CATCH_UP_TIME
         self.process = None
         self.has_active_fault = False
-        self.was_started = False
+        self.bootstrap, self.was_started = not is_successor, False
+
+    def counts_as_lost(self):
+        return self.loss_count > 0 or time.monotonic() < self.lost_until
+
+    @contextlib.contextmanager
+    def lose(self):
+        """Counts the host as lost within the block and for CATCH_UP_TIME after it."""
+        self.loss_count += 1
+        try:
+            yield
+        finally:
+            self.loss_count -= 1
+            self.lost_until = time.monotonic() + CATCH_UP_TIME
 
-    def start(self):
+    def write_settings(self):
         settings = {"name": self.address, "data_centre": "soak", "address": self.address,
                     "peer_port": PEER_PORT, "peer_bind_port": PEER_BIND_PORT,
-                    "seeds": [f"{a}:{CONTROL_PORT}" for a in ALLOCATORS],
+                    "seeds": [f"{a}:{CONTROL_PORT}" for a in self.seeds],
                     "longest_lease_ms": int(MAXIMUM_LEASE * 1000)}
         if self.role == "gateway":
             settings["caller_listen"] = f"{self.address}:{CALLER_PORT}"
@@ -443,10 +491,20 @@
             self.data.mkdir(exist_ok=True)
             settings.update(control_listen=f"{self.address}:{CONTROL_PORT}",
                             data_folder=str(self.data),
-                            bootstrap=not self.was_started, lost_disks_borne=1)
+                            bootstrap=self.bootstrap, lost_disks_borne=1)
+        if self.catch_up_time is not None:
+            settings["catch_up_s"] = self.catch_up_time
         path = self.folder / f"{self.address}.json"
         path.write_text(json.dumps(settings))
+        return path
+
+    def start(self, seeds=None):
+        """Starts the process, with the given seeds or else those it had."""
+        if self.was_started:
+            self.bootstrap = False
         self.was_started = True
+        self.seeds = seeds or self.seeds
+        path = self.write_settings()
         log = open(self.folder / f"{self.address}.log", "a")
         self.process = subprocess.Popen([self.program, self.role, "--settings", path], stdout=log,
                                         stderr=log)
@@ -471,18 +529,51 @@
 class Soak:
     """One soak with one seed: the processes, targets, callers and faults."""
 
-    def __init__(self, program, fault_kinds, seed, seconds, maximum_pause, folder):
+    def __init__(self, program, fault_kinds, seed, seconds, maximum_pause, folder,
+                 catch_up_time=CATCH_UP_TIME):
         self.rng = random.Random(seed)
+        # Draws for replacements and seeds.
+        self.replacement_rng = random.Random(f"replacements {seed}")
+        self.program, self.catch_up_time = program, catch_up_time
         self.fault_kinds, self.seconds, self.folder = fault_kinds, seconds, folder
         self.maximum_pause = maximum_pause
         self.checks = Checks(folder)
-        self.hosts = [Host(program, folder, "allocator", a) for a in ALLOCATORS]
-        self.hosts += [Host(program, folder, "gateway", a) for a in GATEWAYS]
+        self.hosts = [Host(program, folder, "allocator", a, list(ALLOCATORS),
+                           catch_up_time=catch_up_time) for a in ALLOCATORS]
+        self.hosts += [Host(program, folder, "gateway", a, list(ALLOCATORS),
+                            catch_up_time=catch_up_time) for a in GATEWAYS]
+        self.last_successor_number = FIRST_SUCCESSOR_NUMBER - 1
+        # Former states of the operator's list, each with the time at which it was replaced.
+        self.former_lists = []
+        self.announces_seeds = self.replacement_rng.random() < 0.5
+        self.cut_off_hosts = []
+        # Held while a disk counts as lost.
+        self.disk_loss = asyncio.Lock()
+        # The number of reasons for which no new faults are injected at present.
+        self.fault_suspensions = 0
         self.version, self.acknowledged_versions = 0, []
         self.last_job_number = 0
-        self.is_disk_lost = False
         self.is_stopping = False
 
+    def allocator_hosts(self):
+        return [h for h in self.hosts if h.role == "allocator"]
+
+    def draw_seeds(self):
+        """Returns the operator's list at a random time within the last SEED_DELAY."""
+        drawn = time.monotonic() - self.replacement_rng.uniform(0, SEED_DELAY)
+        for replaced_at, addresses in self.former_lists:
+            if drawn < replaced_at:
+                return list(addresses)
+        return list(ALLOCATORS)
+
+    def update_list(self, added=None, removed=None):
+        self.former_lists.append((time.monotonic(), list(ALLOCATORS)))
+        if removed is not None:
+            ALLOCATORS.remove(removed)
+            FORMER_ALLOCATORS.append(removed)
+        if added is not None:
+            ALLOCATORS.append(added)
+
     async def put_configuration(self):
         self.version += self.rng.randint(1, 3)
         route = {"name": "r", "host": HOST, "pathPrefix": PREFIX, "kind": "unsafe",
@@ -491,18 +582,23 @@
         body = {"version": self.version, "routes": [route], "services": [{"name": SERVICE}],
                 "limits": {}}
         address = f"{self.rng.choice(ALLOCATORS)}:{CONTROL_PORT}"
-        status, _ = await call(address, "POST", "/sapphirecrank/Config.Put", body, timeout=1.5)
+        status, _ = await call(address, "POST", "/sapphirecrank/Config.Put", body, timeout=1.5,
+                               redirects=MAXIMUM_REDIRECTS)
+        self.checks.log_event(
+            f"configuration {body['version']} sent to {address}: status {status}")
         if status == 200:
             self.acknowledged_versions.append((time.monotonic(), self.version))
             self.checks.count("configurations")
         return status == 200
 
-    async def read_configuration(self):
+    async def read_configuration(self, allocator=None):
+        """Reads from the given allocator, or from a random one; returns None without a response."""
         requested_at = time.monotonic()
         acknowledged = [version for at, version in self.acknowledged_versions
                         if at + CONFIGURATION_DELAY < requested_at]
-        address = f"{self.rng.choice(ALLOCATORS)}:{CONTROL_PORT}"
-        status, body = await call(address, "GET", "/sapphirecrank/Config.Get", timeout=1.5)
+        address = f"{allocator or self.rng.choice(ALLOCATORS)}:{CONTROL_PORT}"
+        status, body = await call(address, "GET", "/sapphirecrank/Config.Get", timeout=1.5,
+                                  redirects=MAXIMUM_REDIRECTS)
         if status != 200:
             return None
         version = json.loads(body)["version"]
@@ -633,35 +729,34 @@
         if kind in ("wipe", "full") and host.role != "allocator":
             return
         if kind.startswith("peer-"):
-            proxy = self.peer_proxies[self.hosts.index(host)]
+            proxy = host.peer_proxy
         self.checks.count(f"fault {kind}")
         self.checks.log_event(f"fault {kind}, host {host.address}, "
                               f"proxy to {proxy.address}:{proxy.port}, {duration:.1f} s")
+        is_peer_fault = kind.startswith("peer-")
         kind = kind.removeprefix("peer-")
         if kind == "wipe":
             await self.lose_disk(host, duration)
+        elif kind == "replace":
+            await self.replace(host, duration)
         elif kind == "full":
-            host.limit_file_size(0)
-            await asyncio.sleep(duration)
-            host.limit_file_size(resource.RLIM_INFINITY)
+            with host.lose():
+                host.limit_file_size(0)
+                await asyncio.sleep(duration)
+                host.limit_file_size(resource.RLIM_INFINITY)
         elif kind == "kill":
-            host.kill()
-            await asyncio.sleep(duration / 2)
-            host.start()
+            with host.lose():
+                host.kill()
+                await asyncio.sleep(duration / 2)
+                host.start(self.draw_seeds())
         elif kind == "term":
-            host.signal(signal.SIGTERM)
-            for _ in range(80):
-                if host.process.poll() is not None:
-                    break
-                await asyncio.sleep(0.1)
-            host.kill()
-            host.start()
+            with host.lose():
+                await self.terminate(host)
+                host.start(self.draw_seeds())
         elif kind == "pause":
-            host.signal(signal.SIGSTOP)
-            await asyncio.sleep(duration)
-            host.signal(signal.SIGCONT)
+            await self.pause(host, duration)
         elif kind == "hup":
-            host.signal(signal.SIGHUP)
+            self.send_hangup(host)
         elif kind == "reset":
             proxy.reset()
         elif kind == "crash":
@@ -673,9 +768,31 @@
         elif kind in ("cut", "cut-and-kill"):
             await self.cut_off_leader(duration * 2, kind == "cut-and-kill")
         else:
-            proxy.mode = kind
+            with host.lose() if is_peer_fault else contextlib.nullcontext():
+                proxy.mode = kind
+                await asyncio.sleep(duration)
+                proxy.mode = "pass"
+
+    async def terminate(self, host):
+        """Sends SIGTERM, and SIGKILL if the process has not ended 8 s later."""
+        host.signal(signal.SIGTERM)
+        for _ in range(80):
+            if host.process.poll() is not None:
+                break
+            await asyncio.sleep(0.1)
+        host.kill()
+
+    async def pause(self, host, duration):
+        with host.lose():
+            host.signal(signal.SIGSTOP)
             await asyncio.sleep(duration)
-            proxy.mode = "pass"
+            host.signal(signal.SIGCONT)
+
+    def send_hangup(self, host):
+        if self.announces_seeds:
+            host.seeds = self.draw_seeds()
+            host.write_settings()
+        host.signal(signal.SIGHUP)
 
     def find_leader(self):
         """Returns the allocator that leads the group, as the latest line in the logs says."""
@@ -690,46 +807,219 @@
     async def cut_off_leader(self, duration, kills_others):
         """Cuts the leader off from the other allocators; targets and gateways reach all of them."""
         leader = self.find_leader()
-        others = [h for h in self.hosts[:len(ALLOCATORS)] if h.address != leader]
-        if kills_others and any(h.has_active_fault for h in others):
+        hosts = {h.address: h for h in self.allocator_hosts()}
+        others = [h for a, h in hosts.items() if a != leader]
+        if leader not in hosts or (kills_others and any(h.has_active_fault for h in others)):
             return
-        self.checks.log_event(f"cut off leader {leader} for {duration:.1f} s")
-        self.set_cut(leader, True)
-        await asyncio.sleep(duration)
-        self.set_cut(leader, False)
+        await self.cut_off(hosts[leader], duration)
+        # The hosts that were replaced during the cut stay ended.
+        others = [h for h in others if h in self.hosts]
         if not kills_others or any(h.has_active_fault for h in others):
             return
-        for host in others:
-            host.has_active_fault = True
-            host.kill()
-        await asyncio.sleep(0.5)
-        for host in others:
-            host.start()
-            host.has_active_fault = False
+        with contextlib.ExitStack() as losses:
+            for host in others:
+                losses.enter_context(host.lose())
+                host.has_active_fault = True
+                host.kill()
+            await asyncio.sleep(0.5)
+            for host in others:
+                host.start(self.draw_seeds())
+                host.has_active_fault = False
+
+    async def cut_off(self, host, duration):
+        """Cuts a host off from the other allocators, also from those that start meanwhile."""
+        self.checks.log_event(f"cut off {host.address} for {duration:.1f} s")
+        with host.lose():
+            self.cut_off_hosts.append(host.address)
+            self.apply_cuts()
+            await asyncio.sleep(duration)
+            self.cut_off_hosts.remove(host.address)
+            self.apply_cuts()
 
-    def set_cut(self, leader, is_cut):
-        for host, proxy in zip(self.hosts[:len(ALLOCATORS)], self.peer_proxies):
-            senders = set(ALLOCATORS) - {leader} if host.address == leader else {leader}
-            if is_cut:
-                proxy.cut_off_hosts |= senders
-            else:
-                proxy.cut_off_hosts -= senders
+    def apply_cuts(self):
+        addresses = {h.address for h in self.allocator_hosts()}
+        for host in self.allocator_hosts():
+            is_cut_off = host.address in self.cut_off_hosts
+            host.peer_proxy.cut_off_hosts = (
+                addresses - {host.address} if is_cut_off else set(self.cut_off_hosts))
 
     async def lose_disk(self, host, duration):
         """Makes a host lose its disk; no other disk is lost until it has had time to catch up."""
-        if self.is_disk_lost:
+        if self.disk_loss.locked():
             return
-        self.is_disk_lost = True
-        host.kill()
+        async with self.disk_loss:
+            with host.lose():
+                host.kill()
+                shutil.rmtree(host.data, ignore_errors=True)
+                await asyncio.sleep(duration / 2)
+                host.start(self.draw_seeds())
+            await asyncio.sleep(CATCH_UP_TIME)
+
+    async def replace(self, host, duration):
+        """Replaces an allocator; no other disk is lost until its successor had time to catch up.
+
+        If another allocator is lost meanwhile, the group may have no majority and so can't replace
+        the lost voter. Therefore no allocator counts as lost when a replacement begins, nor when
+        the next disk may be lost after it.
+        """
+        rng = self.replacement_rng
+        waits = rng.random() < 0.5
+        if host.role != "allocator" or (self.disk_loss.locked() and not waits):
+            return
+        async with self.disk_loss:
+            await self.wait_until_none_lost()
+            if self.is_stopping:
+                return
+            leader = next(
+                (h for h in self.allocator_hosts() if h.address == self.find_leader()), None)
+            victim = host
+            if leader is not None and not leader.has_active_fault and rng.random() < 0.5:
+                victim = leader
+            others = [h for h in self.allocator_hosts() if h is not victim and
+                      (h is host or not h.has_active_fault)]
+            kind = rng.choice(["none", "none", "cut", "pause", "restart"])
+            is_planned = rng.random() < 1 / 3
+            other = rng.choice(others) if others and kind != "none" else None
+            self.checks.log_event(
+                f"replace {victim.address}{' (leader)' if victim is leader else ''} by "
+                f"127.0.{self.subnet()}.{self.last_successor_number + 1}, "
+                f"{'planned' if is_planned else 'killed'}, meanwhile "
+                f"{f'{kind} of {other.address}' if other else 'no other fault'}")
+            self.checks.count(f"replacements {'planned' if is_planned else 'killed'}")
+            victim.has_active_fault = True
+            companion = asyncio.create_task(self.disturb(other, kind, duration))
+            if is_planned:
+                successor = await self.start_successor()
+                started_at = time.monotonic()
+                await asyncio.sleep(rng.uniform(0.0, 3.0))
+                self.update_list(removed=victim.address)
+                with victim.lose():
+                    await self.terminate(victim)
+                    self.remove_host(victim)
+                # The host no longer counts once it has ended and its successor has had its time.
+                await asyncio.sleep(max(0.0, started_at + CATCH_UP_TIME - time.monotonic()))
+            else:
+                with victim.lose():
+                    victim.kill()
+                    await asyncio.sleep(rng.uniform(0.0, 1.5))
+                successor = await self.start_successor(victim)
+                await asyncio.sleep(CATCH_UP_TIME)
+            self.checks.log_event(f"successor {successor.address} has had its time")
+            await companion
+            await self.wait_until_none_lost()
+        if rng.random() < 0.4:
+            await self.check_availability_without_faults()
+
+    async def disturb(self, host, kind, duration):
+        """Cuts off, pauses or restarts a host while another one is replaced."""
+        if host is None:
+            return
+        had_active_fault, host.has_active_fault = host.has_active_fault, True
+        if kind == "cut":
+            await self.cut_off(host, duration)
+        elif kind == "pause":
+            await self.pause(host, duration)
+        else:
+            with host.lose():
+                host.kill()
+                await asyncio.sleep(0.3)
+                host.start(self.draw_seeds())
+        host.has_active_fault = had_active_fault
+
+    def subnet(self):
+        return GATEWAYS[0].split(".")[2]
+
+    async def start_successor(self, victim=None):
+        """Starts an allocator with a new address and an empty disk, in place of `victim` if given."""
+        self.last_successor_number += 1
+        address = f"127.0.{self.subnet()}.{self.last_successor_number}"
+        successor = Host(self.program, self.folder, "allocator", address, self.draw_seeds(),
+                         is_successor=True, catch_up_time=self.catch_up_time)
+        await successor.peer_proxy.listen(PEER_PORT)
+        if victim is not None:
+            self.remove_host(victim)
+        self.hosts.append(successor)
+        self.apply_cuts()
+        successor.start()
+        self.update_list(address, victim.address if victim is not None else None)
+        if self.announces_seeds:
+            for host in self.hosts:
+                if host is not successor:
+                    self.send_hangup(host)
+        return successor
+
+    def remove_host(self, host):
+        """Removes a host that has ended. Its address refuses connections from now on."""
+        host.peer_proxy.server.close()
+        self.hosts.remove(host)
         shutil.rmtree(host.data, ignore_errors=True)
-        await asyncio.sleep(duration / 2)
-        host.start()
-        await asyncio.sleep(CATCH_UP_TIME)
-        self.is_disk_lost = False
+        self.apply_cuts()
+
+    def find_lost_host(self):
+        return next((h for h in self.allocator_hosts() if h.counts_as_lost()), None)
+
+    async def check_availability_without_faults(self):
+        """Suspends the injection of faults until the configuration has been changed and read."""
+        if not self.is_stopping:
+            with self.suspend_faults():
+                await self.check_availability()
+
+    @contextlib.contextmanager
+    def suspend_faults(self):
+        """Lets no new fault begin within the block."""
+        self.fault_suspensions += 1
+        try:
+            yield
+        finally:
+            self.fault_suspensions -= 1
+
+    async def wait_until_none_lost(self):
+        with self.suspend_faults():
+            while self.find_lost_host() is not None:
+                await asyncio.sleep(0.05)
+
+    async def check_availability(self):
+        """Checks that the configuration can be changed and read while no allocator is lost."""
+        await self.wait_until_none_lost()
+        self.checks.log_event("no allocator counts as lost")
+        is_acknowledged = await self.retry_while_available(
+            self.put_configuration, ACKNOWLEDGEMENT_DELAY, "no change was acknowledged")
+        if not is_acknowledged:
+            return
+        version = max(v for _, v in self.acknowledged_versions)
+        for address in list(ALLOCATORS):
+            async def is_read_back():
+                read = await self.read_configuration(address)
+                return read is not None and read >= version
+
+            if not await self.retry_while_available(
+                    is_read_back, CONFIGURATION_DELAY, f"{version} was not read from {address}"):
+                return
+        self.checks.count("availability checks")
+
+    async def retry_while_available(self, attempt, limit, violation):
+        """Returns whether `attempt` succeeds; records a violation if it doesn't within `limit`.
+
+        A loss that begins meanwhile ends the check without a violation.
+        """
+        end = time.monotonic() + limit
+        while self.find_lost_host() is None:
+            if await attempt():
+                return True
+            if time.monotonic() > end:
+                if self.find_lost_host() is None:
+                    self.checks.record_violation(
+                        f"UNAVAILABLE: configuration {violation} within {limit} s although no "
+                        "allocator counts as lost")
+                return False
+            await asyncio.sleep(0.1)
+        return False
 
     async def inject_faults(self):
         while not self.is_stopping:
             await asyncio.sleep(self.rng.uniform(0.1, 1.0) * self.maximum_pause)
+            while self.fault_suspensions > 0:
+                await asyncio.sleep(0.05)
             await self.inject_random_fault()
 
     async def retry_until_recovered(self, attempt):
@@ -753,17 +1043,10 @@
             self.background_tasks += [asyncio.create_task(target.send_heartbeats()),
                                       asyncio.create_task(target.watch_lease())]
 
-    async def start_peer_proxies(self):
-        self.peer_proxies, self.peer_servers = [], []
-        for host in self.hosts:
-            proxy = Proxy(host.address, PEER_BIND_PORT)
-            self.peer_servers.append(
-                await asyncio.start_server(proxy.serve, host.address, PEER_PORT))
-            self.peer_proxies.append(proxy)
-
     async def run(self):
         await self.start_targets()
-        await self.start_peer_proxies()
+        for host in self.hosts:
+            await host.peer_proxy.listen(PEER_PORT)
         for host in self.hosts:
             host.start()
         if (not await self.retry_until_recovered(self.put_configuration)
@@ -774,9 +1057,11 @@
         work = [asyncio.create_task(self.run_caller()) for _ in range(10)]
         work += [asyncio.create_task(self.run_stored_job_caller()) for _ in range(5)]
         work += [asyncio.create_task(self.run_operator())]
-        work += [asyncio.create_task(self.inject_faults()) for _ in range(2)]
+        faults = [asyncio.create_task(self.inject_faults()) for _ in range(2)]
         await asyncio.sleep(self.seconds)
         self.is_stopping = True
+        await asyncio.gather(*faults)
+        await self.check_availability()
         await asyncio.gather(*work)
         await self.check_end()
 
@@ -795,16 +1080,16 @@
     def shut_down(self):
         for task in self.background_tasks:
             task.cancel()
-        for server in self.peer_servers:
-            server.close()
         for host in self.hosts:
+            if host.peer_proxy.server is not None:
+                host.peer_proxy.server.close()
             host.kill()
         self.checks.event_log.close()
 
 
 async def run_soak(options, seed, folder):
     soak = Soak(options.program, options.faults.split(","), seed, options.seconds, options.pause,
-                folder)
+                folder, None if options.omit_catch_up else CATCH_UP_TIME)
     try:
         await soak.run()
     finally:
@@ -824,11 +1109,14 @@
                         help="longest time between two faults, in seconds")
     parser.add_argument("--subnet", type=int, default=9, choices=range(1, 255), metavar="N",
                         help="the processes use 127.0.N.x; soaks side by side need different ones")
+    parser.add_argument("--omit-catch-up", action="store_true",
+                        help="leave catch_up_s out of the settings, for programs without it")
     options = parser.parse_args()
-    ALLOCATORS.extend(f"127.0.{options.subnet}.{i}" for i in (1, 2, 3))
     GATEWAYS.extend(f"127.0.{options.subnet}.{i}" for i in (11, 12))
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
+        ALLOCATORS[:] = [f"127.0.{options.subnet}.{i}" for i in (1, 2, 3)]
+        FORMER_ALLOCATORS.clear()
         folder = pathlib.Path(tempfile.mkdtemp(prefix="sapphirecrank-soak-"))
         checks = asyncio.run(run_soak(options, seed, folder))
         counts = ", ".join(f"{name} {count}" for name, count in sorted(checks.counts.items()))
