--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -856,7 +856,9 @@
             await asyncio.sleep(CATCH_UP_TIME)
 
     async def replace(self, host, duration):
-        """Replaces an allocator; no other disk is lost until its successor had time to catch up.
+        """Replaces `host`, the leader or, if `host` is a gateway, any allocator.
+
+        No other disk is lost until the successor had time to catch up.
 
         If another allocator is lost meanwhile, the group may have no majority and so can't replace
         the lost voter. Therefore no allocator counts as lost when a replacement begins, nor when
@@ -864,24 +866,25 @@
         """
         rng = self.replacement_rng
         waits = rng.random() < 0.5
-        if host.role != "allocator" or (self.disk_loss.locked() and not waits):
+        if self.disk_loss.locked() and not waits:
             return
         async with self.disk_loss:
             await self.wait_until_none_lost()
             if self.is_stopping:
                 return
-            leader = next(
-                (h for h in self.allocator_hosts() if h.address == self.find_leader()), None)
-            victim = host
-            if leader is not None and not leader.has_active_fault and rng.random() < 0.5:
-                victim = leader
-            others = [h for h in self.allocator_hosts() if h is not victim and
-                      (h is host or not h.has_active_fault)]
+            free = [h for h in self.allocator_hosts() if h is host or not h.has_active_fault]
+            if not free:
+                return
+            victim = host if host in free else rng.choice(free)
+            leader = self.find_leader()
+            if rng.random() < 0.5:
+                victim = next((h for h in free if h.address == leader), victim)
+            others = [h for h in free if h is not victim]
             kind = rng.choice(["none", "none", "cut", "pause", "restart"])
             is_planned = rng.random() < 1 / 3
             other = rng.choice(others) if others and kind != "none" else None
             self.checks.log_event(
-                f"replace {victim.address}{' (leader)' if victim is leader else ''} by "
+                f"replace {victim.address}{' (leader)' if victim.address == leader else ''} by "
                 f"127.0.{self.subnet()}.{self.last_successor_number + 1}, "
                 f"{'planned' if is_planned else 'killed'}, meanwhile "
                 f"{f'{kind} of {other.address}' if other else 'no other fault'}")
@@ -1030,6 +1033,15 @@
             await asyncio.sleep(0.2)
         return False
 
+    async def log_delays(self):
+        """Logs when this program stood still, and with it all proxies and targets."""
+        while True:
+            due = time.monotonic() + 0.1
+            await asyncio.sleep(0.1)
+            delay = time.monotonic() - due
+            if delay > 0.3:
+                self.checks.log_event(f"this program was delayed by {delay:.2f} s")
+
     async def start_targets(self):
         self.targets, self.proxies, self.background_tasks = [], [], []
         for i in range(TARGET_COUNT):
@@ -1045,6 +1057,7 @@
 
     async def run(self):
         await self.start_targets()
+        self.background_tasks.append(asyncio.create_task(self.log_delays()))
         for host in self.hosts:
             await host.peer_proxy.listen(PEER_PORT)
         for host in self.hosts:
