--- a/src/clusterhost/allocator_host.cc
+++ b/src/clusterhost/allocator_host.cc
@@ -10,6 +10,7 @@
 #include "cluster/cluster_update.h"
 #include "cluster/member_name.h"
 #include "clusterhost/peer_setup.h"
+#include "consensus/raft_status.h"
 #include "observability/log_field.h"
 #include "observability/logger.h"
 
@@ -60,7 +61,8 @@
       logger(logger),
       group_monitor({this->now, [this](const HostId& host) { return this->IsReachable(host); }},
                     logger, this->metrics),
-      job_manager({this->self, this->settings.host.data_centre, this->settings.job_retention},
+      job_manager({this->self, this->settings.host.data_centre, this->settings.job_retention,
+                   this->settings.host.LostRunDelay(this->settings.scheduler.maximum_lease)},
                   this->JobManagerHooks(), logger),
       scheduler(this->settings.scheduler, this->SchedulerHooks(std::move(calls))),
       target_file(this->settings.group.file_system, this->settings.group.data_folder),
@@ -172,6 +174,7 @@
   };
   hooks.on_status = [this](const HostId& member, const consensus::RaftStatus& status) {
     this->group_monitor.OnStatus(member, status);
+    this->ConnectToMembers(status.membership);
   };
   hooks.on_membership_change = [this](const cluster::PlannedChange& planned) {
     this->group_monitor.OnMembershipChange(planned);
@@ -303,12 +306,14 @@
   this->ReportCapacity();
   const base::TimePoint deadline = this->now() + this->settings.drain_limit;
   while (this->scheduler.BatchCount() > 0 && this->now() < deadline) {
+    // Only another leader can hand over this host's vote.
+    this->group->TransferLeadership();
     std::this_thread::sleep_for(kDrainPollInterval);
   }
   this->group->TransferLeadership();
   // Otherwise the group would have one vote less until it replaces that of this host, which may not
   // return.
-  const base::TimePoint handover_deadline = this->now() + kVoteHandoverTimeout;
+  const base::TimePoint handover_deadline = deadline + kVoteHandoverTimeout;
   while (this->group->IsVoteHandoverPending() && this->now() < handover_deadline) {
     std::this_thread::sleep_for(kDrainPollInterval);
     this->group->TransferLeadership();
@@ -322,8 +327,28 @@
   }
 }
 
-bool AllocatorHost::IsReachable(const HostId& host) const {
-  return host == this->self || this->network->IsPeerReachable(host);
+void AllocatorHost::ConnectToMembers(const consensus::RaftMembership& membership) {
+  if (membership == this->connected_membership) {
+    return;
+  }
+  this->connected_membership = membership;
+  for (const auto* members : {&membership.voters, &membership.learners}) {
+    for (const HostId& member : *members) {
+      this->network->AddPeer(
+          MakePeerAddress(base::NetworkAddress(cluster::MemberName::ParseHost(member).value())));
+    }
+  }
+}
+
+bool AllocatorHost::IsReachable(const HostId& host) {
+  if (host == this->self) {
+    return true;
+  }
+  if (!this->network->IsPeerReachable(host)) {
+    return false;
+  }
+  MutexLock lock(this->state_mutex);
+  return this->allocator_hosts.count(host) > 0;
 }
 
 bool AllocatorHost::IsLeaving(const HostId& host) {
@@ -341,7 +366,8 @@
                                this->settings.host.data_centre};
   }
   auto found = this->reachable_hosts.find(host);
-  if (found == this->reachable_hosts.end() || this->leaving_hosts.count(host) > 0) {
+  if (found == this->reachable_hosts.end() || this->leaving_hosts.count(host) > 0 ||
+      this->allocator_hosts.count(host) == 0) {
     return std::nullopt;
   }
   const base::DataCentreId data_centre = this->network->PeerDataCentre(host);
@@ -541,13 +567,23 @@
   {
     MutexLock lock(this->state_mutex);
     this->reachable_hosts.erase(host);
+    this->allocator_hosts.erase(host);
   }
   this->logger.Warning("host unreachable", {{"host", host.value()}});
   this->scheduler.CancelJobsOfGateway(host);
   this->job_manager.OnHostLost(host);
 }
 
+void AllocatorHost::RecordAllocator(const HostId& host) {
+  MutexLock lock(this->state_mutex);
+  this->allocator_hosts.insert(host);
+}
+
 void AllocatorHost::OnMessage(const HostId& from, const protocol::Message& message) {
+  if (std::holds_alternative<cluster::ClusterUpdate>(message) ||
+      std::holds_alternative<runs::CapacityReport>(message)) {
+    this->RecordAllocator(from);
+  }
   if (this->job_manager.OnMessage(from, message)) {
     return;
   }
--- a/src/clusterhost/group_monitor.cc
+++ b/src/clusterhost/group_monitor.cc
@@ -40,6 +40,8 @@
       return "promote_learner";
     case MembershipChange::Kind::kRemoveMember:
       return "remove_member";
+    case MembershipChange::Kind::kReplaceVoter:
+      return "replace_voter";
   }
   return "unknown";
 }
@@ -81,6 +83,7 @@
                               {"index", std::to_string(status.membership_index.value())},
                               {"voters", JoinNames(status.membership.voters)},
                               {"learners", JoinNames(status.membership.learners)},
+                              {"outgoing_voters", JoinNames(status.membership.outgoing_voters)},
                               {"member", self.value()}});
 }
 
@@ -114,7 +117,7 @@
 
 std::string GroupMonitor::UnreachableVoters(const RaftMembership& membership) const {
   std::set<HostId> unreachable_voters;
-  for (const HostId& voter : membership.voters) {
+  for (const HostId& voter : membership.AllVoters()) {
     if (!this->hooks.is_host_reachable(cluster::MemberName::ParseHost(voter))) {
       unreachable_voters.insert(voter);
     }
@@ -159,12 +162,19 @@
 }
 
 void GroupMonitor::OnChange(base::Version version, ProposalOutcome outcome, const HostId& leader) {
+  const auto log_answer = [this, version, &leader](const char* text) {
+    this->metrics.OnConfigurationRequest("change", text);
+    this->logger.Info("configuration change answered",
+                      {{"version", std::to_string(version.value())},
+                       {"outcome", text},
+                       {"leader", leader.value()}});
+  };
   switch (outcome) {
     case ProposalOutcome::kCommitted:
-      this->metrics.OnConfigurationRequest("change", "committed");
+      log_answer("committed");
       return;
     case ProposalOutcome::kNotLeader:
-      this->metrics.OnConfigurationRequest("change", "other_leader");
+      log_answer("other_leader");
       return;
     case ProposalOutcome::kUnknown:
       this->metrics.OnConfigurationRequest("change", "not_confirmed");
--- a/src/consensus/replication.h
+++ b/src/consensus/replication.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <utility>
 #include <vector>
@@ -73,13 +74,21 @@
   }
 
  private:
-  bool IsSelfVoter() const;
+  /// Returns the highest value that a quorum has reached. `value_of` returns that of a peer.
+  template <typename Value>
+  Value QuorumValue(Value own_value,
+                    const std::function<Value(const ReplicationProgress&)>& value_of) const;
   void CollectPeerMessages(const base::HostId& host, ReplicationProgress& peer,
                            base::LogIndex commit_index, const RaftSnapshot& snapshot,
                            Messages& messages);
   void CollectSnapshotChunk(const base::HostId& host, ReplicationProgress& peer,
                             const RaftSnapshot& snapshot, Messages& messages);
-  AppendRequest MakeAppendRequest(ReplicationProgress& peer, base::LogIndex commit_index);
+  /// Returns the index of the last entry that a host may get. Learners get committed entries only:
+  /// with others, a learner that just became a voter in another leader's log could refuse its vote
+  /// to the only candidate that is left.
+  base::LogIndex LastIndexFor(const base::HostId& host, base::LogIndex commit_index) const;
+  AppendRequest MakeAppendRequest(const base::HostId& host, ReplicationProgress& peer,
+                                  base::LogIndex commit_index);
 
   base::HostId self;
   const RaftSettings& settings;
