--- a/models/membership.pml
+++ b/models/membership.pml
@@ -16,8 +16,7 @@
  * learner is promoted by a single entry while there are fewer voters than desired.
  * Because of its lease, a leader begins no change after the next leader was elected.
  *
- * Learners get committed entries only. src/consensus/replication.cc doesn't keep this
- * rule: it sends them all entries. -DUNCOMMITTED_TO_LEARNERS models that.
+ * Learners get committed entries only; -DUNCOMMITTED_TO_LEARNERS sends them all.
  * -DLEARNERS_CAMPAIGN is another rule that avoids the fault: learners get all entries,
  * and a learner may campaign, although its own vote doesn't count.
  *
