protocol: Read memberships of earlier program versions

The field is now sent only while a voter is being replaced, and may be missing.

Found in the read-through; no run with two versions was made. The tests MessageCodec LogEntriesSurviveEncoding and RaftDiskStorage KeepsMembershipsWithAndWithoutOutgoingVoters cover both forms and pass (release). An earlier version can't take part in a replacement correctly: update all allocators before hosts are replaced.

--- a/src/protocol/raft_codec.cc
+++ b/src/protocol/raft_codec.cc
@@ -22,6 +22,9 @@
 
 namespace {
 
+// Present only while a voter is being replaced, and never sent by earlier program versions.
+constexpr const char* kOutgoingVoters = "outgoing_voters";
+
 json EncodeHosts(const std::set<base::HostId>& hosts) {
   json array = json::array();
   for (const base::HostId& host : hosts) {
@@ -43,17 +46,23 @@
 }
 
 json EncodeMembership(const RaftMembership& membership) {
-  return {{"voters", EncodeHosts(membership.voters)},
-          {"learners", EncodeHosts(membership.learners)},
-          {"outgoing_voters", EncodeHosts(membership.outgoing_voters)}};
+  json encoded = {{"voters", EncodeHosts(membership.voters)},
+                  {"learners", EncodeHosts(membership.learners)}};
+  if (!membership.outgoing_voters.empty()) {
+    encoded[kOutgoingVoters] = EncodeHosts(membership.outgoing_voters);
+  }
+  return encoded;
 }
 
 RaftMembership DecodeMembership(FieldReader& parent, const char* name) {
-  FieldReader reader(parent.ReadMap(name));
+  const json& encoded = parent.ReadMap(name);
+  FieldReader reader(encoded);
   RaftMembership membership;
   membership.voters = DecodeHosts(reader, "voters");
   membership.learners = DecodeHosts(reader, "learners");
-  membership.outgoing_voters = DecodeHosts(reader, "outgoing_voters");
+  if (encoded.contains(kOutgoingVoters)) {
+    membership.outgoing_voters = DecodeHosts(reader, kOutgoingVoters);
+  }
   if (!reader.faulty_field().empty()) {
     parent.RecordError(name);
   }
--- a/tests/consensus/raft_disk_storage_test.cc
+++ b/tests/consensus/raft_disk_storage_test.cc
@@ -47,6 +47,22 @@
   }
 };
 
+// Guards against a restart that forgets that a voter is being replaced, or that misreads the
+// memberships of earlier program versions, which have no outgoing voters.
+TEST(RaftDiskStorage, KeepsMembershipsWithAndWithoutOutgoingVoters) {
+  FaultyFileSystem file_system(1);
+  std::vector<LogEntry> entries = MakeEntries(1, 2, 1);
+  for (LogEntry& entry : entries) {
+    entry.kind = LogEntry::Kind::kMembership;
+    entry.membership = membership;
+  }
+  entries[1].membership.outgoing_voters = {HostId("h0"), HostId("h1"), HostId("h3")};
+  auto storage = OpenStorage(file_system);
+  CHECK(storage->MakeStorageHooks().append_entries(old_state, entries).has_value());
+  storage.reset();
+  CHECK(OpenStorage(file_system)->recovered_state().entries == entries);
+}
+
 // Guards against two effects of a crash at any file operation of storing a snapshot: entries that
 // are acknowledged after the restart are lost at the next one, or entries are kept that don't
 // follow the snapshot.
--- a/tests/protocol/message_codec_test.cc
+++ b/tests/protocol/message_codec_test.cc
@@ -213,7 +213,10 @@
   entry.membership.voters = {base::HostId("a"), base::HostId("b")};
   entry.membership.learners = {base::HostId("c")};
   consensus::AppendRequest request;
-  request.entries = {entry};
+  // A voter is being replaced by the second entry, and isn't by the first one.
+  consensus::LogEntry replacement = entry;
+  replacement.membership.outgoing_voters = {base::HostId("a"), base::HostId("d")};
+  request.entries = {entry, replacement};
   request.confirmed_freshness_token = {base::Incarnation(9),
                                        base::TimePoint(std::chrono::seconds(7))};
   const auto decoded = DecodeEnvelope(
