tests: Follow the replacement of voters, and free no name while it is in use

ReplacesALostVoterWhoseAddressAGatewayUses waited for the change remove_member, but a lost voter is replaced by replace_voter since the joint change; it waits for that now. ViewGroup of ViewConsensus passed a name by reference to a function that erases it.

--- a/tests/clusterhost/cluster_test.cc
+++ b/tests/clusterhost/cluster_test.cc
@@ -175,11 +175,11 @@
   }
 
   /// Tells whether a leader has proposed to remove a member.
-  bool HasRemovedMember() {
+  bool HasReplacedVoter() {
     for (const auto& allocator : this->allocators) {
       if (allocator != nullptr &&
           allocator->MetricsText().find(
-              "sapphirecrank_membership_changes_total{change=\"remove_member\"}") !=
+              "sapphirecrank_membership_changes_total{change=\"replace_voter\"}") !=
               std::string::npos) {
         return true;
       }
@@ -447,7 +447,7 @@
   CHECK_TRUE(this->WaitUntil([this] { return this->ReadVersionAt(3) == base::Version(3); }));
   this->StopAllocator(0);
   const auto other_gateway = this->StartGateway(this->seeds[0].value(), 2);
-  CHECK_TRUE(this->WaitUntil([this] { return this->HasRemovedMember(); }));
+  CHECK_TRUE(this->WaitUntil([this] { return this->HasReplacedVoter(); }));
   this->StopAllocator(1);
   CHECK_TRUE(this->WaitUntil(
       [this] { return this->PutConfigurationAt(2, 4) || this->PutConfigurationAt(3, 4); }));
--- a/tests/entryhost/view_consensus_test.cc
+++ b/tests/entryhost/view_consensus_test.cc
@@ -40,7 +40,8 @@
 
   ~ViewGroup() {
     while (!this->hosts.empty()) {
-      this->Stop(this->hosts.begin()->first);
+      const std::string name = this->hosts.begin()->first;
+      this->Stop(name);
     }
   }
 
