--- a/review/9/run.py
+++ b/review/9/run.py
@@ -1,63 +1,73 @@
-"""A runner is cut off while an allocator is down, and has a new owner when it is back (claim.txt)."""
+"""Urgent jobs wait for the one runner that can hold them, which is lost (see claim.txt)."""
 
 import asyncio
 import os
-import random
 import sys
-import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "support-2"))
+import deployment as support  # noqa: E402
 from deployment import Deployment, job_id, main  # noqa: E402
 
-JOB = job_id()
-DOWN_S = 3.5
-CUT_S = 5.5
-attempted = set()
+LARGE_COUNT, SMALL_COUNT = 30, 40
+FINISH_S, IDLE_S, CONTACT_S = 14.0, 3.0, 3.0
+URGENT, LATER = "urgent/", "later/"
 
 
 def behaviour(task, run, spec):
-    """The first attempt of each task fails after 0.5 to 1.7 s; later ones take 30 s."""
-    if task not in attempted:
-        attempted.add(task)
-        return random.uniform(0.5, 1.7), "failed"
-    return 30.0, "done"
+    return 0.3, "done"
 
 
 def make(folder):
-    return Deployment(folder, behaviour, [2000] * 6)
+    # The runners of the site are of two sizes, 16 and 24 cores.
+    return Deployment(folder, behaviour, [16000] * 8 + [24000])
+
+
+def job(cpu):
+    return {"spec": "s", "steps": [{"count": 1, "cpu": cpu, "memMb": 64, "estRuntimeMs": 300}]}
 
 
 async def case(deployment, trouble):
     record = deployment.record
-    leader = deployment.leader()
-    assert leader is not None, "no leader"
-    owners = {host.control: host for host in deployment.allocators}
-    candidates = [runner for runner in deployment.runners
-                  if owners.get(runner.heartbeat_address) not in (None, leader)]
-    assert candidates, "all runners belong to the leader"
-    victim = candidates[0]
-    restarted = owners[victim.heartbeat_address]
-    begun = time.monotonic()
-    if trouble:
-        restarted.kill()
-    await asyncio.sleep(1.6)
-    step = {"count": 6, "cpu": 400, "memMb": 1, "estRuntimeMs": 0}
-    status, _ = await deployment.client(deployment.gateways[0], "POST", JOB,
-                                        {"spec": "j", "steps": [step] * 4})
-    assert status == 200, "the job wasn't accepted"
-    await asyncio.sleep(begun + 2.2 - time.monotonic())
+    configuration = deployment.configuration(2)
+    template = configuration["routes"][0]
+    configuration["routes"] = [
+        dict(template, name="q-urgent", pathPrefix=support.PREFIX + URGENT, priority=0),
+        dict(template, name="q-later", pathPrefix=support.PREFIX + LATER, priority=2)]
+    assert await deployment.put_configuration(configuration), "no new configuration"
+    large_runner = deployment.runners[-1]
     if trouble:
-        victim.is_cut = True
-        record.write(f"{victim.name} is cut off; it runs {list(victim.active)}")
-        await asyncio.sleep(begun + DOWN_S - time.monotonic())
-        restarted.start()
-        await asyncio.sleep(begun + 2.2 + CUT_S - time.monotonic())
-        victim.is_cut = False
-        record.write(f"{victim.name} is back")
-    await asyncio.sleep(15)
-    return [f"TWICE: {a['task']} run {a['run']} on {a['runner']} and run {b['run']} on "
-            f"{b['runner']} at the same time for {overlap:.2f} s"
-            for a, b, overlap in deployment.simultaneous_runs()]
+        record.write(f"{large_runner.name} crashes for good")
+        large_runner.is_down = True
+        large_runner.crash()
+        large_runner.server.close()
+    await asyncio.sleep(CONTACT_S + 4)
+
+    async def submit(prefix, body, number):
+        identity = job_id()
+        status, _ = await deployment.client(deployment.gateways[number % 2], "POST",
+                                            prefix + identity, body)
+        return identity if status == 200 else None
+
+    for number in range(LARGE_COUNT):
+        await submit(URGENT, job(20000), number)
+        await asyncio.sleep(0.1)
+    accepted = []
+    for number in range(SMALL_COUNT):
+        accepted.append(await submit(LATER, job(500), number))
+        await asyncio.sleep(0.18)
+    accepted = [identity for identity in accepted if identity]
+    assert accepted, "no job was accepted"
+    asked_from = record.now() + FINISH_S
+    await asyncio.sleep(FINISH_S + 10)
+    violations = []
+    for identity in accepted:
+        first = min((run["start"] for run in deployment.runs if run["task"].startswith(identity)),
+                    default=record.now())
+        if first - asked_from > IDLE_S:
+            _, answer = await deployment.client(deployment.gateways[0], "GET", LATER + identity)
+            violations.append(f"LOST: job {identity} had nothing running from {asked_from:.1f} to "
+                              f"{first:.1f}, with eight idle runners; it is shown as {answer}")
+    return violations
 
 
 main(case, make)
