runs, stored: Return a stored task whose run may have a result elsewhere

Cause: the permission for the second run stood only in the memory of the allocator that started it.

Change: a stored task gets a further run in its batch only if no host can read a result of the run before. After the end of a lease, on a target that is dropped, and for a run that is missing after a restart of its target, the allocator returns the task, and the group supersedes the run before the task is placed again. A late end is then committed before that, and counts, or never counts. The restart is a related path: the new incarnation accepts the token of a former owner again, which took the run for lost although the next owner had reported its failure.

Earlier versions ignore the field and wait; events without it are read as before.

`ReturnsAStoredTaskWhoseRunWasLostIfNoTargetCanRunIt` expected the task of a dropped target to be queued for 100 ms. That is what the change forbids; two tests replace it: `ReturnsAStoredTaskWhoseTargetIsGone` (returned at once, no second start although another target is free) and `ReturnsAStoredTaskThatWasRefusedIfNoTargetCanRunIt` (the wait limit, with the same checks, for a task that still waits).

--- a/src/protocol/field_reader.cc
+++ b/src/protocol/field_reader.cc
@@ -50,6 +50,10 @@
   return value->get<bool>();
 }
 
+bool FieldReader::ReadBoolOr(const char* name, bool default_value) {
+  return this->FindField(name) == nullptr ? default_value : this->ReadBool(name);
+}
+
 int64_t FieldReader::ReadInteger(const char* name, int64_t minimum, int64_t maximum) {
   const Json* value = this->FindField(name);
   const bool too_large = value != nullptr && value->is_number_unsigned() &&
--- a/src/protocol/field_reader.h
+++ b/src/protocol/field_reader.h
@@ -30,6 +30,8 @@
   /// Reads a CBOR byte string.
   std::string ReadBytes(const char* name);
   bool ReadBool(const char* name);
+  /// Reads a field that earlier program versions don't send; `default_value` if it is missing.
+  bool ReadBoolOr(const char* name, bool default_value);
   /// Reads an integer from `minimum` to `maximum`.
   int64_t ReadInteger(const char* name, int64_t minimum, int64_t maximum);
   uint64_t ReadUnsigned(const char* name);
--- a/src/protocol/stored_codec.cc
+++ b/src/protocol/stored_codec.cc
@@ -27,7 +27,8 @@
                     {"step", ToJson(event.key.task.step)},
                     {"index", ToJson(event.key.task.index)},
                     {"run", ToJson(event.key.run)},
-                    {"kind", EnumToJson(event.kind)}});
+                    {"kind", EnumToJson(event.kind)},
+                    {"gone", event.is_run_gone}});
   }
   return list;
 }
@@ -45,6 +46,8 @@
     item.Read("index", event.key.task.index);
     item.Read("run", event.key.run);
     event.kind = item.ReadEnum("kind", RunEvent::Kind::kReturned);
+    // Earlier program versions don't send the field; their runs may still be active.
+    event.is_run_gone = item.ReadBoolOr("gone", false);
     return event;
   });
 }
--- a/src/runs/run_event.h
+++ b/src/runs/run_event.h
@@ -26,6 +26,9 @@
   base::SequenceNumber end_sequence_number;
   RunKey key;
   Kind kind = Kind::kStarted;
+  /// With `kReturned`: the run isn't active any more, so that the task need not wait for the end of
+  /// its lease. Not part of the event's identity.
+  bool is_run_gone = false;
 
   friend bool operator<(const RunEvent& a, const RunEvent& b) {
     return std::tie(a.key, a.kind, a.target, a.target_incarnation, a.end_sequence_number) <
--- a/src/runs/service_scheduler.cc
+++ b/src/runs/service_scheduler.cc
@@ -348,24 +348,45 @@
   const TaskBatch& batch = placed.batch;
   if (batch.is_stored &&
       key.run.value() + 1 >= batch.first_run_number.value() + TaskBatch::kMaximumRunsPerTask) {
-    this->ReturnTask(target, key, run, now, actions);
+    this->ReturnTask(target, key, run, true, now, actions);
   } else {
     this->EnqueueTask(placed, run.task_position, now);
   }
 }
 
 void ServiceScheduler::ReturnTask(const LeasedTarget& target, const RunKey& key,
-                                  const TargetRun& run, TimePoint now, SchedulerActions& actions) {
+                                  const TargetRun& run, bool is_run_gone, TimePoint now,
+                                  SchedulerActions& actions) {
   auto found = this->batches.find(run.batch);
-  if (run.is_orphan || found == this->batches.end() ||
-      found->second.tasks[run.task_position].last_run_number != key.run) {
+  if (run.is_orphan || found == this->batches.end()) {
+    return;
+  }
+  PlacedBatch::TaskState& task = found->second.tasks[run.task_position];
+  if (task.last_run_number != key.run) {
     return;
   }
-  found->second.tasks[run.task_position].is_returned = true;
+  task.is_returned = true;
+  // The end of the batch must not stop a run on a target whose lease has ended.
+  task.target = TargetId();
   AddRunEvent(target, key, RunEvent::Kind::kReturned, base::SequenceNumber(), actions);
+  actions.run_events.back().is_run_gone = is_run_gone;
+  actions.decisions.push_back({"task returned", key, target.report.id, target.fencing_token,
+                               is_run_gone
+                                   ? "the run is gone, and another owner may have read its result"
+                                   : "another owner of the target may find the run active"});
   this->FinishTask(found, now, actions);
 }
 
+void ServiceScheduler::ReturnOrRequeueTask(const LeasedTarget& target, const RunKey& key,
+                                           const TargetRun& run, bool is_run_gone, TimePoint now,
+                                           SchedulerActions& actions) {
+  if (run.is_stored) {
+    this->ReturnTask(target, key, run, is_run_gone, now, actions);
+  } else {
+    this->RequeueTask(target, key, run, now, actions);
+  }
+}
+
 void ServiceScheduler::FinishTask(std::map<BatchKey, PlacedBatch>::iterator batch_iterator,
                                   TimePoint now, SchedulerActions& actions) {
   PlacedBatch& placed = batch_iterator->second;
@@ -646,8 +667,8 @@
     actions.decisions.push_back({"run lost", key, target.report.id, target.fencing_token,
                                  "the target doesn't list the run"});
     const TargetRun run = this->RemoveRun(target, key);
-    if (run.is_stored && run.had_other_owner) {
-      this->ReturnTask(target, key, run, now, actions);
+    if (run.had_other_owner) {
+      this->ReturnOrRequeueTask(target, key, run, true, now, actions);
     } else {
       this->RequeueTask(target, key, run, now, actions);
     }
@@ -805,12 +826,7 @@
     }
     actions.decisions.push_back({"run lost", key, target.report.id, target.fencing_token, reason});
     const TargetRun run = this->RemoveRun(target, key);
-    if (run.is_stored && may_run_until != TimePoint()) {
-      // The next owner of the target may find that the run has completed the task.
-      this->ReturnTask(target, key, run, now, actions);
-    } else {
-      this->RequeueTask(target, key, run, now, actions);
-    }
+    this->ReturnOrRequeueTask(target, key, run, may_run_until == TimePoint(), now, actions);
   }
 }
 
@@ -826,7 +842,8 @@
       this->reserved_tasks.erase(this->reserved_tasks.find(key.task));
       run.reserves_task = false;
     }
-    this->RequeueTask(target, key, run, now, actions);
+    // The run may have ended with a result before its lease did.
+    this->ReturnOrRequeueTask(target, key, run, true, now, actions);
     run.is_orphan = true;
     run.has_lease_expired = true;
   }
@@ -859,6 +876,11 @@
                        std::to_string(target.runs.size()) + " runs to look for";
   target.incarnation = incarnation;
   target.ForgetEarlierIncarnation();
+  // The new incarnation accepts any token. It doesn't show whether an owner with a higher one has
+  // read the ends of the earlier incarnation.
+  for (auto& [key, run] : target.runs) {
+    run.had_other_owner = true;
+  }
   if (!target.runs.empty()) {
     // A start request that reached the new incarnation carried a time on the clock of the earlier
     // one; the target limits such a lease to the maximum.
--- a/src/runs/service_scheduler.h
+++ b/src/runs/service_scheduler.h
@@ -111,13 +111,20 @@
   TargetRun RemoveRun(LeasedTarget& target, const RunKey& key);
   /// Queues the task of `run` again, after the run was removed or its target's lease has ended. A
   /// stored task that has used up its run numbers is returned to the stored job manager instead.
-  /// Does nothing if the run is an orphan or not the last run of the task.
+  /// Does nothing if the run is an orphan or not the last run of the task. Precondition for a
+  /// stored task: no host can read a result of the run.
   void RequeueTask(const LeasedTarget& target, const RunKey& key, const TargetRun& run,
                    base::TimePoint now, SchedulerActions& actions);
-  /// Returns the task of `run` to the stored job manager instead of queueing it again. Does nothing
-  /// in the same cases as `RequeueTask`.
+  /// Returns the task of `run` to the stored job manager instead of queueing it again.
+  /// `is_run_gone` says that the run isn't active any more. Does nothing in the same cases as
+  /// `RequeueTask`.
   void ReturnTask(const LeasedTarget& target, const RunKey& key, const TargetRun& run,
-                  base::TimePoint now, SchedulerActions& actions);
+                  bool is_run_gone, base::TimePoint now, SchedulerActions& actions);
+  /// Returns the task of a stored job, and queues any other task again. For a run whose result
+  /// another owner of its target may read: that owner reports it to the stored job manager, which
+  /// then must not count it beside a further run of the same batch.
+  void ReturnOrRequeueTask(const LeasedTarget& target, const RunKey& key, const TargetRun& run,
+                           bool is_run_gone, base::TimePoint now, SchedulerActions& actions);
   /// Records that a task of a batch needs no more runs here, and ends the batch after the last one.
   void FinishTask(std::map<BatchKey, PlacedBatch>::iterator batch_iterator, base::TimePoint now,
                   SchedulerActions& actions);
--- a/src/stored/job_scheduler.cc
+++ b/src/stored/job_scheduler.cc
@@ -298,7 +298,9 @@
       if (event.kind == Kind::kReturned) {
         if (!is_superseded && !task.run_awaiting_commit) {
           task.batch = BatchNumber();
-          task.earliest_placement = this->hooks.now() + this->settings.lost_run_delay;
+          task.earliest_placement =
+              this->hooks.now() +
+              (event.is_run_gone ? kPlacementRetryDelay : this->settings.lost_run_delay);
           shard.jobs_to_place.insert(id);
         }
         return EventDisposition::kAcknowledge;
--- a/tests/protocol/message_codec_test.cc
+++ b/tests/protocol/message_codec_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 #include <variant>
@@ -160,6 +161,7 @@
                 base::TaskIndex(5)},
                base::RunNumber(65)};
   event.kind = runs::RunEvent::Kind::kReturned;
+  event.is_run_gone = true;
   const auto decoded = DecodeEnvelope(
       EncodeEnvelope({base::SequenceNumber(1), base::SequenceNumber(0), base::SessionNumber(4),
                       runs::RunEventAcknowledgements{{event}, {event, event}}}));
@@ -173,6 +175,26 @@
   CHECK(copy.acknowledged[0].end_sequence_number == event.end_sequence_number);
   CHECK(copy.acknowledged[0].key == event.key);
   CHECK(copy.acknowledged[0].kind == event.kind);
+  CHECK_TRUE(copy.acknowledged[0].is_run_gone);
+}
+
+// Guards against rejecting run events of the program version before the field "gone" during a
+// rolling update, and against taking their runs for gone.
+TEST(MessageCodec, ReadsRunEventsOfEarlierVersions) {
+  runs::RunEvent event;
+  event.kind = runs::RunEvent::Kind::kReturned;
+  event.is_run_gone = true;
+  const std::string encoded = EncodeEnvelope({base::SequenceNumber(1), base::SequenceNumber(0),
+                                              base::SessionNumber(4), runs::RunEvents{{event}}});
+  nlohmann::json message = nlohmann::json::from_cbor(encoded);
+  LONGS_EQUAL(1, message.at("notices").at(0).erase("gone"));
+  const std::vector<uint8_t> earlier = nlohmann::json::to_cbor(message);
+  const auto decoded = DecodeEnvelope(std::string(earlier.begin(), earlier.end()));
+  CHECK_TRUE(decoded.has_value());
+  const auto& copy = std::get<runs::RunEvents>(decoded->message);
+  LONGS_EQUAL(1, copy.events.size());
+  CHECK(copy.events[0].kind == runs::RunEvent::Kind::kReturned);
+  CHECK_FALSE(copy.events[0].is_run_gone);
 }
 
 // Guards against a configuration that changes on its way to the gateways.
--- a/tests/runs/service_scheduler_test.cc
+++ b/tests/runs/service_scheduler_test.cc
@@ -881,12 +881,45 @@
   CHECK(second.start_requests[0].target.id == base::TargetId("t2"));
 }
 
-// Guards against a stored task that waits without limit on a host whose only target was lost,
-// although targets of other hosts could run it.
-TEST(ServiceScheduler, ReturnsAStoredTaskWhoseRunWasLostIfNoTargetCanRunIt) {
+// Guards against a stored task that waits without limit on a host whose only target doesn't take it
+// any more, although targets of other hosts could run it.
+TEST(ServiceScheduler, ReturnsAStoredTaskThatWasRefusedIfNoTargetCanRunIt) {
   this->AdoptTarget(this->target);
   this->PlaceBatch(this->MakeStoredBatch("job", 2));
   const SchedulerActions started = this->TakeActions();
+  this->scheduler.OnStartResponse(
+      started.start_requests[0],
+      this->target.StartRun(started.start_requests[0], Cores(7), this->now), this->now,
+      this->pending_actions);
+  this->scheduler.OnStartResponse(started.start_requests[1], {TargetCallStatus::kUnhealthy, {}},
+                                  this->now, this->pending_actions);
+  this->FinishRun(this->TakeActions(), started.start_requests[0].key,
+                  FinishedRun::Outcome::kSucceeded);
+  this->TakeActions();
+  runs::TargetReport draining = this->target.MakeReport(this->now);
+  draining.is_draining = true;
+  this->scheduler.OnTargetReport(draining, this->fencing_token, this->now, this->pending_actions);
+  this->now += milliseconds(98);
+  this->scheduler.Tick(this->now, this->pending_actions);
+  LONGS_EQUAL(0, this->TakeActions().run_events.size());
+  this->now += milliseconds(1);
+  this->scheduler.Tick(this->now, this->pending_actions);
+  const SchedulerActions returned = this->TakeActions();
+  LONGS_EQUAL(1, returned.run_events.size());
+  CHECK(returned.run_events[0].kind == runs::RunEvent::Kind::kReturned);
+  CHECK(returned.run_events[0].key == started.start_requests[1].key);
+  LONGS_EQUAL(1, returned.batch_results.size());
+  CHECK(returned.batch_results[0].outcome == BatchResult::Outcome::kUnfinished);
+  LONGS_EQUAL(0, this->scheduler.BatchCount());
+}
+
+// Guards against the same after the only target was lost, and against a second run in the same
+// batch, beside which another owner could report the end of the first.
+TEST(ServiceScheduler, ReturnsAStoredTaskWhoseTargetIsGone) {
+  this->AdoptTarget(this->target);
+  this->AdoptTarget(this->other_target);
+  this->PlaceBatch(this->MakeStoredBatch("job", 2));
+  const SchedulerActions started = this->TakeActions();
   this->ExecuteRequests(started);
   this->FinishRun(this->TakeActions(), started.start_requests[0].key,
                   FinishedRun::Outcome::kSucceeded);
@@ -894,14 +927,11 @@
   this->scheduler.OnPollResponse(polled.poll_requests.back(),
                                  {TargetCallStatus::kIncarnationMismatch, {}}, this->now,
                                  this->pending_actions);
-  this->now += milliseconds(99);
-  this->scheduler.Tick(this->now, this->pending_actions);
-  LONGS_EQUAL(0, this->TakeActions().run_events.size());
-  this->now += milliseconds(1);
-  this->scheduler.Tick(this->now, this->pending_actions);
   const SchedulerActions returned = this->TakeActions();
+  LONGS_EQUAL(0, returned.start_requests.size());
   LONGS_EQUAL(1, returned.run_events.size());
   CHECK(returned.run_events[0].kind == runs::RunEvent::Kind::kReturned);
+  CHECK_TRUE(returned.run_events[0].is_run_gone);
   CHECK(returned.run_events[0].key == started.start_requests[1].key);
   LONGS_EQUAL(1, returned.batch_results.size());
   CHECK(returned.batch_results[0].outcome == BatchResult::Outcome::kUnfinished);
