runs: Report capacity beside tasks that no target can hold

Cause: capacity reports count places of the mean size of placed tasks, rounded down for each target. With a mean of 20 cores, targets of 16 cores counted as no capacity, so that the leader and the gateways placed nothing with the allocator any more. Only a placed batch changes the mean, so that this didn't end. Besides, tasks that no target can hold counted as a backlog, which keeps other tasks away and lets gateways refuse them.

Change: tasks that no usable target can hold count neither for the mean nor as a backlog, and a target that is smaller than the mean task counts as one place.

Tests: `ReportsCapacityBesideTasksThatNoTargetCanHold` and `ReportsCapacityOfTargetsThatAreSmallerThanMostTasks` failed before.

--- a/src/runs/service_scheduler.cc
+++ b/src/runs/service_scheduler.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "runs/unplaceable_sizes.h"
 #include "targets/health_state.h"
 
 namespace sapphirecrank::runs {
@@ -155,7 +156,12 @@
   placed.unfinished_task_count = batch.tasks.size();
   placed.arrived_at = now;
   placed.arrival_number = this->next_arrival_number++;
+  const bool fits_some_target = !batch.tasks.empty() &&
+                                this->HasUsableTarget(PlacementRule(), batch.tasks.front(), now);
   for (const BatchTask& task : batch.tasks) {
+    if (!fits_some_target) {
+      break;  // The size of tasks that can't start says nothing about the capacity.
+    }
     const auto required_processors =
         static_cast<double>(task.required_resources.processors.value());
     this->mean_required_processors +=
@@ -1090,20 +1096,33 @@
 
 CapacityReport::ServiceCapacity ServiceScheduler::Capacity(TimePoint now) const {
   CapacityReport::ServiceCapacity capacity;
-  const int64_t processors_per_task =
+  const int64_t mean_processors =
       std::max<int64_t>(1, static_cast<int64_t>(this->mean_required_processors));
   for (const auto& [id, target] : this->targets) {
     if (!this->CanStartRuns(target, now)) {
       continue;
     }
+    // A target that is smaller than most tasks holds a small one.
+    const int64_t processors_per_task =
+        std::clamp<int64_t>(target.report.capacity.processors.value(), 1, mean_processors);
     capacity.free_task_capacity +=
         base::TaskCount(target.FreeResources().processors.value() / processors_per_task);
     capacity.total_task_capacity +=
         base::TaskCount(target.report.capacity.processors.value() / processors_per_task);
   }
+  UnplaceableSizes unplaceable_sizes;
   for (const auto& [key, batch_key] : this->batch_queue) {
-    const base::TaskCount waiting_count(
-        static_cast<int64_t>(this->batches.at(batch_key).waiting_tasks.size()));
+    const PlacedBatch& placed = this->batches.at(batch_key);
+    const BatchTask& task = placed.batch.tasks.front();
+    // Tasks that no target can hold aren't ahead of others.
+    if (unplaceable_sizes.Includes(task.required_resources)) {
+      continue;
+    }
+    if (!this->HasUsableTarget(PlacementRule(), task, now)) {
+      unplaceable_sizes.Add(task.required_resources);
+      continue;
+    }
+    const base::TaskCount waiting_count(static_cast<int64_t>(placed.waiting_tasks.size()));
     capacity.waiting_task_count += waiting_count;
     if (capacity.waiting_by_priority.empty() ||
         capacity.waiting_by_priority.back().priority != key.first) {
--- a/src/runs/service_scheduler.h
+++ b/src/runs/service_scheduler.h
@@ -200,7 +200,8 @@
   std::multimap<base::TimePoint, JobTaskKey> reservation_expiries;
   uint64_t next_arrival_number = 1;
   TaskEndRate task_end_rate;
-  // Smoothed mean of the milli-cores that tasks require; 0 before the first task.
+  // Smoothed mean of the milli-cores that tasks require, of those that fit on some target; 0 before
+  // the first task.
   double mean_required_processors = 0;
 };
 
--- a/tests/runs/service_scheduler_test.cc
+++ b/tests/runs/service_scheduler_test.cc
@@ -1216,3 +1216,38 @@
   LONGS_EQUAL(1, this->target.active_runs().size());
   LONGS_EQUAL(0, this->other_target.active_runs().size());
 }
+
+// Guards against an allocator that seems to have no capacity, or a full backlog, because of tasks
+// that none of its targets can hold: nothing would be placed with it any more (review/9).
+TEST(ServiceScheduler, ReportsCapacityBesideTasksThatNoTargetCanHold) {
+  this->AdoptTarget(this->target);
+  this->PlaceBatch(this->MakeBatch("small", 1));
+  for (const char* job : {"large-1", "large-2", "large-3", "large-4"}) {
+    runs::TaskBatch large = this->MakeBatch(job, 4);
+    for (runs::BatchTask& task : large.tasks) {
+      task.required_resources = Cores(20);
+    }
+    this->PlaceBatch(large);
+  }
+  const auto capacity = this->scheduler.Capacity(this->now);
+  LONGS_EQUAL(2, capacity.total_task_capacity.value());
+  LONGS_EQUAL(1, capacity.free_task_capacity.value());
+  LONGS_EQUAL(0, capacity.waiting_task_count.value());
+  LONGS_EQUAL(0, capacity.waiting_by_priority.size());
+}
+
+// Guards against targets that count as no capacity after larger ones were lost.
+TEST(ServiceScheduler, ReportsCapacityOfTargetsThatAreSmallerThanMostTasks) {
+  testing::SimulatedTarget large_target("t3", Cores(24), this->target_start);
+  this->AdoptTarget(large_target);
+  runs::TaskBatch large = this->MakeBatch("large", 1);
+  large.tasks[0].required_resources = Cores(20);
+  this->PlaceBatch(large);
+  this->TakeActions();
+  this->scheduler.ReleaseUnownedTargets([](const runs::TargetReport&) { return false; }, this->now,
+                                        this->pending_actions);
+  this->TakeActions();
+  this->AdoptTarget(this->target);
+  LONGS_EQUAL(1, this->scheduler.Capacity(this->now).total_task_capacity.value());
+  LONGS_EQUAL(1, this->scheduler.Capacity(this->now).free_task_capacity.value());
+}
