runs: Let a waiting batch hold back reserved targets only

Cause: the queue of an allocator stopped at the first batch that fitted nowhere, so that later batches didn't take the capacity that it waited for. It asked neither whether a target could hold the batch nor which targets it waited for.

Change: the first batch of the queue that fits nowhere, but that some usable target can hold, has targets reserved: one for each waiting task, with at most half of the capacity but at least one, for a second at a time with half a second in between. Capacity of runs that last longer than a straggler isn't counted on. Batches behind it use all other targets; batches before it use all. A stored batch isn't given back while it has a reservation, because it would return behind others. A batch that no target can hold reserves nothing. The queue keeps the task size with each batch, and skips sizes that were found to fit nowhere, so that a walk over a long queue searches the targets once for each smaller size.

--- a/src/runs/placed_batch.h
+++ b/src/runs/placed_batch.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "runs/queue_position.h"
 #include "runs/task_batch.h"
 
 namespace sapphirecrank::runs {
@@ -37,6 +38,12 @@
   int start_count = 0;
   base::TimePoint arrived_at;
   uint64_t arrival_number = 0;
+  /// No targets are reserved for the batch before this time, after a reservation that ended before
+  /// the batch could start.
+  base::TimePoint next_reservation_at;
+
+  /// Returns the batch's place in the queue. Thread safety: pure.
+  QueuePosition Position() const { return {this->batch.priority, this->arrival_number}; }
 };
 
 }  // namespace sapphirecrank::runs
--- a/src/runs/service_scheduler.cc
+++ b/src/runs/service_scheduler.cc
@@ -49,6 +49,17 @@
 // While the response to a start request is outstanding, polls return within the timeout of that
 // request. If only its response is lost, the poll shows that the run is active.
 constexpr Duration kStartCheckWait = milliseconds(40);
+// Bounds the time for which capacity stays idle for a batch whose targets don't become free. Most
+// tasks take less; a job may have nothing running for 3 s while there is capacity for it.
+constexpr Duration kMaximumReservationTime = milliseconds(1000);
+// Time between two reservations for the same batch, in which other tasks can use the capacity.
+constexpr Duration kReservationPause = milliseconds(500);
+// Targets with at most half of the usable capacity are reserved, so that half of it is in use
+// whenever a waiting task fits on reserved targets only.
+constexpr int kReservedCapacityDivisor = 2;
+// Stragglers take up to this multiple of their expected run time. A run that takes longer may last
+// for any time.
+constexpr int kStragglerFactor = 30;
 
 }  // namespace
 
@@ -156,8 +167,8 @@
   placed.unfinished_task_count = batch.tasks.size();
   placed.arrived_at = now;
   placed.arrival_number = this->next_arrival_number++;
-  const bool fits_some_target = !batch.tasks.empty() &&
-                                this->HasUsableTarget(PlacementRule(), batch.tasks.front(), now);
+  const bool fits_some_target =
+      !batch.tasks.empty() && this->HasUsableTarget(PlacementRule(), batch.tasks.front(), now);
   for (const BatchTask& task : batch.tasks) {
     if (!fits_some_target) {
       break;  // The size of tasks that can't start says nothing about the capacity.
@@ -230,7 +241,8 @@
   std::pair<bool, base::MilliCores> best_rank;
   for (auto& [id, target] : this->targets) {
     const Resources free = target.FreeResources();
-    if (!free.CanFit(task.required_resources) || !this->CanStartRuns(target, now)) {
+    if (!free.CanFit(task.required_resources) || !this->CanStartRuns(target, now) ||
+        this->IsReservedForEarlierBatch(id, placed.Position())) {
       continue;
     }
     const auto rank = std::make_pair(failed_targets.count(id) > 0, free.processors);
@@ -244,18 +256,122 @@
 }
 
 void ServiceScheduler::StartQueuedTasks(TimePoint now, SchedulerActions& actions) {
+  this->EndReservationIfDue(now, actions);
+  UnplaceableSizes unplaceable_sizes;
   for (auto next = this->batch_queue.begin(); next != this->batch_queue.end();) {
-    PlacedBatch& placed = this->batches.at(next->second);
+    const QueuedBatch& queued = next->second;
+    if (unplaceable_sizes.Includes(queued.required_resources)) {
+      ++next;
+      continue;
+    }
+    PlacedBatch& placed = this->batches.at(queued.key);
     if (!this->gateway_liveness.IsAlive(placed.batch.key.gateway, now)) {
       ++next;
       continue;
     }
     const bool has_found_targets = this->StartBatchTasks(placed, now, actions);
     if (!has_found_targets && !placed.batch.placement_rule.HasConstraints()) {
-      // Later batches must not take the capacity that this one waits for.
-      return;
+      unplaceable_sizes.Add(queued.required_resources);
+      this->ReserveTargets(placed, now);
+    }
+    if (!placed.waiting_tasks.empty()) {
+      ++next;
+      continue;
+    }
+    next = this->batch_queue.erase(next);
+    this->EndReservationIfDue(now, actions);
+  }
+}
+
+bool ServiceScheduler::IsReservedForEarlierBatch(const TargetId& target,
+                                                 const QueuePosition& position) const {
+  return this->reservation &&
+         this->reservation->position<position&& this->reservation->targets.count(target)> 0;
+}
+
+Resources ServiceScheduler::CapacityFreedSoon(const LeasedTarget& target, TimePoint now) const {
+  Resources capacity = target.report.capacity;
+  for (const auto& [key, run] : target.runs) {
+    auto found = this->batches.find(run.batch);
+    if (run.phase == TargetRun::Phase::kStopping || found == this->batches.end()) {
+      continue;
+    }
+    const Duration expected_end =
+        std::max(kMaximumReservationTime, kStragglerFactor * found->second.batch.expected_run_time);
+    if (now - run.start_requested_at >= expected_end) {
+      capacity -= run.required_resources;
+    }
+  }
+  return capacity;
+}
+
+void ServiceScheduler::ReserveTargets(const PlacedBatch& placed, TimePoint now) {
+  if (now < placed.next_reservation_at ||
+      (this->reservation && !(placed.Position() < this->reservation->position))) {
+    return;
+  }
+  const Resources& required = placed.batch.tasks.front().required_resources;
+  base::MilliCores usable_processors;
+  std::vector<const LeasedTarget*> candidates;
+  for (const auto& [id, target] : this->targets) {
+    if (!this->CanStartRuns(target, now)) {
+      continue;
+    }
+    usable_processors += target.report.capacity.processors;
+    if (this->CapacityFreedSoon(target, now).CanFit(required)) {
+      candidates.push_back(&target);
     }
-    next = placed.waiting_tasks.empty() ? this->batch_queue.erase(next) : std::next(next);
+  }
+  if (candidates.empty()) {
+    return;  // Waits for a target that isn't there, and keeps no capacity from others.
+  }
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const LeasedTarget* a, const LeasedTarget* b) {
+                     return a->FreeResources().processors > b->FreeResources().processors;
+                   });
+  CapacityReservation reserved{
+      placed.batch.key, placed.Position(), {}, now + kMaximumReservationTime};
+  base::MilliCores reserved_processors;
+  for (const LeasedTarget* target : candidates) {
+    reserved_processors += target->report.capacity.processors;
+    const bool exceeds_share =
+        reserved_processors.value() * kReservedCapacityDivisor > usable_processors.value();
+    if (reserved.targets.size() >= placed.waiting_tasks.size() ||
+        (exceeds_share && !reserved.targets.empty())) {
+      break;
+    }
+    reserved.targets.insert(target->report.id);
+  }
+  this->reservation = std::move(reserved);
+}
+
+void ServiceScheduler::EndReservationIfDue(TimePoint now, SchedulerActions& actions) {
+  if (!this->reservation) {
+    return;
+  }
+  auto found = this->batches.find(this->reservation->batch);
+  const bool is_useful =
+      found != this->batches.end() && !found->second.waiting_tasks.empty() &&
+      this->gateway_liveness.IsAlive(found->first.gateway, now) &&
+      std::any_of(this->reservation->targets.begin(), this->reservation->targets.end(),
+                  [this, now](const TargetId& id) {
+                    auto target = this->targets.find(id);
+                    return target != this->targets.end() && this->CanStartRuns(target->second, now);
+                  });
+  if (!is_useful) {
+    this->reservation.reset();
+  } else if (now >= this->reservation->ends_at) {
+    PlacedBatch& placed = found->second;
+    placed.next_reservation_at = now + kReservationPause;
+    const RunKey key{placed.batch.tasks[placed.waiting_tasks.back()].key, base::RunNumber()};
+    actions.decisions.push_back(
+        {"reservation ended",
+         key,
+         {},
+         {},
+         std::to_string(this->reservation->targets.size()) +
+             " targets didn't become free for the task within the time limit"});
+    this->reservation.reset();
   }
 }
 
@@ -314,8 +430,9 @@
   placed.tasks[task_position].target = TargetId();
   placed.tasks[task_position].queued_at = now;
   placed.waiting_tasks.push_back(task_position);
-  this->batch_queue.emplace(QueueKey(placed.batch.priority, placed.arrival_number),
-                            placed.batch.key);
+  this->batch_queue.emplace(
+      placed.Position(),
+      QueuedBatch{placed.batch.key, placed.batch.tasks[task_position].required_resources});
 }
 
 void ServiceScheduler::StopRun(LeasedTarget& target, const RunKey& key, TargetRun& run,
@@ -992,7 +1109,7 @@
       this->StopRun(target->second, key, run->second, now, actions);
     }
   }
-  this->batch_queue.erase({placed.batch.priority, placed.arrival_number});
+  this->batch_queue.erase(placed.Position());
   if (outcome) {
     actions.batch_results.push_back({batch_iterator->first, *outcome, reason});
   }
@@ -1045,7 +1162,11 @@
     auto next = std::next(found);
     const PlacedBatch& placed = found->second;
     const Duration age = now - placed.arrived_at;
-    if (placed.start_count == 0 && age >= placed.batch.wait_limit) {
+    // The stored job manager would place the batch again behind others, which would take the
+    // capacity that is becoming free for it.
+    const bool is_start_near =
+        placed.batch.is_stored && this->reservation && this->reservation->batch == found->first;
+    if (placed.start_count == 0 && age >= placed.batch.wait_limit && !is_start_near) {
       this->EndBatch(found, BatchResult::Outcome::kNotRun, "no free capacity within the wait limit",
                      now, actions);
     } else if (age >= placed.batch.time_left) {
@@ -1111,22 +1232,21 @@
         base::TaskCount(target.report.capacity.processors.value() / processors_per_task);
   }
   UnplaceableSizes unplaceable_sizes;
-  for (const auto& [key, batch_key] : this->batch_queue) {
-    const PlacedBatch& placed = this->batches.at(batch_key);
-    const BatchTask& task = placed.batch.tasks.front();
+  for (const auto& [position, queued] : this->batch_queue) {
     // Tasks that no target can hold aren't ahead of others.
-    if (unplaceable_sizes.Includes(task.required_resources)) {
+    if (unplaceable_sizes.Includes(queued.required_resources)) {
       continue;
     }
-    if (!this->HasUsableTarget(PlacementRule(), task, now)) {
-      unplaceable_sizes.Add(task.required_resources);
+    const PlacedBatch& placed = this->batches.at(queued.key);
+    if (!this->HasUsableTarget(PlacementRule(), placed.batch.tasks.front(), now)) {
+      unplaceable_sizes.Add(queued.required_resources);
       continue;
     }
     const base::TaskCount waiting_count(static_cast<int64_t>(placed.waiting_tasks.size()));
     capacity.waiting_task_count += waiting_count;
     if (capacity.waiting_by_priority.empty() ||
-        capacity.waiting_by_priority.back().priority != key.first) {
-      capacity.waiting_by_priority.push_back({key.first, base::TaskCount(0)});
+        capacity.waiting_by_priority.back().priority != position.priority) {
+      capacity.waiting_by_priority.push_back({position.priority, base::TaskCount(0)});
     }
     capacity.waiting_by_priority.back().count += waiting_count;
   }
--- a/src/runs/service_scheduler.h
+++ b/src/runs/service_scheduler.h
@@ -9,10 +9,13 @@
 
 #include "base/time.h"
 #include "runs/capacity_report.h"
+#include "runs/capacity_reservation.h"
 #include "runs/gateway_liveness.h"
 #include "runs/leased_target.h"
 #include "runs/placed_batch.h"
 #include "runs/poll_response.h"
+#include "runs/queue_position.h"
+#include "runs/queued_batch.h"
 #include "runs/scheduler_actions.h"
 #include "runs/scheduler_settings.h"
 #include "runs/target_call_response.h"
@@ -94,14 +97,22 @@
   const std::map<base::TargetId, LeasedTarget>& leased_targets() const { return this->targets; }
 
  private:
-  using QueueKey = std::pair<base::Priority, uint64_t>;
-
   bool CanStartRuns(const LeasedTarget& target, base::TimePoint now) const;
   /// Returns the target for the next run of a task, or null if it fits on none.
   LeasedTarget* ChooseTarget(const PlacedBatch& placed, size_t task_position, base::TimePoint now);
+  /// Starts the waiting tasks that fit, in the order of the queue. A batch that fits nowhere keeps
+  /// later ones only from the targets that are reserved for it.
   void StartQueuedTasks(base::TimePoint now, SchedulerActions& actions);
   /// Starts waiting tasks of a batch until one fits no target; returns false in that case.
   bool StartBatchTasks(PlacedBatch& placed, base::TimePoint now, SchedulerActions& actions);
+  /// Tells whether a target is reserved for a batch before `position` in the queue.
+  bool IsReservedForEarlierBatch(const base::TargetId& target, const QueuePosition& position) const;
+  /// Reserves targets for a batch that fits nowhere, unless an earlier batch has a reservation.
+  void ReserveTargets(const PlacedBatch& placed, base::TimePoint now);
+  /// Ends a reservation that has lasted for its maximum time or serves no purpose any more.
+  void EndReservationIfDue(base::TimePoint now, SchedulerActions& actions);
+  /// Returns the capacity of a target without that of runs that may last long.
+  base::Resources CapacityFreedSoon(const LeasedTarget& target, base::TimePoint now) const;
   void StartTask(PlacedBatch& placed, size_t task_position, LeasedTarget& target,
                  base::TimePoint now, SchedulerActions& actions);
   void EnqueueTask(PlacedBatch& placed, size_t task_position, base::TimePoint now);
@@ -188,7 +199,8 @@
   SchedulerSettings settings;
   std::map<base::TargetId, LeasedTarget> targets;
   std::map<BatchKey, PlacedBatch> batches;
-  std::map<QueueKey, BatchKey> batch_queue;
+  std::map<QueuePosition, QueuedBatch> batch_queue;
+  std::optional<CapacityReservation> reservation;
   // Targets that fail the tasks of most jobs get no runs for a while, although they report that
   // they are ready.
   targets::TargetHealthTracker target_health;
--- a/tests/runs/service_scheduler_test.cc
+++ b/tests/runs/service_scheduler_test.cc
@@ -148,6 +148,23 @@
                                    this->now, this->pending_actions);
   }
 
+  /// Advances the time while all targets that the scheduler owns, and the gateways, respond.
+  void AdvanceWithReports(base::Duration duration) {
+    const base::TimePoint end = this->now + duration;
+    while (this->now < end) {
+      this->now += milliseconds(20);
+      this->ReportGatewayAlive("g1");
+      this->ReportGatewayAlive("stored-jobs");
+      for (testing::SimulatedTarget* each : {&this->target, &this->other_target}) {
+        if (this->scheduler.leased_targets().count(each->MakeReport(this->now).id) > 0) {
+          this->ReportTarget(*each);
+        }
+      }
+      this->scheduler.Tick(this->now, this->pending_actions);
+      this->ExecuteAllRequests();
+    }
+  }
+
   /// Finishes a run on `target` and responds to the last poll in `actions`.
   void FinishRun(const SchedulerActions& actions, const runs::RunKey& key,
                  FinishedRun::Outcome outcome) {
@@ -1217,6 +1234,19 @@
   LONGS_EQUAL(0, this->other_target.active_runs().size());
 }
 
+// Guards against idle targets beside tasks that fit on them, because a task that no target can hold
+// waits in front (review/9).
+TEST(ServiceScheduler, StartsTasksBehindOneThatNoTargetCanHold) {
+  this->AdoptTarget(this->target);
+  runs::TaskBatch large = this->MakeBatch("large", 1);
+  large.tasks[0].required_resources = Cores(20);
+  this->PlaceBatch(large);
+  this->PlaceBatch(this->MakeBatch("small", 1));
+  const SchedulerActions actions = this->TakeActions();
+  LONGS_EQUAL(1, actions.start_requests.size());
+  CHECK(actions.start_requests[0].key.task.job == base::SubmissionId("small"));
+}
+
 // Guards against an allocator that seems to have no capacity, or a full backlog, because of tasks
 // that none of its targets can hold: nothing would be placed with it any more (review/9).
 TEST(ServiceScheduler, ReportsCapacityBesideTasksThatNoTargetCanHold) {
@@ -1251,3 +1281,51 @@
   LONGS_EQUAL(1, this->scheduler.Capacity(this->now).total_task_capacity.value());
   LONGS_EQUAL(1, this->scheduler.Capacity(this->now).free_task_capacity.value());
 }
+
+// Guards against a large task that waits beside small ones that use each part of the capacity that
+// becomes free, and against other targets that stay idle for it meanwhile.
+TEST(ServiceScheduler, KeepsAReservedTargetFreeForALargeTask) {
+  this->AdoptTarget(this->target);
+  this->AdoptTarget(this->other_target);
+  this->PlaceBatch(this->MakeBatch("first", 4));
+  const SchedulerActions started = this->TakeActions();
+  LONGS_EQUAL(4, started.start_requests.size());
+  this->pending_actions = started;
+  this->ExecuteAllRequests();
+  runs::TaskBatch large = this->MakeBatch("large", 1);
+  large.tasks[0].required_resources = Cores(16);
+  large.wait_limit = milliseconds(5000);
+  this->PlaceBatch(large);
+  runs::TaskBatch small = this->MakeBatch("small", 8);
+  small.wait_limit = milliseconds(5000);
+  this->PlaceBatch(small);
+  for (testing::SimulatedTarget* each : {&this->target, &this->other_target}) {
+    each->FinishRun(runs::RunKey(each->active_runs().begin()->first),
+                    FinishedRun::Outcome::kSucceeded);
+  }
+  this->AdvanceWithReports(milliseconds(400));
+  // One of the two targets is reserved; on the other one a small task has started.
+  LONGS_EQUAL(3, this->target.active_runs().size() + this->other_target.active_runs().size());
+  testing::SimulatedTarget& reserved =
+      this->target.active_runs().size() == 1 ? this->target : this->other_target;
+  reserved.FinishRun(runs::RunKey(reserved.active_runs().begin()->first),
+                     FinishedRun::Outcome::kSucceeded);
+  this->AdvanceWithReports(milliseconds(400));
+  LONGS_EQUAL(1, reserved.active_runs().size());
+  CHECK(reserved.active_runs().begin()->first.task.job == base::SubmissionId("large"));
+}
+
+// Guards against a stored task that is given back just before its target is free: its next
+// placement would be behind the tasks that came meanwhile.
+TEST(ServiceScheduler, KeepsAStoredBatchWhileTargetsAreReservedForIt) {
+  this->AdoptTarget(this->target);
+  this->PlaceBatch(this->MakeBatch("first", 1));
+  this->ExecuteAllRequests();
+  runs::TaskBatch large = this->MakeStoredBatch("large", 1);
+  large.tasks[0].required_resources = Cores(16);
+  this->PlaceBatch(large);
+  this->AdvanceWithReports(milliseconds(800));
+  LONGS_EQUAL(2, this->scheduler.BatchCount());
+  this->AdvanceWithReports(milliseconds(400));
+  LONGS_EQUAL(1, this->scheduler.BatchCount());
+}
