--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -9,6 +9,9 @@
   connections, in one or both directions.
 - Targets crash, and other ones join in their place; or they start again under their ids, and send
   their first report early or late.
+- The only target that can hold the largest tasks is down for some seconds.
+- A target is cut off from all allocators while an allocator, which may become its owner, is
+  restarted. Many of its tasks fail meanwhile.
 - One allocator is cut off from the other two, which may be killed when the cut ends.
 - Allocators lose their disks, one at a time, or their disks are full.
 - An allocator is replaced: it is killed, or stopped after its successor has started, and never
@@ -65,6 +68,11 @@
 PEER_BIND_PORT = 18765
 TARGET_COUNT = 6
 TARGET_MILLI_PROCESSORS = 16000
+# The first target is larger than the others. Only it can hold tasks of LARGE_TASK_MILLI_PROCESSORS.
+LARGE_TARGET_MILLI_PROCESSORS, LARGE_TASK_MILLI_PROCESSORS = 24000, 20000
+LARGE_JOB_SHARE = 0.1
+# Shares of the tasks that fail, ordinarily and on a target that is about to be cut off.
+FAILURE_SHARE, FAILURE_SHARE_BEFORE_CUT = 0.01, 0.5
 # Times in seconds.
 MAXIMUM_LEASE = 1.0
 HEARTBEAT_INTERVAL = 0.5
@@ -73,7 +81,8 @@
 # only the data to the client.
 LINK_FAULT_KINDS = ["silent", "there", "back", "delay", "reset"]
 FAULT_KINDS = ["kill", "kill", "term", "pause", "hup", "crash", "reborn", "reborn", "cut",
-               "cut-and-kill", "wipe", "replace", "full", *LINK_FAULT_KINDS,
+               "cut-and-kill", "wipe", "replace", "full", "lose-large", "owner-change",
+               *LINK_FAULT_KINDS,
                *(f"peer-{kind}" for kind in LINK_FAULT_KINDS)]
 CONFIGURATION_DELAY = 2.0
 # Bounds for stored jobs in seconds, as in the platform's documentation.
@@ -190,8 +199,9 @@
     capacity.
     """
 
-    def __init__(self, name, checks, rng):
-        self.name, self.checks, self.rng = name, checks, rng
+    def __init__(self, name, checks, rng, capacity):
+        self.name, self.checks, self.rng, self.capacity = name, checks, rng, capacity
+        self.failure_share = FAILURE_SHARE
         self.incarnation_count = 0
         self.is_up = True
         self.next_heartbeat_at = 0.0
@@ -274,7 +284,7 @@
         self.checks.log_event(f"{self.id}: started {key}, token {self.fencing_token}, "
                               f"lease {self.lease_end:.3f}, clock {self.clock()}")
         spec = json.loads(body["spec"])
-        if sum(self.active_runs.values()) + spec["cpu"] > TARGET_MILLI_PROCESSORS:
+        if sum(self.active_runs.values()) + spec["cpu"] > self.capacity:
             self.checks.record_violation(f"LIMIT: {key} exceeds the capacity of {self.id}, "
                                          f"active {list(self.active_runs)}")
         if key[0] in self.checks.running_targets:
@@ -287,7 +297,7 @@
         self.checks.on_start(key[0])
         self.checks.count("runs")
         incarnation = self.incarnation
-        outcome = "failed" if self.rng.random() < 0.01 else "done"
+        outcome = "failed" if self.rng.random() < self.failure_share else "done"
         asyncio.get_running_loop().call_later(
             spec["seconds"], lambda: self.incarnation == incarnation and self.end_run(key, outcome))
         return 200, {}
@@ -357,7 +367,7 @@
             self.heartbeat_count += 1
             body = {"service": SERVICE, "address": self.address, "zone": "soak", "version": "v1",
                     "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": self.heartbeat_count,
-                    "capacity": {"cpu": TARGET_MILLI_PROCESSORS, "memMb": 1024, "gpus": 0},
+                    "capacity": {"cpu": self.capacity, "memMb": 1024, "gpus": 0},
                     "born": self.incarnation, "labels": ["a", "r1"], "clockMs": self.clock()}
             to = address or f"{self.rng.choice(ALLOCATORS)}:{CONTROL_PORT}"
             status, response = await call(
@@ -534,6 +544,8 @@
         self.rng = random.Random(seed)
         # Draws for replacements and seeds.
         self.replacement_rng = random.Random(f"replacements {seed}")
+        # Draws for large jobs and changes of owners.
+        self.placement_rng = random.Random(f"placements {seed}")
         self.program, self.catch_up_time = program, catch_up_time
         self.fault_kinds, self.seconds, self.folder = fault_kinds, seconds, folder
         self.maximum_pause = maximum_pause
@@ -648,6 +660,10 @@
         cpu = self.rng.choice([3000, 5000, 7000])
         spec = json.dumps({"cpu": cpu, "seconds": self.rng.choice([0.02, 0.2, 0.6, 2.0])})
         counts = [self.rng.randint(1, 4) for _ in range(self.rng.randint(1, 3))]
+        if self.placement_rng.random() < LARGE_JOB_SHARE:
+            cpu, counts = LARGE_TASK_MILLI_PROCESSORS, [1]
+            spec = json.dumps({"cpu": cpu, "seconds": 0.2})
+            self.checks.count("large stored jobs")
         steps = [{"count": count, "cpu": cpu, "memMb": 1, "estRuntimeMs": 200,
                   **({"after": [i - 1]} if i > 0 else {})} for i, count in enumerate(counts)]
         self.checks.stored_job_steps[job] = counts
@@ -765,6 +781,10 @@
             i = self.rng.randrange(TARGET_COUNT)
             await self.targets[i].restart(self.proxies[i], self.rng.uniform(0.0, 0.4),
                                           self.rng.choice([0.0, 0.05, 0.2, 1.0]))
+        elif kind == "lose-large":
+            await self.targets[0].restart(self.proxies[0], duration * 2, 0.0)
+        elif kind == "owner-change":
+            await self.change_owner_of_cut_target(host, duration)
         elif kind in ("cut", "cut-and-kill"):
             await self.cut_off_leader(duration * 2, kind == "cut-and-kill")
         else:
@@ -826,6 +846,33 @@
                 host.start(self.draw_seeds())
                 host.has_active_fault = False
 
+    async def change_owner_of_cut_target(self, host, duration):
+        """Cuts a target off while an allocator is restarted, which may have been its owner.
+
+        The target may belong to another allocator before the cut and to the restarted one after it.
+        """
+        rng = self.placement_rng
+        free = [h for h in self.allocator_hosts() if h is host or not h.has_active_fault]
+        if not free:
+            return
+        allocator = host if host in free else rng.choice(free)
+        had_active_fault, allocator.has_active_fault = allocator.has_active_fault, True
+        i = rng.randrange(TARGET_COUNT)
+        target, proxy = self.targets[i], self.proxies[i]
+        with allocator.lose():
+            allocator.kill()
+            target.failure_share = FAILURE_SHARE_BEFORE_CUT
+            await asyncio.sleep(rng.uniform(0.5, 3.0))
+            self.checks.log_event(f"{target.id} is cut off")
+            proxy.mode, target.next_heartbeat_at = "silent", float("inf")
+            await asyncio.sleep(rng.uniform(0.3, 2.0))
+            allocator.start(self.draw_seeds())
+            await asyncio.sleep(duration)
+            proxy.mode, target.next_heartbeat_at = "pass", time.monotonic()
+            target.failure_share = FAILURE_SHARE
+            self.checks.log_event(f"{target.id} is back")
+        allocator.has_active_fault = had_active_fault
+
     async def cut_off(self, host, duration):
         """Cuts a host off from the other allocators, also from those that start meanwhile."""
         self.checks.log_event(f"cut off {host.address} for {duration:.1f} s")
@@ -1045,7 +1092,8 @@
     async def start_targets(self):
         self.targets, self.proxies, self.background_tasks = [], [], []
         for i in range(TARGET_COUNT):
-            target = Target(f"t{i}", self.checks, self.rng)
+            target = Target(f"t{i}", self.checks, self.rng,
+                            LARGE_TARGET_MILLI_PROCESSORS if i == 0 else TARGET_MILLI_PROCESSORS)
             server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
             proxy = Proxy("127.0.0.1", server.sockets[0].getsockname()[1])
             proxy_server = await asyncio.start_server(proxy.serve, "127.0.0.1", 0)
--- a/src/runs/service_scheduler.cc
+++ b/src/runs/service_scheduler.cc
@@ -1164,9 +1164,9 @@
     const Duration age = now - placed.arrived_at;
     // The stored job manager would place the batch again behind others, which would take the
     // capacity that is becoming free for it.
-    const bool is_start_near =
+    const bool has_reserved_targets =
         placed.batch.is_stored && this->reservation && this->reservation->batch == found->first;
-    if (placed.start_count == 0 && age >= placed.batch.wait_limit && !is_start_near) {
+    if (placed.start_count == 0 && age >= placed.batch.wait_limit && !has_reserved_targets) {
       this->EndBatch(found, BatchResult::Outcome::kNotRun, "no free capacity within the wait limit",
                      now, actions);
     } else if (age >= placed.batch.time_left) {
