stored: Avoid allocators that have given a task back

Cause: capacity reports don't say how large the targets are. The leader chose the allocator with the most free capacity, got the batch back after 0.4 s, and chose the same one again: 64 batches at one allocator, 14 at the second and 3 at the third, which owned the large target. Since such tasks don't count as a backlog any more, nothing else spread the attempts.

Change: the leader keeps for each task the allocators that have given it back without a start, and chooses one of them only if there is no other one; then the next round begins.

Tests: `PlacesATaskWithTheOnlyAllocatorThatCanHoldIt` (allocators, capacity reports and the leader without a network) failed with the avoided allocators ignored; `AvoidsAllocatorsThatHaveGivenATaskBack` and `ChoosesAvoidedAllocatorsLast`. Messages and data are unchanged.

--- a/src/clusterhost/stored_job_manager.cc
+++ b/src/clusterhost/stored_job_manager.cc
@@ -1,5 +1,6 @@
 #include "clusterhost/stored_job_manager.h"
 
+#include <set>
 #include <utility>
 
 #include "observability/log_field.h"
@@ -76,8 +77,9 @@
 JobScheduler::Hooks StoredJobManager::SchedulerHooks() {
   JobScheduler::Hooks scheduler_hooks;
   scheduler_hooks.now = this->hooks.now;
-  scheduler_hooks.choose_allocator = [this](const base::ServiceId& service, base::TaskCount count) {
-    return this->allocator_selector.ChooseAllocatorWithoutFullBacklog(service, count);
+  scheduler_hooks.choose_allocator = [this](const base::ServiceId& service, base::TaskCount count,
+                                            const std::set<HostId>& avoided) {
+    return this->allocator_selector.ChooseAllocatorWithoutFullBacklog(service, count, avoided);
   };
   scheduler_hooks.place_batch = [this](const HostId& host, const runs::TaskBatch& batch) {
     if (host == this->settings.self) {
--- a/src/gateway/allocator_selector.cc
+++ b/src/gateway/allocator_selector.cc
@@ -43,24 +43,25 @@
 
 std::optional<HostId> AllocatorSelector::ChooseAllocator(const base::ServiceId& service,
                                                          TaskCount count) {
-  return this->ChooseAllocatorBelowBacklog(service, count, std::numeric_limits<double>::infinity());
+  return this->ChooseAllocatorBelowBacklog(service, count, std::numeric_limits<double>::infinity(),
+                                           {});
 }
 
 std::optional<HostId> AllocatorSelector::ChooseAllocatorWithoutFullBacklog(
-    const base::ServiceId& service, TaskCount count) {
-  return this->ChooseAllocatorBelowBacklog(service, count, 1.0);
+    const base::ServiceId& service, TaskCount count, const std::set<HostId>& avoided) {
+  return this->ChooseAllocatorBelowBacklog(service, count, 1.0, avoided);
 }
 
-std::optional<HostId> AllocatorSelector::ChooseAllocatorBelowBacklog(const base::ServiceId& service,
-                                                                     TaskCount count,
-                                                                     double maximum_backlog) {
+std::optional<HostId> AllocatorSelector::ChooseAllocatorBelowBacklog(
+    const base::ServiceId& service, TaskCount count, double maximum_backlog,
+    const std::set<HostId>& avoided) {
   base::MutexLock lock(this->mutex);
   std::optional<HostId> best;
   runs::CapacityReport::ServiceCapacity* best_capacity = nullptr;
-  // Prefers allocators with a recent report, then those with free capacity for all tasks, then
-  // those in this data centre, where traffic costs least, then the one with the least backlog
-  // relative to its total capacity.
-  std::tuple<bool, bool, bool, double> best_rank;
+  // Prefers allocators with a recent report, then those that aren't avoided, then those with free
+  // capacity for all tasks, then those in this data centre, where traffic costs least, then the one
+  // with the least backlog relative to its total capacity.
+  std::tuple<bool, bool, bool, bool, double> best_rank;
   const base::TimePoint current_time = this->now();
   for (auto& [host, received] : this->capacity_reports) {
     runs::CapacityReport& report = received.report;
@@ -75,7 +76,7 @@
         continue;
       }
       const auto rank = std::make_tuple(
-          current_time - received.received_at < kPreferredReportAge,
+          current_time - received.received_at < kPreferredReportAge, avoided.count(host) == 0,
           capacity.free_task_capacity >= count && capacity.waiting_task_count == TaskCount(0),
           report.data_centre == this->data_centre, -backlog);
       if (!best || rank > best_rank) {
--- a/src/gateway/allocator_selector.h
+++ b/src/gateway/allocator_selector.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 
 #include "base/ids.h"
 #include "base/mutex.h"
@@ -33,10 +34,10 @@
                                               base::TaskCount count);
 
   /// As `ChooseAllocator`, but leaves out allocators whose backlog (waiting tasks minus free task
-  /// capacity) reaches their total task capacity. For tasks that can be placed later if there is no
-  /// other allocator.
-  std::optional<base::HostId> ChooseAllocatorWithoutFullBacklog(const base::ServiceId& service,
-                                                                base::TaskCount count);
+  /// capacity) reaches their total task capacity, and chooses one of `avoided` only if there is no
+  /// other one. For tasks that can be placed later if there is no other allocator.
+  std::optional<base::HostId> ChooseAllocatorWithoutFullBacklog(
+      const base::ServiceId& service, base::TaskCount count, const std::set<base::HostId>& avoided);
 
   /// Returns how long `count` tasks of this priority would wait at the allocator where they would
   /// wait least, by the reported backlogs and the rate at which capacity comes free. Returns none
@@ -55,7 +56,8 @@
   /// `maximum_backlog` is an exclusive limit, as a share of the allocator's total task capacity.
   std::optional<base::HostId> ChooseAllocatorBelowBacklog(const base::ServiceId& service,
                                                           base::TaskCount count,
-                                                          double maximum_backlog);
+                                                          double maximum_backlog,
+                                                          const std::set<base::HostId>& avoided);
 
   struct ReceivedReport {
     runs::CapacityReport report;
--- a/src/stored/job_scheduler.cc
+++ b/src/stored/job_scheduler.cc
@@ -222,6 +222,7 @@
 
 void JobScheduler::ReleaseBatch(JobEntry& entry, BatchNumber batch, TimePoint earliest_placement,
                                 bool may_have_runs) {
+  const HostId allocator = entry.open_batches.at(batch);
   entry.open_batches.erase(batch);
   for (std::vector<TaskState>& step : entry.steps) {
     for (TaskState& task : step) {
@@ -229,6 +230,11 @@
         task.batch = BatchNumber();
         task.earliest_placement = earliest_placement;
         task.may_have_runs = may_have_runs;
+        if (may_have_runs) {
+          task.refusing_allocators.clear();
+        } else {
+          task.refusing_allocators.insert(allocator);
+        }
       }
     }
   }
@@ -337,6 +343,7 @@
   std::vector<TaskState>& tasks = entry.steps[step.value()];
   std::vector<size_t> ready_tasks;
   std::vector<size_t> tasks_with_earlier_runs;
+  std::set<HostId> refusing_allocators;
   bool has_more = false;
   for (size_t i = 0; i < tasks.size(); ++i) {
     if (stored.steps[step.value()][i].successful_run || tasks[i].batch != BatchNumber() ||
@@ -352,6 +359,8 @@
       }
     } else {
       ready_tasks.push_back(i);
+      refusing_allocators.insert(tasks[i].refusing_allocators.begin(),
+                                 tasks[i].refusing_allocators.end());
     }
   }
   const size_t task_count = ready_tasks.size() + tasks_with_earlier_runs.size();
@@ -359,11 +368,17 @@
     return has_more;
   }
   // Without an allocator, the ends of earlier runs may still come and count.
-  const auto allocator =
-      this->hooks.choose_allocator(job.service, base::TaskCount(static_cast<int64_t>(task_count)));
+  const auto allocator = this->hooks.choose_allocator(
+      job.service, base::TaskCount(static_cast<int64_t>(task_count)), refusing_allocators);
   if (!allocator) {
     return true;
   }
+  if (refusing_allocators.count(*allocator) > 0) {
+    // All of them have given tasks back; the next round tries each again.
+    for (const size_t i : ready_tasks) {
+      tasks[i].refusing_allocators.clear();
+    }
+  }
   this->SupersedeEarlierRuns(entry, stored, step, tasks_with_earlier_runs, work);
   if (ready_tasks.empty()) {
     return has_more;
--- a/src/stored/job_scheduler.h
+++ b/src/stored/job_scheduler.h
@@ -35,8 +35,10 @@
   /// lock.
   struct Hooks {
     base::Clock now;
-    /// Chooses the allocator for a number of tasks of a service; nothing if there is none.
-    std::function<std::optional<base::HostId>(const base::ServiceId&, base::TaskCount)>
+    /// Chooses the allocator for a number of tasks of a service; nothing if there is none. One of
+    /// the given allocators is chosen only if there is no other one.
+    std::function<std::optional<base::HostId>(const base::ServiceId&, base::TaskCount,
+                                              const std::set<base::HostId>&)>
         choose_allocator;
     /// Sends a batch to an allocator. Returns false only if it was certainly not sent.
     std::function<bool(const base::HostId&, const runs::TaskBatch&)> place_batch;
@@ -128,6 +130,9 @@
     base::RunNumber proposed_lowest_run;
     /// The proposal is repeated at this time.
     base::TimePoint next_proposal_at;
+    /// Allocators that have given the task back without a start since all others had. Capacity
+    /// reports don't say how large the targets are.
+    std::set<base::HostId> refusing_allocators;
   };
   struct JobEntry {
     base::Priority priority;
--- a/tests/gateway/allocator_selector_test.cc
+++ b/tests/gateway/allocator_selector_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <set>
+
 #include "base/manual_clock.h"
 
 using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
@@ -39,6 +41,19 @@
   CHECK(*this->selector.ChooseAllocator(ServiceId("s"), TaskCount(8)) == HostId("far"));
 }
 
+// Guards against choosing an allocator again that has given the tasks back while another one may
+// hold them, and against choosing none if there is no other one.
+TEST(AllocatorSelector, ChoosesAvoidedAllocatorsLast) {
+  this->selector.OnCapacityReport(HostId("near"), MakeReport("near", 20, 0));
+  this->selector.OnCapacityReport(HostId("far"), MakeReport("far", 0, 5));
+  const auto choose = [this](const std::set<HostId>& avoided) {
+    return *this->selector.ChooseAllocatorWithoutFullBacklog(ServiceId("s"), TaskCount(1), avoided);
+  };
+  CHECK(choose({}) == HostId("near"));
+  CHECK(choose({HostId("near")}) == HostId("far"));
+  CHECK(choose({HostId("near"), HostId("far")}) == HostId("near"));
+}
+
 // Guards against choosing an allocator that is leaving, is lost or has no targets of the service.
 TEST(AllocatorSelector, IgnoresAllocatorsThatCannotStartTasks) {
   CHECK_FALSE(this->selector.HasReports());
--- a/tests/stored/job_scheduler_test.cc
+++ b/tests/stored/job_scheduler_test.cc
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,6 +25,8 @@
   std::vector<JobCommand::SupersedeRuns> superseded_runs;
   bool commits_superseded_runs = true;
   std::string chosen_allocator = "a1";
+  /// The allocators that were to be avoided in the last choice.
+  std::set<base::HostId> avoided_allocators;
   bool is_allocator_reachable = true;
   /// The scheduler that learns of changes of the jobs.
   JobScheduler* notified_scheduler = &this->scheduler;
@@ -36,8 +39,10 @@
   JobScheduler::Hooks Hooks() {
     JobScheduler::Hooks hooks;
     hooks.now = this->clock.AsClock();
-    hooks.choose_allocator = [this](const base::ServiceId&,
-                                    base::TaskCount) -> std::optional<base::HostId> {
+    hooks.choose_allocator =
+        [this](const base::ServiceId&, base::TaskCount,
+               const std::set<base::HostId>& avoided) -> std::optional<base::HostId> {
+      this->avoided_allocators = avoided;
       if (this->chosen_allocator.empty()) {
         return std::nullopt;
       }
@@ -415,6 +420,34 @@
   CHECK(second[0].first == base::HostId("a2"));
 }
 
+// Guards against a task that is placed with the same allocator all the time, which has free
+// capacity but no target that is large enough, although a target of another allocator is. Found by
+// the soak:
+// `--faults owner-change,lose-large,owner-change,reborn,kill,cut --seed 3106`.
+TEST(JobScheduler, AvoidsAllocatorsThatHaveGivenATaskBack) {
+  const base::HostId a1("a1");
+  const base::HostId a2("a2");
+  const auto give_back = [this] {
+    const auto placed = this->TakePlacements();
+    LONGS_EQUAL(1, placed.size());
+    this->scheduler.OnBatchEnd(placed[0].first,
+                               {placed[0].second.key, runs::BatchResult::Outcome::kNotRun, ""});
+    this->AdvanceTime(100);
+  };
+  this->BecomeLeader();
+  this->Submit("job");
+  CHECK_TRUE(this->avoided_allocators.empty());
+  this->chosen_allocator = "a2";
+  give_back();
+  CHECK((this->avoided_allocators == std::set<base::HostId>{a1}));
+  // There is no third allocator: the next round begins with the first one.
+  this->chosen_allocator = "a1";
+  give_back();
+  CHECK((this->avoided_allocators == std::set<base::HostId>{a1, a2}));
+  give_back();
+  CHECK((this->avoided_allocators == std::set<base::HostId>{a1}));
+}
+
 // Guards against a count of pending jobs that omits some or includes running ones.
 TEST(JobScheduler, CountsJobsThatHaveNotBegun) {
   this->BecomeLeader();
--- a/tests/stored/task_succession_test.cc
+++ b/tests/stored/task_succession_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/manual_clock.h"
+#include "gateway/allocator_selector.h"
 #include "runs/service_scheduler.h"
 #include "stored/job_scheduler.h"
 #include "tests/support/simulated_target.h"
@@ -24,8 +25,8 @@
 constexpr const char* kLeader = "leader";
 constexpr base::Duration kStep = milliseconds(20);
 
-base::Resources OneCore() {
-  return {base::MilliCores(1000), base::ByteCount(0), base::AcceleratorCount(0)};
+base::Resources Cores(int64_t count) {
+  return {base::MilliCores(1000 * count), base::ByteCount(0), base::AcceleratorCount(0)};
 }
 
 /// An allocator whose requests and messages the test delivers.
@@ -44,7 +45,10 @@
   base::ManualClock clock;
   std::map<std::string, Allocator> allocators;
   std::map<std::string, testing::SimulatedTarget> targets;
+  /// Placements go to this allocator, or to the one that `selector` chooses if it is empty.
   std::string chosen_allocator = "a1";
+  gateway::AllocatorSelector selector{base::DataCentreId("zone"), this->clock.AsClock()};
+  base::Resources task_size = Cores(1);
   size_t most_simultaneous_runs = 0;
   stored::JobStateMachine jobs{
       [this](const std::vector<base::SubmissionId>& ids) { this->leader.OnJobsChanged(ids); }};
@@ -54,7 +58,7 @@
   void setup() override {
     this->clock.Advance(std::chrono::seconds(100));
     for (const char* id : {"t1", "t2", "t3"}) {
-      this->targets.emplace(id, testing::SimulatedTarget(id, OneCore(), this->clock.Now()));
+      this->targets.emplace(id, testing::SimulatedTarget(id, Cores(1), this->clock.Now()));
     }
     this->allocators["a1"].owned_targets = {"t1", "t2"};
     this->allocators["a2"].owned_targets = {"t3"};
@@ -64,8 +68,12 @@
   JobScheduler::Hooks Hooks() {
     JobScheduler::Hooks hooks;
     hooks.now = this->clock.AsClock();
-    hooks.choose_allocator = [this](const base::ServiceId&, base::TaskCount) {
-      return std::optional<base::HostId>(this->chosen_allocator);
+    hooks.choose_allocator = [this](const base::ServiceId&, base::TaskCount,
+                                    const std::set<base::HostId>& avoided) {
+      return this->chosen_allocator.empty()
+                 ? this->selector.ChooseAllocatorWithoutFullBacklog(base::ServiceId("service"),
+                                                                    base::TaskCount(1), avoided)
+                 : std::optional<base::HostId>(this->chosen_allocator);
     };
     hooks.place_batch = [this](const base::HostId& host, const runs::TaskBatch& batch) {
       Allocator& allocator = this->allocators.at(host.value());
@@ -88,7 +96,7 @@
     job.maximum_attempts = base::AttemptCount(4);
     gateway::JobStep step;
     step.task_count = base::TaskCount(1);
-    step.required_resources = OneCore();
+    step.required_resources = this->task_size;
     step.is_long_running = is_long_running;
     job.steps = {step};
     this->jobs.Apply(JobCommand{JobCommand::Submit{job}}.Encode());
@@ -103,7 +111,7 @@
       allocator.scheduler.OnStartResponse(
           request,
           is_reachable(request.target)
-              ? this->targets.at(request.target.id.value()).StartRun(request, OneCore(), now)
+              ? this->targets.at(request.target.id.value()).StartRun(request, this->task_size, now)
               : runs::TargetCallResponse(),
           now, allocator.pending_actions);
     }
@@ -178,6 +186,10 @@
         this->ReportTargets(allocator);
         allocator.scheduler.Tick(this->clock.Now(), allocator.pending_actions);
         this->ExecuteActions(host);
+        runs::CapacityReport report;
+        report.service_capacities = {allocator.scheduler.Capacity(this->clock.Now())};
+        report.service_capacities[0].service = base::ServiceId("service");
+        this->selector.OnCapacityReport(base::HostId(host), report);
       }
       this->most_simultaneous_runs =
           std::max(this->most_simultaneous_runs, this->CountActiveRuns());
@@ -276,3 +288,16 @@
   LONGS_EQUAL(1, this->most_simultaneous_runs);
   LONGS_EQUAL(1, this->CountActiveRuns());
 }
+
+// Guards against a task that is placed all the time with an allocator that has free capacity but no
+// target that is large enough, while a target of another allocator is idle.
+TEST(TaskSuccession, PlacesATaskWithTheOnlyAllocatorThatCanHoldIt) {
+  this->targets.at("t3") = testing::SimulatedTarget("t3", Cores(2), this->clock.Now());
+  this->targets.at("t3").Restart(this->clock.Now());
+  this->AdvanceTime(milliseconds(200));
+  this->chosen_allocator.clear();
+  this->task_size = Cores(2);
+  this->SubmitJob(false);
+  this->AdvanceTime(milliseconds(3000));
+  LONGS_EQUAL(1, this->targets.at("t3").active_runs().size());
+}
