runs: Say why a task is returned in all of its cases

The log line of a task that had used up its run numbers named another owner, which it doesn't have. Also renames a local variable and splits a condition that the formatter had made hard to read. Behaviour is unchanged; tests of runs and stored passed (release build).

--- a/src/runs/service_scheduler.cc
+++ b/src/runs/service_scheduler.cc
@@ -285,8 +285,10 @@
 
 bool ServiceScheduler::IsReservedForEarlierBatch(const TargetId& target,
                                                  const QueuePosition& position) const {
-  return this->reservation &&
-         this->reservation->position<position&& this->reservation->targets.count(target)> 0;
+  if (!this->reservation || !(this->reservation->position < position)) {
+    return false;
+  }
+  return this->reservation->targets.count(target) > 0;
 }
 
 Resources ServiceScheduler::CapacityFreedSoon(const LeasedTarget& target, TimePoint now) const {
@@ -296,9 +298,9 @@
     if (run.phase == TargetRun::Phase::kStopping || found == this->batches.end()) {
       continue;
     }
-    const Duration expected_end =
+    const Duration longest_run_time =
         std::max(kMaximumReservationTime, kStragglerFactor * found->second.batch.expected_run_time);
-    if (now - run.start_requested_at >= expected_end) {
+    if (now - run.start_requested_at >= longest_run_time) {
       capacity -= run.required_resources;
     }
   }
@@ -495,7 +497,7 @@
   actions.run_events.back().is_run_gone = is_run_gone;
   actions.decisions.push_back({"task returned", key, target.report.id, target.fencing_token,
                                is_run_gone
-                                   ? "the run is gone, and another owner may have read its result"
+                                   ? "the run is gone; the leader places the task again"
                                    : "another owner of the target may find the run active"});
   this->FinishTask(found, now, actions);
 }
