runs, protocol: Add messages that return waiting tasks to their gateway

A batch stays with its allocator until it starts or is refused, also when the allocator can't run it any more. ReturnedTasks and BatchRecall let waiting tasks move. Fields of TaskBatch and CapacityReport keep hosts of earlier versions from getting messages that they can't decode. The scheduler's methods for evacuated data centres and recalls are declared; they do nothing yet.

--- a/src/clusterhost/allocator_host.cc
+++ b/src/clusterhost/allocator_host.cc
@@ -88,6 +88,9 @@
   hooks.poll_target = this->WithCallMetrics<runs::PollRequest, runs::PollResponse>(
       "look", std::move(calls.poll_target));
   hooks.on_batch_end = [this](const runs::BatchResult& result) { this->OnBatchEnd(result); };
+  hooks.on_tasks_returned = [this](const runs::ReturnedTasks& returned) {
+    this->OnTasksReturned(returned);
+  };
   hooks.on_decision = [this](const runs::RunDecision& decision) { this->OnDecision(decision); };
   hooks.on_run_events = [this](const std::vector<runs::RunEvent>& events) {
     this->job_manager.OnRunEvents(events);
@@ -591,6 +594,8 @@
     this->scheduler.PlaceBatch(*batch);
   } else if (const auto* cancel = std::get_if<runs::BatchCancel>(&message)) {
     this->scheduler.CancelJob(from, cancel->job);
+  } else if (const auto* recall = std::get_if<runs::BatchRecall>(&message)) {
+    this->scheduler.RecallBatch(from, *recall);
   } else if (const auto* raft = std::get_if<protocol::ConsensusMessage>(&message)) {
     this->group->ReceiveRaftMessage(raft->raft_message);
   } else if (const auto* report = std::get_if<runs::TargetReport>(&message)) {
@@ -625,6 +630,18 @@
   (void)this->network->SendReliably(result.key.gateway, result);
 }
 
+void AllocatorHost::OnTasksReturned(const runs::ReturnedTasks& returned) {
+  this->metrics.OnRunDecision("tasks returned to the gateway");
+  this->logger.Info("tasks returned to the gateway",
+                    {{"job", returned.key.job.value()},
+                     {"part", std::to_string(returned.key.batch.value())},
+                     {"gateway", returned.key.gateway.value()},
+                     {"tasks", std::to_string(returned.tasks.size())},
+                     {"reason", returned.reason}});
+  // A lost gateway no longer has a caller that waits for the tasks.
+  (void)this->network->SendReliably(returned.key.gateway, returned);
+}
+
 void AllocatorHost::OnDecision(const runs::RunDecision& decision) {
   this->metrics.OnRunDecision(decision.name);
   this->logger.Info(decision.name, {{"task", TaskKeyText(decision.key)},
@@ -637,6 +654,7 @@
 void AllocatorHost::ReportCapacity() {
   runs::CapacityReport report;
   report.data_centre = this->settings.host.data_centre;
+  report.accepts_recalls = true;
   report.service_capacities = this->scheduler.ServiceCapacities();
   {
     MutexLock lock(this->state_mutex);
--- a/src/clusterhost/allocator_host.h
+++ b/src/clusterhost/allocator_host.h
@@ -111,6 +111,7 @@
   void OnClusterStateChange(const cluster::ConfigurationRecord& record,
                             const cluster::ClusterView& new_view);
   void OnBatchEnd(const runs::BatchResult& result);
+  void OnTasksReturned(const runs::ReturnedTasks& returned);
   void OnDecision(const runs::RunDecision& decision);
   void RecordTargetReport(const runs::TargetReport& report);
   /// Sends the report of a draining target to the allocators that don't own it. Otherwise one of
--- a/src/protocol/cluster_codec.cc
+++ b/src/protocol/cluster_codec.cc
@@ -23,6 +23,22 @@
   return key;
 }
 
+/// Encodes a task key without its job, which the key of the message's batch holds.
+json EncodeTaskKey(const runs::JobTaskKey& key) {
+  return {{"occurrence", ToJson(key.occurrence)},
+          {"step", ToJson(key.step)},
+          {"index", ToJson(key.index)}};
+}
+
+runs::JobTaskKey DecodeTaskKey(FieldReader& reader, const base::SubmissionId& job) {
+  runs::JobTaskKey key;
+  key.job = job;
+  reader.Read("occurrence", key.occurrence);
+  reader.Read("step", key.step);
+  reader.Read("index", key.index);
+  return key;
+}
+
 }  // namespace
 
 json EncodeMessage(const runs::TaskBatch& message) {
@@ -36,15 +52,15 @@
   map["wait_limit"] = ToJson(message.wait_limit);
   map["time_left"] = ToJson(message.time_left);
   map["stored"] = message.is_stored;
+  map["returnable"] = message.can_be_returned;
   map["first_run"] = ToJson(message.first_run_number);
   map["label"] = ToJson(message.placement_rule.required_label);
   map["most_per_target"] = ToJson(message.placement_rule.maximum_tasks_per_target);
   json tasks = json::array();
   for (const runs::BatchTask& task : message.tasks) {
-    tasks.push_back({{"occurrence", ToJson(task.key.occurrence)},
-                     {"step", ToJson(task.key.step)},
-                     {"index", ToJson(task.key.index)},
-                     {"need", EncodeResources(task.required_resources)}});
+    json entry = EncodeTaskKey(task.key);
+    entry["need"] = EncodeResources(task.required_resources);
+    tasks.push_back(std::move(entry));
   }
   map["tasks"] = std::move(tasks);
   return map;
@@ -61,15 +77,13 @@
   message.wait_limit = ReadDuration(reader, "wait_limit");
   message.time_left = ReadDuration(reader, "time_left");
   message.is_stored = reader.ReadBool("stored");
+  message.can_be_returned = reader.ReadBoolOr("returnable", false);
   reader.Read("first_run", message.first_run_number);
   reader.Read("label", message.placement_rule.required_label);
   reader.Read("most_per_target", message.placement_rule.maximum_tasks_per_target);
   message.tasks = DecodeArray<runs::BatchTask>(reader, "tasks", [&message](FieldReader& item) {
     runs::BatchTask task;
-    task.key.job = message.key.job;
-    item.Read("occurrence", task.key.occurrence);
-    item.Read("step", task.key.step);
-    item.Read("index", task.key.index);
+    task.key = DecodeTaskKey(item, message.key.job);
     task.required_resources = DecodeResources(item, "need");
     return task;
   });
@@ -102,6 +116,50 @@
   return message;
 }
 
+json EncodeMessage(const runs::BatchRecall& message) {
+  return {
+      {"type", kBatchRecallType}, {"job", ToJson(message.job)}, {"part", ToJson(message.batch)}};
+}
+
+Message DecodeBatchRecall(FieldReader& reader) {
+  runs::BatchRecall message;
+  reader.Read("job", message.job);
+  reader.Read("part", message.batch);
+  return message;
+}
+
+json EncodeMessage(const runs::ReturnedTasks& message) {
+  json map = EncodeBatchKey(message.key);
+  map["type"] = kReturnedTasksType;
+  json tasks = json::array();
+  for (const runs::ReturnedTasks::Task& task : message.tasks) {
+    json entry = EncodeTaskKey(task.key);
+    entry["next_run"] = ToJson(task.next_run);
+    tasks.push_back(std::move(entry));
+  }
+  map["tasks"] = std::move(tasks);
+  map["ended"] = message.is_batch_ended;
+  map["may_have_run"] = message.may_have_run;
+  map["reason"] = message.reason;
+  return map;
+}
+
+Message DecodeReturnedTasks(FieldReader& reader) {
+  runs::ReturnedTasks message;
+  message.key = DecodeBatchKey(reader);
+  message.tasks =
+      DecodeArray<runs::ReturnedTasks::Task>(reader, "tasks", [&message](FieldReader& item) {
+        runs::ReturnedTasks::Task task;
+        task.key = DecodeTaskKey(item, message.key.job);
+        item.Read("next_run", task.next_run);
+        return task;
+      });
+  message.is_batch_ended = reader.ReadBool("ended");
+  message.may_have_run = reader.ReadBool("may_have_run");
+  message.reason = reader.ReadString("reason");
+  return message;
+}
+
 json EncodeMessage(const runs::CapacityReport& message) {
   json services = json::array();
   for (const runs::CapacityReport::ServiceCapacity& service : message.service_capacities) {
@@ -120,6 +178,7 @@
   return {{"type", kCapacityReportType},
           {"data_centre", ToJson(message.data_centre)},
           {"leaving", message.is_leaving},
+          {"recalls", message.accepts_recalls},
           {"services", std::move(services)}};
 }
 
@@ -127,6 +186,7 @@
   runs::CapacityReport message;
   reader.Read("data_centre", message.data_centre);
   message.is_leaving = reader.ReadBool("leaving");
+  message.accepts_recalls = reader.ReadBoolOr("recalls", false);
   message.service_capacities =
       DecodeArray<runs::CapacityReport::ServiceCapacity>(reader, "services", [](FieldReader& item) {
         runs::CapacityReport::ServiceCapacity service;
@@ -163,6 +223,7 @@
           {"report", ToJson(message.sequence_number)},
           {"capacity", EncodeResources(message.capacity)},
           {"clock", ToJson(message.clock)},
+          {"cold_time_left", ToJson(message.cold_time_left)},
           {"draining", message.is_draining},
           {"left", message.has_left}};
 }
@@ -183,6 +244,8 @@
   reader.Read("report", message.sequence_number);
   message.capacity = DecodeResources(reader, "capacity");
   message.clock = ReadDuration(reader, "clock");
+  message.cold_time_left =
+      base::Duration(reader.ReadIntegerOr("cold_time_left", 0, INT64_MAX / 2, 0));
   message.is_draining = reader.ReadBool("draining");
   message.has_left = reader.ReadBool("left");
   return message;
--- a/src/protocol/cluster_codec.h
+++ b/src/protocol/cluster_codec.h
@@ -9,8 +9,10 @@
 #include "protocol/field_reader.h"
 #include "protocol/message.h"
 #include "runs/batch_cancel.h"
+#include "runs/batch_recall.h"
 #include "runs/batch_result.h"
 #include "runs/capacity_report.h"
+#include "runs/returned_tasks.h"
 #include "runs/target_report.h"
 #include "runs/task_batch.h"
 
@@ -31,6 +33,14 @@
 nlohmann::json EncodeMessage(const runs::BatchCancel& message);
 Message DecodeBatchCancel(FieldReader& reader);
 
+constexpr const char* kBatchRecallType = "part_recall";
+nlohmann::json EncodeMessage(const runs::BatchRecall& message);
+Message DecodeBatchRecall(FieldReader& reader);
+
+constexpr const char* kReturnedTasksType = "tasks_returned";
+nlohmann::json EncodeMessage(const runs::ReturnedTasks& message);
+Message DecodeReturnedTasks(FieldReader& reader);
+
 constexpr const char* kCapacityReportType = "room_report";
 nlohmann::json EncodeMessage(const runs::CapacityReport& message);
 Message DecodeCapacityReport(FieldReader& reader);
--- a/src/protocol/field_reader.cc
+++ b/src/protocol/field_reader.cc
@@ -66,6 +66,12 @@
   return value->get<int64_t>();
 }
 
+int64_t FieldReader::ReadIntegerOr(const char* name, int64_t minimum, int64_t maximum,
+                                   int64_t default_value) {
+  return this->FindField(name) == nullptr ? default_value
+                                          : this->ReadInteger(name, minimum, maximum);
+}
+
 uint64_t FieldReader::ReadUnsigned(const char* name) {
   const Json* value = this->FindField(name);
   if (value == nullptr || !value->is_number_unsigned()) {
--- a/src/protocol/field_reader.h
+++ b/src/protocol/field_reader.h
@@ -34,6 +34,9 @@
   bool ReadBoolOr(const char* name, bool default_value);
   /// Reads an integer from `minimum` to `maximum`.
   int64_t ReadInteger(const char* name, int64_t minimum, int64_t maximum);
+  /// As `ReadInteger`, for a field that earlier program versions don't send; `default_value` if it
+  /// is missing.
+  int64_t ReadIntegerOr(const char* name, int64_t minimum, int64_t maximum, int64_t default_value);
   uint64_t ReadUnsigned(const char* name);
   const Json& ReadArray(const char* name);
   const Json& ReadMap(const char* name);
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -21,8 +21,10 @@
 #include "protocol/submission_response.h"
 #include "protocol/task_results.h"
 #include "runs/batch_cancel.h"
+#include "runs/batch_recall.h"
 #include "runs/batch_result.h"
 #include "runs/capacity_report.h"
+#include "runs/returned_tasks.h"
 #include "runs/run_event_acknowledgements.h"
 #include "runs/run_events.h"
 #include "runs/target_report.h"
@@ -40,6 +42,7 @@
                  runs::BatchResult, runs::BatchCancel, runs::CapacityReport, runs::TargetReport,
                  cluster::ClusterUpdate, cluster::ConfigurationRequest,
                  cluster::ConfigurationResponse, cluster::JoinRequest, runs::RunEvents,
-                 runs::RunEventAcknowledgements, stored::JobRequest, stored::JobResponse>;
+                 runs::RunEventAcknowledgements, stored::JobRequest, stored::JobResponse,
+                 runs::BatchRecall, runs::ReturnedTasks>;
 
 }  // namespace sapphirecrank::protocol
--- a/src/protocol/message_codec.cc
+++ b/src/protocol/message_codec.cc
@@ -254,6 +254,8 @@
     {kTaskBatchType, DecodeTaskBatch},
     {kBatchResultType, DecodeBatchResult},
     {kBatchCancelType, DecodeBatchCancel},
+    {kBatchRecallType, DecodeBatchRecall},
+    {kReturnedTasksType, DecodeReturnedTasks},
     {kCapacityReportType, DecodeCapacityReport},
     {kTargetReportType, DecodeTargetReport},
     {kClusterUpdateType, DecodeClusterUpdate},
--- a/src/runs/capacity_report.h
+++ b/src/runs/capacity_report.h
@@ -37,11 +37,13 @@
   base::DataCentreId data_centre;
   /// The allocator is leaving and accepts no new batches.
   bool is_leaving = false;
+  /// The allocator answers a `BatchRecall`; those of earlier program versions can't decode it.
+  bool accepts_recalls = false;
   std::vector<ServiceCapacity> service_capacities;
 
   friend bool operator==(const CapacityReport& a, const CapacityReport& b) {
     return a.data_centre == b.data_centre && a.is_leaving == b.is_leaving &&
-           a.service_capacities == b.service_capacities;
+           a.accepts_recalls == b.accepts_recalls && a.service_capacities == b.service_capacities;
   }
 };
 
--- a/src/runs/run_scheduler.cc
+++ b/src/runs/run_scheduler.cc
@@ -108,6 +108,14 @@
       });
 }
 
+void RunScheduler::RecallBatch(const base::HostId& /*gateway*/, const BatchRecall& /*recall*/) {}
+
+void RunScheduler::SetEvacuatedDataCentres(const std::set<base::DataCentreId>& /*data_centres*/) {}
+
+void RunScheduler::AllowStartsUntil(base::TimePoint /*until*/) {}
+
+std::map<base::DataCentreId, size_t> RunScheduler::RunCounts() { return {}; }
+
 void RunScheduler::OnEventAcknowledgements(const RunEventAcknowledgements& acknowledgements) {
   const auto process_events = [this](const std::vector<RunEvent>& events, bool is_superseded) {
     for (const RunEvent& event : events) {
@@ -180,6 +188,9 @@
       });
     });
   }
+  for (const ReturnedTasks& returned : actions.returned_tasks) {
+    this->hooks.on_tasks_returned(returned);
+  }
   for (const BatchResult& result : actions.batch_results) {
     this->hooks.on_batch_end(result);
   }
--- a/src/runs/run_scheduler.h
+++ b/src/runs/run_scheduler.h
@@ -3,12 +3,15 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "base/mutex.h"
 #include "base/sharded.h"
 #include "base/thread_annotations.h"
 #include "base/time.h"
+#include "runs/batch_recall.h"
+#include "runs/returned_tasks.h"
 #include "runs/run_event_acknowledgements.h"
 #include "runs/service_scheduler.h"
 
@@ -30,6 +33,8 @@
         stop_run;
     std::function<void(const PollRequest&, std::function<void(const PollResponse&)>)> poll_target;
     std::function<void(const BatchResult&)> on_batch_end;
+    /// Gives tasks back to the gateway that placed their batch.
+    std::function<void(const ReturnedTasks&)> on_tasks_returned;
     std::function<void(const RunDecision&)> on_decision;
     /// Sends events to the stored job manager, whose response goes to `OnEventAcknowledgements`.
     std::function<void(const std::vector<RunEvent>&)> on_run_events;
@@ -55,6 +60,21 @@
   /// Stops all batches that `gateway` placed; no `BatchResult` follows.
   void CancelJobsOfGateway(const base::HostId& gateway);
 
+  /// Returns the waiting tasks of a batch that `gateway` placed, see `BatchRecall`.
+  void RecallBatch(const base::HostId& gateway, const BatchRecall& recall);
+
+  /// Starts no further runs on targets in `data_centres`, and on those in all others again. Runs
+  /// that are active there end by themselves. Waiting tasks that no other target of this host could
+  /// run are returned at once.
+  void SetEvacuatedDataCentres(const std::set<base::DataCentreId>& data_centres);
+
+  /// Starts no runs later than `until`, until a later call allows it. Unlimited before the first
+  /// call. For a host that can't know whether one of its data centres is being evacuated.
+  void AllowStartsUntil(base::TimePoint until);
+
+  /// Returns how many runs may be active on this host's targets, for each data centre that has any.
+  std::map<base::DataCentreId, size_t> RunCounts();
+
   /// Records that `gateway` still waited for its batches at `alive_at`. Runs are started only for
   /// gateways that have been alive recently, see `SchedulerSettings::gateway_timeout`.
   void OnGatewayAlive(const base::HostId& gateway, base::TimePoint alive_at);
--- a/src/runs/scheduler_actions.h
+++ b/src/runs/scheduler_actions.h
@@ -4,6 +4,7 @@
 
 #include "runs/batch_result.h"
 #include "runs/poll_request.h"
+#include "runs/returned_tasks.h"
 #include "runs/run_decision.h"
 #include "runs/run_event.h"
 #include "runs/start_request.h"
@@ -18,6 +19,7 @@
   std::vector<StopRequest> stop_requests;
   std::vector<PollRequest> poll_requests;
   std::vector<BatchResult> batch_results;
+  std::vector<ReturnedTasks> returned_tasks;
   std::vector<RunEvent> run_events;
   std::vector<RunDecision> decisions;
 };
--- a/src/runs/target_report.h
+++ b/src/runs/target_report.h
@@ -23,6 +23,8 @@
   base::Resources capacity;
   /// Time since the target's start, on its own clock.
   base::Duration clock{0};
+  /// How much longer the target stays slow after its start, as of this report; zero if it is warm.
+  base::Duration cold_time_left{0};
   /// The target accepts no new runs and will stop soon.
   bool is_draining = false;
   /// The target has announced that it is stopping now.
--- a/src/runs/task_batch.h
+++ b/src/runs/task_batch.h
@@ -36,6 +36,9 @@
   /// The job is stored: the end of each run is reported to the stored job manager before it is
   /// acknowledged to the target, and tasks whose run has failed are returned to the manager.
   bool is_stored = false;
+  /// The gateway places tasks elsewhere that the allocator gives back as `ReturnedTasks`. False for
+  /// stored jobs, and for gateways of earlier program versions.
+  bool can_be_returned = false;
   /// Run number of the first run of each task.
   base::RunNumber first_run_number{1};
 };
--- a/tests/protocol/message_codec_test.cc
+++ b/tests/protocol/message_codec_test.cc
@@ -79,8 +79,10 @@
       runs::TaskBatch{},
       runs::BatchResult{},
       runs::BatchCancel{},
+      runs::BatchRecall{},
+      runs::ReturnedTasks{},
       runs::CapacityReport{
-          base::DataCentreId("d"), true, {runs::CapacityReport::ServiceCapacity{}}},
+          base::DataCentreId("d"), true, false, {runs::CapacityReport::ServiceCapacity{}}},
       runs::TargetReport{},
       cluster::ClusterUpdate{},
       cluster::ConfigurationRequest{},
@@ -150,6 +152,52 @@
   CHECK(copy.tasks[0].required_resources == batch.tasks[0].required_resources);
 }
 
+// Guards against tasks that a gateway places again with a run number that their targets refuse, and
+// against a refusal that wrongly says "not run".
+TEST(MessageCodec, ReturnedTasksSurviveEncoding) {
+  runs::ReturnedTasks returned;
+  returned.key = {base::HostId("g"), base::SubmissionId("job"), base::BatchNumber(3)};
+  returned.tasks = {
+      {{returned.key.job, base::OccurrenceNumber(1), base::StepIndex(2), base::TaskIndex(5)},
+       base::RunNumber(7)}};
+  returned.is_batch_ended = true;
+  returned.may_have_run = true;
+  returned.reason = "evacuated";
+  const auto decoded = DecodeEnvelope(EncodeEnvelope(
+      {base::SequenceNumber(1), base::SequenceNumber(0), base::SessionNumber(4), returned}));
+  CHECK_TRUE(decoded.has_value());
+  const auto& copy = std::get<runs::ReturnedTasks>(decoded->message);
+  CHECK(copy.key == returned.key);
+  LONGS_EQUAL(1, copy.tasks.size());
+  CHECK(copy.tasks[0].key == returned.tasks[0].key);
+  CHECK(copy.tasks[0].next_run == base::RunNumber(7));
+  CHECK_TRUE(copy.is_batch_ended);
+  CHECK_TRUE(copy.may_have_run);
+  CHECK(copy.reason == returned.reason);
+}
+
+// Guards against batches that are returned to a gateway, or recalled from an allocator, whose
+// program version can't decode the message, during a rolling update.
+TEST(MessageCodec, HostsOfEarlierVersionsTakeNoReturnedTasksAndNoRecalls) {
+  const auto without_field = [](const protocol::Message& message, const char* field) {
+    nlohmann::json map = nlohmann::json::from_cbor(EncodeEnvelope(
+        {base::SequenceNumber(1), base::SequenceNumber(0), base::SessionNumber(4), message}));
+    LONGS_EQUAL(1, map.erase(field));
+    const std::vector<uint8_t> earlier = nlohmann::json::to_cbor(map);
+    return DecodeEnvelope(std::string(earlier.begin(), earlier.end()));
+  };
+  runs::TaskBatch batch;
+  batch.can_be_returned = true;
+  const auto decoded_batch = without_field(batch, "returnable");
+  CHECK_TRUE(decoded_batch.has_value());
+  CHECK_FALSE(std::get<runs::TaskBatch>(decoded_batch->message).can_be_returned);
+  runs::CapacityReport report;
+  report.accepts_recalls = true;
+  const auto decoded_report = without_field(report, "recalls");
+  CHECK_TRUE(decoded_report.has_value());
+  CHECK_FALSE(std::get<runs::CapacityReport>(decoded_report->message).accepts_recalls);
+}
+
 // Guards against run events that are acknowledged for another run or with another kind.
 TEST(MessageCodec, RunEventsSurviveEncoding) {
   runs::RunEvent event;
--- a/tests/runs/run_scheduler_test.cc
+++ b/tests/runs/run_scheduler_test.cc
@@ -41,6 +41,7 @@
       }
     };
     hooks.on_batch_end = [](const runs::BatchResult& /*result*/) {};
+    hooks.on_tasks_returned = [](const runs::ReturnedTasks& /*returned*/) {};
     hooks.on_decision = [](const runs::RunDecision& /*decision*/) {};
     hooks.on_run_events = [](const std::vector<runs::RunEvent>& /*events*/) {};
     return hooks;
