cluster: Add the replicated state of evacuations

Orders to start or finish the evacuation of a data centre are commands of the replicated log; the order of the log decides between orders that overtake each other. Earlier program versions read a command of an unknown kind as a configuration; orders begin with a 64-bit 0, which is a version that they ignore.

The simulation of a group applies all commands to the real state machine, and RandomLosses sends orders to all hosts that take themselves for the leader.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -56,6 +56,8 @@
 using LogIndex = StrongNumber<struct LogIndexTag, uint64_t>;
 /// Version of the configuration, from 1.
 using Version = StrongNumber<struct VersionTag, uint64_t>;
+/// Number of changes to the set of evacuated data centres.
+using EvacuationRevision = StrongNumber<struct EvacuationRevisionTag, uint64_t>;
 /// Number that a process gives to each message, record, report or heartbeat round; never used twice
 /// by one process for things of one kind.
 using SequenceNumber = StrongNumber<struct SequenceNumberTag, uint64_t>;
--- a/src/cluster/cluster_state.cc
+++ b/src/cluster/cluster_state.cc
@@ -13,6 +13,7 @@
 constexpr char kConfigurationCommand = 'c';
 constexpr char kViewCommand = 'v';
 constexpr char kJobsCommand = 'j';
+constexpr char kEvacuationCommand = 'e';
 
 std::string EncodeConfigurationRecord(const ConfigurationRecord& record) {
   storage::ByteWriter writer;
@@ -50,6 +51,10 @@
   return kJobsCommand + change;
 }
 
+std::string ClusterState::EncodeEvacuationCommand(const EvacuationOrder& order) {
+  return kEvacuationCommand + order.Encode();
+}
+
 void ClusterState::Tick() { this->view_state_machine.Tick(); }
 
 void ClusterState::Apply(const std::string& command) {
@@ -65,6 +70,13 @@
     return;
   }
   const std::string body = command.substr(1);
+  if (command.front() == kEvacuationCommand) {
+    const auto order = EvacuationOrder::Decode(body);
+    if (order && this->evacuation_state.Apply(*order)) {
+      this->hooks.on_state_change();
+    }
+    return;
+  }
   storage::ByteReader reader(body);
   ConfigurationRecord record = ReadConfigurationRecord(reader);
   if (reader.ok() && record.version > this->configuration_record.version) {
@@ -78,6 +90,7 @@
   writer.WriteString(EncodeConfigurationRecord(this->configuration_record));
   writer.WriteString(this->view_state_machine.TakeSnapshot());
   writer.WriteString(this->hooks.take_jobs_snapshot());
+  writer.WriteString(this->evacuation_state.TakeSnapshot());
   return writer.TakeBytes();
 }
 
@@ -90,9 +103,14 @@
   const std::string view_snapshot = reader.ReadString();
   // Snapshots of program versions without stored jobs end here.
   const std::string jobs_snapshot = reader.remaining_size() > 0 ? reader.ReadString() : "";
+  // Those of program versions without evacuations end here.
+  const std::string evacuation_snapshot = reader.remaining_size() > 0 ? reader.ReadString() : "";
   if (!reader.ok()) {
     return;
   }
+  if (this->evacuation_state.Restore(evacuation_snapshot)) {
+    this->hooks.on_state_change();
+  }
   storage::ByteReader record_reader(record_bytes);
   ConfigurationRecord restored_record = ReadConfigurationRecord(record_reader);
   if (record_reader.ok() && restored_record.version > this->configuration_record.version) {
--- a/src/cluster/cluster_state.h
+++ b/src/cluster/cluster_state.h
@@ -7,12 +7,13 @@
 #include "base/ids.h"
 #include "cluster/cluster_view.h"
 #include "cluster/configuration_record.h"
+#include "cluster/evacuation_state.h"
 #include "membership/view_state_machine.h"
 
 namespace sapphirecrank::cluster {
 
 /// The replicated state machine of a cluster: the configuration in force, the view of the
-/// allocators, and the stored jobs, which are kept behind the hooks.
+/// allocators, the evacuated data centres, and the stored jobs, which are kept behind the hooks.
 ///
 /// A configuration replaces the one in force only if its version is higher. Thread safety: none.
 class ClusterState {
@@ -26,7 +27,7 @@
     std::function<bool()> is_leader;
     /// Proposes a command; it may be lost.
     std::function<void(std::string)> propose_command;
-    /// Called after the configuration or the view has changed.
+    /// Called after the configuration, the view or the evacuations have changed.
     std::function<void()> on_state_change;
     /// Applies a committed command to the stored jobs.
     std::function<void(const std::string&)> apply_jobs_command;
@@ -44,6 +45,9 @@
   /// Returns the command that applies `change` to the stored jobs.
   static std::string EncodeJobsCommand(const std::string& change);
 
+  /// Returns the command that carries out `order`.
+  static std::string EncodeEvacuationCommand(const EvacuationOrder& order);
+
   /// Proposes a view if one is due. To be called several times a second.
   void Tick();
 
@@ -54,16 +58,18 @@
   std::string TakeSnapshot() const;
 
   /// Restores the state of a snapshot. Ignores a snapshot that is empty or can't be decoded, and a
-  /// configuration or view that isn't newer than the current one.
+  /// configuration, view or evacuations that aren't newer than the current ones.
   void Restore(const std::string& state);
 
   const ConfigurationRecord& configuration() const { return this->configuration_record; }
   const ClusterView& view() const { return this->current_view; }
+  const EvacuationState& evacuations() const { return this->evacuation_state; }
 
  private:
   Hooks hooks;
   ConfigurationRecord configuration_record;
   ClusterView current_view;
+  EvacuationState evacuation_state;
   membership::ViewStateMachine view_state_machine;
 };
 
--- a/tests/cluster/group_simulation.cc
+++ b/tests/cluster/group_simulation.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 
 #include "cluster/member_name.h"
+#include "storage/byte_reader.h"
+#include "storage/byte_writer.h"
 
 namespace sapphirecrank::cluster {
 
@@ -104,6 +106,7 @@
   }
   started.is_leaving = false;
   started.applied_commands.clear();
+  started.state = this->MakeState(started);
   consensus::RaftMembership membership;
   if (started.store_id == kFirstStoreId) {
     membership = this->initial_membership;
@@ -197,26 +200,91 @@
   };
   hooks.apply_entry = [&host](const consensus::LogEntry& entry) {
     host.applied_commands.insert(entry.command);
+    host.state->Apply(entry.command);
   };
-  hooks.take_snapshot = [&host] {
-    std::string state;
+  hooks.take_snapshot = [&host] { return host.state->TakeSnapshot(); };
+  hooks.restore_snapshot = [&host](const consensus::RaftSnapshot& snapshot) {
+    host.state->Restore(snapshot.state);
+  };
+  return hooks;
+}
+
+std::unique_ptr<ClusterState> GroupSimulation::MakeState(Host& host) {
+  ClusterState::Hooks hooks;
+  hooks.now = this->clock.AsClock();
+  hooks.reachable_members = [] { return std::vector<ClusterView::Member>(); };
+  hooks.is_leader = [] { return false; };
+  hooks.propose_command = [](const std::string& /*command*/) {};
+  hooks.on_state_change = [] {};
+  hooks.apply_jobs_command = [](const std::string& /*command*/) {};
+  // In place of stored jobs, the snapshot holds all commands that were applied.
+  hooks.take_jobs_snapshot = [&host] {
+    storage::ByteWriter writer;
     for (const std::string& command : host.applied_commands) {
-      state += command + "\n";
+      writer.WriteString(command);
     }
-    return state;
+    return writer.TakeBytes();
   };
-  hooks.restore_snapshot = [&host](const consensus::RaftSnapshot& snapshot) {
+  hooks.restore_jobs_snapshot = [&host](const std::string& snapshot) {
     host.applied_commands.clear();
-    std::string command;
-    for (const char c : snapshot.state) {
-      if (c == '\n') {
-        host.applied_commands.insert(std::exchange(command, ""));
-      } else {
-        command += c;
-      }
+    storage::ByteReader reader(snapshot);
+    while (reader.remaining_size() > 0) {
+      host.applied_commands.insert(reader.ReadString());
     }
   };
-  return hooks;
+  return std::make_unique<ClusterState>(std::move(hooks));
+}
+
+void GroupSimulation::CheckEvacuations(const Host& host) {
+  const EvacuationState& state = host.state->evacuations();
+  const auto known = this->evacuation_states.emplace(state.revision(), state.evacuations()).first;
+  if (known->second != state.evacuations() && this->first_evacuation_violation.empty()) {
+    this->first_evacuation_violation =
+        fmt::format("{} has another state of revision {} than another host",
+                    this->MemberOf(host).value(), state.revision().value());
+  }
+}
+
+bool GroupSimulation::OrderEvacuation(EvacuationOrder order, base::Duration limit) {
+  const TimePoint deadline = this->clock.Now() + limit;
+  // The time makes the command unlike all others.
+  order.ordered_at = base::TimeOfDay(milliseconds(this->next_command++));
+  const std::string command = ClusterState::EncodeEvacuationCommand(order);
+  OrderHistory& history = this->order_histories[order.data_centre];
+  history.has_later_order = true;
+  std::set<size_t> asked_hosts;
+  do {
+    for (size_t i = 0; i < this->hosts.size(); ++i) {
+      if (this->CanRun(i) && this->hosts[i]->node->Propose(command)) {
+        asked_hosts.insert(i);
+      }
+    }
+    this->Run(milliseconds(100));
+    for (const size_t i : asked_hosts) {
+      if (this->hosts[i]->node && this->hosts[i]->applied_commands.count(command) != 0) {
+        history = {order.kind, false};
+        return true;
+      }
+    }
+  } while (this->clock.Now() < deadline);
+  return false;
+}
+
+std::string GroupSimulation::EvacuationViolation() const {
+  const size_t leader = this->Leader();
+  if (!this->first_evacuation_violation.empty() || leader == kNoHost) {
+    return leader == kNoHost ? "the group has no leader" : this->first_evacuation_violation;
+  }
+  const std::set<base::DataCentreId> evacuated =
+      this->hosts[leader]->state->evacuations().DataCentres();
+  for (const auto& [data_centre, history] : this->order_histories) {
+    const bool is_evacuated = evacuated.count(data_centre) > 0;
+    if (!history.has_later_order &&
+        is_evacuated != (history.acknowledged == EvacuationOrder::Kind::kStart)) {
+      return "the acknowledged order is not in force for " + data_centre.value();
+    }
+  }
+  return "";
 }
 
 GroupMembership::Hooks GroupSimulation::MembershipHooks(size_t host) {
@@ -285,6 +353,7 @@
     running.membership->Tick(this->MemberOf(running), *running.node);
   }
   running.node->Flush();
+  this->CheckEvacuations(running);
 }
 
 void GroupSimulation::Run(base::Duration duration) {
--- a/tests/cluster/group_simulation.h
+++ b/tests/cluster/group_simulation.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -11,6 +12,8 @@
 
 #include "base/ids.h"
 #include "base/manual_clock.h"
+#include "cluster/cluster_state.h"
+#include "cluster/evacuation_order.h"
 #include "cluster/group_membership.h"
 #include "consensus/raft_disk_storage.h"
 #include "consensus/raft_node.h"
@@ -74,6 +77,16 @@
   /// Tells whether all commands for which `Commit` returned true are applied on the leader.
   bool KeepsCommittedCommands() const;
 
+  /// Sends an order about an evacuation to each host that takes itself for the leader, again every
+  /// 100 ms until one of them has committed it, for `limit` at most. Returns whether it was
+  /// committed.
+  bool OrderEvacuation(cluster::EvacuationOrder order, base::Duration limit);
+
+  /// Returns what is wrong with the evacuations, or nothing: hosts that have different states of
+  /// one revision, or a leader that hasn't got the last acknowledged order for a data centre.
+  /// Orders that were sent after it and not acknowledged may be in force.
+  std::string EvacuationViolation() const;
+
   /// Tells whether the group has as many voters as desired, all of which run and are connected, and
   /// the loss of one data centre leaves a majority if `check_data_centres` is set.
   bool IsComplete(bool check_data_centres) const;
@@ -102,6 +115,7 @@
     std::unique_ptr<consensus::RaftNode> node;
     std::unique_ptr<GroupMembership> membership;
     std::set<std::string> applied_commands;
+    std::unique_ptr<ClusterState> state;
     base::Duration disk_delay{0};
     base::TimePoint busy_until;
     bool is_gone = false;
@@ -110,6 +124,11 @@
     bool is_cut_off = false;
     bool is_leaving = false;
   };
+  /// The orders for one data centre since the last acknowledged one.
+  struct OrderHistory {
+    std::optional<EvacuationOrder::Kind> acknowledged;
+    bool has_later_order = false;
+  };
   struct JoinRequestMessage {
     base::HostId from;
     base::HostId to;
@@ -123,6 +142,8 @@
   bool AreConnected(size_t a, size_t b) const;
   bool IsReachable(size_t from, const base::HostId& address) const;
   consensus::RaftNode::Hooks NodeHooks(Host& host);
+  std::unique_ptr<ClusterState> MakeState(Host& host);
+  void CheckEvacuations(const Host& host);
   GroupMembership::Hooks MembershipHooks(size_t host);
   void UpdateContacts();
   void DeliverDueMessages();
@@ -138,6 +159,9 @@
   std::map<std::pair<size_t, size_t>, base::TimePoint> last_contacts;
   std::set<size_t> split_side;
   std::set<std::string> committed_commands;
+  std::map<base::EvacuationRevision, std::map<base::DataCentreId, Evacuation>> evacuation_states;
+  std::map<base::DataCentreId, OrderHistory> order_histories;
+  std::string first_evacuation_violation;
   uint64_t next_incarnation = 1;
   uint64_t next_command = 1;
 };
--- a/tests/cluster/random_losses.cc
+++ b/tests/cluster/random_losses.cc
@@ -198,6 +198,15 @@
   }
 }
 
+void RandomLosses::OrderEvacuation(uint32_t event) {
+  EvacuationOrder order;
+  order.kind = event % 2 == 0 ? EvacuationOrder::Kind::kStart : EvacuationOrder::Kind::kFinish;
+  order.data_centre = base::DataCentreId(fmt::format("dc{}", event / 2 % kDataCentreCount));
+  const bool is_committed = this->group.OrderEvacuation(order, milliseconds(100) * (event / 8 % 5));
+  this->history += fmt::format("{} {} {}\n", EvacuationOrder::KindName(order.kind),
+                               order.data_centre.value(), is_committed ? "acknowledged" : "sent");
+}
+
 bool RandomLosses::Finish() {
   this->WaitUntilComplete();
   if (!this->group.Commit(seconds(2))) {
@@ -206,6 +215,10 @@
   if (!this->group.KeepsCommittedCommands()) {
     this->RecordFailure("a committed command is lost");
   }
+  const std::string evacuation_violation = this->group.EvacuationViolation();
+  if (!evacuation_violation.empty()) {
+    this->RecordFailure(evacuation_violation);
+  }
   return this->first_failure.empty();
 }
 
--- a/tests/cluster/random_losses.h
+++ b/tests/cluster/random_losses.h
@@ -27,6 +27,10 @@
   /// Begins the event that `event` stands for, and lets some time pass.
   void ApplyEvent(uint32_t event);
 
+  /// Orders the start or the finish of an evacuation, as `event` says, and waits up to 400 ms for
+  /// its commit.
+  void OrderEvacuation(uint32_t event);
+
   /// Lets all faults end and returns whether the group is complete and has lost nothing.
   bool Finish();
 
