clusterhost, platform: Take orders for evacuations and act on them

An order is acknowledged only once its own entry is committed, also if it changes nothing.

The state reaches the scheduler before the view that it precedes. A host never announces an older revision, also not after its disk was reopened. With evacuation_limit_ms, a host that isn't confirmed as up to date starts no runs from the limit less the longest lease and 0.2 s on. EvacuationMonitor writes log lines and metrics.

--- a/src/clusterhost/allocator_host.cc
+++ b/src/clusterhost/allocator_host.cc
@@ -36,6 +36,11 @@
 constexpr base::Duration kDeliveryTimeout = std::chrono::milliseconds(500);
 // Enough for an announcement by heartbeat and two commits.
 constexpr base::Duration kVoteHandoverTimeout = std::chrono::milliseconds(1000);
+// A host that doesn't know the newest orders stops starting runs before the evacuation limit. A
+// start request may be on its way until the end of the lease that it names, after which the target
+// refuses it; in addition to the longest lease, this covers the time between two updates of the
+// limit and the time until the scheduler has the state.
+constexpr base::Duration kStartLimitMargin = std::chrono::milliseconds(200);
 
 std::string TaskKeyText(const runs::RunKey& key) {
   if (key.task.job.empty()) {
@@ -61,6 +66,7 @@
       logger(logger),
       group_monitor({this->now, [this](const HostId& host) { return this->IsReachable(host); }},
                     logger, this->metrics),
+      evacuation_monitor({this->now, [this] { return this->RunCounts(); }}, logger, this->metrics),
       job_manager({this->self, this->settings.host.data_centre, this->settings.job_retention,
                    this->settings.host.LostRunDelay(this->settings.scheduler.maximum_lease)},
                   this->JobManagerHooks(), logger),
@@ -155,8 +161,9 @@
     }
   };
   hooks.on_state_change = [this](const cluster::ConfigurationRecord& record,
-                                 const ClusterView& new_view) {
-    this->OnClusterStateChange(record, new_view);
+                                 const ClusterView& new_view,
+                                 const cluster::EvacuationState& new_evacuations) {
+    this->OnClusterStateChange(record, new_view, new_evacuations);
   };
   hooks.on_leader_change = [this](const HostId& new_leader) {
     {
@@ -178,6 +185,8 @@
   hooks.on_status = [this](const HostId& member, const consensus::RaftStatus& status) {
     this->group_monitor.OnStatus(member, status);
     this->ConnectToMembers(status.membership);
+    this->UpdateStartLimit(status);
+    this->evacuation_monitor.UpdateMetrics();
   };
   hooks.on_membership_change = [this](const cluster::PlannedChange& planned) {
     this->group_monitor.OnMembershipChange(planned);
@@ -473,13 +482,18 @@
 }
 
 void AllocatorHost::OnClusterStateChange(const cluster::ConfigurationRecord& record,
-                                         const ClusterView& new_view) {
+                                         const ClusterView& new_view,
+                                         const cluster::EvacuationState& new_evacuations) {
   const auto is_owned = [this, &new_view](const runs::TargetReport& report) {
     const ClusterView::Member* owner = new_view.FindOwner(report.id, report.data_centre);
     return owner != nullptr && this->IsSelf(*owner);
   };
+  // Before this host can be the owner of targets in an evacuated data centre.
+  this->scheduler.SetEvacuatedDataCentres(new_evacuations.DataCentres());
+  this->evacuation_monitor.OnStateChange(new_evacuations);
   std::vector<runs::TargetReport> owned_targets;
   bool is_new_view = false;
+  bool is_new_configuration = false;
   bool is_member = false;
   bool was_owner = false;
   {
@@ -487,9 +501,11 @@
     // If this host missed a view in between, that view may have assigned its targets to others.
     was_owner = this->is_in_view && new_view.epoch == this->view.epoch.Next();
     is_new_view = new_view.epoch != this->view.epoch;
+    is_new_configuration = record.version != this->configuration.version;
     this->configuration = record;
     this->view = new_view;
-    this->is_announcement_due = true;
+    this->evacuations = new_evacuations;
+    this->is_announcement_due = this->is_announcement_due || is_new_view || is_new_configuration;
     // A partitioned host is missing from the view for a while. It keeps using its targets: the
     // fencing tokens keep it away from targets that another host has adopted.
     is_member =
@@ -512,7 +528,7 @@
       this->scheduler.OnOwnershipChange(base::FencingToken(new_view.epoch.value()), was_owner,
                                         is_owned, owned_targets);
     }
-  } else {
+  } else if (is_new_configuration) {
     this->logger.Info("configuration committed",
                       {{"version", std::to_string(record.version.value())}});
   }
@@ -690,6 +706,62 @@
   });
 }
 
+bool AllocatorHost::IsKnownDataCentre(const base::DataCentreId& data_centre) {
+  if (data_centre == this->settings.host.data_centre ||
+      this->settings.data_centres.count(data_centre) > 0) {
+    return true;
+  }
+  MutexLock lock(this->state_mutex);
+  return std::any_of(this->targets.begin(), this->targets.end(), [&data_centre](const auto& entry) {
+    return entry.second.report.data_centre == data_centre;
+  });
+}
+
+void AllocatorHost::StartEvacuation(const base::DataCentreId& data_centre,
+                                    ClusterGroup::ProposalCallback callback) {
+  this->OrderEvacuation(cluster::EvacuationOrder::Kind::kStart, data_centre, std::move(callback));
+}
+
+void AllocatorHost::FinishEvacuation(const base::DataCentreId& data_centre,
+                                     ClusterGroup::ProposalCallback callback) {
+  this->OrderEvacuation(cluster::EvacuationOrder::Kind::kFinish, data_centre, std::move(callback));
+}
+
+void AllocatorHost::OrderEvacuation(cluster::EvacuationOrder::Kind kind,
+                                    const base::DataCentreId& data_centre,
+                                    ClusterGroup::ProposalCallback callback) {
+  const cluster::EvacuationOrder order{
+      kind, data_centre,
+      std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now()),
+      this->self};
+  this->group->ProposeEvacuation(
+      order, [this, order, callback = std::move(callback)](ProposalOutcome outcome) {
+        this->evacuation_monitor.OnOrderAnswered(order, outcome, this->Leader());
+        callback(outcome);
+      });
+}
+
+cluster::EvacuationState AllocatorHost::Evacuations() {
+  MutexLock lock(this->state_mutex);
+  return this->evacuations;
+}
+
+void AllocatorHost::UpdateStartLimit(const consensus::RaftStatus& status) {
+  if (!this->settings.evacuation_limit) {
+    return;
+  }
+  this->up_to_date_as_of = std::max(this->up_to_date_as_of, status.up_to_date_as_of);
+  const base::Duration limit = *this->settings.evacuation_limit;
+  const base::Duration margin = this->settings.scheduler.maximum_lease + kStartLimitMargin;
+  // A host that was never confirmed starts nothing.
+  const bool is_confirmed = this->up_to_date_as_of != base::TimePoint();
+  const base::TimePoint start_limit =
+      is_confirmed ? this->up_to_date_as_of + limit - std::min(margin, limit / 2)
+                   : base::TimePoint();
+  this->scheduler.AllowStartsUntil(start_limit);
+  this->evacuation_monitor.OnStartLimit(start_limit, this->up_to_date_as_of);
+}
+
 HostId AllocatorHost::Leader() {
   MutexLock lock(this->state_mutex);
   return this->leader;
--- a/src/clusterhost/allocator_host.h
+++ b/src/clusterhost/allocator_host.h
@@ -3,6 +3,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,6 +18,7 @@
 #include "cluster/configuration_record.h"
 #include "clusterhost/cluster_group.h"
 #include "clusterhost/cluster_host_settings.h"
+#include "clusterhost/evacuation_monitor.h"
 #include "clusterhost/group_monitor.h"
 #include "clusterhost/stored_job_manager.h"
 #include "clusterhost/target_file.h"
@@ -46,6 +49,12 @@
     base::Duration drain_limit = std::chrono::seconds(4);
     /// How long the record of a stored job is kept after the job has ended.
     base::Duration job_retention = std::chrono::seconds(120);
+    /// Data centres for which operators may order an evacuation, in addition to that of this host
+    /// and those of known targets.
+    std::set<base::DataCentreId> data_centres;
+    /// Time from the acknowledgement of an evacuation until nothing more is started there. With it,
+    /// a host that doesn't know the newest orders starts no runs; without it there is no such rule.
+    std::optional<base::Duration> evacuation_limit;
   };
 
   template <typename Request, typename Response>
@@ -93,6 +102,22 @@
   /// See `ClusterGroup::ReadConfiguration`.
   void ReadConfiguration(ClusterGroup::ReadCallback callback);
 
+  /// Tells whether operators may order an evacuation of this data centre.
+  bool IsKnownDataCentre(const base::DataCentreId& data_centre);
+
+  /// Orders the start or the finish of an evacuation; see `ClusterGroup::ProposeEvacuation`.
+  /// Precondition: started, and the data centre is known.
+  void StartEvacuation(const base::DataCentreId& data_centre,
+                       ClusterGroup::ProposalCallback callback);
+  void FinishEvacuation(const base::DataCentreId& data_centre,
+                        ClusterGroup::ProposalCallback callback);
+
+  /// Returns the evacuations on which this host acts at present.
+  cluster::EvacuationState Evacuations();
+
+  /// Returns how many runs may be active on this host's targets, by data centre.
+  std::map<base::DataCentreId, size_t> RunCounts() { return this->scheduler.RunCounts(); }
+
   /// Returns the host that leads the group, or an empty id if none is known.
   base::HostId Leader();
 
@@ -109,7 +134,12 @@
   void OnPeerUp(const base::HostId& host, base::Incarnation incarnation);
   void OnPeerLost(const base::HostId& host);
   void OnClusterStateChange(const cluster::ConfigurationRecord& record,
-                            const cluster::ClusterView& new_view);
+                            const cluster::ClusterView& new_view,
+                            const cluster::EvacuationState& new_evacuations);
+  void OrderEvacuation(cluster::EvacuationOrder::Kind kind, const base::DataCentreId& data_centre,
+                       ClusterGroup::ProposalCallback callback);
+  /// Limits the time for which runs may be started, if the settings say so.
+  void UpdateStartLimit(const consensus::RaftStatus& status);
   void OnBatchEnd(const runs::BatchResult& result);
   void OnTasksReturned(const runs::ReturnedTasks& returned);
   void OnDecision(const runs::RunDecision& decision);
@@ -155,6 +185,7 @@
   base::Mutex state_mutex;
   cluster::ClusterView view GUARDED_BY(state_mutex);
   cluster::ConfigurationRecord configuration GUARDED_BY(state_mutex);
+  cluster::EvacuationState evacuations GUARDED_BY(state_mutex);
   base::HostId leader GUARDED_BY(state_mutex);
   std::map<base::HostId, base::Incarnation> reachable_hosts GUARDED_BY(state_mutex);
   std::set<base::HostId> leaving_hosts GUARDED_BY(state_mutex);
@@ -172,6 +203,10 @@
   // Used on the group's thread only.
   consensus::RaftMembership connected_membership;
   GroupMonitor group_monitor;
+  EvacuationMonitor evacuation_monitor;
+  // The time up to which this host has applied all committed entries. It doesn't go back when the
+  // group's disk is reopened, because the state that was announced stays in force.
+  base::TimePoint up_to_date_as_of;
   StoredJobManager job_manager;
   runs::RunScheduler scheduler;
   // After the start these two are used on `target_file_thread` only, because saving waits for
--- a/src/clusterhost/cluster_group.cc
+++ b/src/clusterhost/cluster_group.cc
@@ -236,6 +236,17 @@
   return true;
 }
 
+void ClusterGroup::ProposeEvacuation(cluster::EvacuationOrder order, ProposalCallback callback) {
+  this->RunOnThread([this, order = std::move(order), callback = std::move(callback),
+                     requested_at = this->hooks.now()] {
+    if (this->hooks.now() - requested_at >= kResponseTimeout) {
+      callback(ProposalOutcome::kUnknown);
+    } else if (this->Propose(cluster::ClusterState::EncodeEvacuationCommand(order), callback)) {
+      this->FlushAndNotify();
+    }
+  });
+}
+
 void ClusterGroup::ProposeJobChange(std::string change, ProposalCallback callback) {
   this->RunOnThread([this, change = std::move(change), callback = std::move(callback)] {
     if (this->Propose(cluster::ClusterState::EncodeJobsCommand(change), callback)) {
@@ -286,14 +297,17 @@
 void ClusterGroup::NotifyStateChange() {
   const base::Version version = this->state->configuration().version;
   const base::Epoch epoch = this->state->view().epoch;
+  const base::EvacuationRevision revision = this->state->evacuations().revision();
   if (!this->has_state_changed || version < this->announced_version ||
-      epoch < this->announced_epoch) {
+      epoch < this->announced_epoch || revision < this->announced_revision) {
     return;
   }
   this->has_state_changed = false;
   this->announced_version = version;
   this->announced_epoch = epoch;
-  this->hooks.on_state_change(this->state->configuration(), this->state->view());
+  this->announced_revision = revision;
+  this->hooks.on_state_change(this->state->configuration(), this->state->view(),
+                              this->state->evacuations());
 }
 
 void ClusterGroup::ApplyEntry(const LogEntry& entry) {
--- a/src/clusterhost/cluster_group.h
+++ b/src/clusterhost/cluster_group.h
@@ -13,6 +13,7 @@
 #include "base/thread_pool.h"
 #include "base/time.h"
 #include "cluster/cluster_state.h"
+#include "cluster/evacuation_order.h"
 #include "cluster/group_membership.h"
 #include "clusterhost/proposal_outcome.h"
 #include "consensus/raft_message.h"
@@ -27,8 +28,8 @@
 
 namespace sapphirecrank::clusterhost {
 
-/// An allocator's member of the Raft group that replicates the configuration, the cluster view and
-/// the stored jobs.
+/// An allocator's member of the Raft group that replicates the configuration, the cluster view, the
+/// evacuated data centres and the stored jobs.
 ///
 /// The replicated log runs on one thread of its own, because it waits for synced writes. Thread
 /// safety: all methods may be called from any thread; hooks and callbacks run on the group's
@@ -62,8 +63,9 @@
     std::function<void(const consensus::RaftMessage&)> send_raft_message;
     /// Sends a request to join to all reachable allocators.
     std::function<void(const base::HostId& member)> send_join_request;
-    /// The committed configuration or view has changed.
-    std::function<void(const cluster::ConfigurationRecord&, const cluster::ClusterView&)>
+    /// The committed configuration, view or evacuations have changed.
+    std::function<void(const cluster::ConfigurationRecord&, const cluster::ClusterView&,
+                       const cluster::EvacuationState&)>
         on_state_change;
     /// The known leader has changed; the id is empty if none is known.
     std::function<void(const base::HostId& leader)> on_leader_change;
@@ -110,6 +112,13 @@
   /// ms at the latest, before the operator tries another host.
   void PutConfiguration(cluster::ConfigurationRecord record, ProposalCallback callback);
 
+  /// Proposes an order to start or to finish the evacuation of a data centre. `callback` gets
+  /// `kCommitted` only once the order's own entry is committed, also if the order changes nothing,
+  /// so that it is in force after all earlier ones; otherwise as in `PutConfiguration`. An order
+  /// that had to wait for that long is not proposed, because its operator has given it up and may
+  /// have sent the opposite one to another host.
+  void ProposeEvacuation(cluster::EvacuationOrder order, ProposalCallback callback);
+
   /// Proposes a change of the stored jobs; `callback` as in `PutConfiguration`. Changes that arrive
   /// during a write share the next one.
   void ProposeJobChange(std::string change, ProposalCallback callback);
@@ -169,11 +178,12 @@
   bool is_flush_scheduled = false;
   std::vector<PendingRead> pending_reads;
   // `on_state_change` is called once all committed entries are applied. After the disk was reopened
-  // it isn't called before the state has caught up with the announced version and epoch, so that no
-  // older version or view is announced.
+  // it isn't called before the state has caught up with the announced version, epoch and revision,
+  // so that nothing older is announced.
   bool has_state_changed = false;
   base::Version announced_version;
   base::Epoch announced_epoch;
+  base::EvacuationRevision announced_revision;
   bool has_storage_failed = false;
   base::TimePoint next_reopen_at;
   base::Incarnation incarnation;
--- a/src/clusterhost/settings_file.cc
+++ b/src/clusterhost/settings_file.cc
@@ -14,6 +14,7 @@
 
 constexpr size_t kMaximumTextLength = 1000;
 constexpr size_t kMaximumSeeds = 64;
+constexpr size_t kMaximumDataCentres = 1000;
 constexpr int64_t kMaximumPort = 65535;
 constexpr int64_t kMaximumToleratedDiskFailures = 4;
 constexpr double kMinimumCatchUpSeconds = 0.1;
@@ -31,6 +32,7 @@
 constexpr double kMinimumResubmissionDelayMilliseconds = 900;
 constexpr double kMaximumResubmissionDelayMilliseconds = 60000;
 constexpr double kDefaultResubmissionDelayMilliseconds = 1300;
+constexpr double kMaximumEvacuationLimitMilliseconds = 3600.0 * 1000;
 constexpr double kMaximumRetentionSeconds = 24.0 * 60 * 60;
 constexpr double kDefaultRetentionSeconds = 120;
 
@@ -96,6 +98,18 @@
       kMaximumResubmissionDelayMilliseconds, kDefaultResubmissionDelayMilliseconds));
   settings.job_retention = ToDuration<std::ratio<1>>(
       reader.ReadNumber("job_retention_s", 1, kMaximumRetentionSeconds, kDefaultRetentionSeconds));
+  reader.ReadArray("data_centres", 0, kMaximumDataCentres,
+                   [&](const Json& value, const std::string& path) {
+                     if (!value.is_string() || value.get_ref<const std::string&>().empty()) {
+                       reader.RecordError(path, "is not the name of a data centre");
+                       return;
+                     }
+                     settings.data_centres.emplace(value.get<std::string>());
+                   });
+  if (document.contains("evacuation_limit_ms")) {
+    settings.evacuation_limit = ToDuration<std::milli>(
+        reader.ReadNumber("evacuation_limit_ms", 1, kMaximumEvacuationLimitMilliseconds, 1));
+  }
   reader.RejectUnknownFields();
   if (error) {
     return tl::make_unexpected(*error);
--- a/src/clusterhost/settings_file.h
+++ b/src/clusterhost/settings_file.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,6 +50,12 @@
   /// How long the record of a stored job is kept after the job has ended.
   base::Duration job_retention{0};
 
+  /// Names of all data centres of the deployment, for the orders of operators; may be empty.
+  std::set<base::DataCentreId> data_centres;
+  /// Time from the acknowledgement of an evacuation until nothing more is started there, if there
+  /// is such a limit.
+  std::optional<base::Duration> evacuation_limit;
+
   /// Parses the JSON text of a settings file. Errors: `kInvalidArgument` with the field's name.
   /// Thread safety: pure.
   static base::Result<SettingsFile> Parse(const std::string& text);
--- a/src/observability/allocator_metrics.cc
+++ b/src/observability/allocator_metrics.cc
@@ -62,6 +62,21 @@
                           .Help("1 if this host knows a leader of the group, otherwise 0")
                           .Register(this->registry)
                           .Add({});
+  Family<Counter>& evacuation_orders =
+      prometheus::BuildCounter()
+          .Name("sapphirecrank_evacuation_orders_total")
+          .Help("Orders to start or finish an evacuation by their outcome")
+          .Register(this->registry);
+  Family<Gauge>& evacuated_since =
+      prometheus::BuildGauge()
+          .Name("sapphirecrank_evacuated_since_seconds")
+          .Help("Time of day since when a data centre is evacuated, in seconds since 1970")
+          .Register(this->registry);
+  Family<Gauge>& evacuation_runs_left =
+      prometheus::BuildGauge()
+          .Name("sapphirecrank_evacuation_runs_left")
+          .Help("Runs that may be active on this host's targets in an evacuated data centre")
+          .Register(this->registry);
 };
 
 AllocatorMetrics::AllocatorMetrics() : impl(std::make_unique<Impl>()) {}
@@ -106,6 +121,27 @@
   this->impl->has_leader.Set(has_leader ? 1 : 0);
 }
 
+void AllocatorMetrics::OnEvacuationOrder(std::string_view order, std::string_view outcome) {
+  this->impl->evacuation_orders
+      .Add({{"order", std::string(order)}, {"outcome", std::string(outcome)}})
+      .Increment();
+}
+
+void AllocatorMetrics::SetEvacuation(std::string_view data_centre, base::TimeOfDay since,
+                                     size_t runs_left) {
+  const prometheus::Labels labels = {{"data_centre", std::string(data_centre)}};
+  this->impl->evacuated_since.Add(labels).Set(
+      std::chrono::duration<double>(since.time_since_epoch()).count());
+  this->impl->evacuation_runs_left.Add(labels).Set(static_cast<double>(runs_left));
+}
+
+void AllocatorMetrics::RemoveEvacuation(std::string_view data_centre) {
+  const prometheus::Labels labels = {{"data_centre", std::string(data_centre)}};
+  // `Add` returns the gauge that exists.
+  this->impl->evacuated_since.Remove(&this->impl->evacuated_since.Add(labels));
+  this->impl->evacuation_runs_left.Remove(&this->impl->evacuation_runs_left.Add(labels));
+}
+
 std::string AllocatorMetrics::PrometheusText() const {
   return prometheus::TextSerializer().Serialize(this->impl->registry.Collect());
 }
--- a/src/observability/allocator_metrics.h
+++ b/src/observability/allocator_metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -40,6 +41,17 @@
   /// Sets whether this host knows a leader of the group.
   void SetHasLeader(bool has_leader);
 
+  /// Counts an operator's order to start or finish an evacuation. Both arguments must be of a few
+  /// fixed values.
+  void OnEvacuationOrder(std::string_view order, std::string_view outcome);
+
+  /// Sets since when a data centre is evacuated, and how many runs may be active there on this
+  /// host's targets.
+  void SetEvacuation(std::string_view data_centre, base::TimeOfDay since, size_t runs_left);
+
+  /// Removes the series of an evacuation that has ended.
+  void RemoveEvacuation(std::string_view data_centre);
+
   /// Returns all series in Prometheus' text format.
   std::string PrometheusText() const;
 
--- a/tests/clusterhost/cluster_test.cc
+++ b/tests/clusterhost/cluster_test.cc
@@ -1,10 +1,13 @@
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <future>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -34,6 +37,8 @@
 /// Simulates one target, on which every run succeeds after `kRunTime`.
 class SucceedingTarget {
  public:
+  SucceedingTarget(const char* id, const char* data_centre) : id(id), data_centre(data_centre) {}
+
   /// An allocator that calls the target; it gets no more responses once it has stopped.
   struct CallingAllocator {
     std::mutex mutex;
@@ -51,6 +56,7 @@
       {
         std::lock_guard<std::mutex> lock(this->mutex);
         this->started_runs.push_back(request.key);
+        this->start_times.push_back(std::chrono::steady_clock::now());
       }
       done({runs::TargetCallStatus::kAccepted, milliseconds(0)});
     };
@@ -70,10 +76,10 @@
 
   runs::TargetReport MakeReport() {
     runs::TargetReport report;
-    report.id = base::TargetId("t1");
+    report.id = this->id;
     report.service = base::ServiceId("s");
     report.address = base::NetworkAddress("127.0.0.1:9");
-    report.data_centre = base::DataCentreId("x");
+    report.data_centre = this->data_centre;
     report.incarnation = base::Incarnation(1);
     report.sequence_number = this->last_report_number = this->last_report_number.Next();
     report.capacity = {base::MilliCores(16000), base::ByteCount(0), base::AcceleratorCount(0)};
@@ -85,6 +91,14 @@
     return this->started_runs.size();
   }
 
+  /// Returns how many runs were started later than `time`.
+  size_t StartCountAfter(std::chrono::steady_clock::time_point time) {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return static_cast<size_t>(
+        std::count_if(this->start_times.begin(), this->start_times.end(),
+                      [time](const auto& start_time) { return start_time > time; }));
+  }
+
  private:
   runs::PollResponse MakePollResponse(const runs::PollRequest& request) {
     runs::PollResponse response;
@@ -98,18 +112,23 @@
     return response;
   }
 
+  base::TargetId id;
+  base::DataCentreId data_centre;
   std::mutex mutex;
   std::vector<runs::RunKey> started_runs;
+  std::vector<std::chrono::steady_clock::time_point> start_times;
   base::SequenceNumber last_report_number;
   base::TimerQueue timer_queue{"target"};
 };
 
-}  // namespace
-
-TEST_GROUP(Cluster) {
+/// Three allocators, a gateway and two targets in different data centres, of which the second one
+/// reports only in some tests.
+struct ClusterFixture : public Utest {
   observability::Logger logger{observability::LogLevel::kError,
                                observability::Logger::StandardOutputHooks()};
-  SucceedingTarget target;
+  SucceedingTarget target{"t1", "x"};
+  SucceedingTarget other_target{"t2", "y"};
+  std::optional<base::Duration> evacuation_limit;
   std::vector<base::NetworkAddress> seeds;
   /// If not empty, the seeds in the settings of hosts that start from now on.
   std::vector<base::NetworkAddress> reloaded_seeds;
@@ -201,6 +220,26 @@
     return file_system;
   }
 
+  AllocatorHost::TargetCalls MakeTargetCalls(
+      const std::shared_ptr<SucceedingTarget::CallingAllocator>& allocator) {
+    const AllocatorHost::TargetCalls first = this->target.MakeTargetCalls(allocator);
+    const AllocatorHost::TargetCalls second = this->other_target.MakeTargetCalls(allocator);
+    const auto calls_of = [first, second](const runs::TargetEndpoint& endpoint) {
+      return endpoint.id == base::TargetId("t1") ? first : second;
+    };
+    AllocatorHost::TargetCalls calls;
+    calls.start_run = [calls_of](const runs::StartRequest& request, const auto& done) {
+      calls_of(request.target).start_run(request, done);
+    };
+    calls.stop_run = [calls_of](const runs::StopRequest& request, const auto& done) {
+      calls_of(request.target).stop_run(request, done);
+    };
+    calls.poll_target = [calls_of](const runs::PollRequest& request, const auto& done) {
+      calls_of(request.target).poll_target(request, done);
+    };
+    return calls;
+  }
+
   void StartAllocator(size_t i, uint64_t incarnation, bool bootstrap) {
     AllocatorHost::Settings settings;
     settings.host = this->HostSettings(this->seeds[i].value(), incarnation);
@@ -212,9 +251,11 @@
     settings.group.bootstrap = bootstrap;
     settings.group.data_folder = this->folders[i]->Path();
     settings.group.file_system = this->MakeFileSystem(i);
+    settings.data_centres = {base::DataCentreId("x"), base::DataCentreId("y")};
+    settings.evacuation_limit = this->evacuation_limit;
     this->calling_allocators[i] = std::make_shared<SucceedingTarget::CallingAllocator>();
     this->allocators[i] = std::make_unique<AllocatorHost>(
-        settings, this->target.MakeTargetCalls(this->calling_allocators[i]), this->logger);
+        settings, this->MakeTargetCalls(this->calling_allocators[i]), this->logger);
     CHECK_TRUE(this->allocators[i]->Start().has_value());
   }
 
@@ -248,6 +289,39 @@
     });
   }
 
+  ProposalOutcome OrderEvacuationAt(size_t i, bool starts, const char* data_centre) {
+    std::promise<ProposalOutcome> outcome;
+    const auto callback = [&outcome](ProposalOutcome received) { outcome.set_value(received); };
+    if (starts) {
+      this->allocators[i]->StartEvacuation(base::DataCentreId(data_centre), callback);
+    } else {
+      this->allocators[i]->FinishEvacuation(base::DataCentreId(data_centre), callback);
+    }
+    return outcome.get_future().get();
+  }
+
+  bool OrderEvacuationAnywhere(bool starts, const char* data_centre) {
+    return this->WaitUntil([&] {
+      for (size_t i = 0; i < this->allocators.size(); ++i) {
+        if (this->allocators[i] != nullptr &&
+            this->OrderEvacuationAt(i, starts, data_centre) == ProposalOutcome::kCommitted) {
+          return true;
+        }
+      }
+      return false;
+    });
+  }
+
+  /// Waits until all running allocators act on exactly these evacuations.
+  bool WaitForEvacuations(const std::set<base::DataCentreId>& data_centres) {
+    return this->WaitUntil([&] {
+      return std::all_of(
+          this->allocators.begin(), this->allocators.end(), [&](const auto& allocator) {
+            return allocator == nullptr || allocator->Evacuations().DataCentres() == data_centres;
+          });
+    });
+  }
+
   base::Version ReadVersionAt(size_t i) {
     std::promise<base::Version> read;
     this->allocators[i]->ReadConfiguration(
@@ -325,6 +399,33 @@
   }
 };
 
+}  // namespace
+
+TEST_GROUP_BASE(Cluster, ClusterFixture){};
+
+// Guards against evacuations that are lost when all hosts are killed at the same time, that a host
+// with an empty disk doesn't learn, or that an order to another host doesn't end.
+TEST(Cluster, EvacuationsSurviveRestartsAndLostDisks) {
+  CHECK_TRUE(this->PutConfigurationAnywhere(3));
+  CHECK_TRUE(this->OrderEvacuationAnywhere(true, "x"));
+  CHECK_TRUE(this->OrderEvacuationAnywhere(true, "y"));
+  CHECK_TRUE(this->OrderEvacuationAnywhere(false, "x"));
+  for (size_t i = 0; i < this->seeds.size(); ++i) {
+    this->StopAllocator(i);
+  }
+  for (size_t i = 0; i < this->seeds.size(); ++i) {
+    this->StartAllocator(i, 2, false);
+  }
+  CHECK_TRUE(this->WaitForEvacuations({base::DataCentreId("y")}));
+  this->StopAllocator(0);
+  this->folders[0] = std::make_unique<testing::TemporaryFolder>();
+  this->StartAllocator(0, 3, false);
+  CHECK_TRUE(this->WaitForEvacuations({base::DataCentreId("y")}));
+  CHECK_TRUE(this->OrderEvacuationAnywhere(false, "y"));
+  CHECK_TRUE(this->WaitForEvacuations({}));
+  CHECK(this->allocators[0]->Evacuations().revision() == base::EvacuationRevision(4));
+}
+
 // Guards against hosts that don't find each other through the seeds, and against tasks lost on the
 // way from gateway to target and back.
 TEST(Cluster, FormsFromSeedsAndServesJobs) {
@@ -388,6 +489,29 @@
   CHECK_TRUE(this->WaitUntil([this] { return this->ReadVersionAt(0) == base::Version(6); }));
 }
 
+// Guards against an order that a host acknowledges although no disk has it, against the loss of
+// acknowledged orders when the disks of all hosts refuse every write for a while, and against hosts
+// that start no more work meanwhile.
+TEST(Cluster, FullDisksLoseNoEvacuationAndStopNoWork) {
+  CHECK_TRUE(this->PutConfigurationAnywhere(3));
+  CHECK_TRUE(this->ReportUntilJobCompletes("before"));
+  CHECK_TRUE(this->OrderEvacuationAnywhere(true, "y"));
+  CHECK_TRUE(this->WaitForEvacuations({base::DataCentreId("y")}));
+  for (size_t i = 0; i < this->seeds.size(); ++i) {
+    this->is_disk_full[i] = true;
+  }
+  for (size_t i = 0; i < this->seeds.size(); ++i) {
+    CHECK_TRUE(this->OrderEvacuationAt(i, false, "y") != ProposalOutcome::kCommitted);
+  }
+  CHECK_TRUE(this->ReportUntilJobCompletes("meanwhile"));
+  CHECK_TRUE(this->WaitForEvacuations({base::DataCentreId("y")}));
+  for (size_t i = 0; i < this->seeds.size(); ++i) {
+    this->is_disk_full[i] = false;
+  }
+  CHECK_TRUE(this->OrderEvacuationAnywhere(true, "x"));
+  CHECK_TRUE(this->WaitForEvacuations({base::DataCentreId("x"), base::DataCentreId("y")}));
+}
+
 // Guards against a host that is stopped for good while its vote still counts, so that the loss of
 // the next one ends the group although its successor had joined.
 TEST(Cluster, StoppedHostHandsItsVoteOver) {
--- a/tests/clusterhost/settings_file_test.cc
+++ b/tests/clusterhost/settings_file_test.cc
@@ -44,6 +44,27 @@
   STRCMP_EQUAL("peer_port", invalid_port.error().field.c_str());
 }
 
+// Guards against orders for a data centre that are refused although the settings name it, and
+// against a limit that applies although the deployment has none.
+TEST(ClusterSettingsFile, ReadsDataCentresAndEvacuationLimit) {
+  const std::string before =
+      R"({"name":"n","data_centre":"x","address":"10.0.0.1","peer_port":1,"seeds":["a:1"])";
+  const auto settings =
+      SettingsFile::Parse(before + R"(,"evacuation_limit_ms":5000.5,"data_centres":["x","y"]})");
+  CHECK_TRUE(settings.has_value());
+  CHECK(settings->evacuation_limit == std::chrono::microseconds(5000500));
+  CHECK(settings->data_centres ==
+        (std::set<base::DataCentreId>{base::DataCentreId("x"), base::DataCentreId("y")}));
+  const auto defaults = SettingsFile::Parse(before + "}");
+  CHECK_FALSE(defaults->evacuation_limit.has_value());
+  CHECK_TRUE(defaults->data_centres.empty());
+  for (const std::string invalid : {R"("evacuation_limit_ms":0)", R"("evacuation_limit_ms":"5000")",
+                                    R"("evacuation_limit_ms":null)", R"("data_centres":["x",""])",
+                                    R"("data_centres":[1])", R"("data_centres":"x")"}) {
+    CHECK_FALSE(SettingsFile::Parse(before + "," + invalid + "}").has_value());
+  }
+}
+
 // Guards against a time within which no lost voter could be replaced, and against a host that waits
 // for hours before it replaces one.
 TEST(ClusterSettingsFile, ChecksTheRangeOfTheCatchUpTime) {
--- a/tests/observability/allocator_metrics_test.cc
+++ b/tests/observability/allocator_metrics_test.cc
@@ -22,6 +22,25 @@
         std::string::npos);
 }
 
+// Guards against a finished evacuation that monitoring still shows, and against one that disturbs
+// another.
+TEST(AllocatorMetrics, EvacuationsAreShownUntilTheyEnd) {
+  observability::AllocatorMetrics metrics;
+  const base::TimeOfDay since(std::chrono::seconds(16));
+  metrics.SetEvacuation("x", since, 3);
+  metrics.SetEvacuation("y", since, 0);
+  metrics.SetEvacuation("x", since, 2);
+  CHECK(metrics.PrometheusText().find(R"(sapphirecrank_evacuation_runs_left{data_centre="x"} 2)") !=
+        std::string::npos);
+  metrics.RemoveEvacuation("x");
+  metrics.RemoveEvacuation("z");
+  const std::string text = metrics.PrometheusText();
+  CHECK(text.find(R"(data_centre="x")") == std::string::npos);
+  CHECK(text.find(R"(data_centre="z")") == std::string::npos);
+  CHECK(text.find(R"(sapphirecrank_evacuated_since_seconds{data_centre="y"} 16)") !=
+        std::string::npos);
+}
+
 // Guards against batch results and decisions that appear only in the log.
 TEST(AllocatorMetrics, BatchResultsAndDecisionsAreCounted) {
   observability::AllocatorMetrics metrics;
