--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -13,6 +13,7 @@
   kCancel,
   kStatus,
   kDrain,
+  kEvacuate,
   kVersion
 };
 
--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -86,6 +86,8 @@
       return this->PrintStatus(*options);
     case Command::kDrain:
       return this->DrainHost(*options);
+    case Command::kEvacuate:
+      return this->ManageEvacuations(*options);
     case Command::kVersion:
       return this->PrintVersion(*options);
     case Command::kNone:
@@ -175,6 +177,23 @@
   });
 }
 
+ExitCode CommandLine::ManageEvacuations(const CommandOptions& options) const {
+  HttpClientRequest request;
+  request.path = "/v1/evacuations";
+  if (options.positional_argument == "list") {
+    return this->SendAndPrint(options, request, FormatEvacuations);
+  }
+  const bool starts = options.positional_argument == "start";
+  request.method = starts ? "PUT" : "DELETE";
+  request.path += "/" + EscapePathSegment(options.data_centre);
+  request.follows_redirects = true;
+  return this->SendAndPrint(options, request, [&](const std::string&) {
+    return fmt::format("data centre {}: {}\n", options.data_centre,
+                       starts ? "evacuated; its targets start nothing new"
+                              : "evacuation finished; its targets are used again");
+  });
+}
+
 ExitCode CommandLine::PrintVersion(const CommandOptions& options) const {
   this->hooks.print(options.prints_json ? FormatJson({{"version", kVersion}})
                                         : fmt::format("sapphirecrank {}\n", kVersion));
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -50,6 +50,7 @@
   ExitCode CancelJob(const CommandOptions& options) const;
   ExitCode PrintStatus(const CommandOptions& options) const;
   ExitCode DrainHost(const CommandOptions& options) const;
+  ExitCode ManageEvacuations(const CommandOptions& options) const;
   ExitCode PrintVersion(const CommandOptions& options) const;
   /// Sends `request` with the credential of the options. Prints the error, or the response as
   /// formatted by `format_response`.
--- a/src/cli/http_client.cc
+++ b/src/cli/http_client.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr base::Duration kConnectTimeout = std::chrono::seconds(2);
+constexpr long kMaximumRedirects = 3;
 
 /// State of `ReportProgress` between two calls.
 struct TransferProgress {
@@ -78,6 +79,9 @@
   curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(curl, CURLOPT_PROXY, "");
   curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt(curl, CURLOPT_FOLLOWLOCATION, request.follows_redirects ? 1L : 0L);
+  curl_easy_setopt(curl, CURLOPT_MAXREDIRS, kMaximumRedirects);
+  curl_easy_setopt(curl, CURLOPT_REDIR_PROTOCOLS_STR, "http");
   curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, request.method.c_str());
   curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers.get());
   curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, ToMilliseconds(kConnectTimeout));
--- a/src/cli/http_client_request.h
+++ b/src/cli/http_client_request.h
@@ -15,6 +15,8 @@
   std::string body;
   /// NAME:SECRET, or empty.
   std::string credential;
+  /// Repeats the request at the address that a redirect names, up to three times.
+  bool follows_redirects = false;
   /// Time limit for the whole request.
   base::Duration timeout = std::chrono::seconds(10);
 };
--- a/src/cli/option_parser.cc
+++ b/src/cli/option_parser.cc
@@ -40,6 +40,8 @@
     {"status", Command::kStatus, "", false, true,
      "show an entry host, its peers, targets and load"},
     {"drain", Command::kDrain, "", false, true, "let an entry host finish its work and stop"},
+    {"evacuate", Command::kEvacuate, "ACTION", false, true,
+     "list evacuations, or start or finish that of a data centre, at an allocator"},
     {"version", Command::kVersion, "", false, false, "print the version"}};
 
 std::string GeneralHelp() {
@@ -78,6 +80,10 @@
     options.push_back({"settings", 's', POPT_ARG_STRING, nullptr, kSettingsOption,
                        "settings file (JSON)", "FILE"});
   }
+  if (specification.command == Command::kEvacuate) {
+    options.push_back({"host", 'H', POPT_ARG_STRING, nullptr, kEntryHostOption,
+                       "control address of an allocator, as --entry-host", "ADDRESS"});
+  }
   if (specification.takes_entry_host) {
     options.push_back({"entry-host", 'e', POPT_ARG_STRING, nullptr, kEntryHostOption,
                        "entry host to contact (default 127.0.0.1:8080)", "ADDRESS"});
@@ -110,6 +116,27 @@
   return help;
 }
 
+/// Takes the data centre of an evacuation from the next positional argument, which is `argument`,
+/// if the action is for one.
+base::Result<void> ParseEvacuation(poptContext context, const char*& argument,
+                                   CommandOptions& options) {
+  const std::string& action = options.positional_argument;
+  if (action != "start" && action != "finish" && action != "list") {
+    return MakeErrorResult(ErrorCode::kInvalidArgument,
+                           "evacuate: ACTION must be start, finish or list", "ACTION");
+  }
+  if (action == "list") {
+    return {};
+  }
+  if (argument == nullptr || *argument == '\0') {
+    return MakeErrorResult(ErrorCode::kInvalidArgument, "evacuate: DATA_CENTRE is missing",
+                           "DATA_CENTRE");
+  }
+  options.data_centre = argument;
+  argument = poptGetArg(context);
+  return {};
+}
+
 /// Parses the positional arguments and checks that all required values are given.
 base::Result<void> ParsePositionalArguments(const CommandSpecification& specification,
                                             poptContext context, CommandOptions& options) {
@@ -123,6 +150,12 @@
                            fmt::format("{}: {} is missing", specification.name, expected_argument),
                            expected_argument);
   }
+  if (specification.command == Command::kEvacuate) {
+    const auto parsed = ParseEvacuation(context, argument, options);
+    if (!parsed) {
+      return parsed;
+    }
+  }
   if (argument != nullptr) {
     return MakeErrorResult(
         ErrorCode::kInvalidArgument,
@@ -184,8 +217,10 @@
   const std::vector<poptOption> option_table = MakeOptionTable(specification);
   poptContext context =
       poptGetContext(nullptr, count, argument_pointers.data(), option_table.data(), 0);
-  poptSetOtherOptionHelp(context,
-                         fmt::format("[OPTION...] {}", specification.argument_name).c_str());
+  const std::string argument_help = specification.command == Command::kEvacuate
+                                        ? "start|finish|list [DATA_CENTRE]"
+                                        : specification.argument_name;
+  poptSetOtherOptionHelp(context, fmt::format("[OPTION...] {}", argument_help).c_str());
   auto options = ParseCommandOptions(specification, context);
   poptFreeContext(context);
   return options;
--- a/src/cli/response_formatter.cc
+++ b/src/cli/response_formatter.cc
@@ -92,6 +92,22 @@
   return text;
 }
 
+std::string FormatEvacuations(const std::string& document) {
+  const Json response = Json::parse(document, nullptr, false);
+  const Json& evacuations = MemberOrNull(response, "evacuations");
+  if (!evacuations.is_array()) {
+    return document;
+  }
+  std::string text = fmt::format("evacuated data centres: {} (revision {})\n", evacuations.size(),
+                                 MemberText(response, "revision"));
+  for (const Json& evacuation : evacuations) {
+    text += fmt::format("  {:<20} since {} accepted by {:<21} {:>4} runs left\n",
+                        MemberText(evacuation, "data_centre"), MemberText(evacuation, "since"),
+                        MemberText(evacuation, "accepted_by"), MemberText(evacuation, "runs_left"));
+  }
+  return text;
+}
+
 std::string FormatResponse(const std::string& document) {
   const Json response = Json::parse(document, nullptr, false);
   const Json& error = MemberOrNull(response, "error");
--- a/src/cli/response_formatter.h
+++ b/src/cli/response_formatter.h
@@ -4,6 +4,10 @@
 
 namespace sapphirecrank::cli {
 
+/// Formats the list of an allocator's evacuations. Returns `document` if it isn't one. Thread
+/// safety: pure.
+std::string FormatEvacuations(const std::string& document);
+
 /// Formats a status document as lines of text; returns it unchanged if it isn't a JSON object.
 /// Thread safety: pure.
 std::string FormatStatus(const std::string& document);
--- a/tests/cli/command_line_test.cc
+++ b/tests/cli/command_line_test.cc
@@ -87,6 +87,14 @@
   CHECK_TRUE(this->ErrorOutputContains("--forse"));
   LONGS_EQUAL(2, this->Run({"run"}));
   CHECK_TRUE(this->ErrorOutputContains("--settings is missing"));
+  LONGS_EQUAL(2, this->Run({"evacuate"}));
+  LONGS_EQUAL(2, this->Run({"evacuate", "begin", "x"}));
+  CHECK_TRUE(this->ErrorOutputContains("start, finish or list"));
+  LONGS_EQUAL(2, this->Run({"evacuate", "start"}));
+  CHECK_TRUE(this->ErrorOutputContains("DATA_CENTRE is missing"));
+  LONGS_EQUAL(2, this->Run({"evacuate", "finish", ""}));
+  LONGS_EQUAL(2, this->Run({"evacuate", "list", "x"}));
+  LONGS_EQUAL(2, this->Run({"evacuate", "start", "x", "y"}));
   LONGS_EQUAL(2, this->Run({"submit", "no-such-file"}));
   CHECK_TRUE(this->ErrorOutputContains("no-such-file"));
   LONGS_EQUAL(0, this->sent_requests.size());
@@ -94,7 +102,8 @@
 
 // Guards against a command without help, or help that runs the command.
 TEST(CommandLine, EachCommandHasHelp) {
-  for (const char* name : {"run", "check", "submit", "cancel", "status", "drain", "version"}) {
+  for (const char* name :
+       {"run", "check", "submit", "cancel", "status", "drain", "evacuate", "version"}) {
     LONGS_EQUAL(0, this->Run({name, "--help"}));
     CHECK_TRUE(this->OutputContains("--json"));
     LONGS_EQUAL(0, this->Run({"--help"}));
@@ -128,6 +137,42 @@
              this->ErrorOutputContains("shorter than 16 bytes"));
 }
 
+// Guards against an order that is sent as the opposite one, or that ends at an allocator that
+// doesn't lead.
+TEST(CommandLine, EvacuateSendsOrders) {
+  LONGS_EQUAL(0, this->Run({"evacuate", "start", "a b", "--host", "10.0.0.1:80"}));
+  CHECK_TRUE(this->OutputContains("data centre a b: evacuated"));
+  LONGS_EQUAL(0, this->Run({"evacuate", "finish", "x", "--entry-host", "10.0.0.2:80"}));
+  CHECK_TRUE(this->OutputContains("data centre x: evacuation finished"));
+  STRCMP_EQUAL("PUT", this->sent_requests[0].method.c_str());
+  STRCMP_EQUAL("/v1/evacuations/a%20b", this->sent_requests[0].path.c_str());
+  STRCMP_EQUAL("10.0.0.1:80", this->sent_requests[0].entry_host.value().c_str());
+  CHECK_TRUE(this->sent_requests[0].follows_redirects);
+  STRCMP_EQUAL("DELETE", this->sent_requests[1].method.c_str());
+  STRCMP_EQUAL("10.0.0.2:80", this->sent_requests[1].entry_host.value().c_str());
+  this->response = HttpClientResponse{
+      400, R"({"error":{"code":"invalid_argument","field":"data_centre","message":"no data centre )"
+           R"('z' is known here","verdict":"not run"}})"};
+  LONGS_EQUAL(4, this->Run({"evacuate", "start", "z"}));
+  CHECK_TRUE(this->ErrorOutputContains("no data centre 'z' is known here"));
+}
+
+// Guards against a list that hides an evacuation or the runs that are left.
+TEST(CommandLine, EvacuateListsEvacuations) {
+  const std::string body =
+      R"({"evacuations":[{"accepted_by":"10.0.0.1:7700","data_centre":"x","runs_left":3,)"
+      R"("since":"2023-11-14T22:13:20.123Z"}],"revision":7})";
+  this->response = HttpClientResponse{200, body};
+  LONGS_EQUAL(0, this->Run({"evacuate", "list"}));
+  STRCMP_EQUAL("GET", this->sent_requests[0].method.c_str());
+  STRCMP_EQUAL("/v1/evacuations", this->sent_requests[0].path.c_str());
+  CHECK_TRUE(this->OutputContains("evacuated data centres: 1 (revision 7)"));
+  CHECK_TRUE(this->OutputContains("since 2023-11-14T22:13:20.123Z accepted by 10.0.0.1:7700"));
+  CHECK_TRUE(this->OutputContains("3 runs left"));
+  LONGS_EQUAL(0, this->Run({"evacuate", "list", "--json"}));
+  CHECK_TRUE(this->OutputContains(body));
+}
+
 // Guards against work that is sent to the wrong resource, and against a client that times out
 // before the work's deadline.
 TEST(CommandLine, SubmitSendsTheFileAndPrintsTheResponse) {
