--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -29,17 +29,20 @@
   CONFIGURATION_DELAY before the read.
 - No task of a stored job is started after a run of it succeeded and was acknowledged, before the
   previous step is done, or more than CANCEL_DELAY after its job was cancelled.
+- No task is started in an evacuated data centre later than EVACUATION_DELAY after the
+  acknowledgement of its evacuation and before a finish of it is sent.
 - No stored job is unknown more than VISIBLE_DELAY after it was accepted, or reported as completed
   before all its tasks are done.
 - While no allocator counts as lost, a change of the configuration is acknowledged within
   ACKNOWLEDGEMENT_DELAY and read back from all allocators within CONFIGURATION_DELAY. This is checked
   after some replacements, with the injection of faults suspended, and after the last fault.
 Checked at the end, after the faults: jobs are served again, all stored jobs have ended, and the
-newest acknowledged configuration is read back from the allocators that exist then.
+newest acknowledged configuration and the last acknowledged evacuations are read back from the
+allocators that exist then.
 
 Usage: soak.py [--seed N] [--seeds COUNT] [--seconds S] [--faults KIND,...] [--program PATH]
-[--pause S] [--subnet N] [--omit-catch-up]. The exit code is 1 if a check failed; the logs of the processes are then kept, and
-their folder is printed.
+[--pause S] [--subnet N] [--omit-catch-up] [--omit-evacuations]. The exit code is 1 if a check
+failed; the logs of the processes are then kept, and their folder is printed.
 """
 
 import argparse
@@ -85,6 +88,14 @@
                *LINK_FAULT_KINDS,
                *(f"peer-{kind}" for kind in LINK_FAULT_KINDS)]
 CONFIGURATION_DELAY = 2.0
+# Limit in the settings for the time until an acknowledged evacuation is in force everywhere.
+EVACUATION_DELAY = 5.0
+# Data centres of targets. The first one is that of the hosts. The second one is that of the last
+# targets, and the only one that is evacuated, so that the first target, the only one that can hold
+# the largest tasks, stays in use.
+DATA_CENTRES = ["soak", "other"]
+EVACUATED_DATA_CENTRE = DATA_CENTRES[1]
+OTHER_DATA_CENTRE_TARGETS = 2
 # Bounds for stored jobs in seconds, as in the platform's documentation.
 VISIBLE_DELAY, CANCEL_DELAY = 3.0, 3.0
 RECOVERY_LIMIT = 40.0
@@ -154,6 +165,8 @@
         # Tasks of which a run succeeded, those of them whose success was acknowledged to the
         # target, and when each task was started last.
         self.succeeded_tasks, self.acknowledged_tasks, self.last_started_at = set(), set(), {}
+        # For each evacuated data centre, the time after which nothing may start there.
+        self.evacuated_after = {}
         self.counts = {}
 
     def log_event(self, text):
@@ -188,6 +201,13 @@
             self.record_violation(
                 f"TWICE: {task} started again after a successful run whose end is acknowledged")
 
+    def on_start_in(self, data_centre, target, key):
+        """Checks the start of any task on a target in the data centre."""
+        limit = self.evacuated_after.get(data_centre, float("inf"))
+        if time.monotonic() > limit:
+            self.record_violation(f"EVACUATION: {key} started on {target} in {data_centre} "
+                                  f"{time.monotonic() - limit:.2f} s after the limit")
+
     def count(self, name):
         self.counts[name] = self.counts.get(name, 0) + 1
 
@@ -199,8 +219,9 @@
     capacity.
     """
 
-    def __init__(self, name, checks, rng, capacity):
+    def __init__(self, name, checks, rng, capacity, data_centre=DATA_CENTRES[0]):
         self.name, self.checks, self.rng, self.capacity = name, checks, rng, capacity
+        self.data_centre = data_centre
         self.failure_share = FAILURE_SHARE
         self.incarnation_count = 0
         self.is_up = True
@@ -295,6 +316,7 @@
         self.checks.running_targets[key[0]] = self
         self.checks.started_jobs.add(key[0].split(".")[0])
         self.checks.on_start(key[0])
+        self.checks.on_start_in(self.data_centre, self.id, key)
         self.checks.count("runs")
         incarnation = self.incarnation
         outcome = "failed" if self.rng.random() < self.failure_share else "done"
@@ -365,7 +387,7 @@
                 await asyncio.sleep(0.01)
             self.check_lease()
             self.heartbeat_count += 1
-            body = {"service": SERVICE, "address": self.address, "zone": "soak", "version": "v1",
+            body = {"service": SERVICE, "address": self.address, "zone": self.data_centre, "version": "v1",
                     "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": self.heartbeat_count,
                     "capacity": {"cpu": self.capacity, "memMb": 1024, "gpus": 0},
                     "born": self.incarnation, "labels": ["a", "r1"], "clockMs": self.clock()}
@@ -464,9 +486,9 @@
     """A gateway or allocator process, which this program starts and ends."""
 
     def __init__(self, program, folder, role, address, seeds, is_successor=False,
-                 catch_up_time=CATCH_UP_TIME):
+                 catch_up_time=CATCH_UP_TIME, evacuates=True):
         self.program, self.folder, self.role, self.address = program, folder, role, address
-        self.seeds, self.catch_up_time = seeds, catch_up_time
+        self.seeds, self.catch_up_time, self.evacuates = seeds, catch_up_time, evacuates
         self.data = folder / f"data-{address}"
         self.peer_proxy = Proxy(address, PEER_BIND_PORT)
         # The number of faults because of which the host counts as lost, and until when it counts
@@ -502,6 +524,9 @@
             settings.update(control_listen=f"{self.address}:{CONTROL_PORT}",
                             data_folder=str(self.data),
                             bootstrap=self.bootstrap, lost_disks_borne=1)
+        if self.evacuates:
+            settings.update(data_centres=DATA_CENTRES,
+                            evacuation_limit_ms=int(EVACUATION_DELAY * 1000))
         if self.catch_up_time is not None:
             settings["catch_up_s"] = self.catch_up_time
         path = self.folder / f"{self.address}.json"
@@ -540,20 +565,25 @@
     """One soak with one seed: the processes, targets, callers and faults."""
 
     def __init__(self, program, fault_kinds, seed, seconds, maximum_pause, folder,
-                 catch_up_time=CATCH_UP_TIME):
+                 catch_up_time=CATCH_UP_TIME, evacuates=True):
         self.rng = random.Random(seed)
         # Draws for replacements and seeds.
         self.replacement_rng = random.Random(f"replacements {seed}")
         # Draws for large jobs and changes of owners.
         self.placement_rng = random.Random(f"placements {seed}")
-        self.program, self.catch_up_time = program, catch_up_time
+        # Draws for evacuations.
+        self.evacuation_rng = random.Random(f"evacuations {seed}")
+        self.program, self.catch_up_time, self.evacuates = program, catch_up_time, evacuates
         self.fault_kinds, self.seconds, self.folder = fault_kinds, seconds, folder
         self.maximum_pause = maximum_pause
         self.checks = Checks(folder)
-        self.hosts = [Host(program, folder, "allocator", a, list(ALLOCATORS),
-                           catch_up_time=catch_up_time) for a in ALLOCATORS]
-        self.hosts += [Host(program, folder, "gateway", a, list(ALLOCATORS),
-                            catch_up_time=catch_up_time) for a in GATEWAYS]
+        self.hosts = [Host(program, folder, role, address, list(ALLOCATORS),
+                           catch_up_time=catch_up_time, evacuates=evacuates)
+                      for role, addresses in (("allocator", ALLOCATORS), ("gateway", GATEWAYS))
+                      for address in addresses]
+        # The last acknowledged order for the evacuation, "Start" or "Finish", and whether another
+        # one was sent after it.
+        self.last_evacuation_order, self.has_later_order = "Finish", False
         self.last_successor_number = FIRST_SUCCESSOR_NUMBER - 1
         # Former states of the operator's list, each with the time at which it was replaced.
         self.former_lists = []
@@ -619,6 +649,42 @@
                                          f"expected at least {max(acknowledged)}")
         return version
 
+    async def order_evacuation(self, order):
+        """Sends the order until it is acknowledged; returns whether it was within a few attempts."""
+        if order == "Finish":
+            self.checks.evacuated_after.pop(EVACUATED_DATA_CENTRE, None)
+        self.has_later_order = True
+        for _ in range(5):
+            address = f"{self.evacuation_rng.choice(ALLOCATORS)}:{CONTROL_PORT}"
+            path = f"/sapphirecrank/Evacuations.{order}/{EVACUATED_DATA_CENTRE}"
+            status, _ = await call(address, "POST", path, timeout=1.0, redirects=MAXIMUM_REDIRECTS)
+            self.checks.log_event(f"evacuation order {order} sent to {address}: status {status}")
+            if status == 200:
+                self.last_evacuation_order, self.has_later_order = order, False
+                if order == "Start":
+                    self.checks.evacuated_after.setdefault(
+                        EVACUATED_DATA_CENTRE, time.monotonic() + EVACUATION_DELAY)
+                self.checks.count(f"evacuation orders {order}")
+                return True
+        return False
+
+    async def run_evacuations(self):
+        while not self.is_stopping:
+            await asyncio.sleep(self.evacuation_rng.uniform(0.1, 4.0))
+            await self.order_evacuation(self.evacuation_rng.choice(["Start", "Start", "Finish"]))
+
+    async def has_last_evacuation_order(self):
+        """Tells whether all allocators act on the last acknowledged order."""
+        for address in list(ALLOCATORS):
+            status, body = await call(f"{address}:{CONTROL_PORT}", "GET", "/v1/evacuations")
+            if status != 200:
+                return False
+            evacuated = [e["data_centre"] for e in json.loads(body)["evacuations"]]
+            expected = [EVACUATED_DATA_CENTRE] if self.last_evacuation_order == "Start" else []
+            if evacuated != expected:
+                return False
+        return True
+
     async def run_job(self):
         """Submits a job until it has a final response; returns whether it was completed."""
         self.last_job_number += 1
@@ -984,7 +1050,8 @@
         self.last_successor_number += 1
         address = f"127.0.{self.subnet()}.{self.last_successor_number}"
         successor = Host(self.program, self.folder, "allocator", address, self.draw_seeds(),
-                         is_successor=True, catch_up_time=self.catch_up_time)
+                         is_successor=True, catch_up_time=self.catch_up_time,
+                         evacuates=self.evacuates)
         await successor.peer_proxy.listen(PEER_PORT)
         if victim is not None:
             self.remove_host(victim)
@@ -1093,7 +1160,9 @@
         self.targets, self.proxies, self.background_tasks = [], [], []
         for i in range(TARGET_COUNT):
             target = Target(f"t{i}", self.checks, self.rng,
-                            LARGE_TARGET_MILLI_PROCESSORS if i == 0 else TARGET_MILLI_PROCESSORS)
+                            LARGE_TARGET_MILLI_PROCESSORS if i == 0 else TARGET_MILLI_PROCESSORS,
+                            DATA_CENTRES[0] if i < TARGET_COUNT - OTHER_DATA_CENTRE_TARGETS
+                            else DATA_CENTRES[1])
             server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
             proxy = Proxy("127.0.0.1", server.sockets[0].getsockname()[1])
             proxy_server = await asyncio.start_server(proxy.serve, "127.0.0.1", 0)
@@ -1118,6 +1187,8 @@
         work = [asyncio.create_task(self.run_caller()) for _ in range(10)]
         work += [asyncio.create_task(self.run_stored_job_caller()) for _ in range(5)]
         work += [asyncio.create_task(self.run_operator())]
+        if self.evacuates:
+            work += [asyncio.create_task(self.run_evacuations())]
         faults = [asyncio.create_task(self.inject_faults()) for _ in range(2)]
         await asyncio.sleep(self.seconds)
         self.is_stopping = True
@@ -1137,6 +1208,11 @@
 
         if not await self.retry_until_recovered(is_read_back):
             self.checks.record_violation(f"LOST: configuration {newest} is not read back")
+        # After an order without an acknowledgement either state is right.
+        if (self.evacuates and not self.has_later_order
+                and not await self.retry_until_recovered(self.has_last_evacuation_order)):
+            self.checks.record_violation(
+                f"LOST: the order {self.last_evacuation_order} is not in force on all allocators")
 
     def shut_down(self):
         for task in self.background_tasks:
@@ -1150,7 +1226,8 @@
 
 async def run_soak(options, seed, folder):
     soak = Soak(options.program, options.faults.split(","), seed, options.seconds, options.pause,
-                folder, None if options.omit_catch_up else CATCH_UP_TIME)
+                folder, None if options.omit_catch_up else CATCH_UP_TIME,
+                not options.omit_evacuations)
     try:
         await soak.run()
     finally:
@@ -1172,6 +1249,9 @@
                         help="the processes use 127.0.N.x; soaks side by side need different ones")
     parser.add_argument("--omit-catch-up", action="store_true",
                         help="leave catch_up_s out of the settings, for programs without it")
+    parser.add_argument("--omit-evacuations", action="store_true",
+                        help="order no evacuations and leave their fields out of the settings, for "
+                        "programs without them")
     options = parser.parse_args()
     GATEWAYS.extend(f"127.0.{options.subnet}.{i}" for i in (11, 12))
     failed = 0
