runs: Start nothing in evacuated data centres and return waiting tasks

An allocator started runs on all its targets, whatever an operator wanted, and kept waiting tasks until they started or were refused.

StartPermission holds the evacuated data centres and the time until which this host may start runs. RunScheduler keeps it and hands it to each service scheduler, also to one that is created later; targets hold a copy of the flag. Active runs go on. Waiting tasks that no target may run because of an evacuation, or because the host may start nothing, are given back at once, to the gateway (ReturnedTasks) or to the stored job manager; a task with a run that may be active stays until that run is gone. RecallBatch gives back what waits of a batch. Cold targets are decoded from reports, and get tasks only if no warm target has room.

Returned tasks and the result of their batch may be decided on two threads. AllocatorMessageQueue hands them on in the order of the decisions, so that a gateway doesn't take returned tasks for done; run events go the same way, before results as until now. The time of an update is read under the lock, because a limit of starts depends on it.

tests/runs/service_scheduler_test.cc didn't compile since the member returned_tasks was added; one initialiser is added.

--- a/src/runs/leased_target.cc
+++ b/src/runs/leased_target.cc
@@ -28,10 +28,14 @@
   }
 }
 
-bool LeasedTarget::SatisfiesPlacementRule(const PlacementRule& rule, const JobTaskKey& task) const {
+bool LeasedTarget::HasRequiredLabel(const PlacementRule& rule) const {
   const std::vector<base::LabelId>& labels = this->report.labels;
-  if (!rule.required_label.empty() &&
-      std::find(labels.begin(), labels.end(), rule.required_label) == labels.end()) {
+  return rule.required_label.empty() ||
+         std::find(labels.begin(), labels.end(), rule.required_label) != labels.end();
+}
+
+bool LeasedTarget::SatisfiesPlacementRule(const PlacementRule& rule, const JobTaskKey& task) const {
+  if (!this->HasRequiredLabel(rule)) {
     return false;
   }
   if (rule.maximum_tasks_per_target <= base::TaskCount(0)) {
--- a/src/runs/leased_target.h
+++ b/src/runs/leased_target.h
@@ -48,6 +48,11 @@
   base::TimePoint last_heard_at;
   /// Copy of the state in the health tracker. Each placement reads it for all targets.
   targets::HealthState health = targets::HealthState::kHealthy;
+  /// Starts are forbidden in the target's data centre. Copied from `StartPermission`, because each
+  /// placement reads it for all targets.
+  bool is_evacuated = false;
+  /// The target is slow before this time, because it has started recently.
+  base::TimePoint cold_until;
   /// No runs are started on the target before this time, after failed calls for example.
   base::TimePoint backoff_until;
   /// Calls without a response since the last one that had a response.
@@ -100,10 +105,16 @@
   /// `sent_at`. A lower one shows that the target has been restarted. Thread safety: pure.
   base::Duration MinimumClockAfter(base::TimePoint sent_at) const;
 
+  /// Returns whether the target has the label that `rule` requires. Thread safety: pure.
+  bool HasRequiredLabel(const PlacementRule& rule) const;
+
   /// Returns whether the target meets `rule` for `task`, counting the runs of the task's step that
   /// are already on the target. Thread safety: pure.
   bool SatisfiesPlacementRule(const PlacementRule& rule, const JobTaskKey& task) const;
 
+  /// Returns whether the target is still slow after its start. Thread safety: pure.
+  bool IsCold(base::TimePoint now) const { return now < this->cold_until; }
+
   /// Returns the capacity that no known run uses. Thread safety: pure.
   base::Resources FreeResources() const {
     base::Resources free = this->report.capacity;
--- a/src/runs/placed_batch.h
+++ b/src/runs/placed_batch.h
@@ -15,9 +15,11 @@
 struct PlacedBatch {
   struct TaskState {
     base::AttemptCount failed_run_count;
+    /// Start requests of the task sent and not refused by their targets.
+    int start_count = 0;
     base::RunNumber last_run_number;
     bool is_done = false;
-    /// The task belongs to a stored job, isn't done and was returned to the stored job manager.
+    /// The task isn't done and was given back to the gateway or the stored job manager.
     bool is_returned = false;
     /// The target that the task runs on; empty while the task waits.
     base::TargetId target;
--- a/src/runs/run_scheduler.cc
+++ b/src/runs/run_scheduler.cc
@@ -18,13 +18,21 @@
 
 template <typename Function>
 void RunScheduler::UpdateService(const base::ServiceId& service, Function function) {
-  const base::TimePoint now = this->hooks.now();
   SchedulerActions actions;
-  this->shards.WithShard(service, [&](Shard& shard) {
-    auto scheduler = shard.service_schedulers.try_emplace(service, this->settings).first;
+  const bool has_messages = this->shards.WithShard(service, [&](Shard& shard) {
+    // The time is read under the lock, because starts may be forbidden after a certain time.
+    const base::TimePoint now = this->hooks.now();
+    auto [scheduler, is_new] = shard.service_schedulers.try_emplace(service, this->settings);
+    if (is_new) {
+      scheduler->second.SetStartPermission(this->CurrentStartPermission(), now, actions);
+    }
     function(scheduler->second, now, actions);
+    return shard.message_queue.Add(actions);
   });
   this->ExecuteActions(service, actions);
+  if (has_messages) {
+    this->DeliverMessages(service);
+  }
 }
 
 template <typename Function>
@@ -108,13 +116,53 @@
       });
 }
 
-void RunScheduler::RecallBatch(const base::HostId& /*gateway*/, const BatchRecall& /*recall*/) {}
+void RunScheduler::RecallBatch(const base::HostId& gateway, const BatchRecall& recall) {
+  const BatchKey key{gateway, recall.job, recall.batch};
+  this->UpdateAllServices(
+      [&key](ServiceScheduler& scheduler, base::TimePoint now, SchedulerActions& actions) {
+        scheduler.RecallBatch(key, now, actions);
+      });
+}
 
-void RunScheduler::SetEvacuatedDataCentres(const std::set<base::DataCentreId>& /*data_centres*/) {}
+void RunScheduler::SetEvacuatedDataCentres(const std::set<base::DataCentreId>& data_centres) {
+  {
+    base::MutexLock lock(this->start_permission_mutex);
+    this->start_permission.SetEvacuatedDataCentres(data_centres);
+  }
+  this->ApplyStartPermission();
+}
 
-void RunScheduler::AllowStartsUntil(base::TimePoint /*until*/) {}
+void RunScheduler::AllowStartsUntil(base::TimePoint until) {
+  {
+    base::MutexLock lock(this->start_permission_mutex);
+    this->start_permission.AllowUntil(until);
+  }
+  this->ApplyStartPermission();
+}
 
-std::map<base::DataCentreId, size_t> RunScheduler::RunCounts() { return {}; }
+StartPermission RunScheduler::CurrentStartPermission() {
+  base::MutexLock lock(this->start_permission_mutex);
+  return this->start_permission;
+}
+
+void RunScheduler::ApplyStartPermission() {
+  // Each scheduler gets the permission that is valid once it is locked, so that calls on several
+  // threads can't leave an earlier one behind.
+  this->UpdateAllServices(
+      [this](ServiceScheduler& scheduler, base::TimePoint now, SchedulerActions& actions) {
+        scheduler.SetStartPermission(this->CurrentStartPermission(), now, actions);
+      });
+}
+
+std::map<base::DataCentreId, size_t> RunScheduler::RunCounts() {
+  std::map<base::DataCentreId, size_t> counts;
+  this->shards.ForEachShard([&counts](Shard& shard) {
+    for (const auto& [service, scheduler] : shard.service_schedulers) {
+      scheduler.AddRunCounts(counts);
+    }
+  });
+  return counts;
+}
 
 void RunScheduler::OnEventAcknowledgements(const RunEventAcknowledgements& acknowledgements) {
   const auto process_events = [this](const std::vector<RunEvent>& events, bool is_superseded) {
@@ -161,9 +209,6 @@
   for (const RunDecision& decision : actions.decisions) {
     this->hooks.on_decision(decision);
   }
-  if (!actions.run_events.empty()) {
-    this->hooks.on_run_events(actions.run_events);
-  }
   for (const StartRequest& request : actions.start_requests) {
     this->hooks.start_run(request, [this, service, request](const TargetCallResponse& response) {
       this->UpdateService(service, [&](ServiceScheduler& scheduler, base::TimePoint now,
@@ -188,11 +233,23 @@
       });
     });
   }
-  for (const ReturnedTasks& returned : actions.returned_tasks) {
-    this->hooks.on_tasks_returned(returned);
-  }
-  for (const BatchResult& result : actions.batch_results) {
-    this->hooks.on_batch_end(result);
+}
+
+void RunScheduler::DeliverMessages(const base::ServiceId& service) {
+  std::vector<AllocatorMessageQueue::Message> messages = this->shards.WithShard(
+      service, [](Shard& shard) { return shard.message_queue.BeginDelivery(); });
+  while (!messages.empty()) {
+    for (const AllocatorMessageQueue::Message& message : messages) {
+      if (const auto* returned = std::get_if<ReturnedTasks>(&message)) {
+        this->hooks.on_tasks_returned(*returned);
+      } else if (const auto* result = std::get_if<BatchResult>(&message)) {
+        this->hooks.on_batch_end(*result);
+      } else {
+        this->hooks.on_run_events(std::get<std::vector<RunEvent>>(message));
+      }
+    }
+    messages = this->shards.WithShard(
+        service, [](Shard& shard) { return shard.message_queue.ContinueDelivery(); });
   }
 }
 
--- a/src/runs/run_scheduler.h
+++ b/src/runs/run_scheduler.h
@@ -10,10 +10,12 @@
 #include "base/sharded.h"
 #include "base/thread_annotations.h"
 #include "base/time.h"
+#include "runs/allocator_message_queue.h"
 #include "runs/batch_recall.h"
 #include "runs/returned_tasks.h"
 #include "runs/run_event_acknowledgements.h"
 #include "runs/service_scheduler.h"
+#include "runs/start_permission.h"
 
 namespace sapphirecrank::runs {
 
@@ -95,13 +97,19 @@
  private:
   struct Shard {
     std::map<base::ServiceId, ServiceScheduler> service_schedulers;
+    AllocatorMessageQueue message_queue;
   };
 
   template <typename Function>
   void UpdateService(const base::ServiceId& service, Function function);
   template <typename Function>
   void UpdateAllServices(Function function);
+  /// Executes `actions` except for the messages, which are in the queue of the shard.
   void ExecuteActions(const base::ServiceId& service, const SchedulerActions& actions);
+  /// Delivers the messages of the shard that holds `service`, unless another thread does.
+  void DeliverMessages(const base::ServiceId& service);
+  StartPermission CurrentStartPermission();
+  void ApplyStartPermission();
   base::TimePoint GatewayLastAliveAt(const base::HostId& gateway);
 
   SchedulerSettings settings;
@@ -110,6 +118,9 @@
   base::Mutex gateway_last_alive_mutex;
   std::map<base::HostId, base::TimePoint> gateway_last_alive_at
       GUARDED_BY(gateway_last_alive_mutex);
+  // May be locked while a shard is locked, but not the other way round.
+  base::Mutex start_permission_mutex;
+  StartPermission start_permission GUARDED_BY(start_permission_mutex);
 };
 
 }  // namespace sapphirecrank::runs
--- a/src/runs/service_scheduler.cc
+++ b/src/runs/service_scheduler.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include "runs/unplaceable_sizes.h"
@@ -106,6 +107,8 @@
         {"target draining", {}, report.id, token, "the target reports that it is draining"});
   }
   target.report = report;
+  target.is_evacuated = this->start_permission.IsEvacuated(report.data_centre);
+  target.cold_until = now + report.cold_time_left;
   target.clock_read_at = now;
   target.last_heard_at = now;
   this->target_health.AddTarget(report.id);
@@ -185,6 +188,10 @@
     this->EnqueueTask(placed, i - 1, now);
   }
   this->StartQueuedTasks(now, actions);
+  auto found = this->batches.find(key);
+  if (found != this->batches.end() && this->start_permission.IsRestrictedAt(now)) {
+    this->ReturnTasksWithoutTarget(found, now, actions);
+  }
 }
 
 void ServiceScheduler::CancelJob(const base::HostId& gateway, const base::SubmissionId& job,
@@ -220,7 +227,42 @@
   }
 }
 
+void ServiceScheduler::SetStartPermission(const StartPermission& permission, TimePoint now,
+                                          SchedulerActions& actions) {
+  const bool is_unchanged =
+      permission.AllowsStartsAt(now) == this->start_permission.AllowsStartsAt(now) &&
+      permission.evacuated_data_centres() == this->start_permission.evacuated_data_centres();
+  this->start_permission = permission;
+  if (is_unchanged) {
+    return;  // The limit is extended several times per second.
+  }
+  for (auto& [id, target] : this->targets) {
+    target.is_evacuated = permission.IsEvacuated(target.report.data_centre);
+  }
+  this->StartQueuedTasks(now, actions);
+  for (auto found = this->batches.begin(); found != this->batches.end();) {
+    auto next = std::next(found);
+    this->ReturnTasksWithoutTarget(found, now, actions);
+    found = next;
+  }
+}
+
+void ServiceScheduler::RecallBatch(const BatchKey& key, TimePoint now, SchedulerActions& actions) {
+  auto found = this->batches.find(key);
+  if (found == this->batches.end() || !found->second.batch.can_be_returned) {
+    return;
+  }
+  const ReturnableTasks returnable(found->second, this->reserved_tasks, now);
+  if (!returnable.positions().empty()) {
+    this->GiveBackTasks(found, returnable, true, "recalled by the gateway", now, actions);
+    this->StartQueuedTasks(now, actions);
+  }
+}
+
 bool ServiceScheduler::CanStartRuns(const LeasedTarget& target, TimePoint now) const {
+  if (target.is_evacuated || !this->start_permission.AllowsStartsAt(now)) {
+    return false;
+  }
   if (target.health == targets::HealthState::kEjected ||
       (target.health == targets::HealthState::kProbation && !target.runs.empty())) {
     return false;
@@ -238,14 +280,15 @@
   const std::set<TargetId>& failed_targets = placed.tasks[task_position].failed_targets;
   // Best fit keeps whole targets free for tasks that require many resources.
   LeasedTarget* best = nullptr;
-  std::pair<bool, base::MilliCores> best_rank;
+  std::tuple<bool, bool, base::MilliCores> best_rank;
   for (auto& [id, target] : this->targets) {
     const Resources free = target.FreeResources();
     if (!free.CanFit(task.required_resources) || !this->CanStartRuns(target, now) ||
         this->IsReservedForEarlierBatch(id, placed.Position())) {
       continue;
     }
-    const auto rank = std::make_pair(failed_targets.count(id) > 0, free.processors);
+    const auto rank =
+        std::make_tuple(failed_targets.count(id) > 0, target.IsCold(now), free.processors);
     if ((best == nullptr || rank < best_rank) &&
         target.SatisfiesPlacementRule(placed.batch.placement_rule, task.key)) {
       best = &target;
@@ -407,6 +450,7 @@
   const BatchTask& batch_task = placed.batch.tasks[task_position];
   state.last_run_number = state.last_run_number.Next();
   state.target = target.report.id;
+  ++state.start_count;
   ++placed.start_count;
   const RunKey key{batch_task.key, state.last_run_number};
   TargetRun run;
@@ -519,8 +563,11 @@
   if (placed.unfinished_task_count > 0) {
     return;
   }
-  const bool is_done = std::all_of(placed.tasks.begin(), placed.tasks.end(),
-                                   [](const PlacedBatch::TaskState& task) { return task.is_done; });
+  // The gateway knows which tasks it has got back; the result is about the others.
+  const bool is_done = std::all_of(
+      placed.tasks.begin(), placed.tasks.end(), [&placed](const PlacedBatch::TaskState& task) {
+        return task.is_done || (task.is_returned && placed.batch.can_be_returned);
+      });
   if (is_done) {
     this->EndBatch(batch_iterator, BatchResult::Outcome::kCompleted, "all tasks are done", now,
                    actions);
@@ -660,6 +707,9 @@
       auto batch = this->batches.find(removed_run.batch);
       if (batch != this->batches.end()) {
         --batch->second.start_count;
+        if (!removed_run.is_orphan) {
+          --batch->second.tasks[removed_run.task_position].start_count;
+        }
       }
       this->RequeueTask(target, request.key, removed_run, now, actions);
       break;
@@ -1127,34 +1177,97 @@
   });
 }
 
+bool ServiceScheduler::AreSuitableTargetsEvacuated(const PlacedBatch& placed, TimePoint now) const {
+  const BatchTask& task = placed.batch.tasks.front();
+  bool has_evacuated_target = false;
+  for (const auto& [id, target] : this->targets) {
+    if (!target.report.capacity.CanFit(task.required_resources) ||
+        !target.HasRequiredLabel(placed.batch.placement_rule)) {
+      continue;
+    }
+    if (target.is_evacuated) {
+      has_evacuated_target = true;
+    } else if (target.phase != LeasedTarget::Phase::kFenced && !target.report.is_draining &&
+               target.health != targets::HealthState::kEjected &&
+               now - target.last_heard_at < this->settings.target_silence_limit) {
+      return false;  // Can start the task now, or soon.
+    }
+  }
+  return has_evacuated_target;
+}
+
+const char* ServiceScheduler::WhyStartIsForbidden(const PlacedBatch& placed, TimePoint now) const {
+  if (!this->start_permission.AllowsStartsAt(now)) {
+    return "this host may not start runs now";
+  }
+  if (!this->start_permission.evacuated_data_centres().empty() &&
+      this->AreSuitableTargetsEvacuated(placed, now)) {
+    return "all targets of this host that could run the task are evacuated";
+  }
+  return nullptr;
+}
+
 void ServiceScheduler::ReturnTasksWithoutTarget(
     std::map<BatchKey, PlacedBatch>::iterator batch_iterator, TimePoint now,
     SchedulerActions& actions) {
-  PlacedBatch& placed = batch_iterator->second;
-  std::vector<size_t> returned_positions;
-  for (const size_t position : placed.waiting_tasks) {
-    const bool has_waited = now - placed.tasks[position].queued_at >= placed.batch.wait_limit;
-    if (has_waited && this->reserved_tasks.count(placed.batch.tasks[position].key) == 0) {
-      returned_positions.push_back(position);
-    }
+  const PlacedBatch& placed = batch_iterator->second;
+  const TaskBatch& batch = placed.batch;
+  if (placed.waiting_tasks.empty() || !(batch.is_stored || batch.can_be_returned)) {
+    return;
+  }
+  const char* reason = this->WhyStartIsForbidden(placed, now);
+  const bool is_forbidden = reason != nullptr;
+  if (!is_forbidden && !batch.is_stored) {
+    return;
   }
+  const TimePoint queued_by = is_forbidden ? now : now - batch.wait_limit;
+  const ReturnableTasks returnable(placed, this->reserved_tasks, queued_by);
   // All tasks of a batch belong to one step and have the same requirements.
-  if (returned_positions.empty() ||
-      this->HasUsableTarget(placed.batch.placement_rule,
-                            placed.batch.tasks[returned_positions.front()], now)) {
+  if (returnable.positions().empty() ||
+      (!is_forbidden && this->HasUsableTarget(batch.placement_rule,
+                                              batch.tasks[returnable.positions().front()], now))) {
     return;
   }
-  for (const size_t position : returned_positions) {
-    PlacedBatch::TaskState& task = placed.tasks[position];
-    placed.waiting_tasks.erase(
-        std::find(placed.waiting_tasks.begin(), placed.waiting_tasks.end(), position));
-    task.is_returned = true;
-    const RunKey key{placed.batch.tasks[position].key,
-                     std::max(task.last_run_number, placed.batch.first_run_number)};
+  if (is_forbidden && batch.is_stored && placed.start_count == 0 &&
+      returnable.positions().size() == placed.tasks.size()) {
+    // The stored job manager need not record that earlier runs are superseded.
+    this->EndBatch(batch_iterator, BatchResult::Outcome::kNotRun, reason, now, actions);
+    return;
+  }
+  this->GiveBackTasks(batch_iterator, returnable, is_forbidden,
+                      is_forbidden ? reason : "no target of this host can run the task", now,
+                      actions);
+}
+
+void ServiceScheduler::GiveBackTasks(std::map<BatchKey, PlacedBatch>::iterator batch_iterator,
+                                     const ReturnableTasks& returnable, bool is_run_gone,
+                                     const char* reason, TimePoint now, SchedulerActions& actions) {
+  PlacedBatch& placed = batch_iterator->second;
+  returnable.RemoveFrom(placed);
+  if (placed.waiting_tasks.empty()) {
+    this->batch_queue.erase(placed.Position());
+  }
+  if (this->reservation && this->reservation->batch == batch_iterator->first) {
+    this->reservation.reset();
+  }
+  if (placed.batch.can_be_returned) {
+    ReturnedTasks message = returnable.MakeMessage(placed, reason);
+    placed.unfinished_task_count -= returnable.positions().size();
+    message.is_batch_ended = placed.unfinished_task_count == 0;
+    actions.returned_tasks.push_back(std::move(message));
+    if (placed.unfinished_task_count == 0) {
+      this->EndBatch(batch_iterator, std::nullopt, reason, now, actions);
+    }
+    return;
+  }
+  for (const size_t position : returnable.positions()) {
+    const RunKey key{
+        placed.batch.tasks[position].key,
+        std::max(placed.tasks[position].last_run_number, placed.batch.first_run_number)};
     actions.run_events.push_back({placed.batch.service, TargetId(), base::Incarnation(),
                                   base::SequenceNumber(), key, RunEvent::Kind::kReturned});
-    actions.decisions.push_back(
-        {"task returned", key, {}, {}, "no target of this host can run the task"});
+    actions.run_events.back().is_run_gone = is_run_gone;
+    actions.decisions.push_back({"task returned", key, {}, {}, reason});
     this->FinishTask(batch_iterator, now, actions);
   }
 }
@@ -1174,7 +1287,7 @@
     } else if (age >= placed.batch.time_left) {
       this->EndBatch(found, BatchResult::Outcome::kUnfinished, "the deadline has passed", now,
                      actions);
-    } else if (placed.batch.is_stored) {
+    } else {
       this->ReturnTasksWithoutTarget(found, now, actions);
     }
     found = next;
@@ -1217,6 +1330,15 @@
   this->StartQueuedTasks(now, actions);
 }
 
+void ServiceScheduler::AddRunCounts(std::map<base::DataCentreId, size_t>& counts) const {
+  for (const auto& [id, target] : this->targets) {
+    const size_t count = target.runs.size() + target.unknown_run_count;
+    if (count > 0) {
+      counts[target.report.data_centre] += count;
+    }
+  }
+}
+
 CapacityReport::ServiceCapacity ServiceScheduler::Capacity(TimePoint now) const {
   CapacityReport::ServiceCapacity capacity;
   const int64_t mean_processors =
--- a/src/runs/service_scheduler.h
+++ b/src/runs/service_scheduler.h
@@ -16,8 +16,10 @@
 #include "runs/poll_response.h"
 #include "runs/queue_position.h"
 #include "runs/queued_batch.h"
+#include "runs/returnable_tasks.h"
 #include "runs/scheduler_actions.h"
 #include "runs/scheduler_settings.h"
+#include "runs/start_permission.h"
 #include "runs/target_call_response.h"
 #include "runs/task_end_rate.h"
 #include "targets/target_health_tracker.h"
@@ -70,6 +72,15 @@
   void CancelJobsOfGateway(const base::HostId& gateway, base::TimePoint now,
                            SchedulerActions& actions);
 
+  /// Starts runs only where and while `permission` allows it. Runs that are active elsewhere end by
+  /// themselves. Waiting tasks that this host may not start any more are returned at once.
+  void SetStartPermission(const StartPermission& permission, base::TimePoint now,
+                          SchedulerActions& actions);
+
+  /// Returns the waiting tasks of a batch to its gateway, see `BatchRecall`. Does nothing if there
+  /// are none, or if the gateway can't place them elsewhere.
+  void RecallBatch(const BatchKey& key, base::TimePoint now, SchedulerActions& actions);
+
   /// Process a target's response to a request in earlier `actions`, or the lack of one.
   void OnStartResponse(const StartRequest& request, const TargetCallResponse& response,
                        base::TimePoint now, SchedulerActions& actions);
@@ -90,6 +101,9 @@
   /// Returns how many tasks can be started now; `service` is left empty.
   CapacityReport::ServiceCapacity Capacity(base::TimePoint now) const;
 
+  /// Adds the number of runs that may be active on the targets to `counts`, by data centre.
+  void AddRunCounts(std::map<base::DataCentreId, size_t>& counts) const;
+
   /// Returns the number of batches that have not ended.
   size_t BatchCount() const { return this->batches.size(); }
 
@@ -187,16 +201,31 @@
   void EndBatch(std::map<BatchKey, PlacedBatch>::iterator batch_iterator,
                 std::optional<BatchResult::Outcome> outcome, const char* reason,
                 base::TimePoint now, SchedulerActions& actions);
-  /// Returns the waiting tasks of a stored batch to the stored job manager if they have waited for
-  /// `wait_limit` and no target that this host can use has the capacity for them, in use or not.
+  /// Returns the waiting tasks of a batch that this host may not start any more; `batch_iterator`
+  /// becomes invalid if the batch ends. Tasks of a stored batch are returned too if they have
+  /// waited for `wait_limit` and no target that this host can use has the capacity for them, in use
+  /// or not.
   void ReturnTasksWithoutTarget(std::map<BatchKey, PlacedBatch>::iterator batch_iterator,
                                 base::TimePoint now, SchedulerActions& actions);
+  /// Gives tasks of a batch back to its gateway or to the stored job manager. `is_run_gone` says
+  /// that the manager need not wait for the end of a lease; `batch_iterator` becomes invalid if the
+  /// batch ends.
+  void GiveBackTasks(std::map<BatchKey, PlacedBatch>::iterator batch_iterator,
+                     const ReturnableTasks& returnable, bool is_run_gone, const char* reason,
+                     base::TimePoint now, SchedulerActions& actions);
+  /// Returns why this host may not start the tasks of a batch, or null if nothing forbids it. Not
+  /// for capacity in use and other obstacles that pass by themselves.
+  const char* WhyStartIsForbidden(const PlacedBatch& placed, base::TimePoint now) const;
+  /// Tells whether all targets that could run tasks of a batch, in use or not, are evacuated, and
+  /// there are some.
+  bool AreSuitableTargetsEvacuated(const PlacedBatch& placed, base::TimePoint now) const;
   /// Returns whether a task of the batch could start on some target once its capacity is free.
   bool HasUsableTarget(const PlacementRule& rule, const BatchTask& task, base::TimePoint now) const;
   /// Ends the batches whose `wait_limit` or `time_left` has passed.
   void ExpireBatches(base::TimePoint now, SchedulerActions& actions);
 
   SchedulerSettings settings;
+  StartPermission start_permission;
   std::map<base::TargetId, LeasedTarget> targets;
   std::map<BatchKey, PlacedBatch> batches;
   std::map<QueuePosition, QueuedBatch> batch_queue;
--- a/tests/platform/message_codec_test.cc
+++ b/tests/platform/message_codec_test.cc
@@ -44,6 +44,18 @@
   CHECK_FALSE(report->is_draining);
 }
 
+// Guards against targets that count as warm, or cold for another time, right after their start, and
+// against targets that aren't registered because they leave the field out.
+TEST(PlatformMessageCodec, DecodesTheColdTimeOfATarget) {
+  Json heartbeat = MakeHeartbeat();
+  CHECK(platform::DecodeTargetReport("i-1", heartbeat.dump())->cold_time_left == base::Duration(0));
+  heartbeat["coldLeftMs"] = 4200;
+  CHECK(platform::DecodeTargetReport("i-1", heartbeat.dump())->cold_time_left ==
+        std::chrono::milliseconds(4200));
+  heartbeat.erase("coldLeftMs");
+  CHECK(platform::DecodeTargetReport("i-1", heartbeat.dump())->cold_time_left == base::Duration(0));
+}
+
 // Guards against targets that are registered from malformed or incompatible heartbeats.
 TEST(PlatformMessageCodec, RejectsMalformedHeartbeats) {
   CHECK_FALSE(platform::DecodeTargetReport("i-1", "\x01\xff").has_value());
@@ -76,6 +88,10 @@
                            {{"born", ~0ULL}},
                            {{"born", 1LL << 62U}},
                            {{"born", "x"}},
+                           {{"coldLeftMs", -1}},
+                           {{"coldLeftMs", 1.5}},
+                           {{"coldLeftMs", "x"}},
+                           {{"coldLeftMs", 1LL << 62U}},
                            {{"service", "a b"}},
                            {{"service", std::string(300, 's')}},
                            {{"capacity", {{"cpu", 1LL << 62U}}}},
--- a/tests/runs/run_scheduler_test.cc
+++ b/tests/runs/run_scheduler_test.cc
@@ -24,6 +24,7 @@
   base::TimePoint now{std::chrono::seconds(100)};
   testing::SimulatedTarget target{"t1", OneCore(), base::TimePoint{std::chrono::seconds(90)}};
   std::vector<runs::StartRequest> start_requests;
+  std::vector<runs::ReturnedTasks> returned_tasks;
   // If false, polls get no response.
   bool is_responding = true;
   runs::RunScheduler scheduler{{}, this->MakeHooks()};
@@ -41,14 +42,17 @@
       }
     };
     hooks.on_batch_end = [](const runs::BatchResult& /*result*/) {};
-    hooks.on_tasks_returned = [](const runs::ReturnedTasks& /*returned*/) {};
+    hooks.on_tasks_returned = [this](const runs::ReturnedTasks& returned) {
+      this->returned_tasks.push_back(returned);
+    };
     hooks.on_decision = [](const runs::RunDecision& /*decision*/) {};
     hooks.on_run_events = [](const std::vector<runs::RunEvent>& /*events*/) {};
     return hooks;
   }
 
-  void PlaceBatch(const char* job) {
+  void PlaceBatch(const char* job, bool can_be_returned = false) {
     runs::TaskBatch batch;
+    batch.can_be_returned = can_be_returned;
     batch.key = {base::HostId("g"), base::SubmissionId(job), base::BatchNumber(1)};
     batch.service = base::ServiceId("service");
     batch.wait_limit = std::chrono::seconds(1);
@@ -95,3 +99,53 @@
   this->PlaceBatch("job");
   LONGS_EQUAL(1, this->start_requests.size());
 }
+
+// Guards against starts of a service whose scheduler is created after the order: it doesn't get the
+// order by itself.
+TEST(RunScheduler, ForbidsStartsOfServicesThatAreCreatedAfterTheOrder) {
+  this->scheduler.SetEvacuatedDataCentres({base::DataCentreId("zone")});
+  this->scheduler.OnTargetReport(this->target.MakeReport(this->now), kFirstToken);
+  this->PlaceBatch("returned", true);
+  LONGS_EQUAL(1, this->returned_tasks.size());
+  this->PlaceBatch("job");
+  LONGS_EQUAL(0, this->start_requests.size());
+  this->scheduler.SetEvacuatedDataCentres({});
+  LONGS_EQUAL(1, this->start_requests.size());
+}
+
+// Guards against the same for the start limit, and against a limit that replaces the evacuations.
+TEST(RunScheduler, KeepsTheStartLimitAndTheEvacuationsApart) {
+  this->scheduler.AllowStartsUntil(this->now - std::chrono::milliseconds(1));
+  this->scheduler.OnTargetReport(this->target.MakeReport(this->now), kFirstToken);
+  this->PlaceBatch("job");
+  LONGS_EQUAL(0, this->start_requests.size());
+  this->scheduler.SetEvacuatedDataCentres({base::DataCentreId("zone")});
+  this->scheduler.AllowStartsUntil(this->now + std::chrono::seconds(1));
+  LONGS_EQUAL(0, this->start_requests.size());
+  this->scheduler.SetEvacuatedDataCentres({});
+  LONGS_EQUAL(1, this->start_requests.size());
+}
+
+// Guards against an operator's view that shows a data centre as empty while runs are active there.
+TEST(RunScheduler, CountsRunsByDataCentre) {
+  LONGS_EQUAL(0, this->scheduler.RunCounts().size());
+  this->scheduler.OnTargetReport(this->target.MakeReport(this->now), kFirstToken);
+  this->PlaceBatch("job");
+  this->scheduler.SetEvacuatedDataCentres({base::DataCentreId("zone")});
+  LONGS_EQUAL(1, this->scheduler.RunCounts().size());
+  LONGS_EQUAL(1, this->scheduler.RunCounts().at(base::DataCentreId("zone")));
+  // The run is an orphan after its job was cancelled.
+  this->scheduler.CancelJob(base::HostId("g"), base::SubmissionId("job"));
+  LONGS_EQUAL(1, this->scheduler.RunCounts().at(base::DataCentreId("zone")));
+}
+
+// Guards against recalls that don't reach the scheduler of the batch's service.
+TEST(RunScheduler, ReturnsRecalledTasks) {
+  this->scheduler.OnTargetReport(this->target.MakeReport(this->now), kFirstToken);
+  this->PlaceBatch("running", true);
+  this->PlaceBatch("waiting", true);
+  this->scheduler.RecallBatch(base::HostId("g"),
+                              {base::SubmissionId("waiting"), base::BatchNumber(1)});
+  LONGS_EQUAL(1, this->returned_tasks.size());
+  CHECK(this->returned_tasks[0].key.job == base::SubmissionId("waiting"));
+}
--- a/tests/runs/service_scheduler_test.cc
+++ b/tests/runs/service_scheduler_test.cc
@@ -1038,7 +1038,7 @@
   for (int i = 0; i < 20 && started_elsewhere.empty(); ++i) {
     this->now += milliseconds(50);
     this->ReportGatewayAlive("g1");
-    this->ExecuteRequests({{}, actions.stop_requests, {}, {}, {}, {}});
+    this->ExecuteRequests({{}, actions.stop_requests, {}, {}, {}, {}, {}});
     for (const runs::PollRequest& poll : actions.poll_requests) {
       this->scheduler.OnPollResponse(poll, this->target.Poll(poll, this->now), this->now,
                                      this->pending_actions);
