runs: Move the reservation of capacity into its own class

CapacityReserver holds the reservation and decides which targets are kept free for a batch that waits for more than any target has free, how long, and after which pause. ServiceScheduler still tells it which targets can start runs and whether a reservation serves a purpose. Behaviour is unchanged.

--- a/src/runs/service_scheduler.cc
+++ b/src/runs/service_scheduler.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 #include "runs/unplaceable_sizes.h"
 #include "targets/health_state.h"
@@ -50,17 +51,6 @@
 // While the response to a start request is outstanding, polls return within the timeout of that
 // request. If only its response is lost, the poll shows that the run is active.
 constexpr Duration kStartCheckWait = milliseconds(40);
-// Bounds the time for which capacity stays idle for a batch whose targets don't become free. Most
-// tasks take less; a job may have nothing running for 3 s while there is capacity for it.
-constexpr Duration kMaximumReservationTime = milliseconds(1000);
-// Time between two reservations for the same batch, in which other tasks can use the capacity.
-constexpr Duration kReservationPause = milliseconds(500);
-// Targets with at most half of the usable capacity are reserved, so that half of it is in use
-// whenever a waiting task fits on reserved targets only.
-constexpr int kReservedCapacityDivisor = 2;
-// Stragglers take up to this multiple of their expected run time. A run that takes longer may last
-// for any time.
-constexpr int kStragglerFactor = 30;
 
 }  // namespace
 
@@ -284,7 +274,7 @@
   for (auto& [id, target] : this->targets) {
     const Resources free = target.FreeResources();
     if (!free.CanFit(task.required_resources) || !this->CanStartRuns(target, now) ||
-        this->IsReservedForEarlierBatch(id, placed.Position())) {
+        this->capacity_reserver.IsReservedForEarlierBatch(id, placed.Position())) {
       continue;
     }
     const auto rank =
@@ -326,97 +316,48 @@
   }
 }
 
-bool ServiceScheduler::IsReservedForEarlierBatch(const TargetId& target,
-                                                 const QueuePosition& position) const {
-  if (!this->reservation || !(this->reservation->position < position)) {
-    return false;
-  }
-  return this->reservation->targets.count(target) > 0;
-}
-
-Resources ServiceScheduler::CapacityFreedSoon(const LeasedTarget& target, TimePoint now) const {
-  Resources capacity = target.report.capacity;
-  for (const auto& [key, run] : target.runs) {
-    auto found = this->batches.find(run.batch);
-    if (run.phase == TargetRun::Phase::kStopping || found == this->batches.end()) {
-      continue;
-    }
-    const Duration longest_run_time =
-        std::max(kMaximumReservationTime, kStragglerFactor * found->second.batch.expected_run_time);
-    if (now - run.start_requested_at >= longest_run_time) {
-      capacity -= run.required_resources;
-    }
-  }
-  return capacity;
-}
-
 void ServiceScheduler::ReserveTargets(const PlacedBatch& placed, TimePoint now) {
-  if (now < placed.next_reservation_at ||
-      (this->reservation && !(placed.Position() < this->reservation->position))) {
+  if (!this->capacity_reserver.MayReserveFor(placed, now)) {
     return;
   }
-  const Resources& required = placed.batch.tasks.front().required_resources;
-  base::MilliCores usable_processors;
-  std::vector<const LeasedTarget*> candidates;
+  std::vector<const LeasedTarget*> usable_targets;
   for (const auto& [id, target] : this->targets) {
-    if (!this->CanStartRuns(target, now)) {
-      continue;
-    }
-    usable_processors += target.report.capacity.processors;
-    if (this->CapacityFreedSoon(target, now).CanFit(required)) {
-      candidates.push_back(&target);
+    if (this->CanStartRuns(target, now)) {
+      usable_targets.push_back(&target);
     }
   }
-  if (candidates.empty()) {
-    return;  // Waits for a target that isn't there, and keeps no capacity from others.
-  }
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [](const LeasedTarget* a, const LeasedTarget* b) {
-                     return a->FreeResources().processors > b->FreeResources().processors;
-                   });
-  CapacityReservation reserved{
-      placed.batch.key, placed.Position(), {}, now + kMaximumReservationTime};
-  base::MilliCores reserved_processors;
-  for (const LeasedTarget* target : candidates) {
-    reserved_processors += target->report.capacity.processors;
-    const bool exceeds_share =
-        reserved_processors.value() * kReservedCapacityDivisor > usable_processors.value();
-    if (reserved.targets.size() >= placed.waiting_tasks.size() ||
-        (exceeds_share && !reserved.targets.empty())) {
-      break;
-    }
-    reserved.targets.insert(target->report.id);
-  }
-  this->reservation = std::move(reserved);
+  this->capacity_reserver.Reserve(placed, usable_targets, this->batches, now);
 }
 
 void ServiceScheduler::EndReservationIfDue(TimePoint now, SchedulerActions& actions) {
-  if (!this->reservation) {
+  const auto& reservation = this->capacity_reserver.reservation();
+  if (!reservation) {
     return;
   }
-  auto found = this->batches.find(this->reservation->batch);
+  auto found = this->batches.find(reservation->batch);
   const bool is_useful =
       found != this->batches.end() && !found->second.waiting_tasks.empty() &&
       this->gateway_liveness.IsAlive(found->first.gateway, now) &&
-      std::any_of(this->reservation->targets.begin(), this->reservation->targets.end(),
+      std::any_of(reservation->targets.begin(), reservation->targets.end(),
                   [this, now](const TargetId& id) {
                     auto target = this->targets.find(id);
                     return target != this->targets.end() && this->CanStartRuns(target->second, now);
                   });
   if (!is_useful) {
-    this->reservation.reset();
-  } else if (now >= this->reservation->ends_at) {
-    PlacedBatch& placed = found->second;
-    placed.next_reservation_at = now + kReservationPause;
+    this->capacity_reserver.End();
+    return;
+  }
+  PlacedBatch& placed = found->second;
+  const size_t target_count = this->capacity_reserver.EndIfOverdue(placed, now);
+  if (target_count > 0) {
     const RunKey key{placed.batch.tasks[placed.waiting_tasks.back()].key, base::RunNumber()};
     actions.decisions.push_back(
         {"reservation ended",
          key,
          {},
          {},
-         std::to_string(this->reservation->targets.size()) +
+         std::to_string(target_count) +
              " targets didn't become free for the task within the time limit"});
-    this->reservation.reset();
   }
 }
 
@@ -1247,8 +1188,8 @@
   if (placed.waiting_tasks.empty()) {
     this->batch_queue.erase(placed.Position());
   }
-  if (this->reservation && this->reservation->batch == batch_iterator->first) {
-    this->reservation.reset();
+  if (this->capacity_reserver.IsReservedFor(batch_iterator->first)) {
+    this->capacity_reserver.End();
   }
   if (placed.batch.can_be_returned) {
     ReturnedTasks message = returnable.MakeMessage(placed, reason);
@@ -1280,7 +1221,7 @@
     // The stored job manager would place the batch again behind others, which would take the
     // capacity that is becoming free for it.
     const bool has_reserved_targets =
-        placed.batch.is_stored && this->reservation && this->reservation->batch == found->first;
+        placed.batch.is_stored && this->capacity_reserver.IsReservedFor(found->first);
     if (placed.start_count == 0 && age >= placed.batch.wait_limit && !has_reserved_targets) {
       this->EndBatch(found, BatchResult::Outcome::kNotRun, "no free capacity within the wait limit",
                      now, actions);
--- a/src/runs/service_scheduler.h
+++ b/src/runs/service_scheduler.h
@@ -9,7 +9,7 @@
 
 #include "base/time.h"
 #include "runs/capacity_report.h"
-#include "runs/capacity_reservation.h"
+#include "runs/capacity_reserver.h"
 #include "runs/gateway_liveness.h"
 #include "runs/leased_target.h"
 #include "runs/placed_batch.h"
@@ -119,14 +119,10 @@
   void StartQueuedTasks(base::TimePoint now, SchedulerActions& actions);
   /// Starts waiting tasks of a batch until one fits no target; returns false in that case.
   bool StartBatchTasks(PlacedBatch& placed, base::TimePoint now, SchedulerActions& actions);
-  /// Tells whether a target is reserved for a batch before `position` in the queue.
-  bool IsReservedForEarlierBatch(const base::TargetId& target, const QueuePosition& position) const;
   /// Reserves targets for a batch that fits nowhere, unless an earlier batch has a reservation.
   void ReserveTargets(const PlacedBatch& placed, base::TimePoint now);
   /// Ends a reservation that has lasted for its maximum time or serves no purpose any more.
   void EndReservationIfDue(base::TimePoint now, SchedulerActions& actions);
-  /// Returns the capacity of a target without that of runs that may last long.
-  base::Resources CapacityFreedSoon(const LeasedTarget& target, base::TimePoint now) const;
   void StartTask(PlacedBatch& placed, size_t task_position, LeasedTarget& target,
                  base::TimePoint now, SchedulerActions& actions);
   void EnqueueTask(PlacedBatch& placed, size_t task_position, base::TimePoint now);
@@ -229,7 +225,7 @@
   std::map<base::TargetId, LeasedTarget> targets;
   std::map<BatchKey, PlacedBatch> batches;
   std::map<QueuePosition, QueuedBatch> batch_queue;
-  std::optional<CapacityReservation> reservation;
+  CapacityReserver capacity_reserver;
   // Targets that fail the tasks of most jobs get no runs for a while, although they report that
   // they are ready.
   targets::TargetHealthTracker target_health;
