runs: Test which targets elsewhere keep tasks during an evacuation

Moves the state of a single target out of AreSuitableTargetsEvacuated into LeasedTarget::MayStartRunsSoon, behaviour unchanged, and adds tests for draining targets, placement rules and labels.

--- a/src/runs/leased_target.cc
+++ b/src/runs/leased_target.cc
@@ -28,6 +28,11 @@
   }
 }
 
+bool LeasedTarget::MayStartRunsSoon() const {
+  return !this->is_evacuated && this->phase != Phase::kFenced && !this->report.is_draining &&
+         this->health != targets::HealthState::kEjected;
+}
+
 bool LeasedTarget::HasRequiredLabel(const PlacementRule& rule) const {
   const std::vector<base::LabelId>& labels = this->report.labels;
   return rule.required_label.empty() ||
--- a/src/runs/leased_target.h
+++ b/src/runs/leased_target.h
@@ -105,6 +105,10 @@
   /// `sent_at`. A lower one shows that the target has been restarted. Thread safety: pure.
   base::Duration MinimumClockAfter(base::TimePoint sent_at) const;
 
+  /// Returns whether runs can be started on the target once obstacles that pass within about a
+  /// second are gone: an adoption, a backoff, capacity in use. Thread safety: pure.
+  bool MayStartRunsSoon() const;
+
   /// Returns whether the target has the label that `rule` requires. Thread safety: pure.
   bool HasRequiredLabel(const PlacementRule& rule) const;
 
--- a/src/runs/service_scheduler.cc
+++ b/src/runs/service_scheduler.cc
@@ -1128,10 +1128,9 @@
     }
     if (target.is_evacuated) {
       has_evacuated_target = true;
-    } else if (target.phase != LeasedTarget::Phase::kFenced && !target.report.is_draining &&
-               target.health != targets::HealthState::kEjected &&
+    } else if (target.MayStartRunsSoon() &&
                now - target.last_heard_at < this->settings.target_silence_limit) {
-      return false;  // Can start the task now, or soon.
+      return false;
     }
   }
   return has_evacuated_target;
--- a/tests/runs/service_scheduler_evacuation_test.cc
+++ b/tests/runs/service_scheduler_evacuation_test.cc
@@ -296,6 +296,49 @@
   LONGS_EQUAL(1, this->start_requests.size());
 }
 
+// Guards against tasks that wait for a target elsewhere that starts nothing any more.
+TEST(ServiceSchedulerEvacuation, ReturnsTasksIfTheOtherTargetsAreDraining) {
+  this->AddTarget("a1");
+  this->AddTarget("b1");
+  runs::TargetReport draining = this->Target("b1").MakeReport(this->now);
+  draining.data_centre = base::DataCentreId("b");
+  draining.is_draining = true;
+  this->scheduler.OnTargetReport(draining, kToken, this->now, this->pending_actions);
+  this->EvacuateA();
+  this->Place(this->MakeBatch("job", 1));
+  LONGS_EQUAL(1, this->returned_tasks.size());
+}
+
+// Guards against returning tasks that wait because of their placement rule: their step has a task
+// on each target elsewhere.
+TEST(ServiceSchedulerEvacuation, KeepsTasksThatWaitForTheirPlacementRule) {
+  this->AddTarget("a1");
+  this->AddTarget("b1");
+  this->EvacuateA();
+  runs::TaskBatch batch = this->MakeBatch("job", 2);
+  batch.placement_rule.maximum_tasks_per_target = base::TaskCount(1);
+  this->Place(batch);
+  this->Advance(milliseconds(100));
+  LONGS_EQUAL(0, this->returned_tasks.size());
+  this->FinishAllRuns("b1");
+  LONGS_EQUAL(2, this->start_requests.size());
+}
+
+// Guards against tasks that stay because a target elsewhere has room but not their label.
+TEST(ServiceSchedulerEvacuation, ReturnsTasksWhoseLabelOnlyEvacuatedTargetsHave) {
+  this->AddTarget("a1");
+  this->AddTarget("b1");
+  runs::TargetReport labelled = this->Target("a1").MakeReport(this->now);
+  labelled.data_centre = base::DataCentreId("a");
+  labelled.labels = {base::LabelId("rack-1")};
+  this->scheduler.OnTargetReport(labelled, kToken, this->now, this->pending_actions);
+  this->EvacuateA();
+  runs::TaskBatch batch = this->MakeBatch("job", 1);
+  batch.placement_rule.required_label = base::LabelId("rack-1");
+  this->Place(batch);
+  LONGS_EQUAL(1, this->returned_tasks.size());
+}
+
 // Guards against batches that are returned although the evacuation isn't the obstacle: no target in
 // any data centre could hold them.
 TEST(ServiceSchedulerEvacuation, KeepsTasksThatNoTargetCouldHold) {
