gateway: Place waiting work again where there is free capacity

A step's tasks stayed with one allocator, chosen by reports that all gateways see alike, until they started or were refused there with "no free capacity within the wait limit". Tasks that an allocator gives back had no receiver.

- JobDispatcher::OnTasksReturned places returned tasks as a new batch.
A step is done with its last batch.
Without an allocator the job ends at once: as refused only if nothing of it may have run and no other batch is open.
- A batch that ends with kNotRun is placed where a recent report shows free capacity for all of it, if the work can still meet its objective (WaitPolicy).
- RecallPolicy recalls waiting batches when another allocator reports free capacity and no waiting tasks.
A gateway claims the part of that capacity that its own waiting tasks are of all waiting ones, once for each report.
- Reports don't include tasks placed within the last 4 ms; AllocatorSelector subtracts them.
- Batch numbers are unique in a gateway: with numbers that begin again for each job, a late return could be taken for the batch of a resubmission and start its tasks twice.
The property test found such orders.

The mock allocator of job_dispatcher_test has no free capacity, so that its refusals stay refusals.

--- a/src/clusterhost/gateway_host.cc
+++ b/src/clusterhost/gateway_host.cc
@@ -1,6 +1,7 @@
 #include "clusterhost/gateway_host.h"
 
 #include <algorithm>
+#include <random>
 #include <thread>
 #include <utility>
 
@@ -45,6 +46,24 @@
                                            : base::PriorityClass::kBulk;
 }
 
+std::string_view CauseName(gateway::BatchMove::Cause cause) {
+  switch (cause) {
+    case gateway::BatchMove::Cause::kReturned:
+      return "returned";
+    case gateway::BatchMove::Cause::kRecalled:
+      return "recalled";
+    case gateway::BatchMove::Cause::kNotRun:
+      return "not_run";
+  }
+  return "returned";
+}
+
+/// Returns a random number, at least 0 and less than 1.
+double RandomUnit() {
+  thread_local std::mt19937_64 generator{std::random_device()()};
+  return std::uniform_real_distribution<double>()(generator);
+}
+
 int64_t MillisecondsOf(base::Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
@@ -82,8 +101,8 @@
 gateway::JobDispatcher::Hooks GatewayHost::JobDispatcherHooks() {
   gateway::JobDispatcher::Hooks hooks;
   hooks.now = this->now;
-  hooks.choose_allocator = [this](const base::ServiceId& service, base::TaskCount count) {
-    return this->allocator_selector.ChooseAllocator(service, count);
+  hooks.choose_allocator = [this](const gateway::AllocatorRequest& request) {
+    return this->allocator_selector.ChooseAllocator(request);
   };
   hooks.expected_wait = [this](const base::ServiceId& service, base::TaskCount count,
                                base::Priority priority) {
@@ -101,6 +120,12 @@
   hooks.on_allocator_unreachable = [this](const HostId& host) {
     this->allocator_selector.OnAllocatorLost(host);
   };
+  hooks.allocator_capacities = [this] { return this->allocator_selector.RecentCapacities(); };
+  hooks.recall_batch = [this](const HostId& host, const runs::BatchRecall& recall) {
+    this->RecallBatch(host, recall);
+  };
+  hooks.on_batch_move = [this](const gateway::BatchMove& move) { this->OnBatchMove(move); };
+  hooks.random_unit = &RandomUnit;
   return hooks;
 }
 
@@ -156,6 +181,7 @@
   this->timer_queue->RunEvery(kTickInterval, [this] {
     this->configuration_fetcher.Tick();
     this->dispatcher.Tick();
+    this->dispatcher.RecallWaitingBatches();
     this->job_client.Tick();
   });
   return {};
@@ -192,6 +218,9 @@
     this->dispatcher.OnBatchEnd(from, *result);
   } else if (const auto* report = std::get_if<runs::CapacityReport>(&message)) {
     this->allocator_selector.OnCapacityReport(from, *report);
+    this->dispatcher.RecallWaitingBatches();
+  } else if (const auto* returned = std::get_if<runs::ReturnedTasks>(&message)) {
+    this->dispatcher.OnTasksReturned(from, *returned);
   } else if (const auto* response = std::get_if<stored::JobResponse>(&message)) {
     this->job_client.OnResponse(from, *response);
   } else if (const auto* update = std::get_if<cluster::ClusterUpdate>(&message)) {
@@ -239,6 +268,26 @@
   this->job_client.OnAllocatorLost(host);
 }
 
+void GatewayHost::OnBatchMove(const gateway::BatchMove& move) {
+  const std::string_view cause = CauseName(move.cause);
+  this->placement_metrics.OnBatchMove(cause);
+  this->logger.Info("tasks placed again", {{"job", move.job.value()},
+                                           {"tasks", std::to_string(move.task_count.value())},
+                                           {"from", move.from.value()},
+                                           {"to", move.to.value()},
+                                           {"cause", std::string(cause)},
+                                           {"reason", move.reason}});
+}
+
+void GatewayHost::RecallBatch(const HostId& host, const runs::BatchRecall& recall) {
+  this->placement_metrics.OnBatchRecall();
+  this->logger.Info("task batch recalled", {{"job", recall.job.value()},
+                                            {"part", std::to_string(recall.batch.value())},
+                                            {"host", host.value()}});
+  // Without a connection the allocator is about to be declared lost, which ends the job.
+  (void)this->network->SendReliably(host, recall);
+}
+
 void GatewayHost::OnJobEnd(const gateway::Job& job, const gateway::JobResult& result,
                            base::Duration age) {
   if (result.outcome == gateway::JobResult::Outcome::kCompleted) {
--- a/src/clusterhost/gateway_host.h
+++ b/src/clusterhost/gateway_host.h
@@ -16,6 +16,7 @@
 #include "gateway/allocator_selector.h"
 #include "gateway/configuration_fetcher.h"
 #include "gateway/job_dispatcher.h"
+#include "observability/placement_metrics.h"
 #include "observability/request_metrics.h"
 #include "peers/peer_network.h"
 #include "stored/job_client.h"
@@ -65,7 +66,9 @@
   stored::JobClient& stored_job_client() { return this->job_client; }
 
   /// Returns counters and latency histograms in Prometheus' text format.
-  std::string MetricsText() const { return this->metrics.PrometheusText(); }
+  std::string MetricsText() const {
+    return this->metrics.PrometheusText() + this->placement_metrics.PrometheusText();
+  }
 
   /// Tells whether jobs can be served: a configuration and the capacity of an allocator are known.
   bool IsReady();
@@ -75,6 +78,8 @@
   void OnClusterUpdate(const base::HostId& from, const cluster::ClusterUpdate& update);
   void OnConfiguration(const cluster::ConfigurationRecord& configuration);
   void OnAllocatorLost(const base::HostId& host);
+  void OnBatchMove(const gateway::BatchMove& move);
+  void RecallBatch(const base::HostId& host, const runs::BatchRecall& recall);
   void OnJobEnd(const gateway::Job& job, const gateway::JobResult& result, base::Duration age);
   gateway::ConfigurationFetcher::Hooks ConfigurationFetcherHooks();
   gateway::JobDispatcher::Hooks JobDispatcherHooks();
@@ -92,6 +97,7 @@
   // Queues aren't known at construction, as they come with the configuration. The metrics are
   // therefore separated by priority class only.
   observability::RequestMetrics metrics{std::vector<base::TeamId>()};
+  observability::PlacementMetrics placement_metrics;
   gateway::ConfigurationFetcher configuration_fetcher;
   gateway::AllocatorSelector allocator_selector;
   gateway::JobDispatcher dispatcher;
--- a/src/gateway/allocator_selector.cc
+++ b/src/gateway/allocator_selector.cc
@@ -16,6 +16,9 @@
 
 constexpr base::Duration kPreferredReportAge = std::chrono::milliseconds(250);
 constexpr base::Duration kMaximumReportAge = std::chrono::milliseconds(500);
+// A report doesn't include tasks that were placed within this time before it arrived: they reached
+// the allocator after it was sent.
+constexpr base::Duration kRoundTripTime = std::chrono::milliseconds(4);
 
 }  // namespace
 
@@ -33,7 +36,21 @@
 void AllocatorSelector::OnCapacityReport(const HostId& allocator,
                                          const runs::CapacityReport& report) {
   base::MutexLock lock(this->mutex);
-  this->capacity_reports[allocator] = {report, this->now()};
+  const base::TimePoint current_time = this->now();
+  ReceivedReport& received = this->capacity_reports[allocator];
+  received.report = report;
+  received.received_at = current_time;
+  while (!received.placements.empty() &&
+         current_time - received.placements.front().placed_at >= kRoundTripTime) {
+    received.placements.pop_front();
+  }
+  for (const Placement& placement : received.placements) {
+    for (runs::CapacityReport::ServiceCapacity& capacity : received.report.service_capacities) {
+      if (capacity.service == placement.service) {
+        capacity.free_task_capacity -= placement.count;
+      }
+    }
+  }
 }
 
 void AllocatorSelector::OnAllocatorLost(const HostId& allocator) {
@@ -41,22 +58,26 @@
   this->capacity_reports.erase(allocator);
 }
 
-std::optional<HostId> AllocatorSelector::ChooseAllocator(const base::ServiceId& service,
-                                                         TaskCount count) {
-  return this->ChooseAllocatorBelowBacklog(service, count, std::numeric_limits<double>::infinity(),
-                                           {});
+std::optional<AllocatorChoice> AllocatorSelector::ChooseAllocator(const AllocatorRequest& request) {
+  return this->ChooseAllocatorBelowBacklog(request, std::numeric_limits<double>::infinity());
 }
 
 std::optional<HostId> AllocatorSelector::ChooseAllocatorWithoutFullBacklog(
     const base::ServiceId& service, TaskCount count, const std::set<HostId>& avoided) {
-  return this->ChooseAllocatorBelowBacklog(service, count, 1.0, avoided);
+  AllocatorRequest request;
+  request.service = service;
+  request.count = count;
+  for (const HostId& host : avoided) {
+    request.avoided.emplace(host, base::TimePoint::min());
+  }
+  const auto choice = this->ChooseAllocatorBelowBacklog(request, 1.0);
+  return choice ? std::make_optional(choice->allocator) : std::nullopt;
 }
 
-std::optional<HostId> AllocatorSelector::ChooseAllocatorBelowBacklog(
-    const base::ServiceId& service, TaskCount count, double maximum_backlog,
-    const std::set<HostId>& avoided) {
+std::optional<AllocatorChoice> AllocatorSelector::ChooseAllocatorBelowBacklog(
+    const AllocatorRequest& request, double maximum_backlog) {
   base::MutexLock lock(this->mutex);
-  std::optional<HostId> best;
+  std::optional<AllocatorChoice> best;
   runs::CapacityReport::ServiceCapacity* best_capacity = nullptr;
   // Prefers allocators with a recent report, then those that aren't avoided, then those with free
   // capacity for all tasks, then those in this data centre, where traffic costs least, then the one
@@ -65,33 +86,61 @@
   const base::TimePoint current_time = this->now();
   for (auto& [host, received] : this->capacity_reports) {
     runs::CapacityReport& report = received.report;
+    const auto avoided = request.avoided.find(host);
+    const bool is_avoided = avoided != request.avoided.end();
+    if (is_avoided && received.received_at <= avoided->second) {
+      continue;
+    }
+    const bool is_recent = current_time - received.received_at < kPreferredReportAge;
     for (runs::CapacityReport::ServiceCapacity& capacity : report.service_capacities) {
-      if (!CanTakeTasks(received, capacity, service, current_time)) {
+      if (!CanTakeTasks(received, capacity, request.service, current_time)) {
         continue;
       }
       const auto backlog =
           static_cast<double>((capacity.waiting_task_count - capacity.free_task_capacity).value()) /
           static_cast<double>(capacity.total_task_capacity.value());
-      if (backlog >= maximum_backlog) {
+      const bool has_free_capacity = capacity.free_task_capacity >= request.count &&
+                                     capacity.waiting_task_count == TaskCount(0);
+      if (backlog >= maximum_backlog ||
+          (request.needs_free_capacity && !(has_free_capacity && is_recent))) {
         continue;
       }
-      const auto rank = std::make_tuple(
-          current_time - received.received_at < kPreferredReportAge, avoided.count(host) == 0,
-          capacity.free_task_capacity >= count && capacity.waiting_task_count == TaskCount(0),
-          report.data_centre == this->data_centre, -backlog);
+      const auto rank = std::make_tuple(is_recent, !is_avoided, has_free_capacity,
+                                        report.data_centre == this->data_centre, -backlog);
       if (!best || rank > best_rank) {
-        best = host;
+        best = AllocatorChoice{host, has_free_capacity};
         best_capacity = &capacity;
         best_rank = rank;
       }
     }
   }
-  if (best_capacity != nullptr) {
-    best_capacity->free_task_capacity -= count;
+  if (best) {
+    best_capacity->free_task_capacity -= request.count;
+    this->capacity_reports[best->allocator].placements.push_back(
+        {request.service, request.count, current_time});
   }
   return best;
 }
 
+std::vector<AllocatorCapacity> AllocatorSelector::RecentCapacities() {
+  base::MutexLock lock(this->mutex);
+  std::vector<AllocatorCapacity> capacities;
+  const base::TimePoint current_time = this->now();
+  for (const auto& [host, received] : this->capacity_reports) {
+    if (current_time - received.received_at >= kPreferredReportAge) {
+      continue;
+    }
+    for (const runs::CapacityReport::ServiceCapacity& capacity :
+         received.report.service_capacities) {
+      if (CanTakeTasks(received, capacity, capacity.service, current_time)) {
+        capacities.push_back({host, received.report.data_centre == this->data_centre,
+                              received.report.accepts_recalls, received.received_at, capacity});
+      }
+    }
+  }
+  return capacities;
+}
+
 std::optional<base::Duration> AllocatorSelector::ExpectedWait(const base::ServiceId& service,
                                                               TaskCount count,
                                                               base::Priority priority) {
--- a/src/gateway/allocator_selector.h
+++ b/src/gateway/allocator_selector.h
@@ -1,13 +1,18 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/mutex.h"
 #include "base/thread_annotations.h"
 #include "base/time.h"
+#include "gateway/allocator_capacity.h"
+#include "gateway/allocator_choice.h"
+#include "gateway/allocator_request.h"
 #include "runs/capacity_report.h"
 
 namespace sapphirecrank::gateway {
@@ -28,10 +33,9 @@
   /// Removes the report of a lost allocator, so that it isn't chosen any more.
   void OnAllocatorLost(const base::HostId& allocator);
 
-  /// Returns the allocator to place `count` tasks with, or none if no allocator has targets of the
-  /// service. The tasks are subtracted from its free capacity until its next report.
-  std::optional<base::HostId> ChooseAllocator(const base::ServiceId& service,
-                                              base::TaskCount count);
+  /// Returns the allocator for the tasks of `request`, or none if no allocator can take them. The
+  /// tasks are subtracted from its free capacity until its next report.
+  std::optional<AllocatorChoice> ChooseAllocator(const AllocatorRequest& request);
 
   /// As `ChooseAllocator`, but leaves out allocators whose backlog (waiting tasks minus free task
   /// capacity) reaches their total task capacity, and chooses one of `avoided` only if there is no
@@ -45,6 +49,9 @@
   std::optional<base::Duration> ExpectedWait(const base::ServiceId& service, base::TaskCount count,
                                              base::Priority priority);
 
+  /// Returns the recently reported capacity of all allocators that take tasks, for each service.
+  std::vector<AllocatorCapacity> RecentCapacities();
+
   /// Returns whether any allocator has reported its capacity and was not lost since.
   bool HasReports();
 
@@ -54,14 +61,19 @@
 
  private:
   /// `maximum_backlog` is an exclusive limit, as a share of the allocator's total task capacity.
-  std::optional<base::HostId> ChooseAllocatorBelowBacklog(const base::ServiceId& service,
-                                                          base::TaskCount count,
-                                                          double maximum_backlog,
-                                                          const std::set<base::HostId>& avoided);
+  std::optional<AllocatorChoice> ChooseAllocatorBelowBacklog(const AllocatorRequest& request,
+                                                             double maximum_backlog);
 
+  struct Placement {
+    base::ServiceId service;
+    base::TaskCount count;
+    base::TimePoint placed_at;
+  };
   struct ReceivedReport {
     runs::CapacityReport report;
     base::TimePoint received_at;
+    /// The last placements with this allocator, the oldest first.
+    std::deque<Placement> placements;
   };
 
   /// Returns whether tasks of `service` may be placed by this part of a report.
--- a/tests/gateway/allocator_selector_test.cc
+++ b/tests/gateway/allocator_selector_test.cc
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <optional>
 #include <set>
 
 #include "base/manual_clock.h"
@@ -30,15 +31,27 @@
 TEST_GROUP(AllocatorSelector) {
   base::ManualClock clock;
   gateway::AllocatorSelector selector{base::DataCentreId("near"), this->clock.AsClock()};
+
+  std::optional<HostId> Choose(const char* service, int64_t count) {
+    gateway::AllocatorRequest request;
+    request.service = ServiceId(service);
+    request.count = TaskCount(count);
+    return this->Choose(request);
+  }
+
+  std::optional<HostId> Choose(const gateway::AllocatorRequest& request) {
+    const auto choice = this->selector.ChooseAllocator(request);
+    return choice ? std::make_optional(choice->allocator) : std::nullopt;
+  }
 };
 
 // Guards against traffic between data centres while this one has free capacity.
 TEST(AllocatorSelector, PrefersItsOwnDataCentreWhileItHasFreeCapacity) {
   this->selector.OnCapacityReport(HostId("far"), MakeReport("far", 20, 0));
   this->selector.OnCapacityReport(HostId("near"), MakeReport("near", 8, 0));
-  CHECK(*this->selector.ChooseAllocator(ServiceId("s"), TaskCount(8)) == HostId("near"));
+  CHECK(this->Choose("s", 8) == HostId("near"));
   // Placed tasks are subtracted at once, so that two jobs aren't given the same capacity.
-  CHECK(*this->selector.ChooseAllocator(ServiceId("s"), TaskCount(8)) == HostId("far"));
+  CHECK(this->Choose("s", 8) == HostId("far"));
 }
 
 // Guards against choosing an allocator again that has given the tasks back while another one may
@@ -54,18 +67,67 @@
   CHECK(choose({HostId("near"), HostId("far")}) == HostId("near"));
 }
 
+// Guards against giving the same capacity to two jobs because a report that the allocator sent
+// before the first one reached it has arrived in between.
+TEST(AllocatorSelector, SubtractsTasksThatWereOnTheirWayDuringAReport) {
+  this->selector.OnCapacityReport(HostId("near"), MakeReport("near", 8, 0));
+  this->selector.OnCapacityReport(HostId("far"), MakeReport("far", 8, 0));
+  CHECK(this->Choose("s", 8) == HostId("near"));
+  this->clock.Advance(std::chrono::milliseconds(2));
+  this->selector.OnCapacityReport(HostId("near"), MakeReport("near", 8, 0));
+  CHECK(this->Choose("s", 8) == HostId("far"));
+  this->clock.Advance(std::chrono::milliseconds(50));
+  this->selector.OnCapacityReport(HostId("near"), MakeReport("near", 8, 0));
+  CHECK(this->Choose("s", 8) == HostId("near"));
+}
+
+// Pattern: evacuation. Guards against placing tasks again with the allocator that has just returned
+// them, by a report that it sent before, and against leaving it out after it has reported again.
+TEST(AllocatorSelector, ChoosesAnAvoidedAllocatorOnlyAfterItsNextReport) {
+  this->selector.OnCapacityReport(HostId("near"), MakeReport("near", 20, 0));
+  gateway::AllocatorRequest request;
+  request.service = ServiceId("s");
+  request.count = TaskCount(1);
+  request.avoided[HostId("near")] = this->clock.Now();
+  CHECK_FALSE(this->Choose(request).has_value());
+  this->clock.Advance(std::chrono::milliseconds(10));
+  this->selector.OnCapacityReport(HostId("near"), MakeReport("near", 20, 0));
+  CHECK(this->Choose(request) == HostId("near"));
+  this->selector.OnCapacityReport(HostId("far"), MakeReport("far", 0, 5));
+  CHECK(this->Choose(request) == HostId("far"));
+}
+
+// Guards against placing a refused batch once more where it would wait again: with an allocator
+// that has too little free capacity, waiting tasks or an old report.
+TEST(AllocatorSelector, FindsFreeCapacityForAllTasks) {
+  gateway::AllocatorRequest request;
+  request.service = ServiceId("s");
+  request.count = TaskCount(8);
+  request.needs_free_capacity = true;
+  this->selector.OnCapacityReport(HostId("near"), MakeReport("near", 7, 0));
+  this->selector.OnCapacityReport(HostId("busy"), MakeReport("near", 20, 1));
+  this->selector.OnCapacityReport(HostId("far"), MakeReport("far", 12, 0));
+  CHECK(this->Choose(request) == HostId("far"));
+  // The placed tasks count until the next report.
+  CHECK_FALSE(this->Choose(request).has_value());
+  this->selector.OnCapacityReport(HostId("far"), MakeReport("far", 12, 0));
+  this->clock.Advance(std::chrono::milliseconds(250));
+  CHECK_FALSE(this->Choose(request).has_value());
+  LONGS_EQUAL(0, this->selector.RecentCapacities().size());
+}
+
 // Guards against choosing an allocator that is leaving, is lost or has no targets of the service.
 TEST(AllocatorSelector, IgnoresAllocatorsThatCannotStartTasks) {
   CHECK_FALSE(this->selector.HasReports());
   runs::CapacityReport leaving = MakeReport("near", 20, 0);
   leaving.is_leaving = true;
   this->selector.OnCapacityReport(HostId("a"), leaving);
-  CHECK_FALSE(this->selector.ChooseAllocator(ServiceId("s"), TaskCount(1)).has_value());
+  CHECK_FALSE(this->Choose("s", 1).has_value());
   this->selector.OnCapacityReport(HostId("b"), MakeReport("far", 1, 0));
-  CHECK_FALSE(this->selector.ChooseAllocator(ServiceId("other"), TaskCount(1)).has_value());
-  CHECK(this->selector.ChooseAllocator(ServiceId("s"), TaskCount(1)).has_value());
+  CHECK_FALSE(this->Choose("other", 1).has_value());
+  CHECK(this->Choose("s", 1).has_value());
   this->selector.OnAllocatorLost(HostId("b"));
-  CHECK_FALSE(this->selector.ChooseAllocator(ServiceId("s"), TaskCount(1)).has_value());
+  CHECK_FALSE(this->Choose("s", 1).has_value());
 }
 
 // Pattern: loss of an allocator. Guards against placing jobs with a silent allocator for the second
@@ -74,13 +136,13 @@
   this->selector.OnCapacityReport(HostId("near"), MakeReport("near", 20, 0));
   this->clock.Advance(std::chrono::milliseconds(250));
   this->selector.OnCapacityReport(HostId("far"), MakeReport("far", 1, 9));
-  CHECK(*this->selector.ChooseAllocator(ServiceId("s"), TaskCount(4)) == HostId("far"));
+  CHECK(this->Choose("s", 4) == HostId("far"));
   this->selector.OnAllocatorLost(HostId("far"));
-  CHECK(*this->selector.ChooseAllocator(ServiceId("s"), TaskCount(4)) == HostId("near"));
+  CHECK(this->Choose("s", 4) == HostId("near"));
   this->clock.Advance(std::chrono::milliseconds(250));
-  CHECK_FALSE(this->selector.ChooseAllocator(ServiceId("s"), TaskCount(4)).has_value());
+  CHECK_FALSE(this->Choose("s", 4).has_value());
   this->selector.OnCapacityReport(HostId("near"), MakeReport("near", 20, 0));
-  CHECK(*this->selector.ChooseAllocator(ServiceId("s"), TaskCount(4)) == HostId("near"));
+  CHECK(this->Choose("s", 4) == HostId("near"));
 }
 
 // Pattern: overload. Guards against an expected wait that counts tasks of lower priority, which
--- a/tests/gateway/job_dispatcher_test.cc
+++ b/tests/gateway/job_dispatcher_test.cc
@@ -28,7 +28,12 @@
   JobDispatcher dispatcher{
       base::HostId("g1"),
       {this->clock.AsClock(),
-       [this](const base::ServiceId&, base::TaskCount) { return this->chosen_allocator; },
+       [this](const gateway::AllocatorRequest& request) {
+         // The chosen allocator reports no free capacity.
+         return this->chosen_allocator && !request.needs_free_capacity
+                    ? std::make_optional(gateway::AllocatorChoice{*this->chosen_allocator, false})
+                    : std::nullopt;
+       },
        [this](const base::ServiceId&, base::TaskCount, base::Priority) {
          return this->expected_wait;
        },
@@ -42,7 +47,10 @@
          this->cancelled_jobs.emplace_back(host, job);
        },
        [](const gateway::Job&, const JobResult&, base::Duration) {},
-       [this](const base::HostId& host) { this->unreachable_allocators.push_back(host); }}};
+       [this](const base::HostId& host) { this->unreachable_allocators.push_back(host); },
+       [] { return std::vector<gateway::AllocatorCapacity>(); },
+       [](const base::HostId&, const runs::BatchRecall&) {}, [](const gateway::BatchMove&) {},
+       [] { return 0.0; }}};
 
   gateway::Job MakeJob(int steps = 1) {
     gateway::Job job;
@@ -178,8 +186,10 @@
   std::optional<JobResult> result;
   JobDispatcher::Hooks hooks;
   hooks.now = this->clock.AsClock();
-  hooks.choose_allocator = [&allocators](const base::ServiceId&, base::TaskCount) {
-    return allocators.empty() ? std::nullopt : std::make_optional(allocators.front());
+  hooks.choose_allocator = [&allocators](const gateway::AllocatorRequest&) {
+    return allocators.empty()
+               ? std::nullopt
+               : std::make_optional(gateway::AllocatorChoice{allocators.front(), false});
   };
   hooks.place_batch = [&attempted](const base::HostId& host, const runs::TaskBatch&) {
     attempted.push_back(host);
@@ -217,9 +227,10 @@
   bool has_capacity = false;
   std::optional<JobResult> result;
   hooks.now = this->clock.AsClock();
-  hooks.choose_allocator = [&has_capacity](const base::ServiceId&, base::TaskCount count) {
-    return has_capacity || count == base::TaskCount(2) ? std::make_optional(base::HostId("a1"))
-                                                       : std::nullopt;
+  hooks.choose_allocator = [&has_capacity](const gateway::AllocatorRequest& request) {
+    return has_capacity || request.count == base::TaskCount(2)
+               ? std::make_optional(gateway::AllocatorChoice{base::HostId("a1"), false})
+               : std::nullopt;
   };
   hooks.place_batch = [&placed_count](const base::HostId&, const runs::TaskBatch&) {
     ++placed_count;
