gateway: Recall only batches that are expected to wait

A batch that has waited for as long as the last waiting task of its allocator is expected to wait has probably started, so that its recall is a message for nothing. The expected wait is the one that refusals on arrival use.

--- a/bench/decisions/main.cc
+++ b/bench/decisions/main.cc
@@ -10,6 +10,7 @@
 
 #include "bench/decisions/analysis.h"
 #include "bench/decisions/decision_cost.h"
+#include "bench/decisions/gateway_load.h"
 #include "bench/decisions/report.h"
 #include "bench/decisions/scenario.h"
 #include "bench/decisions/scheduler_under_test.h"
@@ -23,6 +24,7 @@
 constexpr unsigned kThreadCount = 4;
 constexpr double kMaximumCostMicroseconds = 2;
 constexpr const char* kCostScenario = "cost";
+constexpr const char* kGatewaysScenario = "gateways";
 
 struct Options {
   uint64_t seed = kDefaultSeed;
@@ -135,7 +137,7 @@
   if (!ParseOptions(argc, argv, options)) {
     fmt::print(stderr,
                "usage: bench_decisions [--seed N] [--load X] [--mix standard|urgent|bulk] "
-               "[--scenario NAME|cost] [--rules NAME] [--main-rules]\n");
+               "[--scenario NAME|cost|gateways] [--rules NAME] [--main-rules]\n");
     return 2;
   }
   std::vector<RuleSet> rule_sets = BaselineAndDefaultRuleSets();
@@ -165,6 +167,9 @@
   if (options.scenario.empty() || options.scenario == kCostScenario) {
     MeasureDecisionCosts();
   }
+  if (options.scenario.empty() || options.scenario == kGatewaysScenario) {
+    CompareGatewayLoads(options.seed);
+  }
   return 0;
 }
 
--- a/src/gateway/recall_policy.cc
+++ b/src/gateway/recall_policy.cc
@@ -66,17 +66,21 @@
   return report_delay >= kRoundTripTime && report_delay <= kFirstReportTimeout;
 }
 
-/// Returns whether the last waiting task of a priority is expected to wait for longer than
-/// `limit`. True if the rate at which capacity comes free is unknown.
-bool IsWaitLonger(const AllocatorCapacity& known, base::Priority priority, Duration limit) {
+/// Returns whether a waiting batch is expected to wait for longer than `limit` from now. Tasks
+/// start in the order of their arrival, so that a batch that has waited for as long as the last
+/// task will have to has probably started. True if the rate at which capacity comes free is
+/// unknown.
+bool IsWaitLonger(const RecallCandidate& batch, const AllocatorCapacity& known, Duration limit,
+                  TimePoint now) {
   TaskCount tasks_ahead;
   for (const runs::WaitingTasks& waiting : known.capacity.waiting_by_priority) {
-    if (waiting.priority <= priority) {
+    if (waiting.priority <= batch.priority) {
       tasks_ahead += waiting.count;
     }
   }
+  const Duration expected_wait = known.capacity.mean_end_interval * tasks_ahead.value();
   return known.capacity.mean_end_interval == Duration(0) ||
-         known.capacity.mean_end_interval * tasks_ahead.value() > limit;
+         expected_wait - (now - batch.placed_at) > limit;
 }
 
 }  // namespace
@@ -159,7 +163,7 @@
     }
     const auto loaded = loaded_allocators.find(batch.allocator);
     if (loaded != loaded_allocators.end() && MayBeRecalled(batch, *loaded->second, now) &&
-        IsWaitLonger(*loaded->second, batch.priority, kMoveTime)) {
+        IsWaitLonger(batch, *loaded->second, kMoveTime, now)) {
       candidates.push_back(&batch);
       own_counts[batch.allocator] += batch.task_count;
     }
@@ -193,7 +197,7 @@
       break;
     }
     const bool may_go_far =
-        IsWaitLonger(*loaded_allocators[batch->allocator], batch->priority, kFarMoveTime);
+        IsWaitLonger(*batch, *loaded_allocators[batch->allocator], kFarMoveTime, now);
     const auto free_capacity =
         std::find_if(free_capacities.begin(), free_capacities.end(), [&](const FreeCapacity& free) {
           return free.count >= batch->task_count && (free.is_near || may_go_far);
