gateway: Choose between equally good allocators at random

All gateways chose the allocator with the least backlog from the same reports and filled it many times over until its next report, while others stayed free. Now a gateway chooses between equally good allocators at random: in proportion to their free capacity, or inversely to their backlog if none has enough. If more tasks wait than fit, recalls claim half of the free capacity only, as new jobs take the rest until the next report. The choice of allocators for stored jobs stays as it was.

--- a/bench/decisions/gateway_load.h
+++ b/bench/decisions/gateway_load.h
@@ -4,9 +4,9 @@
 
 namespace sapphirecrank::bench {
 
-/// Prints what the callers of 16 gateways get from six allocators without a network, for tasks that
-/// stay with their first allocator and for tasks that move: shares served in time and refused,
-/// messages for each job, and Jain's index of the shares served in time between the gateways.
+/// Prints what the callers of 16 gateways get from six allocators without a network, in each order
+/// of `gateway::UnevenLoadCluster`: shares served in time and refused, messages for each job, and
+/// Jain's index of the shares served in time between the gateways.
 void CompareGatewayLoads(uint64_t seed);
 
 }  // namespace sapphirecrank::bench
--- a/src/gateway/allocator_request.h
+++ b/src/gateway/allocator_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 
 #include "base/ids.h"
 #include "base/time.h"
@@ -18,6 +19,9 @@
   /// Choose only an allocator that has free capacity for all tasks, no waiting ones, and has
   /// reported recently.
   bool needs_free_capacity = false;
+  /// Random number, at least 0 and less than 1, that decides between allocators that are equally
+  /// good. Without it, the one with the least backlog for its size is chosen.
+  std::optional<double> random_number;
 };
 
 }  // namespace sapphirecrank::gateway
--- a/src/gateway/allocator_selector.cc
+++ b/src/gateway/allocator_selector.cc
@@ -77,12 +77,11 @@
 std::optional<AllocatorChoice> AllocatorSelector::ChooseAllocatorBelowBacklog(
     const AllocatorRequest& request, double maximum_backlog) {
   base::MutexLock lock(this->mutex);
-  std::optional<AllocatorChoice> best;
-  runs::CapacityReport::ServiceCapacity* best_capacity = nullptr;
   // Prefers allocators with a recent report, then those that aren't avoided, then those with free
-  // capacity for all tasks, then those in this data centre, where traffic costs least, then the one
-  // with the least backlog relative to its total capacity.
-  std::tuple<bool, bool, bool, bool, double> best_rank;
+  // capacity for all tasks, then those in this data centre, where traffic costs least.
+  using Rank = std::tuple<bool, bool, bool, bool>;
+  Rank best_rank;
+  std::vector<Option> options;
   const base::TimePoint current_time = this->now();
   for (auto& [host, received] : this->capacity_reports) {
     runs::CapacityReport& report = received.report;
@@ -105,21 +104,56 @@
           (request.needs_free_capacity && !(has_free_capacity && is_recent))) {
         continue;
       }
-      const auto rank = std::make_tuple(is_recent, !is_avoided, has_free_capacity,
-                                        report.data_centre == this->data_centre, -backlog);
-      if (!best || rank > best_rank) {
-        best = AllocatorChoice{host, has_free_capacity};
-        best_capacity = &capacity;
+      const Rank rank(is_recent, !is_avoided, has_free_capacity,
+                      report.data_centre == this->data_centre);
+      if (options.empty() || rank > best_rank) {
+        options.clear();
         best_rank = rank;
       }
+      if (rank == best_rank) {
+        options.push_back({host, &capacity, has_free_capacity, backlog});
+      }
     }
   }
-  if (best) {
-    best_capacity->free_task_capacity -= request.count;
-    this->capacity_reports[best->allocator].placements.push_back(
-        {request.service, request.count, current_time});
+  if (options.empty()) {
+    return std::nullopt;
+  }
+  const Option& chosen = ChooseOption(options, request);
+  chosen.capacity->free_task_capacity -= request.count;
+  this->capacity_reports[chosen.allocator].placements.push_back(
+      {request.service, request.count, current_time});
+  return AllocatorChoice{chosen.allocator, chosen.has_free_capacity};
+}
+
+const AllocatorSelector::Option& AllocatorSelector::ChooseOption(const std::vector<Option>& options,
+                                                                 const AllocatorRequest& request) {
+  if (!request.random_number) {
+    return *std::min_element(options.begin(), options.end(), [](const Option& a, const Option& b) {
+      return a.backlog < b.backlog;
+    });
+  }
+  // All gateways have the same reports. If all of them chose the best allocator, they would fill it
+  // many times over until its next report.
+  std::vector<double> weights;
+  double total = 0;
+  for (const Option& option : options) {
+    const runs::CapacityReport::ServiceCapacity& capacity = *option.capacity;
+    const auto free_count = static_cast<double>(capacity.free_task_capacity.value());
+    const auto waiting_count = static_cast<double>(capacity.waiting_task_count.value());
+    const auto size = static_cast<double>(capacity.total_task_capacity.value());
+    weights.push_back(option.has_free_capacity
+                          ? std::max(1.0, free_count)
+                          : size * size / std::max(1.0, size + waiting_count - free_count));
+    total += weights.back();
+  }
+  double position = *request.random_number * total;
+  for (size_t i = 0; i + 1 < options.size(); ++i) {
+    position -= weights[i];
+    if (position < 0) {
+      return options[i];
+    }
   }
-  return best;
+  return options.back();
 }
 
 std::vector<AllocatorCapacity> AllocatorSelector::RecentCapacities() {
--- a/src/gateway/allocator_selector.h
+++ b/src/gateway/allocator_selector.h
@@ -76,6 +76,19 @@
     std::deque<Placement> placements;
   };
 
+  /// An allocator that can take the tasks of a request.
+  struct Option {
+    base::HostId allocator;
+    runs::CapacityReport::ServiceCapacity* capacity = nullptr;
+    bool has_free_capacity = false;
+    /// Waiting tasks minus free task capacity, as a share of the total task capacity.
+    double backlog = 0;
+  };
+
+  /// Chooses one of several options that differ in their free capacity or backlog only.
+  static const Option& ChooseOption(const std::vector<Option>& options,
+                                    const AllocatorRequest& request);
+
   /// Returns whether tasks of `service` may be placed by this part of a report.
   static bool CanTakeTasks(const ReceivedReport& received,
                            const runs::CapacityReport::ServiceCapacity& capacity,
--- a/src/gateway/job_dispatcher.cc
+++ b/src/gateway/job_dispatcher.cc
@@ -93,7 +93,7 @@
   const Job& job = entry.job;
   const JobStep& job_step = job.steps[open_batch.step.value()];
   AllocatorRequest request{job.service, CountOf(open_batch.tasks), open_batch.avoided,
-                           needs_free_capacity};
+                           needs_free_capacity, this->hooks.random_unit()};
   const auto choice = this->hooks.choose_allocator(request);
   if (!choice) {
     return std::nullopt;
--- a/src/gateway/job_dispatcher.h
+++ b/src/gateway/job_dispatcher.h
@@ -35,9 +35,10 @@
 /// that a step may have several batches; each task is in one open batch at most.
 ///
 /// Thread safety: all methods may be called from any thread; state is in shards by job id, each
-/// under its own lock. The hooks `now`, `choose_allocator` and `expected_wait` may run under the
-/// lock of a shard, and `allocator_capacities` and `random_unit` under the lock of the recall
-/// policy, so they must not call this class; the other hooks and the callbacks run without a lock.
+/// under its own lock. The hooks `now`, `choose_allocator`, `expected_wait` and `random_unit` may
+/// run under the lock of a shard, and `allocator_capacities` and `random_unit` under the lock of
+/// the recall policy, so they must not call this class; the other hooks and the callbacks run
+/// without a lock.
 class JobDispatcher {
  public:
   using ResultCallback = std::function<void(const JobResult&)>;
--- a/src/gateway/recall_policy.cc
+++ b/src/gateway/recall_policy.cc
@@ -33,6 +33,9 @@
 // An unanswered recall shows that all tasks have been started. A second one is for tasks that wait
 // again because their run was lost.
 constexpr int kMaximumRecalls = 2;
+// If more tasks wait than fit, new jobs come as well, which all gateways place in the reported
+// capacity until the next report. The rest is left to them.
+constexpr double kClaimedShareUnderOverload = 0.5;
 // With each placement a batch gets behind those that already wait there.
 constexpr int kMaximumPlacements = 4;
 
@@ -189,7 +192,9 @@
   for (const auto& [allocator, count] : own_counts) {
     own_count += std::min(count, waiting_counts[allocator]);
   }
-  double claim = static_cast<double>(free_count.value()) * static_cast<double>(own_count.value()) /
+  const double claimed_share = waiting_count > free_count ? kClaimedShareUnderOverload : 1.0;
+  double claim = claimed_share * static_cast<double>(free_count.value()) *
+                 static_cast<double>(own_count.value()) /
                  static_cast<double>(waiting_count.value());
   std::vector<RecallCandidate> recalls;
   for (const RecallCandidate* batch : candidates) {
--- a/src/gateway/recall_policy.h
+++ b/src/gateway/recall_policy.h
@@ -17,8 +17,9 @@
 ///
 /// All gateways see the same reports. So that together they recall no more tasks than fit, each one
 /// claims of the free capacity the part that its own waiting tasks are of all waiting tasks, once
-/// for each report. A part that is smaller than the next batch is claimed for that batch with the
-/// probability that makes the expected claim equal to the part. Thread safety: none.
+/// for each report. If more tasks wait than fit, half of the capacity is left to new jobs. A part
+/// that is smaller than the next batch is claimed for that batch with the probability that makes
+/// the expected claim equal to the part. Thread safety: none.
 class RecallPolicy {
  public:
   /// `random_unit` returns a random number, at least 0 and less than 1.
--- a/tests/gateway/allocator_selector_test.cc
+++ b/tests/gateway/allocator_selector_test.cc
@@ -67,6 +67,37 @@
   CHECK(choose({HostId("near"), HostId("far")}) == HostId("near"));
 }
 
+// Pattern: one kind asks for several times its usual rate; all gateways choose the same allocator
+// from the same report. Guards against that, and against sending as much to an allocator with
+// little free capacity, or with a long backlog, as to the others.
+TEST(AllocatorSelector, SpreadsRequestsInProportionToFreeCapacityOrBacklog) {
+  gateway::AllocatorRequest request;
+  request.service = ServiceId("s");
+  request.count = TaskCount(1);
+  const auto choose = [&](double random_number) {
+    request.random_number = random_number;
+    return *this->Choose(request);
+  };
+  const auto report = [this](int64_t free, int64_t waiting, int64_t other_free,
+                             int64_t other_waiting) {
+    this->clock.Advance(std::chrono::milliseconds(50));
+    this->selector.OnCapacityReport(HostId("a"), MakeReport("near", free, waiting));
+    this->selector.OnCapacityReport(HostId("b"), MakeReport("near", other_free, other_waiting));
+  };
+  report(20, 0, 10, 0);
+  CHECK(choose(0.64) == HostId("a"));
+  report(20, 0, 10, 0);
+  CHECK(choose(0.69) == HostId("b"));
+  // An allocator without room isn't chosen while another one has some.
+  report(0, 0, 2, 0);
+  CHECK(choose(0) == HostId("b"));
+  // Both have 30 targets; a has a backlog of 30 tasks.
+  report(0, 30, 0, 0);
+  CHECK(choose(0.32) == HostId("a"));
+  report(0, 30, 0, 0);
+  CHECK(choose(0.35) == HostId("b"));
+}
+
 // Guards against giving the same capacity to two jobs because a report that the allocator sent
 // before the first one reached it has arrived in between.
 TEST(AllocatorSelector, SubtractsTasksThatWereOnTheirWayDuringAReport) {
--- a/tests/gateway/job_dispatcher_test.cc
+++ b/tests/gateway/job_dispatcher_test.cc
@@ -197,6 +197,7 @@
   };
   hooks.cancel_job = [](const base::HostId&, const base::SubmissionId&) {};
   hooks.on_job_end = [](const gateway::Job&, const JobResult&, base::Duration) {};
+  hooks.random_unit = [] { return 0.0; };
   hooks.expected_wait = [](const base::ServiceId&, base::TaskCount,
                            base::Priority) -> std::optional<base::Duration> {
     return std::nullopt;
@@ -238,6 +239,7 @@
   };
   hooks.cancel_job = [](const base::HostId&, const base::SubmissionId&) {};
   hooks.on_job_end = [](const gateway::Job&, const JobResult&, base::Duration) {};
+  hooks.random_unit = [] { return 0.0; };
   hooks.expected_wait = [](const base::ServiceId&, base::TaskCount,
                            base::Priority) -> std::optional<base::Duration> {
     return std::nullopt;
