--- a/src/gateway/wait_policy.cc
+++ b/src/gateway/wait_policy.cc
@@ -22,8 +22,8 @@
 // Each placement costs two messages. A batch that was refused by as many allocators meets an
 // overload everywhere.
 constexpr int kMaximumPlacementsAfterRefusal = 3;
-// Bounds the messages if allocators return the same tasks again and again. More than one return
-// for each of two data centres takes a new fault or order each time.
+// Bounds the messages if allocators return the same tasks again and again, each after a report of
+// free capacity.
 constexpr int kMaximumPlacementsAfterReturn = 8;
 
 /// Returns how long the tasks of a step may wait for capacity so that the job meets its objective.
