--- a/src/runs/service_scheduler.cc
+++ b/src/runs/service_scheduler.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <string>
+#include <tuple>
 #include <utility>
+#include <vector>
 
 #include "runs/unplaceable_sizes.h"
 #include "targets/health_state.h"
@@ -49,17 +51,6 @@
 // While the response to a start request is outstanding, polls return within the timeout of that
 // request. If only its response is lost, the poll shows that the run is active.
 constexpr Duration kStartCheckWait = milliseconds(40);
-// Bounds the time for which capacity stays idle for a batch whose targets don't become free. Most
-// tasks take less; a job may have nothing running for 3 s while there is capacity for it.
-constexpr Duration kMaximumReservationTime = milliseconds(1000);
-// Time between two reservations for the same batch, in which other tasks can use the capacity.
-constexpr Duration kReservationPause = milliseconds(500);
-// Targets with at most half of the usable capacity are reserved, so that half of it is in use
-// whenever a waiting task fits on reserved targets only.
-constexpr int kReservedCapacityDivisor = 2;
-// Stragglers take up to this multiple of their expected run time. A run that takes longer may last
-// for any time.
-constexpr int kStragglerFactor = 30;
 
 }  // namespace
 
@@ -106,6 +97,8 @@
         {"target draining", {}, report.id, token, "the target reports that it is draining"});
   }
   target.report = report;
+  target.is_evacuated = this->start_permission.IsEvacuated(report.data_centre);
+  target.cold_until = now + report.cold_time_left;
   target.clock_read_at = now;
   target.last_heard_at = now;
   this->target_health.AddTarget(report.id);
@@ -185,6 +178,10 @@
     this->EnqueueTask(placed, i - 1, now);
   }
   this->StartQueuedTasks(now, actions);
+  auto found = this->batches.find(key);
+  if (found != this->batches.end() && this->start_permission.IsRestrictedAt(now)) {
+    this->ReturnTasksWithoutTarget(found, now, actions);
+  }
 }
 
 void ServiceScheduler::CancelJob(const base::HostId& gateway, const base::SubmissionId& job,
@@ -220,7 +217,42 @@
   }
 }
 
+void ServiceScheduler::SetStartPermission(const StartPermission& permission, TimePoint now,
+                                          SchedulerActions& actions) {
+  const bool is_unchanged =
+      permission.AllowsStartsAt(now) == this->start_permission.AllowsStartsAt(now) &&
+      permission.evacuated_data_centres() == this->start_permission.evacuated_data_centres();
+  this->start_permission = permission;
+  if (is_unchanged) {
+    return;  // The limit is extended several times per second.
+  }
+  for (auto& [id, target] : this->targets) {
+    target.is_evacuated = permission.IsEvacuated(target.report.data_centre);
+  }
+  this->StartQueuedTasks(now, actions);
+  for (auto found = this->batches.begin(); found != this->batches.end();) {
+    auto next = std::next(found);
+    this->ReturnTasksWithoutTarget(found, now, actions);
+    found = next;
+  }
+}
+
+void ServiceScheduler::RecallBatch(const BatchKey& key, TimePoint now, SchedulerActions& actions) {
+  auto found = this->batches.find(key);
+  if (found == this->batches.end() || !found->second.batch.can_be_returned) {
+    return;
+  }
+  const ReturnableTasks returnable(found->second, this->reserved_tasks, now);
+  if (!returnable.positions().empty()) {
+    this->GiveBackTasks(found, returnable, true, "recalled by the gateway", now, actions);
+    this->StartQueuedTasks(now, actions);
+  }
+}
+
 bool ServiceScheduler::CanStartRuns(const LeasedTarget& target, TimePoint now) const {
+  if (target.is_evacuated || !this->start_permission.AllowsStartsAt(now)) {
+    return false;
+  }
   if (target.health == targets::HealthState::kEjected ||
       (target.health == targets::HealthState::kProbation && !target.runs.empty())) {
     return false;
@@ -238,14 +270,15 @@
   const std::set<TargetId>& failed_targets = placed.tasks[task_position].failed_targets;
   // Best fit keeps whole targets free for tasks that require many resources.
   LeasedTarget* best = nullptr;
-  std::pair<bool, base::MilliCores> best_rank;
+  std::tuple<bool, bool, base::MilliCores> best_rank;
   for (auto& [id, target] : this->targets) {
     const Resources free = target.FreeResources();
     if (!free.CanFit(task.required_resources) || !this->CanStartRuns(target, now) ||
-        this->IsReservedForEarlierBatch(id, placed.Position())) {
+        this->capacity_reserver.IsReservedForEarlierBatch(id, placed.Position())) {
       continue;
     }
-    const auto rank = std::make_pair(failed_targets.count(id) > 0, free.processors);
+    const auto rank =
+        std::make_tuple(failed_targets.count(id) > 0, target.IsCold(now), free.processors);
     if ((best == nullptr || rank < best_rank) &&
         target.SatisfiesPlacementRule(placed.batch.placement_rule, task.key)) {
       best = &target;
@@ -283,97 +316,48 @@
   }
 }
 
-bool ServiceScheduler::IsReservedForEarlierBatch(const TargetId& target,
-                                                 const QueuePosition& position) const {
-  if (!this->reservation || !(this->reservation->position < position)) {
-    return false;
-  }
-  return this->reservation->targets.count(target) > 0;
-}
-
-Resources ServiceScheduler::CapacityFreedSoon(const LeasedTarget& target, TimePoint now) const {
-  Resources capacity = target.report.capacity;
-  for (const auto& [key, run] : target.runs) {
-    auto found = this->batches.find(run.batch);
-    if (run.phase == TargetRun::Phase::kStopping || found == this->batches.end()) {
-      continue;
-    }
-    const Duration longest_run_time =
-        std::max(kMaximumReservationTime, kStragglerFactor * found->second.batch.expected_run_time);
-    if (now - run.start_requested_at >= longest_run_time) {
-      capacity -= run.required_resources;
-    }
-  }
-  return capacity;
-}
-
 void ServiceScheduler::ReserveTargets(const PlacedBatch& placed, TimePoint now) {
-  if (now < placed.next_reservation_at ||
-      (this->reservation && !(placed.Position() < this->reservation->position))) {
+  if (!this->capacity_reserver.MayReserveFor(placed, now)) {
     return;
   }
-  const Resources& required = placed.batch.tasks.front().required_resources;
-  base::MilliCores usable_processors;
-  std::vector<const LeasedTarget*> candidates;
+  std::vector<const LeasedTarget*> usable_targets;
   for (const auto& [id, target] : this->targets) {
-    if (!this->CanStartRuns(target, now)) {
-      continue;
-    }
-    usable_processors += target.report.capacity.processors;
-    if (this->CapacityFreedSoon(target, now).CanFit(required)) {
-      candidates.push_back(&target);
-    }
-  }
-  if (candidates.empty()) {
-    return;  // Waits for a target that isn't there, and keeps no capacity from others.
-  }
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [](const LeasedTarget* a, const LeasedTarget* b) {
-                     return a->FreeResources().processors > b->FreeResources().processors;
-                   });
-  CapacityReservation reserved{
-      placed.batch.key, placed.Position(), {}, now + kMaximumReservationTime};
-  base::MilliCores reserved_processors;
-  for (const LeasedTarget* target : candidates) {
-    reserved_processors += target->report.capacity.processors;
-    const bool exceeds_share =
-        reserved_processors.value() * kReservedCapacityDivisor > usable_processors.value();
-    if (reserved.targets.size() >= placed.waiting_tasks.size() ||
-        (exceeds_share && !reserved.targets.empty())) {
-      break;
+    if (this->CanStartRuns(target, now)) {
+      usable_targets.push_back(&target);
     }
-    reserved.targets.insert(target->report.id);
   }
-  this->reservation = std::move(reserved);
+  this->capacity_reserver.Reserve(placed, usable_targets, this->batches, now);
 }
 
 void ServiceScheduler::EndReservationIfDue(TimePoint now, SchedulerActions& actions) {
-  if (!this->reservation) {
+  const auto& reservation = this->capacity_reserver.reservation();
+  if (!reservation) {
     return;
   }
-  auto found = this->batches.find(this->reservation->batch);
+  auto found = this->batches.find(reservation->batch);
   const bool is_useful =
       found != this->batches.end() && !found->second.waiting_tasks.empty() &&
       this->gateway_liveness.IsAlive(found->first.gateway, now) &&
-      std::any_of(this->reservation->targets.begin(), this->reservation->targets.end(),
+      std::any_of(reservation->targets.begin(), reservation->targets.end(),
                   [this, now](const TargetId& id) {
                     auto target = this->targets.find(id);
                     return target != this->targets.end() && this->CanStartRuns(target->second, now);
                   });
   if (!is_useful) {
-    this->reservation.reset();
-  } else if (now >= this->reservation->ends_at) {
-    PlacedBatch& placed = found->second;
-    placed.next_reservation_at = now + kReservationPause;
+    this->capacity_reserver.End();
+    return;
+  }
+  PlacedBatch& placed = found->second;
+  const size_t target_count = this->capacity_reserver.EndIfOverdue(placed, now);
+  if (target_count > 0) {
     const RunKey key{placed.batch.tasks[placed.waiting_tasks.back()].key, base::RunNumber()};
     actions.decisions.push_back(
         {"reservation ended",
          key,
          {},
          {},
-         std::to_string(this->reservation->targets.size()) +
+         std::to_string(target_count) +
              " targets didn't become free for the task within the time limit"});
-    this->reservation.reset();
   }
 }
 
@@ -407,6 +391,7 @@
   const BatchTask& batch_task = placed.batch.tasks[task_position];
   state.last_run_number = state.last_run_number.Next();
   state.target = target.report.id;
+  ++state.start_count;
   ++placed.start_count;
   const RunKey key{batch_task.key, state.last_run_number};
   TargetRun run;
@@ -519,8 +504,11 @@
   if (placed.unfinished_task_count > 0) {
     return;
   }
-  const bool is_done = std::all_of(placed.tasks.begin(), placed.tasks.end(),
-                                   [](const PlacedBatch::TaskState& task) { return task.is_done; });
+  // The gateway knows which tasks it has got back; the result is about the others.
+  const bool is_done = std::all_of(
+      placed.tasks.begin(), placed.tasks.end(), [&placed](const PlacedBatch::TaskState& task) {
+        return task.is_done || (task.is_returned && placed.batch.can_be_returned);
+      });
   if (is_done) {
     this->EndBatch(batch_iterator, BatchResult::Outcome::kCompleted, "all tasks are done", now,
                    actions);
@@ -660,6 +648,9 @@
       auto batch = this->batches.find(removed_run.batch);
       if (batch != this->batches.end()) {
         --batch->second.start_count;
+        if (!removed_run.is_orphan) {
+          --batch->second.tasks[removed_run.task_position].start_count;
+        }
       }
       this->RequeueTask(target, request.key, removed_run, now, actions);
       break;
@@ -1127,34 +1118,96 @@
   });
 }
 
+bool ServiceScheduler::AreSuitableTargetsEvacuated(const PlacedBatch& placed, TimePoint now) const {
+  const BatchTask& task = placed.batch.tasks.front();
+  bool has_evacuated_target = false;
+  for (const auto& [id, target] : this->targets) {
+    if (!target.report.capacity.CanFit(task.required_resources) ||
+        !target.HasRequiredLabel(placed.batch.placement_rule)) {
+      continue;
+    }
+    if (target.is_evacuated) {
+      has_evacuated_target = true;
+    } else if (target.MayStartRunsSoon() &&
+               now - target.last_heard_at < this->settings.target_silence_limit) {
+      return false;
+    }
+  }
+  return has_evacuated_target;
+}
+
+const char* ServiceScheduler::WhyStartIsForbidden(const PlacedBatch& placed, TimePoint now) const {
+  if (!this->start_permission.AllowsStartsAt(now)) {
+    return "this host may not start runs now";
+  }
+  if (!this->start_permission.evacuated_data_centres().empty() &&
+      this->AreSuitableTargetsEvacuated(placed, now)) {
+    return "all targets of this host that could run the task are evacuated";
+  }
+  return nullptr;
+}
+
 void ServiceScheduler::ReturnTasksWithoutTarget(
     std::map<BatchKey, PlacedBatch>::iterator batch_iterator, TimePoint now,
     SchedulerActions& actions) {
-  PlacedBatch& placed = batch_iterator->second;
-  std::vector<size_t> returned_positions;
-  for (const size_t position : placed.waiting_tasks) {
-    const bool has_waited = now - placed.tasks[position].queued_at >= placed.batch.wait_limit;
-    if (has_waited && this->reserved_tasks.count(placed.batch.tasks[position].key) == 0) {
-      returned_positions.push_back(position);
-    }
+  const PlacedBatch& placed = batch_iterator->second;
+  const TaskBatch& batch = placed.batch;
+  if (placed.waiting_tasks.empty() || !(batch.is_stored || batch.can_be_returned)) {
+    return;
   }
+  const char* reason = this->WhyStartIsForbidden(placed, now);
+  const bool is_forbidden = reason != nullptr;
+  if (!is_forbidden && !batch.is_stored) {
+    return;
+  }
+  const TimePoint queued_by = is_forbidden ? now : now - batch.wait_limit;
+  const ReturnableTasks returnable(placed, this->reserved_tasks, queued_by);
   // All tasks of a batch belong to one step and have the same requirements.
-  if (returned_positions.empty() ||
-      this->HasUsableTarget(placed.batch.placement_rule,
-                            placed.batch.tasks[returned_positions.front()], now)) {
+  if (returnable.positions().empty() ||
+      (!is_forbidden && this->HasUsableTarget(batch.placement_rule,
+                                              batch.tasks[returnable.positions().front()], now))) {
     return;
   }
-  for (const size_t position : returned_positions) {
-    PlacedBatch::TaskState& task = placed.tasks[position];
-    placed.waiting_tasks.erase(
-        std::find(placed.waiting_tasks.begin(), placed.waiting_tasks.end(), position));
-    task.is_returned = true;
-    const RunKey key{placed.batch.tasks[position].key,
-                     std::max(task.last_run_number, placed.batch.first_run_number)};
+  if (is_forbidden && batch.is_stored && placed.start_count == 0 &&
+      returnable.positions().size() == placed.tasks.size()) {
+    // The stored job manager need not record that earlier runs are superseded.
+    this->EndBatch(batch_iterator, BatchResult::Outcome::kNotRun, reason, now, actions);
+    return;
+  }
+  this->GiveBackTasks(batch_iterator, returnable, is_forbidden,
+                      is_forbidden ? reason : "no target of this host can run the task", now,
+                      actions);
+}
+
+void ServiceScheduler::GiveBackTasks(std::map<BatchKey, PlacedBatch>::iterator batch_iterator,
+                                     const ReturnableTasks& returnable, bool is_run_gone,
+                                     const char* reason, TimePoint now, SchedulerActions& actions) {
+  PlacedBatch& placed = batch_iterator->second;
+  returnable.RemoveFrom(placed);
+  if (placed.waiting_tasks.empty()) {
+    this->batch_queue.erase(placed.Position());
+  }
+  if (this->capacity_reserver.IsReservedFor(batch_iterator->first)) {
+    this->capacity_reserver.End();
+  }
+  if (placed.batch.can_be_returned) {
+    ReturnedTasks message = returnable.MakeMessage(placed, reason);
+    placed.unfinished_task_count -= returnable.positions().size();
+    message.is_batch_ended = placed.unfinished_task_count == 0;
+    actions.returned_tasks.push_back(std::move(message));
+    if (placed.unfinished_task_count == 0) {
+      this->EndBatch(batch_iterator, std::nullopt, reason, now, actions);
+    }
+    return;
+  }
+  for (const size_t position : returnable.positions()) {
+    const RunKey key{
+        placed.batch.tasks[position].key,
+        std::max(placed.tasks[position].last_run_number, placed.batch.first_run_number)};
     actions.run_events.push_back({placed.batch.service, TargetId(), base::Incarnation(),
                                   base::SequenceNumber(), key, RunEvent::Kind::kReturned});
-    actions.decisions.push_back(
-        {"task returned", key, {}, {}, "no target of this host can run the task"});
+    actions.run_events.back().is_run_gone = is_run_gone;
+    actions.decisions.push_back({"task returned", key, {}, {}, reason});
     this->FinishTask(batch_iterator, now, actions);
   }
 }
@@ -1167,14 +1220,14 @@
     // The stored job manager would place the batch again behind others, which would take the
     // capacity that is becoming free for it.
     const bool has_reserved_targets =
-        placed.batch.is_stored && this->reservation && this->reservation->batch == found->first;
+        placed.batch.is_stored && this->capacity_reserver.IsReservedFor(found->first);
     if (placed.start_count == 0 && age >= placed.batch.wait_limit && !has_reserved_targets) {
       this->EndBatch(found, BatchResult::Outcome::kNotRun, "no free capacity within the wait limit",
                      now, actions);
     } else if (age >= placed.batch.time_left) {
       this->EndBatch(found, BatchResult::Outcome::kUnfinished, "the deadline has passed", now,
                      actions);
-    } else if (placed.batch.is_stored) {
+    } else {
       this->ReturnTasksWithoutTarget(found, now, actions);
     }
     found = next;
@@ -1217,6 +1270,15 @@
   this->StartQueuedTasks(now, actions);
 }
 
+void ServiceScheduler::AddRunCounts(std::map<base::DataCentreId, size_t>& counts) const {
+  for (const auto& [id, target] : this->targets) {
+    const size_t count = target.runs.size() + target.unknown_run_count;
+    if (count > 0) {
+      counts[target.report.data_centre] += count;
+    }
+  }
+}
+
 CapacityReport::ServiceCapacity ServiceScheduler::Capacity(TimePoint now) const {
   CapacityReport::ServiceCapacity capacity;
   const int64_t mean_processors =
