clusterhost: Test evacuations under load with lost leaders and hosts

Three allocators in one process empty a data centre under load. The leader ends between its acknowledgement and the spreading; nothing is started there after the limit, also not by the leader after its restart, and the finish brings the targets back. A host whose group is gone starts nothing after the limit, and starts again once there is a group.

Seen to fail: without the call of SetEvacuatedDataCentres (the first), without AllowStartsUntil (the second), and with a time of freshness that doesn't advance (both).

--- a/tests/clusterhost/cluster_test.cc
+++ b/tests/clusterhost/cluster_test.cc
@@ -648,3 +648,139 @@
   }
   LONGS_EQUAL(starts, this->target.StartCount());
 }
+
+/// A cluster whose settings limit the time until an evacuation is in force everywhere.
+TEST_GROUP_BASE(EvacuatingCluster, ClusterFixture) {
+  static constexpr auto kEvacuationLimit = milliseconds(3000);
+  std::atomic<bool> is_load_ending{false};
+  std::mutex load_mutex;
+  std::thread load;
+
+  void setup() override {
+    this->evacuation_limit = kEvacuationLimit;
+    ClusterFixture::setup();
+  }
+
+  void teardown() override {
+    this->EndLoad();
+    ClusterFixture::teardown();
+  }
+
+  /// Reports both targets and runs jobs on them until `EndLoad`.
+  void BeginLoad() {
+    this->load = std::thread([this] {
+      for (int i = 0; !this->is_load_ending; ++i) {
+        {
+          std::lock_guard<std::mutex> lock(this->load_mutex);
+          this->ReportBothTargets();
+        }
+        for (int j = 0; j < 4; ++j) {
+          if (!this->RunJob("load" + std::to_string(i) + "-" + std::to_string(j))) {
+            // Jobs that are refused at once would keep the hosts from their heartbeats.
+            std::this_thread::sleep_for(kPollInterval);
+          }
+        }
+      }
+    });
+  }
+
+  void EndLoad() {
+    this->is_load_ending = true;
+    if (this->load.joinable()) {
+      this->load.join();
+    }
+  }
+
+  void ReportBothTargets() {
+    for (SucceedingTarget* reporting : {&this->target, &this->other_target}) {
+      for (auto& allocator : this->allocators) {
+        if (allocator != nullptr && allocator->OnTargetReport(reporting->MakeReport())) {
+          break;
+        }
+      }
+    }
+  }
+
+  /// Waits until runs are started on a target from now on.
+  bool WaitForStart(SucceedingTarget & started) {
+    const auto now = std::chrono::steady_clock::now();
+    return this->WaitUntil([&] { return started.StartCountAfter(now) > 0; });
+  }
+};
+
+// Guards against starts in an evacuated data centre by hosts that learned of the order only from
+// the next leader, because the leader that acknowledged it was lost before it told anyone, and by
+// such a host after its restart; and against targets that stay unused after the evacuation.
+TEST(EvacuatingCluster, NothingStartsAfterTheLimitAlthoughTheLeaderIsLost) {
+  CHECK_TRUE(this->PutConfigurationAnywhere(3));
+  this->BeginLoad();
+  CHECK_TRUE(this->WaitForStart(this->target));
+  CHECK_TRUE(this->WaitForStart(this->other_target));
+  size_t leader = 0;
+  std::chrono::steady_clock::time_point acknowledged_at;
+  CHECK_TRUE(this->WaitUntil([&] {
+    for (leader = 0; leader < this->seeds.size(); ++leader) {
+      std::promise<ProposalOutcome> outcome;
+      this->allocators[leader]->StartEvacuation(base::DataCentreId("x"),
+                                                [&outcome](ProposalOutcome received) {
+                                                  outcome.set_value(received);
+                                                  if (received == ProposalOutcome::kCommitted) {
+                                                    // The host ends before its group's thread can
+                                                    // tell the others.
+                                                    std::this_thread::sleep_for(milliseconds(500));
+                                                  }
+                                                });
+      if (outcome.get_future().get() == ProposalOutcome::kCommitted) {
+        acknowledged_at = std::chrono::steady_clock::now();
+        return true;
+      }
+    }
+    return false;
+  }));
+  {
+    std::lock_guard<std::mutex> lock(this->load_mutex);
+    this->StopAllocator(leader);
+  }
+  std::this_thread::sleep_until(acknowledged_at + kEvacuationLimit);
+  {
+    std::lock_guard<std::mutex> lock(this->load_mutex);
+    this->StartAllocator(leader, 2, false);
+  }
+  CHECK_TRUE(this->WaitForStart(this->other_target));
+  std::this_thread::sleep_for(milliseconds(2000));
+  LONGS_EQUAL(0, this->target.StartCountAfter(acknowledged_at + kEvacuationLimit));
+  CHECK_TRUE(this->OrderEvacuationAnywhere(false, "x"));
+  CHECK_TRUE(this->WaitForStart(this->target));
+}
+
+// Guards against starts by a host that is cut off from the group and so can't know whether a data
+// centre has been evacuated, and against hosts that never start anything because they don't know
+// that they are up to date.
+TEST(EvacuatingCluster, AHostWithoutAGroupStartsNothingAfterTheLimit) {
+  CHECK_TRUE(this->PutConfigurationAnywhere(3));
+  this->BeginLoad();
+  CHECK_TRUE(this->WaitForStart(this->target));
+  base::HostId owner;
+  CHECK_TRUE(this->WaitUntil([&] {
+    std::lock_guard<std::mutex> lock(this->load_mutex);
+    owner = this->allocators[0]->OnTargetReport(this->target.MakeReport()).value_or(owner);
+    return !owner.empty();
+  }));
+  const size_t first_stopped = this->seeds[0].value() == owner.value() ? 1 : 0;
+  {
+    std::lock_guard<std::mutex> lock(this->load_mutex);
+    for (size_t i = 0; i < this->seeds.size(); ++i) {
+      if (this->seeds[i].value() != owner.value()) {
+        this->StopAllocator(i);
+      }
+    }
+  }
+  const auto cut_off_at = std::chrono::steady_clock::now();
+  std::this_thread::sleep_until(cut_off_at + kEvacuationLimit + milliseconds(1500));
+  LONGS_EQUAL(0, this->target.StartCountAfter(cut_off_at + kEvacuationLimit));
+  {
+    std::lock_guard<std::mutex> lock(this->load_mutex);
+    this->StartAllocator(first_stopped, 2, false);
+  }
+  CHECK_TRUE(this->WaitForStart(this->target));
+}
