json: Estimate what a parsed document takes

Cause: a body of empty containers or short members takes up to 27 times its bytes once it is parsed, which nothing counted.

Change: EstimateDocumentSize returns an upper bound for a text or a piece of it.

--- a/src/json/document_parser.h
+++ b/src/json/document_parser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <nlohmann/json_fwd.hpp>
 #include <string_view>
 
@@ -10,4 +11,8 @@
 /// safety: pure.
 nlohmann::json ParseDocument(std::string_view text);
 
+/// Returns an upper bound of the bytes that `ParseDocument` allocates for `text`, which may be
+/// malformed. The bounds of the pieces of a text add up to that of the text. Thread safety: pure.
+size_t EstimateDocumentSize(std::string_view text);
+
 }  // namespace sapphirecrank::json
