frontend, platform: Keep clients within the memory and the descriptors

Cause: HttpServer bounded one body and the number of connections, but not their sum, and the configuration's limit of bodies wasn't applied. Bodies were kept in growing strings, which take up to twice their bytes.

Change: all HTTP servers of a process share an IntakeGuard, whose budget is half of the settings' memory_mb at a gateway and a quarter at an allocator, and descriptors less 264 for connections. Headers, bodies, parsed documents, waiting requests and responses are charged. Bodies are kept in blocks. Announced bodies of more than twice the limit are refused with 413 before they are read; others are dropped up to a bound. The configuration's maxBodyBytes applies to callers. Headers and bodies have a time limit, and bodies a minimum rate.

--- a/src/clusterhost/settings_file.cc
+++ b/src/clusterhost/settings_file.cc
@@ -33,6 +33,28 @@
 constexpr double kDefaultResubmissionDelayMilliseconds = 1300;
 constexpr double kMaximumRetentionSeconds = 24.0 * 60 * 60;
 constexpr double kDefaultRetentionSeconds = 120;
+constexpr int64_t kBytesPerMebibyte = 1024LL * 1024;
+// A process without clients uses up to 25 MB.
+constexpr int64_t kMinimumMemoryMebibytes = 48;
+constexpr int64_t kMaximumMemoryMebibytes = 1024LL * 1024;
+// The memory of a machine that the platform's documentation describes.
+constexpr int64_t kDefaultMemoryMebibytes = 256;
+// The platform reserves 200 for files, and peers and targets need some.
+constexpr int64_t kMinimumDescriptors = 300;
+constexpr int64_t kMaximumDescriptors = 1024LL * 1024;
+constexpr int64_t kDefaultDescriptors = 4096;
+// The configuration names at most 256 KiB for callers. The largest configurations in use have a few
+// hundred kilobytes.
+constexpr int64_t kMinimumBodyBytes = 1024;
+constexpr int64_t kMaximumBodyBytes = 64 * kBytesPerMebibyte;
+constexpr int64_t kDefaultBodyBytes = 4 * kBytesPerMebibyte;
+// The configuration's `headerTimeoutMs` and `idleTimeoutMs` are 3000 and 15000.
+constexpr double kMinimumClientTimeoutMilliseconds = 100;
+constexpr double kMaximumClientTimeoutMilliseconds = 3600.0 * 1000;
+constexpr double kDefaultHeaderTimeoutMilliseconds = 10000;
+constexpr double kDefaultBodyStallMilliseconds = 20000;
+constexpr int64_t kMaximumBodyRate = 1024LL * kBytesPerMebibyte;
+constexpr int64_t kDefaultBodyRate = 4096;
 
 /// Converts a number of seconds or milliseconds, which may have a fraction.
 template <typename Period>
@@ -96,6 +118,22 @@
       kMaximumResubmissionDelayMilliseconds, kDefaultResubmissionDelayMilliseconds));
   settings.job_retention = ToDuration<std::ratio<1>>(
       reader.ReadNumber("job_retention_s", 1, kMaximumRetentionSeconds, kDefaultRetentionSeconds));
+  settings.memory =
+      base::ByteCount(reader.ReadInteger("memory_mb", kMinimumMemoryMebibytes,
+                                         kMaximumMemoryMebibytes, kDefaultMemoryMebibytes) *
+                      kBytesPerMebibyte);
+  settings.descriptors = base::ConnectionCount(static_cast<int32_t>(reader.ReadInteger(
+      "descriptors", kMinimumDescriptors, kMaximumDescriptors, kDefaultDescriptors)));
+  settings.maximum_body_size = base::ByteCount(reader.ReadInteger(
+      "maximum_body_bytes", kMinimumBodyBytes, kMaximumBodyBytes, kDefaultBodyBytes));
+  settings.header_timeout = ToDuration<std::milli>(
+      reader.ReadNumber("header_timeout_ms", kMinimumClientTimeoutMilliseconds,
+                        kMaximumClientTimeoutMilliseconds, kDefaultHeaderTimeoutMilliseconds));
+  settings.body_stall_timeout = ToDuration<std::milli>(
+      reader.ReadNumber("body_stall_timeout_ms", kMinimumClientTimeoutMilliseconds,
+                        kMaximumClientTimeoutMilliseconds, kDefaultBodyStallMilliseconds));
+  settings.minimum_body_rate = base::ByteCount(
+      reader.ReadInteger("minimum_body_bytes_per_s", 1, kMaximumBodyRate, kDefaultBodyRate));
   reader.RejectUnknownFields();
   if (error) {
     return tl::make_unexpected(*error);
--- a/src/clusterhost/settings_file.h
+++ b/src/clusterhost/settings_file.h
@@ -6,6 +6,7 @@
 #include "base/ids.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "base/units.h"
 
 namespace sapphirecrank::clusterhost {
 
@@ -47,6 +48,19 @@
   base::Duration resubmission_delay{0};
   /// How long the record of a stored job is kept after the job has ended.
   base::Duration job_retention{0};
+  /// Memory that the process may use. What clients may have under way is a share of it.
+  base::ByteCount memory;
+  /// Number of descriptors that the process may have open.
+  base::ConnectionCount descriptors;
+  /// Larger bodies are refused, on each HTTP server. The configuration may set a lower limit for
+  /// callers.
+  base::ByteCount maximum_body_size;
+  /// Headers of a request must be complete this long after its first line.
+  base::Duration header_timeout{0};
+  /// A body may be without a further byte for this long.
+  base::Duration body_stall_timeout{0};
+  /// A body must arrive at this rate, in bytes per second, after its first 30 s.
+  base::ByteCount minimum_body_rate;
 
   /// Parses the JSON text of a settings file. Errors: `kInvalidArgument` with the field's name.
   /// Thread safety: pure.
--- a/src/entryhost/entry_host.cc
+++ b/src/entryhost/entry_host.cc
@@ -88,12 +88,14 @@
 
 frontend::HttpServerSettings ToHttpServerSettings(const configuration::Settings& settings) {
   const configuration::HttpSettings& http = settings.http;
-  return {settings.http_listen_address,
-          http.thread_count,
-          http.maximum_body_size,
-          http.maximum_connections,
-          http.maximum_connections_per_address,
-          http.idle_timeout};
+  frontend::HttpServerSettings server_settings;
+  server_settings.listen_address = settings.http_listen_address;
+  server_settings.thread_count = http.thread_count;
+  server_settings.maximum_body_size = http.maximum_body_size;
+  server_settings.maximum_connections = http.maximum_connections;
+  server_settings.maximum_connections_per_address = http.maximum_connections_per_address;
+  server_settings.idle_timeout = http.idle_timeout;
+  return server_settings;
 }
 
 Duration LongestRunTime(const std::vector<TaskReport>& reports) {
--- a/src/frontend/http_server.h
+++ b/src/frontend/http_server.h
@@ -13,6 +13,9 @@
 
 /// HTTP server on libmicrohttpd. Responses may be given later and from another thread.
 ///
+/// What clients have under way is limited by an `IntakeGuard`. Requests that don't fit are refused
+/// with status 413 or 503 and the verdict "not run", or their connection is closed.
+///
 /// Thread safety: all methods may be called from any thread, but `Stop`, `AbortRequests` and the
 /// destructor not concurrently with each other.
 class HttpServer {
@@ -25,7 +28,8 @@
   /// Called with the id of a request whose caller closed the connection before the response: at
   /// most once for each request, after the handler was called, and possibly while the response
   /// callback runs. Runs on a thread of the server and must not wait. A request whose caller
-  /// disconnected before the handler was called isn't handled at all.
+  /// disconnected before the handler was called isn't handled at all. The request has ended when
+  /// the callback returns; a later response is dropped.
   using DisconnectCallback = std::function<void(uint64_t)>;
 
   /// Without `on_disconnect`, a disconnected caller is noticed only when its response is sent.
@@ -53,8 +57,9 @@
   /// does. Later responses of the handler are dropped.
   void AbortRequests();
 
-  /// Stops listening, waits until each open request has been answered, then closes all connections.
-  /// Precondition: the handler's outstanding responses still come.
+  /// Stops listening, waits until each request that was passed to the handler has been answered,
+  /// and up to a second longer for clients that are sending a request or reading a response. Then
+  /// closes all connections. Precondition: the handler's outstanding responses still come.
   void Stop();
 
  private:
--- a/tests/clusterhost/settings_file_test.cc
+++ b/tests/clusterhost/settings_file_test.cc
@@ -44,6 +44,52 @@
   STRCMP_EQUAL("peer_port", invalid_port.error().field.c_str());
 }
 
+// Guards against limits that leave no room for clients, and against an error that doesn't name the
+// setting and its range.
+TEST(ClusterSettingsFile, ChecksTheRangesOfMemoryAndDescriptors) {
+  const std::string before = R"({"name":"n","data_centre":"x","address":"10.0.0.1","peer_port":1,)";
+  for (const std::string name : {"memory_mb", "descriptors"}) {
+    for (const std::string invalid : {"0", "47", "-1", "1048577", "64.5", "\"256\""}) {
+      const auto settings =
+          SettingsFile::Parse(before + R"("seeds":["a:1"],")" + name + "\":" + invalid + "}");
+      CHECK_FALSE(settings.has_value());
+      STRCMP_EQUAL(name.c_str(), settings.error().field.c_str());
+      if (invalid == "0") {
+        const std::string expected_range = name == "memory_mb" ? "48 to 1048576" : "300 to 1048576";
+        STRCMP_CONTAINS(expected_range.c_str(), settings.error().message.c_str());
+      }
+    }
+  }
+  const auto settings =
+      SettingsFile::Parse(before + R"("seeds":["a:1"],"memory_mb":160,"descriptors":4100})");
+  CHECK(settings->memory == base::ByteCount(160LL * 1024 * 1024));
+  CHECK(settings->descriptors == base::ConnectionCount(4100));
+  const auto defaults = SettingsFile::Parse(before + R"("seeds":["a:1"]})");
+  CHECK(defaults->memory == base::ByteCount(256LL * 1024 * 1024));
+  CHECK(defaults->descriptors == base::ConnectionCount(4096));
+}
+
+// Guards against a limit for clients that closes all of them, or none, because of a typing error.
+TEST(ClusterSettingsFile, ChecksTheRangesOfTheLimitsForClients) {
+  const std::string before = R"({"name":"n","data_centre":"x","address":"10.0.0.1","peer_port":1,)";
+  for (const std::string name : {"maximum_body_bytes", "header_timeout_ms", "body_stall_timeout_ms",
+                                 "minimum_body_bytes_per_s"}) {
+    for (const std::string invalid : {"0", "-1", "1e12", "\"256\"", "null"}) {
+      const auto settings =
+          SettingsFile::Parse(before + R"("seeds":["a:1"],")" + name + "\":" + invalid + "}");
+      CHECK_FALSE(settings.has_value());
+      STRCMP_EQUAL(name.c_str(), settings.error().field.c_str());
+    }
+  }
+  const auto settings = SettingsFile::Parse(
+      before + R"("seeds":["a:1"],"maximum_body_bytes":2048,"header_timeout_ms":500,)"
+               R"("body_stall_timeout_ms":700,"minimum_body_bytes_per_s":9})");
+  CHECK(settings->maximum_body_size == base::ByteCount(2048));
+  CHECK(settings->header_timeout == std::chrono::milliseconds(500));
+  CHECK(settings->body_stall_timeout == std::chrono::milliseconds(700));
+  CHECK(settings->minimum_body_rate == base::ByteCount(9));
+}
+
 // Guards against a time within which no lost voter could be replaced, and against a host that waits
 // for hours before it replaces one.
 TEST(ClusterSettingsFile, ChecksTheRangeOfTheCatchUpTime) {
--- a/tests/frontend/http_server_test.cc
+++ b/tests/frontend/http_server_test.cc
@@ -11,11 +11,14 @@
 #include <cerrno>
 #include <chrono>
 #include <condition_variable>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "frontend/intake_guard.h"
+
 using namespace sapphirecrank;  // NOLINT(google-build-using-namespace)
 using frontend::HttpRequest;
 using frontend::HttpServer;
@@ -43,6 +46,19 @@
   (void)!send(connection, kRequest, sizeof(kRequest) - 1, MSG_NOSIGNAL);
 }
 
+/// Returns false if the server has closed the connection.
+bool Send(int connection, const std::string& data) {
+  size_t sent = 0;
+  while (sent < data.size()) {
+    const ssize_t length = send(connection, data.data() + sent, data.size() - sent, MSG_NOSIGNAL);
+    if (length <= 0) {
+      return false;
+    }
+    sent += static_cast<size_t>(length);
+  }
+  return true;
+}
+
 std::string ReadAll(int connection) {
   std::string received;
   char buffer[4096];
@@ -274,3 +290,148 @@
   CHECK_TRUE(open_client.ReceiveResponse());
   LONGS_EQUAL(2, request_count);
 }
+
+// Guards against callers that leave a request whose handler then never responds: the request kept
+// its connection and its descriptor for good, and the server couldn't stop.
+TEST(HttpServer, EndsARequestWhoseCallerDisconnects) {
+  this->settings.intake = std::make_shared<frontend::IntakeGuard>(
+      limits::IntakeSettings(), [](const limits::IntakeUsage& /*usage*/) {});
+  HttpServer server(this->settings, this->KeepCallbacks(), [](uint64_t /*request_id*/) {});
+  CHECK_TRUE(server.Start().has_value());
+  const int connection = Connect(server.ListenAddress());
+  SendRequest(connection);
+  this->WaitFor([this] { return this->response_callbacks.size() == 1; });
+  close(connection);
+  // Returns only if the request has ended.
+  server.Stop();
+  LONGS_EQUAL(0, this->settings.intake->budget().Usage().connections.value());
+  LONGS_EQUAL(0, this->settings.intake->budget().Usage().bytes.value());
+  this->response_callbacks[0]({});
+}
+
+// Guards against a client that delays a stop for good with a body that it doesn't end.
+TEST(HttpServer, StopsWhileABodyIsBeingReceived) {
+  HttpServer server(this->settings, this->KeepCallbacks());
+  CHECK_TRUE(server.Start().has_value());
+  const int connection = Connect(server.ListenAddress());
+  Send(connection, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nshort");
+  const KeepAliveClient other_client(server.ListenAddress());
+  other_client.SendRequest();
+  this->WaitFor([this] { return this->response_callbacks.size() == 1; });
+  this->response_callbacks[0]({});
+  server.Stop();
+  STRCMP_EQUAL("", ReadAll(connection).c_str());
+  close(connection);
+}
+
+// Guards against an announced body far above the limit that is read before it is refused, and
+// against a refusal that doesn't say that the request was not run.
+TEST(HttpServer, RefusesALargeBodyBeforeItIsSent) {
+  this->settings.maximum_body_size = base::ByteCount(1000);
+  HttpServer server(this->settings, this->KeepCallbacks());
+  CHECK_TRUE(server.Start().has_value());
+  const int connection = Connect(server.ListenAddress());
+  Send(connection, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 10000\r\n\r\n");
+  const std::string response = ReadAll(connection);
+  CHECK(response.rfind("HTTP/1.1 413 ", 0) == 0);
+  CHECK(response.find("not run") != std::string::npos);
+  CHECK_TRUE(this->response_callbacks.empty());
+  close(connection);
+}
+
+// Guards against a body slightly above the limit whose sender gets a reset instead of the refusal.
+TEST(HttpServer, AnswersAfterABodySlightlyAboveTheLimit) {
+  this->settings.maximum_body_size = base::ByteCount(1000);
+  HttpServer server(this->settings, this->KeepCallbacks());
+  CHECK_TRUE(server.Start().has_value());
+  for (const std::string headers :
+       {"Content-Length: 1001\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n3e9\r\n"}) {
+    const int connection = Connect(server.ListenAddress());
+    const bool is_chunked = headers[0] == 'T';
+    Send(connection, "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n" + headers +
+                         std::string(1001, 'x') + (is_chunked ? "\r\n0\r\n\r\n" : ""));
+    CHECK(ReadAll(connection).rfind("HTTP/1.1 413 ", 0) == 0);
+    close(connection);
+  }
+  CHECK_TRUE(this->response_callbacks.empty());
+}
+
+// Guards against a chunked body that never ends and is read for ever.
+TEST(HttpServer, ClosesTheConnectionOfABodyWithoutEnd) {
+  this->settings.maximum_body_size = base::ByteCount(1000);
+  HttpServer server(this->settings, this->KeepCallbacks());
+  CHECK_TRUE(server.Start().has_value());
+  const int connection = Connect(server.ListenAddress());
+  Send(connection, "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const std::string chunk = "1000\r\n" + std::string(4096, 'x') + "\r\n";
+  bool is_closed = false;
+  // 8 MB, far more than the server drops and the buffers of the sockets hold.
+  for (int i = 0; i < 2000 && !is_closed; ++i) {
+    is_closed = !Send(connection, chunk);
+  }
+  CHECK_TRUE(is_closed);
+  close(connection);
+}
+
+// Guards against a limit from a configuration that is applied only to servers that start later.
+TEST(HttpServer, AppliesTheCurrentLimitOfABody) {
+  std::atomic<int64_t> limit{100};
+  this->settings.current_maximum_body_size = [&limit] { return base::ByteCount(limit); };
+  HttpServer server(this->settings,
+                    [](const HttpRequest& /*request*/,
+                       const HttpServer::ResponseCallback& respond) { respond({}); });
+  CHECK_TRUE(server.Start().has_value());
+  for (const std::string expected : {"HTTP/1.1 413 ", "HTTP/1.1 200 "}) {
+    const int connection = Connect(server.ListenAddress());
+    Send(connection,
+         "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 150\r\n\r\n" +
+             std::string(150, 'x'));
+    CHECK(ReadAll(connection).rfind(expected, 0) == 0);
+    close(connection);
+    limit = 200;
+  }
+}
+
+// Guards against bodies that stop short of their end, hold all memory that clients may use, and
+// keep ordinary requests out.
+TEST(HttpServer, StalledBodiesGiveWayToAnOrdinaryRequest) {
+  constexpr int kStalledClients = 20;
+  constexpr int kBodySize = 100000;
+  limits::IntakeSettings intake_settings;
+  intake_settings.maximum_bytes = base::ByteCount(1000000);
+  intake_settings.slow_after = std::chrono::milliseconds(20);
+  this->settings.intake = std::make_shared<frontend::IntakeGuard>(
+      intake_settings, [](const limits::IntakeUsage& /*usage*/) {});
+  std::atomic<size_t> handled_size{0};
+  HttpServer server(this->settings,
+                    [&](const HttpRequest& request, const HttpServer::ResponseCallback& respond) {
+                      handled_size = request.body.size();
+                      respond({});
+                    });
+  CHECK_TRUE(server.Start().has_value());
+  const std::string head = "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: " +
+                           std::to_string(kBodySize) + "\r\n\r\n";
+  std::vector<int> stalled_connections;
+  for (int i = 0; i < kStalledClients; ++i) {
+    stalled_connections.push_back(Connect(server.ListenAddress()));
+    Send(stalled_connections.back(), head + std::string(kBodySize - 1, ' '));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  std::string response;
+  // The connection is refused while those that give way are being closed.
+  for (int attempt = 0; attempt < 50 && response.rfind("HTTP/1.1 200 ", 0) != 0; ++attempt) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    const int connection = Connect(server.ListenAddress());
+    Send(connection, head + std::string(kBodySize, ' '));
+    response = ReadAll(connection);
+    close(connection);
+  }
+  CHECK(response.rfind("HTTP/1.1 200 ", 0) == 0);
+  LONGS_EQUAL(kBodySize, handled_size);
+  const limits::IntakeUsage usage = this->settings.intake->budget().Usage();
+  CHECK(usage.bytes <= usage.maximum_bytes);
+  CHECK(usage.closed.at(static_cast<size_t>(limits::IntakeReason::kBytes)) > 0);
+  for (const int connection : stalled_connections) {
+    close(connection);
+  }
+}
--- a/tests/platform/message_codec_test.cc
+++ b/tests/platform/message_codec_test.cc
@@ -156,6 +156,22 @@
   CHECK(catalog->FindQueue("other", "/p/0123") == nullptr);
 }
 
+// Guards against a limit of bodies that the configuration names and gateways don't apply, and
+// against a configuration without limits, or with other values there, that is rejected.
+TEST(PlatformMessageCodec, ReadsTheLimitOfBodies) {
+  Json configuration = MakeConfiguration();
+  configuration["limits"] = {{"maxBodyBytes", 262144}, {"maxHeaderBytes", 16384}};
+  auto record = platform::DecodeConfiguration(configuration.dump());
+  CHECK(platform::DecodeCatalog(*record)->maximum_body_size == base::ByteCount(262144));
+  for (const Json& limits : {Json(nullptr), Json::object(), Json(3),
+                             Json({{"maxBodyBytes", "many"}}), Json({{"maxBodyBytes", 0}})}) {
+    configuration["limits"] = limits;
+    record = platform::DecodeConfiguration(configuration.dump());
+    CHECK_TRUE(record.has_value());
+    CHECK_FALSE(platform::DecodeCatalog(*record)->maximum_body_size.has_value());
+  }
+}
+
 // Guards against jobs that are accepted although they need features that aren't implemented.
 TEST(PlatformMessageCodec, RejectsJobsWithUnsupportedFeatures) {
   const std::string simple_job =
