--- a/tests/json/document_parser_test.cc
+++ b/tests/json/document_parser_test.cc
@@ -23,12 +23,12 @@
 
   CountingAllocator() = default;
   template <typename U>
-  CountingAllocator(const CountingAllocator<U>& /*other*/) {
-  }  // NOLINT(google-explicit-constructor)
+  // NOLINTNEXTLINE(google-explicit-constructor): containers convert their allocators.
+  CountingAllocator(const CountingAllocator<U>& /*other*/) {}
 
   template <typename U>
-  struct rebind {
-    using other = CountingAllocator<U>;
+  struct rebind {                        // NOLINT(readability-identifier-naming)
+    using other = CountingAllocator<U>;  // NOLINT(readability-identifier-naming)
   };
 
   T* allocate(size_t count) {
--- a/tests/limits/intake_budget_test.cc
+++ b/tests/limits/intake_budget_test.cc
@@ -31,12 +31,11 @@
   return settings;
 }
 
-const CallerAddress kCrowd("10.0.0.1");
-const CallerAddress kCaller("10.0.0.2");
-
 }  // namespace
 
 TEST_GROUP(IntakeBudget) {
+  const CallerAddress crowd_address{"10.0.0.1"};
+  const CallerAddress caller_address{"10.0.0.2"};
   base::ManualClock clock;
   std::vector<std::pair<IntakeId, IntakeReason>> closed;
   int high_usage_count = 0;
@@ -61,10 +60,10 @@
 
 // Guards against a crowd of bodies that stop short of their end and keep an ordinary request out.
 TEST(IntakeBudget, SlowUploadsGiveWay) {
-  const IntakeId stalled = this->Upload(kCrowd, 470);
-  const IntakeId other_stalled = this->Upload(kCrowd, 480);
+  const IntakeId stalled = this->Upload(this->crowd_address, 470);
+  const IntakeId other_stalled = this->Upload(this->crowd_address, 480);
   this->clock.Advance(milliseconds(1500));
-  const IntakeId caller = this->Upload(kCaller, 100);
+  const IntakeId caller = this->Upload(this->caller_address, 100);
   // The larger one goes first, and the other one then has room.
   LONGS_EQUAL(1, this->closed.size());
   CHECK(this->closed[0].first == other_stalled);
@@ -77,8 +76,8 @@
 // Guards against a crowd that sends steadily and takes the room of a short request, and against
 // one large upload that takes the room of many small ones.
 TEST(IntakeBudget, LargerUploadsGiveWayToSmallerOnesOnly) {
-  const IntakeId large = this->Upload(kCrowd, 600);
-  const IntakeId small = this->Upload(kCaller, 300);
+  const IntakeId large = this->Upload(this->crowd_address, 600);
+  const IntakeId small = this->Upload(this->caller_address, 300);
   CHECK_FALSE(this->budget.ReceiveBody(large, ByteCount(200), ByteCount(200)));
   CHECK_TRUE(this->closed.empty());
   CHECK(this->budget.ReceiveBody(small, ByteCount(200), ByteCount(200)));
@@ -89,19 +88,19 @@
 // Guards against an address with few clients that is kept out by one with many.
 TEST(IntakeBudget, TheAddressThatHoldsMostGivesWay) {
   for (int i = 0; i < 3; ++i) {
-    this->Upload(kCrowd, 290);
+    this->Upload(this->crowd_address, 290);
   }
-  this->Upload(kCaller, 290);
+  this->Upload(this->caller_address, 290);
   LONGS_EQUAL(1, this->closed.size());
 }
 
 // Guards against a request that is taken from its handler, which may have run it.
 TEST(IntakeBudget, HandledRequestsAreNeverClosed) {
-  const IntakeId handled = this->Upload(kCrowd, 500);
+  const IntakeId handled = this->Upload(this->crowd_address, 500);
   CHECK(this->budget.BeginHandling(handled, ByteCount(400)));
   this->clock.Advance(std::chrono::hours(1));
   this->budget.CloseExpired();
-  const IntakeId refused = *this->budget.OpenConnection(kCaller);
+  const IntakeId refused = *this->budget.OpenConnection(this->caller_address);
   this->budget.BeginHeaders(refused);
   CHECK_FALSE(this->budget.BeginBody(refused, ByteCount(100)));
   CHECK_TRUE(this->closed.empty());
@@ -113,9 +112,9 @@
 
 // Guards against a request that is handled although its connection was closed before.
 TEST(IntakeBudget, ClosedConnectionsAreNotHandled) {
-  const IntakeId stalled = this->Upload(kCrowd, 900);
+  const IntakeId stalled = this->Upload(this->crowd_address, 900);
   this->clock.Advance(seconds(2));
-  this->Upload(kCaller, 100);
+  this->Upload(this->caller_address, 100);
   CHECK_FALSE(this->budget.BeginHandling(stalled, ByteCount(0)));
   CHECK_FALSE(this->budget.ReceiveBody(stalled, ByteCount(1), ByteCount(1)));
   // Only the connection itself is still charged, until it is closed.
@@ -128,18 +127,18 @@
 // Guards against connections without a request that use up all descriptors.
 TEST(IntakeBudget, IdleConnectionsGiveWayToNewOnes) {
   for (int i = 0; i < 50; ++i) {
-    CHECK(this->budget.OpenConnection(kCrowd).has_value());
+    CHECK(this->budget.OpenConnection(this->crowd_address).has_value());
   }
-  CHECK_FALSE(this->budget.OpenConnection(kCaller).has_value());
+  CHECK_FALSE(this->budget.OpenConnection(this->caller_address).has_value());
   CHECK_TRUE(this->closed.empty());
   this->clock.Advance(seconds(2));
-  CHECK_FALSE(this->budget.OpenConnection(kCaller).has_value());
+  CHECK_FALSE(this->budget.OpenConnection(this->caller_address).has_value());
   CHECK_FALSE(this->closed.empty());
   for (const auto& [id, reason] : this->closed) {
     CHECK(reason == IntakeReason::kConnections);
     this->budget.CloseConnection(id);
   }
-  CHECK(this->budget.OpenConnection(kCaller).has_value());
+  CHECK(this->budget.OpenConnection(this->caller_address).has_value());
 }
 
 // Guards against clients that hold their connection for ever: without a request, with headers or a
@@ -156,7 +155,7 @@
       {settings.body_stall_timeout, IntakeReason::kSlowBody},
       {settings.response_timeout, IntakeReason::kSlowResponse}};
   for (const Expected& expected : expectations) {
-    const IntakeId id = *this->budget.OpenConnection(kCrowd);
+    const IntakeId id = *this->budget.OpenConnection(this->crowd_address);
     if (expected.reason != IntakeReason::kIdle) {
       this->budget.BeginHeaders(id);
     }
@@ -186,8 +185,8 @@
 
 // Guards against a body that arrives a few bytes at a time, without ever stalling.
 TEST(IntakeBudget, ClosesUploadsBelowTheMinimumRate) {
-  const IntakeId slow = this->Upload(kCrowd, 1);
-  const IntakeId fast = this->Upload(kCaller, 1);
+  const IntakeId slow = this->Upload(this->crowd_address, 1);
+  const IntakeId fast = this->Upload(this->caller_address, 1);
   // After 40 s, a rate of 10 bytes per second has earned the second one its time.
   for (int i = 0; i < 40; ++i) {
     this->clock.Advance(seconds(1));
@@ -203,7 +202,7 @@
 // Guards against a process that stood still, and closes the connections of all its clients when it
 // continues, before it has read what they sent.
 TEST(IntakeBudget, ForgivesTheTimeInWhichTheProcessStoodStill) {
-  this->Upload(kCaller, 10);
+  this->Upload(this->caller_address, 10);
   this->budget.CloseExpired();
   this->clock.Advance(seconds(100));
   this->budget.CloseExpired();
@@ -212,13 +211,13 @@
 
 // Guards against a log line for each request while a limit is nearly used up.
 TEST(IntakeBudget, ReportsHighUsageOnce) {
-  const IntakeId first = this->Upload(kCaller, 790);
+  const IntakeId first = this->Upload(this->caller_address, 790);
   LONGS_EQUAL(1, this->high_usage_count);
-  const IntakeId second = this->Upload(kCaller, 50);
+  const IntakeId second = this->Upload(this->caller_address, 50);
   this->budget.CloseConnection(second);
   LONGS_EQUAL(1, this->high_usage_count);
   this->budget.CloseConnection(first);
-  this->Upload(kCaller, 850);
+  this->Upload(this->caller_address, 850);
   LONGS_EQUAL(2, this->high_usage_count);
 }
 
@@ -336,7 +335,7 @@
       }
       shared_budget.BeginHeaders(*id);
       shared_budget.BeginBody(*id, ByteCount(50));
-      shared_budget.ReceiveBody(*id, ByteCount(300), ByteCount(100 * (index + 1)));
+      shared_budget.ReceiveBody(*id, ByteCount(300), ByteCount(100L * (index + 1)));
       if (shared_budget.BeginHandling(*id, ByteCount(20))) {
         shared_budget.BeginResponse(*id, ByteCount(10));
         shared_budget.EndRequest(*id);
