scripts: Add crowds with long headers, complete requests and unread responses

Change: six further kinds. The memory of both processes is checked, as jobs that a gateway takes in reach the allocators.

--- a/scripts/crowd_test.py
+++ b/scripts/crowd_test.py
@@ -9,13 +9,19 @@
 - small-chunks: the same in chunks of 8 bytes.
 - announced: bodies ten times over the limit, announced by Content-Length.
 - unannounced: chunked bodies ten times over the limit.
+- headers: headers of the largest legal size that stop before their end.
+- nested: complete bodies of the largest legal size, JSON of empty objects.
+- jobs, stored-jobs: complete jobs of the largest legal size with as many steps as fit, which aren't
+  stored or are.
+- configurations: complete configurations of that size; reads: reads of the configuration whose
+  responses the client doesn't read.
 The case `calm` sends one request of the largest legal size without a crowd.
 
 The bounds come from the settings that the test gives the processes, which stand for the machine:
-- Memory: the peak of the resident memory (VmHWM) is at most `memory_mb`.
-- Descriptors: at most `descriptors` less RESERVED_DESCRIPTORS, which the platform's documentation
+- Memory: the peak of the resident memory (VmHWM) of each process is at most `memory_mb`.
+- Descriptors of the process: at most `descriptors` less RESERVED_DESCRIPTORS, which the platform's documentation
   reserves for files.
-- The process is alive, and one ordinary request is answered with status 200 while the crowd is
+- Both processes are alive, and one ordinary request is answered with status 200 while the crowd is
   still connected.
 Nothing depends on times: all waits are only bounded so that a hang fails the test.
 
@@ -49,6 +55,8 @@
 CROWD_SIZE = 400
 # The limit of a body that the configuration of this test names for callers.
 LEGAL_BODY_SIZE = 262144
+# The platform's `maxHeaderBytes` is 16384.
+LEGAL_HEADER_SIZE = 16000
 OVERSIZE_FACTOR = 10
 HOST, PREFIX, SERVICE = "crowd.example", "/q/", "crowd-service"
 # Bounds on waits, in seconds. A server that stops reading from its clients ends the sending.
@@ -56,10 +64,12 @@
 # The server has read what was sent once its memory is the same for this many seconds.
 SETTLED_TIME, SETTLE_LIMIT = 1.5, 60
 SERVERS = ["caller", "readiness", "gateway-metrics", "control", "allocator-metrics"]
-KINDS = ["whole", "pieces", "large-chunks", "small-chunks", "announced", "unannounced"]
+KINDS = ["whole", "pieces", "large-chunks", "small-chunks", "announced", "unannounced", "headers",
+         "nested"]
 # All kinds for the two servers that receive bodies. The others are of the same class, so that one
 # kind shows whether they are within the limits.
 CASES = ([f"{server}:{kind}" for server in ("caller", "control") for kind in KINDS + ["calm"]] +
+         ["caller:jobs", "caller:stored-jobs", "control:configurations", "control:reads"] +
          [f"{server}:whole" for server in ("readiness", "gateway-metrics", "allocator-metrics")])
 
 
@@ -171,8 +181,32 @@
     return chunk * (total // chunk_size)
 
 
+def make_job(is_stored):
+    """Returns a job of the largest legal size with as many steps as fit."""
+    begin = b'{"spec":"x",' + (b"" if is_stored else b'"bestEffort":true,') + b'"steps":['
+    step = b'{"count":1}'
+    count = (LEGAL_BODY_SIZE - len(begin) - 2) // (len(step) + 1)
+    return (begin + b",".join([step] * count) + b"]}").ljust(LEGAL_BODY_SIZE)
+
+
+def make_complete_body(kind):
+    if kind == "nested":
+        return (b"[" + b"{}," * (LEGAL_BODY_SIZE // 3 - 1) + b"{}]")
+    if kind == "configurations":
+        return make_configuration(2, LEGAL_BODY_SIZE - 512)
+    return make_job(kind == "stored-jobs")
+
+
 def make_request(server, kind):
     """Returns the bytes that each client of a crowd sends, and how many of them in one turn."""
+    if kind == "headers":
+        return make_head(server, "X-Long: " + "x" * LEGAL_HEADER_SIZE)[:-2], 1 << 20
+    if kind == "reads":
+        return (f"GET /sapphirecrank/Config.Get HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode() * 50,
+                1 << 20)
+    if kind in ("nested", "jobs", "stored-jobs", "configurations"):
+        body = make_complete_body(kind)
+        return make_head(server, f"Content-Length: {len(body)}") + body, 1 << 20
     chunked = make_head(server, "Transfer-Encoding: chunked")
     if kind in ("whole", "pieces"):
         head = make_head(server, f"Content-Length: {LEGAL_BODY_SIZE}")
@@ -282,33 +316,48 @@
         time.sleep(0.05)
 
 
+def check_processes(deployment):
+    """Returns which processes have ended or had too much memory, and their peaks."""
+    failures, figures = [], []
+    for role, process in sorted(deployment.processes.items()):
+        if process.poll() is not None:
+            failures.append(f"the {role} ended with code {process.returncode}")
+            continue
+        peak = read_peak_memory_mb(process.pid)
+        figures.append(f"{role} {peak:.0f} MB")
+        if peak > MEMORY_MB:
+            failures.append(f"peak memory of the {role} above {MEMORY_MB} MB")
+    return failures, figures
+
+
 def run_crowd(deployment, server, kind):
     """Returns what didn't hold, and the measured figures."""
-    failures = []
+    if kind == "reads":
+        # Responses of the largest legal size.
+        deployment.retry_until_ok("a large configuration is accepted", START_LIMIT,
+                                  lambda: deployment.request(
+                                      "control", "POST", "/sapphirecrank/Config.Put",
+                                      make_configuration(2, LEGAL_BODY_SIZE - 512)))
     process = deployment.process_of(server)
     crowd = Crowd(deployment, server, kind)
+    failures = []
     try:
         crowd.send()
         wait_until_settled(process)
         crowd.count_descriptors()
-        if process.poll() is not None:
-            return [f"the process ended with code {process.returncode}"], "ended"
         try:
             deployment.retry_until_ok("an ordinary request is answered", ANSWER_LIMIT,
                                       lambda: deployment.ordinary_request(server))
         except AssertionError as error:
             failures.append(str(error))
-        if process.poll() is not None:
-            return failures + [f"the process ended with code {process.returncode}"], "ended"
-        peak = read_peak_memory_mb(process.pid)
+        process_failures, figures = check_processes(deployment)
     finally:
         crowd.close()
+    failures += process_failures
     descriptor_bound = DESCRIPTORS - RESERVED_DESCRIPTORS
-    if peak > MEMORY_MB:
-        failures.append(f"peak memory {peak:.0f} MB above {MEMORY_MB} MB")
     if crowd.maximum_descriptors > descriptor_bound:
         failures.append(f"{crowd.maximum_descriptors} descriptors above {descriptor_bound}")
-    return failures, f"peak {peak:.0f} MB, {crowd.maximum_descriptors} descriptors"
+    return failures, ", ".join(figures + [f"{crowd.maximum_descriptors} descriptors"])
 
 
 def run_calm(deployment, server):
