frontend, limits: Count a response until its memory is free

The budget gave the bytes of an unread response back when it began to close the connection, while libmicrohttpd still had it; and the handler's response callback kept the exchange, with its body and response, after the request had ended and its bytes were given back.

Change: a response is given back when its request ends. The exchange drops its body and its response then; libmicrohttpd shares the response.

--- a/src/frontend/http_server.cc
+++ b/src/frontend/http_server.cc
@@ -69,12 +69,15 @@
   // From Content-Length; 0 if the request has none.
   size_t announced_body_size = 0;
   // Set if the request is refused. Its body is then dropped.
-  std::optional<HttpResponse> refusal;
+  std::shared_ptr<const HttpResponse> refusal;
   size_t dropped_size = 0;
   bool was_passed_to_handler = false;
   std::mutex mutex;
   MHD_Connection* connection = nullptr;
-  std::optional<HttpResponse> response;
+  bool has_response = false;
+  // Null before the response, after it was sent, and if it is dropped. libmicrohttpd shares it, so
+  // that it is freed although the handler may still hold the exchange.
+  std::shared_ptr<const HttpResponse> response;
   // The response didn't fit into the budget, and the connection is closed without it.
   bool is_response_dropped = false;
 };
@@ -108,14 +111,17 @@
   return MHD_YES;
 }
 
-void ReleaseExchange(void* exchange) { delete static_cast<std::shared_ptr<Exchange>*>(exchange); }
+using ResponsePointer = std::shared_ptr<const HttpResponse>;
 
-/// Sends `response`, which belongs to `exchange`. Its body isn't copied.
-MHD_Result QueueResponse(MHD_Connection* connection, const std::shared_ptr<Exchange>& exchange,
-                         const HttpResponse& response, bool closes_connection) {
+void ReleaseResponse(void* response) { delete static_cast<ResponsePointer*>(response); }
+
+/// Sends a response, whose body isn't copied.
+MHD_Result QueueResponse(MHD_Connection* connection, const ResponsePointer& response_pointer,
+                         bool closes_connection) {
+  const HttpResponse& response = *response_pointer;
   MHD_Response* mhd_response = MHD_create_response_from_buffer_with_free_callback_cls(
-      response.body.size(), const_cast<char*>(response.body.data()), &ReleaseExchange,
-      new std::shared_ptr<Exchange>(exchange));
+      response.body.size(), const_cast<char*>(response.body.data()), &ReleaseResponse,
+      new ResponsePointer(response_pointer));
   MHD_add_response_header(mhd_response, MHD_HTTP_HEADER_CONTENT_TYPE,
                           response.content_type.c_str());
   if (closes_connection) {
@@ -423,15 +429,15 @@
   }
   if (exchange->refusal) {
     server->intake->budget().BeginResponse(exchange->intake_id, ByteCount(0));
-    return QueueResponse(connection, exchange, *exchange->refusal, server->closes_after_response);
+    return QueueResponse(connection, exchange->refusal, server->closes_after_response);
   }
   std::lock_guard<std::mutex> lock(exchange->mutex);
   if (exchange->is_response_dropped) {
     return MHD_NO;
   }
-  return exchange->response ? QueueResponse(connection, exchange, *exchange->response,
-                                            server->closes_after_response)
-                            : MHD_YES;
+  return exchange->response
+             ? QueueResponse(connection, exchange->response, server->closes_after_response)
+             : MHD_YES;
 }
 
 void HttpServer::Impl::OnCompleted(void* self, MHD_Connection* /*connection*/, void** context,
@@ -444,6 +450,9 @@
   {
     std::lock_guard<std::mutex> lock((*exchange_pointer)->mutex);
     (*exchange_pointer)->connection = nullptr;
+    // The handler may hold the exchange for longer, by its response callback.
+    (*exchange_pointer)->response.reset();
+    std::string().swap((*exchange_pointer)->request.body);
   }
   const ExchangePointer exchange = *exchange_pointer;
   delete exchange_pointer;
@@ -499,7 +508,7 @@
     if (exchange->announced_body_size > 2 * exchange->maximum_body_size) {
       // The body isn't read. libmicrohttpd closes the connection after the response.
       this->intake->budget().BeginResponse(exchange->intake_id, ByteCount(0));
-      return QueueResponse(connection, exchange, *exchange->refusal, true);
+      return QueueResponse(connection, exchange->refusal, true);
     }
   }
   return MHD_YES;
@@ -533,7 +542,7 @@
 }
 
 void HttpServer::Impl::RefuseExchange(Exchange& exchange, HttpResponse refusal) {
-  exchange.refusal = std::move(refusal);
+  exchange.refusal = std::make_shared<const HttpResponse>(std::move(refusal));
   const size_t dropped = exchange.intake_connection->DropBody();
   this->intake->budget().Release(exchange.intake_id, ToByteCount(dropped));
 }
@@ -558,7 +567,7 @@
   }
   if (exchange->refusal) {
     budget.BeginResponse(exchange->intake_id, ByteCount(0));
-    return QueueResponse(connection, exchange, *exchange->refusal, this->closes_after_response);
+    return QueueResponse(connection, exchange->refusal, this->closes_after_response);
   }
   exchange->request.body = exchange->intake_connection->TakeBody();
   exchange->was_passed_to_handler = true;
@@ -594,7 +603,7 @@
   // The connection is watched only after the handler was called, so that the handler knows each
   // request that is reported as disconnected.
   std::lock_guard<std::mutex> lock(exchange->mutex);
-  if (this->disconnect_watcher != nullptr && !exchange->response) {
+  if (this->disconnect_watcher != nullptr && !exchange->has_response) {
     this->disconnect_watcher->AddConnection(ConnectionDescriptor(connection),
                                             exchange->request.request_id);
   }
@@ -604,14 +613,17 @@
 void HttpServer::Impl::CompleteExchange(const ExchangePointer& exchange,
                                         const HttpResponse& response) {
   std::lock_guard<std::mutex> lock(exchange->mutex);
-  if (exchange->response) {
+  if (exchange->has_response) {
     return;
   }
+  exchange->has_response = true;
   const size_t size = response.body.size();
   const size_t charged_size = size > kShortResponseSize ? size - kShortResponseSize : 0;
   exchange->is_response_dropped =
       !this->intake->budget().BeginResponse(exchange->intake_id, ToByteCount(charged_size));
-  exchange->response = exchange->is_response_dropped ? HttpResponse() : response;
+  if (!exchange->is_response_dropped) {
+    exchange->response = std::make_shared<const HttpResponse>(response);
+  }
   if (exchange->connection != nullptr) {
     if (this->disconnect_watcher != nullptr) {
       this->disconnect_watcher->RemoveConnection(exchange->request.request_id);
--- a/src/frontend/http_server.h
+++ b/src/frontend/http_server.h
@@ -22,7 +22,8 @@
  public:
   using ResponseCallback = std::function<void(const HttpResponse&)>;
   /// Handles one request. Must call the callback exactly once, at once or later, from any thread.
-  /// Runs on a thread of the server and must not wait.
+  /// Runs on a thread of the server and must not wait. The request's body is valid until the
+  /// handler returns.
   using RequestHandler = std::function<void(const HttpRequest&, ResponseCallback)>;
 
   /// Called with the id of a request whose caller closed the connection before the response: at
--- a/src/limits/intake_budget.cc
+++ b/src/limits/intake_budget.cc
@@ -282,10 +282,14 @@
 void IntakeBudget::MakeRoom(const Demand& demand, IntakeReason reason) {
   const int64_t maximum_bytes = this->settings.maximum_bytes.value();
   std::vector<Closing> closings;
+  int64_t response_bytes = 0;
   for (const Candidate& candidate : this->FindCandidates(demand)) {
     const bool is_active = candidate.rank == kActiveUploadRank;
     const int64_t byte_target = is_active ? maximum_bytes : TargetBytes(maximum_bytes);
-    const bool needs_bytes = demand.bytes > 0 && this->used_bytes + demand.bytes > byte_target;
+    // Responses give their bytes back later. The present charge may be refused, but no more clients
+    // give way for it than needed.
+    const bool needs_bytes =
+        demand.bytes > 0 && this->used_bytes + demand.bytes - response_bytes > byte_target;
     const bool needs_connections =
         demand.connections > 0 && !is_active &&
         this->open_connections - this->closing_connections + demand.connections >
@@ -298,7 +302,8 @@
       // It may have been closed, or its request passed to its handler, since it was found.
       if (found != shard.end() && !found->second.is_closing &&
           this->RankOf(found->second, this->hooks.now()).has_value()) {
-        this->BeginClosing(found->second);
+        const int64_t held_bytes = this->BeginClosing(found->second);
+        response_bytes += candidate.rank == kSlowResponseRank ? held_bytes : 0;
         closings.push_back({candidate.id, reason});
       }
     });
@@ -402,12 +407,16 @@
   return std::nullopt;
 }
 
-void IntakeBudget::BeginClosing(Connection& connection) {
+int64_t IntakeBudget::BeginClosing(Connection& connection) {
   const int64_t cost = this->settings.connection_cost.value();
-  this->used_bytes -= connection.held_bytes - cost;
-  connection.held_bytes = cost;
+  // The library sends a response from its memory until it has closed the connection.
+  if (connection.phase != Phase::kResponse) {
+    this->used_bytes -= connection.held_bytes - cost;
+    connection.held_bytes = cost;
+  }
   connection.is_closing = true;
   ++this->closing_connections;
+  return connection.held_bytes;
 }
 
 void IntakeBudget::CloseConnections(const std::vector<Closing>& closings) {
--- a/src/limits/intake_budget.h
+++ b/src/limits/intake_budget.h
@@ -39,8 +39,9 @@
   struct Hooks {
     /// Current time.
     base::Clock now;
-    /// Frees what the connection's request holds before it returns, and closes the connection,
-    /// whose owner then calls `CloseConnection`. Called at most once for each connection.
+    /// Frees what the connection's request holds before it returns, except a response that is being
+    /// sent, and closes the connection, whose owner then calls `CloseConnection`. Called at most
+    /// once for each connection.
     std::function<void(IntakeId, IntakeReason)> close_connection;
     /// Called when 80 % of a limit is in use; again only after both were below 60 %.
     std::function<void(const IntakeUsage&)> on_high_usage;
@@ -148,8 +149,9 @@
   /// Returns the reason if the connection's time is over.
   std::optional<IntakeReason> ExpiredReason(const Connection& connection,
                                             base::TimePoint now) const;
-  /// Marks a connection as being closed and gives back what its request holds.
-  void BeginClosing(Connection& connection);
+  /// Marks a connection as being closed and gives back what its request holds, except a response.
+  /// Returns the bytes that will be given back when the connection is closed.
+  int64_t BeginClosing(Connection& connection);
   void CloseConnections(const std::vector<Closing>& closings);
   void EnterPhase(Connection& connection, Phase phase) const;
   void CheckUsage();
--- a/tests/limits/intake_budget_test.cc
+++ b/tests/limits/intake_budget_test.cc
@@ -124,6 +124,24 @@
   LONGS_EQUAL(100 + kConnectionCost, this->UsedBytes());
 }
 
+// Guards against memory above the limit: responses of connections that are being closed are still
+// in memory, and counted as free they made room for others.
+TEST(IntakeBudget, UnreadResponsesAreGivenBackWhenTheyAreFreed) {
+  const IntakeId unread = this->Upload(this->crowd_address, 100);
+  CHECK(this->budget.BeginHandling(unread, ByteCount(0)));
+  CHECK(this->budget.BeginResponse(unread, ByteCount(800)));
+  this->clock.Advance(seconds(2));
+  const IntakeId caller = this->Upload(this->caller_address, 10);
+  CHECK_FALSE(this->budget.ReceiveBody(caller, ByteCount(100), ByteCount(100)));
+  LONGS_EQUAL(1, this->closed.size());
+  CHECK(this->closed[0].first == unread);
+  LONGS_EQUAL(910 + 20, this->UsedBytes());
+  this->budget.EndRequest(unread);
+  this->budget.CloseConnection(unread);
+  CHECK(this->budget.ReceiveBody(caller, ByteCount(100), ByteCount(100)));
+  LONGS_EQUAL(120, this->UsedBytes());
+}
+
 // Guards against connections without a request that use up all descriptors.
 TEST(IntakeBudget, IdleConnectionsGiveWayToNewOnes) {
   for (int i = 0; i < 50; ++i) {
@@ -241,7 +259,10 @@
                                      // Never a request that was passed to its handler, and once.
                                      RC_ASSERT(clients.at(id).phase != 3);
                                      RC_ASSERT(closing.insert(id).second);
-                                     clients.at(id).held = kConnectionCost;
+                                     // A response is freed when its connection is closed.
+                                     if (clients.at(id).phase != 4) {
+                                       clients.at(id).held = kConnectionCost;
+                                     }
                                    },
                                    [](const IntakeUsage& /*usage*/) {}});
     const int steps = *rc::gen::inRange(0, 300);
