tests: Check the silence of gateways under frequent events

The check was left out of the test with uniform events, because a run can outlast its silent gateway there.

--- a/tests/runs/service_scheduler_property_test.cc
+++ b/tests/runs/service_scheduler_property_test.cc
@@ -44,7 +44,8 @@
 /// the gateway has of its batches.
 class SchedulerSimulation {
  public:
-  explicit SchedulerSimulation(Distribution distribution) : distribution(distribution) {
+  SchedulerSimulation(Distribution distribution, bool checks_silent_gateways)
+      : distribution(distribution), checks_silent_gateways(checks_silent_gateways) {
     for (int i = 0; i < kTargetCount; ++i) {
       const std::string id = "t" + std::to_string(i);
       this->targets.emplace(base::TargetId(id),
@@ -454,16 +455,15 @@
         RC_ASSERT(lowest_valid_run == this->lowest_valid_runs.end() ||
                   key.run >= lowest_valid_run->second);
         // After 1.3 s, a caller of the silent gateway may submit its job again.
-        // FIXME: With uniform events, a run can last longer. A poll of a target with stopped
-        // runs only extends the lease by its full length, and then a run is started there for a
-        // gateway that has been silent for almost 1 s.
-        RC_ASSERT(this->distribution == Distribution::kUniform ||
+        RC_ASSERT(!this->checks_silent_gateways ||
                   this->now - this->alive_at <= milliseconds(1300));
       }
     }
   }
 
   Distribution distribution;
+  // Whether runs that outlast their silent gateway fail the test.
+  bool checks_silent_gateways;
   base::TimePoint now{std::chrono::seconds(100)};
   base::FencingToken fencing_token{1};
   runs::ServiceScheduler scheduler;
@@ -487,6 +487,16 @@
   int next_job_number = 1;
 };
 
+bool HoldsWithUniformEvents(bool checks_silent_gateways) {
+  return rc::check([checks_silent_gateways] {
+    SchedulerSimulation simulation(Distribution::kUniform, checks_silent_gateways);
+    for (int i = 0; i < kStepCount; ++i) {
+      simulation.Step();
+    }
+    simulation.Finish();
+  });
+}
+
 }  // namespace
 
 TEST_GROUP(ServiceSchedulerProperty){};
@@ -499,7 +509,7 @@
 // requests that are carried out late and restarts of targets under their ids occur in any order.
 TEST(ServiceSchedulerProperty, NeverOvercommitsAndNeverRunsATaskTwiceAtOnce) {
   const bool holds = rc::check([] {
-    SchedulerSimulation simulation(Distribution::kGrowing);
+    SchedulerSimulation simulation(Distribution::kGrowing, true);
     for (int i = 0; i < kStepCount; ++i) {
       simulation.Step();
     }
@@ -510,14 +520,16 @@
 
 // Guards against the same faults where events are frequent that the test above draws rarely:
 // evacuations, start limits, recalls, restarts and changes of owners. Runs that outlast a silent
-// gateway are left to the test above.
+// gateway are left to the other two tests.
 TEST(ServiceSchedulerProperty, HoldsWithFrequentEvacuationsAndRecalls) {
-  const bool holds = rc::check([] {
-    SchedulerSimulation simulation(Distribution::kUniform);
-    for (int i = 0; i < kStepCount; ++i) {
-      simulation.Step();
-    }
-    simulation.Finish();
-  });
-  CHECK_TRUE(holds);
+  CHECK_TRUE(HoldsWithUniformEvents(false));
+}
+
+// Guards against runs that are still active 1.3 s after their gateway went silent, with the same
+// frequent events.
+// FIXME: A poll of a target with stopped runs only extends the lease by its full length, and then a
+// run is started there for a gateway that has been silent for almost 1 s. Its caller may submit the
+// job again before that lease ends. Listed in KNOWN-RED.txt.
+TEST(ServiceSchedulerProperty, StopsRunsOfSilentGatewaysWithFrequentEvents) {
+  CHECK_TRUE(HoldsWithUniformEvents(true));
 }
