gateway: Share what the two ways of placing a batch again have in common

Returned and refused batches built their successor and their progress alike, with small variations. The round trip time stood in two files, and the recall policy looked up reports that it had just read.

--- a/src/gateway/allocator_selector.cc
+++ b/src/gateway/allocator_selector.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/mutex_lock.h"
+#include "gateway/round_trip_time.h"
 
 namespace sapphirecrank::gateway {
 
@@ -16,9 +17,6 @@
 
 constexpr base::Duration kPreferredReportAge = std::chrono::milliseconds(250);
 constexpr base::Duration kMaximumReportAge = std::chrono::milliseconds(500);
-// A report doesn't include tasks that were placed within this time before it arrived: they reached
-// the allocator after it was sent.
-constexpr base::Duration kRoundTripTime = std::chrono::milliseconds(4);
 
 }  // namespace
 
--- a/src/gateway/job_dispatcher.cc
+++ b/src/gateway/job_dispatcher.cc
@@ -124,49 +124,50 @@
   return Placement{*choice, std::move(request), std::move(batch)};
 }
 
+WaitPolicy::Progress JobDispatcher::ProgressOf(const JobEntry& entry,
+                                               const OpenBatch& batch) const {
+  const base::TimePoint now = this->hooks.now();
+  return {now - entry.placed_steps.at(batch.step), entry.job.time_left - (now - entry.arrived_at),
+          entry.may_have_run || !entry.open_batches.empty(), batch.placement_count};
+}
+
+OpenBatch JobDispatcher::NextBatchOf(const OpenBatch& previous, base::TimePoint avoided_since) {
+  OpenBatch next;
+  next.step = previous.step;
+  next.tasks = previous.tasks;
+  next.first_run_number = previous.first_run_number;
+  next.placement_count = previous.placement_count + 1;
+  next.recall_count = previous.recall_count;
+  next.avoided = previous.avoided;
+  next.avoided[previous.allocator] = avoided_since;
+  return next;
+}
+
 std::optional<JobDispatcher::Placement> JobDispatcher::PlaceReturnedTasks(
     JobEntry& entry, const OpenBatch& previous, std::set<base::TaskIndex> tasks,
     base::RunNumber first_run_number) {
-  const base::TimePoint now = this->hooks.now();
   const auto wait_limit = WaitPolicy::WaitAfterReturn(
-      entry.job, entry.job.steps[previous.step.value()],
-      {now - entry.placed_steps.at(previous.step), entry.job.time_left - (now - entry.arrived_at),
-       entry.may_have_run || !entry.open_batches.empty(), previous.placement_count});
+      entry.job, entry.job.steps[previous.step.value()], this->ProgressOf(entry, previous));
   if (!wait_limit) {
     return std::nullopt;
   }
-  OpenBatch next;
-  next.step = previous.step;
-  next.tasks = std::move(tasks);
-  next.first_run_number = first_run_number;
-  next.placement_count = previous.placement_count + 1;
-  next.recall_count = previous.recall_count;
-  next.avoided = previous.avoided;
   // An allocator that returns tasks unasked can't run them, until it reports otherwise. One that
   // was asked still can if all others have been lost meanwhile.
-  next.avoided[previous.allocator] = previous.recalled_at ? base::TimePoint::min() : now;
+  OpenBatch next =
+      NextBatchOf(previous, previous.recalled_at ? base::TimePoint::min() : this->hooks.now());
+  next.tasks = std::move(tasks);
+  next.first_run_number = first_run_number;
   return this->PlaceBatch(entry, std::move(next), *wait_limit, false);
 }
 
 std::optional<JobDispatcher::Placement> JobDispatcher::PlaceRefusedBatch(
     JobEntry& entry, const OpenBatch& previous) {
-  const base::TimePoint now = this->hooks.now();
   const auto wait_limit = WaitPolicy::WaitAfterRefusal(
-      entry.job, entry.job.steps[previous.step.value()],
-      {now - entry.placed_steps.at(previous.step), entry.job.time_left - (now - entry.arrived_at),
-       entry.may_have_run || !entry.open_batches.empty(), previous.placement_count});
+      entry.job, entry.job.steps[previous.step.value()], this->ProgressOf(entry, previous));
   if (!wait_limit) {
     return std::nullopt;
   }
-  OpenBatch next;
-  next.step = previous.step;
-  next.tasks = previous.tasks;
-  next.first_run_number = previous.first_run_number;
-  next.placement_count = previous.placement_count + 1;
-  next.recall_count = previous.recall_count;
-  next.avoided = previous.avoided;
-  next.avoided[previous.allocator] = now;
-  return this->PlaceBatch(entry, std::move(next), *wait_limit, true);
+  return this->PlaceBatch(entry, NextBatchOf(previous, this->hooks.now()), *wait_limit, true);
 }
 
 void JobDispatcher::Submit(Job job, uint64_t caller, ResultCallback callback) {
--- a/src/gateway/job_dispatcher.h
+++ b/src/gateway/job_dispatcher.h
@@ -20,6 +20,7 @@
 #include "gateway/open_batch.h"
 #include "gateway/recall_candidate.h"
 #include "gateway/recall_policy.h"
+#include "gateway/wait_policy.h"
 #include "runs/batch_recall.h"
 #include "runs/batch_result.h"
 #include "runs/returned_tasks.h"
@@ -157,6 +158,11 @@
   /// batch, and adds it to the open batches of the job. Returns none if no allocator can take them.
   std::optional<Placement> PlaceBatch(JobEntry& entry, OpenBatch open_batch,
                                       base::Duration wait_limit, bool needs_free_capacity);
+  /// Returns what has been used up of the job's time, for another placement of `batch`.
+  WaitPolicy::Progress ProgressOf(const JobEntry& entry, const OpenBatch& batch) const;
+  /// Returns a batch with the tasks of `previous`, to be placed without the allocator of `previous`
+  /// unless that has reported after `avoided_since`.
+  static OpenBatch NextBatchOf(const OpenBatch& previous, base::TimePoint avoided_since);
   /// Places tasks that `previous` had at its allocator once more, see `WaitPolicy`.
   std::optional<Placement> PlaceReturnedTasks(JobEntry& entry, const OpenBatch& previous,
                                               std::set<base::TaskIndex> tasks,
--- a/src/gateway/recall_policy.cc
+++ b/src/gateway/recall_policy.cc
@@ -6,6 +6,8 @@
 #include <set>
 #include <tuple>
 
+#include "gateway/round_trip_time.h"
+
 namespace sapphirecrank::gateway {
 
 using base::Duration;
@@ -26,8 +28,6 @@
 // first report after its placement, which is there after this time at the latest, shows whether
 // tasks wait. Later reports say nothing about the batch, as it may have started meanwhile.
 constexpr Duration kFirstReportTimeout = std::chrono::milliseconds(150);
-// A report that arrives sooner after a placement was sent before the batch arrived.
-constexpr Duration kRoundTripTime = std::chrono::milliseconds(4);
 // A recall without an answer within this time was answered with nothing: no task waits.
 constexpr Duration kAnswerTimeout = std::chrono::milliseconds(100);
 // An unanswered recall shows that all tasks have been started. A second one is for tasks that wait
@@ -44,6 +44,7 @@
   HostId allocator;
   bool is_near = false;
   TaskCount count;
+  TimePoint reported_at;
 };
 
 bool HasFreeCapacity(const AllocatorCapacity& known) {
@@ -154,7 +155,7 @@
     if (HasFreeCapacity(known) &&
         (claimed == this->claimed_reports.end() || claimed->second < known.reported_at)) {
       free_capacities.push_back(
-          {known.allocator, known.is_near, known.capacity.free_task_capacity});
+          {known.allocator, known.is_near, known.capacity.free_task_capacity, known.reported_at});
     }
   }
   std::vector<const RecallCandidate*> candidates;
@@ -182,11 +183,7 @@
   TaskCount free_count = TaskCount(0) - pending_count;
   for (const FreeCapacity& free_capacity : free_capacities) {
     free_count += free_capacity.count;
-    for (const AllocatorCapacity& known : capacities) {
-      if (known.allocator == free_capacity.allocator && known.capacity.service == service) {
-        this->claimed_reports[{known.allocator, service}] = known.reported_at;
-      }
-    }
+    this->claimed_reports[{free_capacity.allocator, service}] = free_capacity.reported_at;
   }
   TaskCount own_count;
   for (const auto& [allocator, count] : own_counts) {
