--- a/src/clusterhost/operator_api.cc
+++ b/src/clusterhost/operator_api.cc
@@ -8,6 +8,7 @@
 
 #include "base/error_code.h"
 #include "base/execution_verdict.h"
+#include "frontend/response_writer.h"
 
 namespace sapphirecrank::clusterhost {
 
@@ -23,10 +24,7 @@
 constexpr const char* kEvacuationPrefix = "/v1/evacuations/";
 constexpr int kOk = 200;
 constexpr int kTemporaryRedirect = 307;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
 constexpr int kMethodNotAllowed = 405;
-constexpr int kServiceUnavailable = 503;
 
 bool HasPrefix(const std::string& text, const std::string& prefix) {
   return text.compare(0, prefix.size(), prefix) == 0;
@@ -40,20 +38,11 @@
   return response;
 }
 
-HttpResponse MakeErrorResponse(int status, base::ErrorCode code, const std::string& field,
-                               const std::string& message,
-                               base::ExecutionVerdict verdict = base::ExecutionVerdict::kNotRun) {
-  return MakeResponse(status, {{"error",
-                                {{"code", base::ErrorCodeName(code)},
-                                 {"field", field},
-                                 {"message", message},
-                                 {"verdict", base::ExecutionVerdictName(verdict)}}}});
-}
-
 HttpResponse MethodNotAllowedResponse(const std::string& allowed_methods) {
   HttpResponse response =
-      MakeErrorResponse(kMethodNotAllowed, base::ErrorCode::kInvalidArgument, "method",
-                        "only " + allowed_methods + " is supported here");
+      frontend::ErrorResponse({base::ErrorCode::kInvalidArgument, "method",
+                               "only " + allowed_methods + " is supported here"});
+  response.status = kMethodNotAllowed;
   response.headers["Allow"] = allowed_methods;
   return response;
 }
@@ -86,7 +75,7 @@
   if (request.path == kEvacuationsPath) {
     respond(request.method == "GET" ? this->ListEvacuations() : MethodNotAllowedResponse("GET"));
   } else if (!HasPrefix(request.path, kEvacuationPrefix)) {
-    respond(MakeErrorResponse(kNotFound, base::ErrorCode::kNotFound, "path", "no such resource"));
+    respond(frontend::ErrorResponse({base::ErrorCode::kNotFound, "path", "no such resource"}));
   } else if (request.method == "PUT" || request.method == "DELETE") {
     const auto kind =
         request.method == "PUT" ? EvacuationOrder::Kind::kStart : EvacuationOrder::Kind::kFinish;
@@ -101,14 +90,14 @@
                                   const std::string& data_centre, const std::string& path_prefix,
                                   const ResponseCallback& respond) {
   if (!request.body.empty()) {
-    respond(MakeErrorResponse(kBadRequest, base::ErrorCode::kInvalidArgument, "body",
-                              "the request must not have a body"));
+    respond(frontend::ErrorResponse(
+        {base::ErrorCode::kInvalidArgument, "body", "the request must not have a body"}));
     return;
   }
   const base::DataCentreId id(data_centre);
   if (!this->hooks.is_known_data_centre(id)) {
-    respond(MakeErrorResponse(kBadRequest, base::ErrorCode::kInvalidArgument, "data_centre",
-                              "no data centre '" + data_centre + "' is known here"));
+    respond(frontend::ErrorResponse({base::ErrorCode::kInvalidArgument, "data_centre",
+                                     "no data centre '" + data_centre + "' is known here"}));
     return;
   }
   const auto& order = kind == EvacuationOrder::Kind::kStart ? this->hooks.start_evacuation
@@ -123,9 +112,9 @@
       redirect.headers["Location"] = "http://" + leader + location;
       respond(redirect);
     } else {
-      respond(MakeErrorResponse(kServiceUnavailable, base::ErrorCode::kUnavailable, "",
-                                "the order is not confirmed; send it again",
-                                base::ExecutionVerdict::kMayHaveRun));
+      respond(frontend::ErrorResponse({base::ErrorCode::kUnavailable, "",
+                                       "the order is not confirmed; send it again",
+                                       base::ExecutionVerdict::kMayHaveRun}));
     }
   });
 }
