--- a/review/11/case.py
+++ b/review/11/case.py
@@ -14,8 +14,8 @@
 JOB = {"spec": json.dumps({"ms": WORK_MS}),
        "steps": [{"count": 1, "cpu": 1000, "memMb": 16, "estRuntimeMs": WORK_MS}]}
 # Seconds of a standstill and of the pause after it, drawn anew each time; jobs for each.
-STANDSTILL, PAUSE, JOBS = (0.74, 0.88), (0.8, 1.05), 8
-TRY_S, LAST_RUNS_S = 85, 5
+STANDSTILL, PAUSE, JOBS = (0.76, 0.88), (0.4, 0.65), 8
+TRY_S, LAST_RUNS_S = 87, 5
 
 
 class DoubleRuns:
--- a/review/support-3/deployment.py
+++ b/review/support-3/deployment.py
@@ -428,6 +428,20 @@
             await asyncio.sleep(0.2)
         raise CannotRun("the first configuration was not accepted")
 
+    async def leader_address(self, version):
+        """Changes the configuration; returns the control address of the node that acknowledges it.
+
+        Nodes that don't lead answer with a 307 to the one that does."""
+        for attempt in range(40):
+            to = self.control_addresses()[attempt % len(self.allocators)]
+            status, _ = await call(to, "POST", "/sapphirecrank/Config.Put",
+                                   self.configuration(version), timeout=1.0, redirects=0)
+            self.record.line(f"operator Config.Put {version} at {to} -> {status}")
+            if status == 200:
+                return to
+            await asyncio.sleep(0.1)
+        raise CannotRun("no node acknowledged the configuration")
+
     async def begin(self, runners):
         """Starts everything, and waits until gateways are ready and runners are in use.
 
