peers: Drop messages that were sent for a session that the receiver has ended

Cause: a host that wakes from such a standstill finds that its last acknowledged heartbeat is 1 s old, counts the leader as lost, begins a new session and cancels the leader's batches. The leader noticed nothing, so the messages that it has sent meanwhile belong to a session of its own that goes on, and the follower accepted them after it had ended its side. The leader then learned of the new session, took all of its batches there for cancelled, also those that were started after the cancellation, and placed their tasks again 1.8 s later.

Each envelope now names the receiver's session as its sender knows it. The receiver drops numbered messages for a session that it has ended, and the side that learns of a new session drops what it hasn't got acknowledged. Both hosts therefore agree on each message: it counts for both or is void for both, whichever of them counted the other as lost and in which order the messages arrive. Unnumbered messages are still accepted, because the answer to a heartbeat tells its sender of the new session.

Related paths: - A hello carried a session number that was ignored. It is handled now, so that the acknowledgement of the hello is one for the present session. - A call of SendReliably that overlapped a session reset could send into the new session what the hook had just declared void. The peer counts as unreachable while the hook runs, and a message is dropped if its epoch has ended; on_peer_up follows, so that state which is sent once for each session is sent again. - The first contact of two processes began a session and reported a reset although nothing had been sent. It doesn't any more. - Entry hosts share src/peers and ignored resets: their peers would now drop work that was then awaited until its deadline. They end it like that of a lost host. - A gateway's outstanding request for the configuration is sent again.

Envelopes have a further field, receiver_session. Hosts of earlier program versions ignore it, and envelopes without it are accepted as before, so that the fault remains between hosts of which one has an earlier version.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -67,6 +67,9 @@
 /// Number of a session of a process with another host, from 1. A new session begins after the other
 /// host was considered lost.
 using SessionNumber = StrongNumber<struct SessionNumberTag, uint64_t>;
+/// Number of the sessions of two hosts with each other, counted by one of them. It increases when
+/// either host has ended the present session.
+using SessionEpoch = StrongNumber<struct SessionEpochTag, uint64_t>;
 /// Identifies one start of a process; each start has another value.
 using Incarnation = StrongNumber<struct IncarnationTag, uint64_t>;
 
--- a/src/clusterhost/gateway_host.cc
+++ b/src/clusterhost/gateway_host.cc
@@ -161,8 +161,7 @@
     // The allocator has cancelled all batches that this gateway had placed there.
     this->logger.Warning("allocator had declared this gateway lost and cancelled its batches",
                          {{"host", host.value()}});
-    this->dispatcher.OnAllocatorLost(host);
-    this->job_client.OnAllocatorLost(host);
+    this->EndRequestsTo(host);
   };
   hooks.on_heartbeat_acknowledged = [](const HostId& /*host*/, base::TimePoint /*sent*/) {};
   hooks.make_heartbeat = [] { return protocol::Heartbeat(); };
@@ -263,6 +262,10 @@
 void GatewayHost::OnAllocatorLost(const HostId& host) {
   this->logger.Warning("allocator unreachable", {{"host", host.value()}});
   this->configuration_fetcher.OnAllocatorLost(host);
+  this->EndRequestsTo(host);
+}
+
+void GatewayHost::EndRequestsTo(const HostId& host) {
   this->allocator_selector.OnAllocatorLost(host);
   this->dispatcher.OnAllocatorLost(host);
   this->job_client.OnAllocatorLost(host);
--- a/src/clusterhost/gateway_host.h
+++ b/src/clusterhost/gateway_host.h
@@ -78,6 +78,8 @@
   void OnClusterUpdate(const base::HostId& from, const cluster::ClusterUpdate& update);
   void OnConfiguration(const cluster::ConfigurationRecord& configuration);
   void OnAllocatorLost(const base::HostId& host);
+  /// Ends or moves what an allocator has to do for this gateway and doesn't do any more.
+  void EndRequestsTo(const base::HostId& host);
   void OnBatchMove(const gateway::BatchMove& move);
   void RecallBatch(const base::HostId& host, const runs::BatchRecall& recall);
   void OnJobEnd(const gateway::Job& job, const gateway::JobResult& result, base::Duration age);
--- a/src/entryhost/entry_host.cc
+++ b/src/entryhost/entry_host.cc
@@ -182,6 +182,8 @@
   void OnViewAgreed(base::Epoch epoch, const std::vector<ViewConsensus::Member>& members);
   void OnPeerUp(const HostId& host, base::Incarnation peer_incarnation);
   void OnPeerLost(const HostId& host);
+  void OnPeerSessionReset(const HostId& host);
+  void EndWorkOnHost(const HostId& host);
   bool OnTaskReport(const HostId& host, const TaskReport& report);
   HostId ReachableHostIn(const base::DataCentreId& data_centre) const;
 
@@ -362,9 +364,7 @@
     this->OnPeerUp(host, peer_incarnation);
   };
   hooks.on_peer_lost = [this](const HostId& host) { this->OnPeerLost(host); };
-  // FIXME: A session reset doesn't end the work that this host has placed on the peer, which
-  // counted this host as lost for a while; such work is awaited until its deadline.
-  hooks.on_session_reset = [](const HostId& /*host*/) {};
+  hooks.on_session_reset = [this](const HostId& host) { this->OnPeerSessionReset(host); };
   hooks.on_heartbeat_acknowledged = [](const HostId& /*host*/, base::TimePoint /*sent*/) {};
   hooks.make_heartbeat = [this] { return this->MakeHeartbeat(); };
   hooks.on_connection_error = [this](const HostId& host, const std::string& reason) {
@@ -697,11 +697,23 @@
   }
   this->thread_pool->Enqueue(std::hash<HostId>()(host), [this, host] {
     this->host_load_table.RemoveHost(host);
-    this->request_router.OnHostLost(host);
-    this->job_service.OnHostLost(host);
+    this->EndWorkOnHost(host);
   });
 }
 
+void EntryHost::Impl::OnPeerSessionReset(const HostId& host) {
+  // The peer drops messages that were sent since then, so that work in them would never end.
+  this->logger.Warning("peer had declared this host lost; ending the work placed there",
+                       {{"peer", host.value()}});
+  this->thread_pool->Enqueue(std::hash<HostId>()(host),
+                             [this, host] { this->EndWorkOnHost(host); });
+}
+
+void EntryHost::Impl::EndWorkOnHost(const HostId& host) {
+  this->request_router.OnHostLost(host);
+  this->job_service.OnHostLost(host);
+}
+
 void EntryHost::Impl::OnViewAgreed(base::Epoch epoch,
                                    const std::vector<ViewConsensus::Member>& members) {
   jobs::MembershipView view;
--- a/src/peers/peer_network.cc
+++ b/src/peers/peer_network.cc
@@ -82,8 +82,9 @@
     WebSocketClient::connection_ptr link;
     bool is_link_open = false;
     std::atomic<bool> is_reachable{false};
-    // Copy of `session.session_number()` that other threads may read.
-    std::atomic<base::SessionNumber> session_number{base::SessionNumber(1)};
+    // Copy of `session.epoch()` that other threads may read. It changes only while `is_reachable`
+    // is false, and the hook that reports the change has returned before that is true again.
+    std::atomic<base::SessionEpoch> session_epoch{base::SessionEpoch(1)};
     base::Incarnation incarnation;
     SequenceNumber next_heartbeat_number{1};
     TimePoint link_started_at;
@@ -111,9 +112,14 @@
   void UpdateIncarnation(Peer& peer, base::Incarnation incarnation);
   void OnHeartbeatAck(Peer& peer, const Envelope& envelope, SequenceNumber sequence_number);
   void MarkReachable(Peer& peer, TimePoint heartbeat_sent_at);
+  /// Returns whether the message of the envelope has to be handled.
   bool ReceiveEnvelope(Peer& peer, const Envelope& envelope);
+  /// Reports that the peer has begun a new session. Messages to it fail until the hooks have
+  /// withdrawn what belonged to the earlier one.
+  void OnSessionReset(Peer& peer);
   void OnAcceptedMessage(const connection_hdl& connection, const std::string& bytes);
-  void OnHello(const connection_hdl& connection, const protocol::Hello& hello);
+  void OnHello(const connection_hdl& connection, const Envelope& envelope,
+               const protocol::Hello& hello);
   void RefuseConnection(const connection_hdl& connection, const HostId& host,
                         const std::string& reason);
   void Tick();
@@ -136,7 +142,7 @@
   websocketpp::lib::asio::steady_timer tick_timer;
   TimePoint last_tick_at;
   // Peers are never removed, so references to them stay valid. Only the network thread uses their
-  // members, except `is_reachable`, `session_number` and `address.data_centre`, which other threads
+  // members, except `is_reachable`, `session_epoch` and `address.data_centre`, which other threads
   // read too. After the start only the network thread adds peers, under the lock.
   mutable base::Mutex peers_mutex;
   std::map<HostId, Peer> peers;
@@ -217,21 +223,24 @@
 
 bool PeerNetwork::Impl::SendReliably(const HostId& host, Message message) {
   Peer* found = this->FindPeer(host);
-  if (found == nullptr || !found->is_reachable) {
+  if (found == nullptr) {
     return false;
   }
-  const base::SessionNumber session = found->session_number;
-  this->PostToNetworkThread(
-      [this, &peer = *found, session, message = std::move(message)]() mutable {
-        if (session != peer.session.session_number()) {
-          return;  // The host has been counted as lost since the call.
-        }
-        if (!peer.session.HasSendCapacity()) {
-          this->MarkUnreachable(peer);
-          return;
-        }
-        this->WriteEnvelope(peer, peer.session.MakeReliableEnvelope(std::move(message)));
-      });
+  // Read before `is_reachable`: the epoch then is one of which the caller's hooks know.
+  const base::SessionEpoch epoch = found->session_epoch;
+  if (!found->is_reachable) {
+    return false;
+  }
+  this->PostToNetworkThread([this, &peer = *found, epoch, message = std::move(message)]() mutable {
+    if (epoch != peer.session.epoch()) {
+      return;  // One of the hosts has counted the other as lost since the call.
+    }
+    if (!peer.session.HasSendCapacity()) {
+      this->MarkUnreachable(peer);
+      return;
+    }
+    this->WriteEnvelope(peer, peer.session.MakeReliableEnvelope(std::move(message)));
+  });
   return true;
 }
 
@@ -414,11 +423,23 @@
 }
 
 bool PeerNetwork::Impl::ReceiveEnvelope(Peer& peer, const Envelope& envelope) {
-  const PeerSession::ReceiveResult result = peer.session.ReceiveEnvelope(envelope);
-  if (result == PeerSession::ReceiveResult::kAcceptedInNewSession) {
-    this->hooks.on_session_reset(peer.address.host);
+  using ReceiveResult = PeerSession::ReceiveResult;
+  const ReceiveResult result = peer.session.ReceiveEnvelope(envelope);
+  if (result == ReceiveResult::kAcceptedInNewSession ||
+      result == ReceiveResult::kStaleInNewSession) {
+    this->OnSessionReset(peer);
+  }
+  return result == ReceiveResult::kAccepted || result == ReceiveResult::kAcceptedInNewSession;
+}
+
+void PeerNetwork::Impl::OnSessionReset(Peer& peer) {
+  const bool was_reachable = peer.is_reachable.exchange(false);
+  peer.session_epoch = peer.session.epoch();
+  this->hooks.on_session_reset(peer.address.host);
+  if (was_reachable) {
+    peer.is_reachable = true;
+    this->hooks.on_peer_up(peer.address.host, peer.incarnation);
   }
-  return result != PeerSession::ReceiveResult::kDuplicateOrStale;
 }
 
 void PeerNetwork::Impl::OnLinkEnded(Peer& peer, const void* id, const std::string& reason) {
@@ -488,7 +509,7 @@
     return;
   }
   if (const auto* hello = std::get_if<protocol::Hello>(&envelope->message)) {
-    this->OnHello(connection, *hello);
+    this->OnHello(connection, *envelope, *hello);
     return;
   }
   const HostId host = found->second.host;
@@ -507,7 +528,8 @@
   this->hooks.on_message(host, std::move(envelope->message));
 }
 
-void PeerNetwork::Impl::OnHello(const connection_hdl& connection, const protocol::Hello& hello) {
+void PeerNetwork::Impl::OnHello(const connection_hdl& connection, const Envelope& envelope,
+                                const protocol::Hello& hello) {
   auto peer = this->peers.find(hello.host);
   if (hello.protocol_version != protocol::kProtocolVersion) {
     this->RefuseConnection(connection, hello.host, "other protocol version");
@@ -531,6 +553,8 @@
   this->accepted_connections[connection].host = hello.host;
   this->accepted_connections[connection].incarnation = hello.incarnation;
   this->UpdateIncarnation(peer->second, hello.incarnation);
+  // The acknowledgement tells the peer which of its sessions this host knows.
+  (void)this->ReceiveEnvelope(peer->second, envelope);
   if (!peer->second.is_link_open &&
       this->hooks.now() - peer->second.link_started_at >= kStaleConnectionAttemptAge) {
     // The host is running now; a connection attempt from before its start could still wait for its
@@ -615,11 +639,12 @@
 }
 
 void PeerNetwork::Impl::MarkUnreachable(Peer& peer) {
-  peer.session.BeginNewSession();
-  peer.session_number = peer.session.session_number();
-  if (peer.is_reachable.exchange(false)) {
-    this->hooks.on_peer_lost(peer.address.host);
+  if (!peer.is_reachable.exchange(false)) {
+    return;  // Nothing was sent to it in the present session.
   }
+  peer.session.BeginNewSession();
+  peer.session_epoch = peer.session.epoch();
+  this->hooks.on_peer_lost(peer.address.host);
 }
 
 void PeerNetwork::Impl::ScheduleTick() {
--- a/src/peers/peer_network.h
+++ b/src/peers/peer_network.h
@@ -29,15 +29,17 @@
     /// A message has arrived. The reliable messages of one sender process arrive exactly once and
     /// in order.
     std::function<void(const base::HostId&, protocol::Message)> on_message;
-    /// A host has become reachable after a start, loss or restart; the incarnation identifies its
-    /// process.
+    /// A host has become reachable after a start, loss, restart or session reset; the incarnation
+    /// identifies its process.
     std::function<void(const base::HostId&, base::Incarnation)> on_peer_up;
     /// A host has acknowledged no heartbeat that was sent within the host timeout, or was
     /// restarted. Called once for each if a restart follows a loss, because messages of the earlier
     /// process may have arrived in between.
     std::function<void(const base::HostId&)> on_peer_lost;
     /// Another host had counted this one as lost and has begun a new session. Requests that the two
-    /// hosts sent to each other before are void.
+    /// hosts sent to each other before are void: the other host has dropped what this one sent
+    /// since then. While this hook runs, the other host counts as unreachable; if it was reachable
+    /// before, `on_peer_up` follows.
     std::function<void(const base::HostId&)> on_session_reset;
     /// A host has acknowledged a heartbeat or hello that was sent at the given time. Up to that
     /// acknowledgement it had not counted this host as lost since the last `on_session_reset`.
@@ -74,7 +76,9 @@
   /// since.
   std::vector<base::HostId> ReachablePeers() const;
 
-  /// Sends a message that arrives exactly once unless the other process ends or counts as lost.
+  /// Sends a message that arrives exactly once unless the other process ends, or either host counts
+  /// the other one as lost. A message that was sent before `on_peer_lost` or `on_session_reset` has
+  /// returned isn't handled by the other host after that host has learned of the new session.
   /// Returns false if the message was not sent because the host is unknown or unreachable.
   bool SendReliably(const base::HostId& host, protocol::Message message);
 
--- a/src/peers/peer_session.cc
+++ b/src/peers/peer_session.cc
@@ -6,6 +6,7 @@
 
 using base::Incarnation;
 using base::SequenceNumber;
+using base::SessionNumber;
 using protocol::Envelope;
 
 namespace {
@@ -15,8 +16,9 @@
 
 Envelope PeerSession::MakeReliableEnvelope(protocol::Message message) {
   this->last_sent_number = this->last_sent_number.Next();
-  this->unacknowledged.push_back(
-      {this->last_sent_number, SequenceNumber(0), this->local_session_number, std::move(message)});
+  this->unacknowledged.push_back({this->last_sent_number, SequenceNumber(0),
+                                  this->local_session_number, std::move(message),
+                                  this->KnownRemoteSessionNumber()});
   Envelope envelope = this->unacknowledged.back();
   envelope.acknowledged_up_to = this->last_received_number;
   return envelope;
@@ -24,7 +26,14 @@
 
 Envelope PeerSession::MakeBestEffortEnvelope(protocol::Message message) const {
   return {SequenceNumber(0), this->last_received_number, this->local_session_number,
-          std::move(message)};
+          std::move(message), this->KnownRemoteSessionNumber()};
+}
+
+std::optional<SessionNumber> PeerSession::KnownRemoteSessionNumber() const {
+  if (this->remote_session_number == SessionNumber()) {
+    return std::nullopt;
+  }
+  return this->remote_session_number;
 }
 
 bool PeerSession::HasSendCapacity() const {
@@ -60,20 +69,34 @@
          this->unacknowledged.front().sequence_number <= envelope.acknowledged_up_to) {
     this->unacknowledged.pop_front();
   }
-  const bool is_new_session = this->remote_session_number != base::SessionNumber() &&
+  const bool is_new_session = this->remote_session_number != SessionNumber() &&
                               envelope.session_number > this->remote_session_number;
   this->remote_session_number = envelope.session_number;
+  if (is_new_session) {
+    this->unacknowledged.clear();
+    this->session_epoch = this->session_epoch.Next();
+  }
+  const bool is_duplicate = envelope.sequence_number != SequenceNumber(0) &&
+                            envelope.sequence_number <= this->last_received_number;
+  if (is_duplicate || this->IsForEndedSession(envelope)) {
+    return is_new_session ? ReceiveResult::kStaleInNewSession : ReceiveResult::kDuplicateOrStale;
+  }
   if (envelope.sequence_number != SequenceNumber(0)) {
-    if (envelope.sequence_number <= this->last_received_number) {
-      return ReceiveResult::kDuplicateOrStale;
-    }
     this->last_received_number = envelope.sequence_number;
   }
   return is_new_session ? ReceiveResult::kAcceptedInNewSession : ReceiveResult::kAccepted;
 }
 
+bool PeerSession::IsForEndedSession(const Envelope& envelope) const {
+  // Unnumbered messages belong to no session: a heartbeat has to be answered, so that its sender
+  // learns of the new session.
+  return envelope.sequence_number != SequenceNumber(0) && envelope.receiver_session_number &&
+         *envelope.receiver_session_number < this->local_session_number;
+}
+
 void PeerSession::BeginNewSession() {
   this->local_session_number = this->local_session_number.Next();
+  this->session_epoch = this->session_epoch.Next();
   this->unacknowledged.clear();
 }
 
--- a/src/protocol/envelope.h
+++ b/src/protocol/envelope.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "base/ids.h"
 #include "protocol/message.h"
 
@@ -14,6 +16,10 @@
   /// The sender's session with the receiver. The receiver discards envelopes of earlier sessions.
   base::SessionNumber session_number;
   Message message;
+  /// The receiver's session with the sender, as far as the sender knows it. Empty if it knows none
+  /// yet, and in the envelopes of earlier program versions. The receiver discards numbered messages
+  /// that were meant for a session that it has ended.
+  std::optional<base::SessionNumber> receiver_session_number = std::nullopt;
 };
 
 }  // namespace sapphirecrank::protocol
--- a/src/protocol/field_reader.cc
+++ b/src/protocol/field_reader.cc
@@ -105,7 +105,7 @@
   }
 }
 
-const FieldReader::Json* FieldReader::FindField(const char* name) {
+const FieldReader::Json* FieldReader::FindField(const char* name) const {
   if (!this->map.is_object()) {
     return nullptr;
   }
--- a/src/protocol/field_reader.h
+++ b/src/protocol/field_reader.h
@@ -26,6 +26,9 @@
   /// Returns the name of the first faulty field, or an empty string.
   const std::string& faulty_field() const { return this->first_faulty_field; }
 
+  /// Returns whether the map has the field `name`. Thread safety: pure.
+  bool Has(const char* name) const { return this->FindField(name) != nullptr; }
+
   std::string ReadString(const char* name);
   /// Reads a CBOR byte string.
   std::string ReadBytes(const char* name);
@@ -68,7 +71,7 @@
   }
 
  private:
-  const Json* FindField(const char* name);
+  const Json* FindField(const char* name) const;
 
   const Json& map;
   std::string first_faulty_field;
--- a/src/protocol/message_codec.cc
+++ b/src/protocol/message_codec.cc
@@ -291,6 +291,9 @@
   map["number"] = ToJson(envelope.sequence_number);
   map["acknowledged"] = ToJson(envelope.acknowledged_up_to);
   map["session"] = ToJson(envelope.session_number);
+  if (envelope.receiver_session_number) {
+    map["receiver_session"] = ToJson(*envelope.receiver_session_number);
+  }
   std::string bytes;
   json::to_cbor(map, bytes);
   return bytes;
@@ -315,6 +318,9 @@
   reader.Read("number", envelope.sequence_number);
   reader.Read("acknowledged", envelope.acknowledged_up_to);
   reader.Read("session", envelope.session_number);
+  if (reader.Has("receiver_session")) {
+    reader.Read("receiver_session", envelope.receiver_session_number.emplace());
+  }
   envelope.message = decoder->decode(reader);
   if (!reader.faulty_field().empty()) {
     return MalformedMessageError(reader.faulty_field());
--- a/tests/peers/peer_network_test.cc
+++ b/tests/peers/peer_network_test.cc
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <filesystem>
+#include <functional>
 #include <iterator>
 #include <memory>
 #include <mutex>
@@ -55,7 +56,12 @@
     hooks.on_peer_up = [this](const HostId&, base::Incarnation) {
       this->RecordEvent([&] { ++this->up_count; });
     };
-    hooks.on_peer_lost = [this](const HostId&) { this->RecordEvent([&] { ++this->loss_count; }); };
+    hooks.on_peer_lost = [this](const HostId&) {
+      if (this->on_peer_lost) {
+        this->on_peer_lost();
+      }
+      this->RecordEvent([&] { ++this->loss_count; });
+    };
     hooks.on_session_reset = [this](const HostId&) {
       this->RecordEvent([&] { ++this->reset_count; });
     };
@@ -93,6 +99,8 @@
   }
 
   std::unique_ptr<PeerNetwork> network;
+  /// Called on the network thread for each loss, if set. Must be set before the first loss.
+  std::function<void()> on_peer_lost;
   std::vector<std::string> received;
   std::vector<std::string> connection_errors;
   std::atomic<int> up_count{0};
@@ -323,6 +331,55 @@
   CHECK(reset_count_at_acknowledgement > reset_count);
 }
 
+// Guards against work that is started although its sender takes it for cancelled: the message was
+// sent after the receiver had counted the sender as lost, and before the sender learned of it
+// (review/11, TWICE).
+TEST(PeerNetwork, HandlesNoMessageOfASessionThatItHasEnded) {
+  testing::BlackholeProxy to_first(this->first_address);
+  auto first = this->StartFirstHost();
+  // The second host gets no response to its heartbeats; its own responses reach the first one.
+  TestHost second("b", 2, "secret", this->second_address, "a", to_first.Address(),
+                  std::chrono::milliseconds(300));
+  first->WaitFor([&] { return first->up_count >= 1; });
+  second.WaitFor([&] { return second.up_count >= 1; });
+  const auto send = [&first](const char* submission) {
+    return first->network->SendReliably(HostId("b"),
+                                        protocol::CancelTasks{base::SubmissionId(submission)});
+  };
+  // The network thread of the second host handles the message after this hook.
+  bool is_sent = false;
+  second.on_peer_lost = [&] {
+    if (!is_sent) {
+      is_sent = send("void");
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+  };
+  const int reset_count = first->reset_count;
+  to_first.BlackholeOpenConnections();
+  first->WaitFor([&] { return first->reset_count > reset_count; });
+  first->WaitFor([&] { return send("next"); });
+  second.WaitFor([&] { return !second.received.empty(); });
+  CHECK_TRUE(is_sent);
+  CHECK(second.received.front() == "next");
+}
+
+// Guards against a state that a host sends once for each session and that is lost with the session:
+// the other side would never get it.
+TEST(PeerNetwork, ReportsAPeerAsUpAgainAfterASessionReset) {
+  testing::BlackholeProxy to_first(this->first_address);
+  auto first = this->StartFirstHost();
+  TestHost second("b", 2, "secret", this->second_address, "a", to_first.Address(),
+                  std::chrono::milliseconds(300));
+  first->WaitFor([&] { return first->up_count >= 1; });
+  second.WaitFor([&] { return second.up_count >= 1; });
+  const int up_count = first->up_count;
+  const int reset_count = first->reset_count;
+  to_first.BlackholeOpenConnections();
+  first->WaitFor([&] { return first->reset_count > reset_count; });
+  first->WaitFor([&] { return first->up_count > up_count; });
+  LONGS_EQUAL(0, first->loss_count);
+}
+
 // Guards against descriptors that run out because of hosts that are gone for good: an abandoned
 // connection attempt has to be closed before the next one begins.
 TEST(PeerNetwork, ClosesAbandonedConnectionAttempts) {
--- a/tests/peers/peer_session_test.cc
+++ b/tests/peers/peer_session_test.cc
@@ -99,6 +99,45 @@
         PeerSession::ReceiveResult::kAccepted);
 }
 
+// Guards against work that is started although its sender takes it for cancelled: after a
+// standstill, a host counted its peer as lost and then handled what the peer had sent meanwhile
+// (review/11, TWICE).
+TEST(PeerSession, DropsMessagesSentWithoutKnowledgeOfTheReceiversNewSession) {
+  PeerSession sender;
+  PeerSession receiver;
+  receiver.OnPeerIncarnation(Incarnation(1));
+  sender.OnPeerIncarnation(Incarnation(2));
+  sender.OnLinkOpened(Incarnation(2));
+  sender.ReceiveEnvelope(receiver.MakeBestEffortEnvelope(protocol::HeartbeatAck{}));
+  const Envelope in_transit = sender.MakeReliableEnvelope(NumberedMessage(1));
+  receiver.BeginNewSession();
+  CHECK(receiver.ReceiveEnvelope(in_transit) == PeerSession::ReceiveResult::kDuplicateOrStale);
+  // A heartbeat has to be answered, so that the sender learns of the new session.
+  CHECK(receiver.ReceiveEnvelope(sender.MakeBestEffortEnvelope(protocol::Heartbeat{})) ==
+        PeerSession::ReceiveResult::kAccepted);
+  const base::SessionEpoch epoch = sender.epoch();
+  CHECK(sender.ReceiveEnvelope(receiver.MakeBestEffortEnvelope(protocol::HeartbeatAck{})) ==
+        PeerSession::ReceiveResult::kAcceptedInNewSession);
+  CHECK(epoch < sender.epoch());
+  CHECK_TRUE(sender.OnLinkOpened(Incarnation(2)).empty());
+  CHECK(receiver.ReceiveEnvelope(sender.MakeReliableEnvelope(NumberedMessage(2))) ==
+        PeerSession::ReceiveResult::kAccepted);
+}
+
+// Guards against a session whose end is noticed by only one side because both ended one at the
+// same time.
+TEST(PeerSession, ReportsANewSessionWithADroppedMessage) {
+  PeerSession sender;
+  PeerSession receiver;
+  receiver.OnPeerIncarnation(Incarnation(1));
+  receiver.ReceiveEnvelope(sender.MakeBestEffortEnvelope(protocol::Heartbeat{}));
+  sender.ReceiveEnvelope(receiver.MakeBestEffortEnvelope(protocol::HeartbeatAck{}));
+  receiver.BeginNewSession();
+  sender.BeginNewSession();
+  CHECK(receiver.ReceiveEnvelope(sender.MakeReliableEnvelope(NumberedMessage(1))) ==
+        PeerSession::ReceiveResult::kStaleInNewSession);
+}
+
 // Guards against dropped messages of a restarted process: its session numbers start from 1 again,
 // below those of its previous process.
 TEST(PeerSession, AcceptsLowerSessionNumberOfARestartedPeer) {
--- a/tests/protocol/message_codec_test.cc
+++ b/tests/protocol/message_codec_test.cc
@@ -118,6 +118,17 @@
   CHECK(decoded_ack->session_number == base::SessionNumber(3));
 }
 
+// Guards against a receiver that can't tell for which of its sessions a message was sent, and
+// against a host that refuses the envelopes of an earlier program version, which don't say it.
+TEST(MessageCodec, EnvelopesNameTheSessionOfTheReceiver) {
+  protocol::Envelope envelope{base::SequenceNumber(1), base::SequenceNumber(2),
+                              base::SessionNumber(3), protocol::HeartbeatAck{}};
+  CHECK_FALSE(DecodeEnvelope(EncodeEnvelope(envelope))->receiver_session_number.has_value());
+  envelope.receiver_session_number = base::SessionNumber(5);
+  CHECK(DecodeEnvelope(EncodeEnvelope(envelope))->receiver_session_number ==
+        base::SessionNumber(5));
+}
+
 // Guards against tasks that start with other resources, limits or payloads than their gateway sent.
 TEST(MessageCodec, TaskBatchesSurviveEncoding) {
   runs::TaskBatch batch;
