stored: Cancel a batch that was withdrawn while it was being sent

Another thread may withdraw the batch in between, because the allocator counts as lost, the lease has expired or the job has ended. The cancellation that is sent then reaches the allocator before the batch, which is run although its tasks are placed again. A process that stands still for a moment there makes the interval long.

A batch is listed as in transit until it has been sent. A withdrawal takes it off the list; its sender then cancels the job at the allocator after the batch, and releases all batches of the job there, because the cancellation ends them all.

Tests: the three new tests of JobScheduler fail if SendBatch ignores that the batch was withdrawn, and pass with it.

--- a/src/stored/job_scheduler.cc
+++ b/src/stored/job_scheduler.cc
@@ -197,6 +197,7 @@
     entry.ended_at = this->hooks.now();
     for (const auto& [batch, host] : entry.open_batches) {
       allocators.insert(host);
+      shard.batches_in_transit.erase({this->settings.self, id, batch});
     }
     entry.open_batches.clear();
   });
@@ -260,21 +261,49 @@
 }
 
 void JobScheduler::OnAllocatorLost(const HostId& allocator) {
-  const TimePoint earliest_placement = this->hooks.now() + this->settings.lost_run_delay;
   this->shards.ForEachShard([&](Shard& shard) {
     for (auto& [id, entry] : shard.jobs) {
-      std::vector<BatchNumber> lost_batches;
-      for (const auto& [batch, host] : entry.open_batches) {
-        if (host == allocator) {
-          lost_batches.push_back(batch);
-        }
-      }
-      for (const BatchNumber batch : lost_batches) {
-        ReleaseBatch(entry, batch, earliest_placement, true);
-        shard.jobs_to_place.insert(id);
-      }
+      this->WithdrawBatches(shard, id, entry, allocator);
+    }
+  });
+}
+
+void JobScheduler::WithdrawBatches(Shard& shard, const SubmissionId& id, JobEntry& entry,
+                                   const HostId& allocator) {
+  const TimePoint earliest_placement = this->hooks.now() + this->settings.lost_run_delay;
+  std::vector<BatchNumber> withdrawn_batches;
+  for (const auto& [batch, host] : entry.open_batches) {
+    if (host == allocator) {
+      withdrawn_batches.push_back(batch);
+    }
+  }
+  for (const BatchNumber batch : withdrawn_batches) {
+    shard.batches_in_transit.erase({this->settings.self, id, batch});
+    ReleaseBatch(entry, batch, earliest_placement, true);
+    shard.jobs_to_place.insert(id);
+  }
+}
+
+void JobScheduler::SendBatch(const Placement& placement) {
+  const runs::BatchKey& key = placement.batch.key;
+  const bool is_sent = this->hooks.place_batch(placement.allocator, placement.batch);
+  const bool is_withdrawn = this->shards.WithShard(key.job, [&](Shard& shard) {
+    if (shard.batches_in_transit.erase(key) > 0) {
+      return false;
+    }
+    auto found = shard.jobs.find(key.job);
+    if (is_sent && found != shard.jobs.end()) {
+      // The cancellation is for all batches of the job there.
+      this->WithdrawBatches(shard, key.job, found->second, placement.allocator);
     }
+    return true;
   });
+  if (is_sent && is_withdrawn) {
+    this->hooks.cancel_job(placement.allocator, key.job);
+  } else if (!is_sent) {
+    this->OnBatchEnd(placement.allocator,
+                     {key, runs::BatchResult::Outcome::kNotRun, "the allocator is not reachable"});
+  }
 }
 
 JobScheduler::EventDisposition JobScheduler::ClassifyRunEvent(const runs::RunEvent& event) {
@@ -465,6 +494,9 @@
     if (!has_more) {
       shard.jobs_to_place.erase(id);
     }
+    for (const Placement& placement : work.placements) {
+      shard.batches_in_transit.insert(placement.batch.key);
+    }
   });
   return work;
 }
@@ -492,11 +524,7 @@
     }
     const ReadyWork work = this->PlaceReadySteps(id);
     for (const Placement& placement : work.placements) {
-      if (!this->hooks.place_batch(placement.allocator, placement.batch)) {
-        this->OnBatchEnd(placement.allocator,
-                         {placement.batch.key, runs::BatchResult::Outcome::kNotRun,
-                          "the allocator is not reachable"});
-      }
+      this->SendBatch(placement);
     }
     command.lowest_valid_runs.insert(command.lowest_valid_runs.end(),
                                      work.lowest_valid_runs.begin(), work.lowest_valid_runs.end());
--- a/src/stored/job_scheduler.h
+++ b/src/stored/job_scheduler.h
@@ -161,6 +161,9 @@
     /// Jobs that may have tasks to place. Only these are visited to place waiting tasks, however
     /// many records are kept.
     std::set<base::SubmissionId> jobs_to_place;
+    /// Batches that are recorded as placed and may not have been sent yet. A batch that is
+    /// withdrawn in the meantime is removed; its sender then cancels it after it has sent it.
+    std::set<runs::BatchKey> batches_in_transit;
   };
 
   void StartLeading(base::Term current_term);
@@ -192,6 +195,13 @@
   void RemoveEndedJobs();
   static void ReleaseBatch(JobEntry& entry, base::BatchNumber batch,
                            base::TimePoint earliest_placement, bool may_have_runs);
+  /// Releases the batches of a job at an allocator that has cancelled them, or is about to. Their
+  /// tasks are placed again once their runs are certainly gone.
+  void WithdrawBatches(Shard& shard, const base::SubmissionId& id, JobEntry& entry,
+                       const base::HostId& allocator);
+  /// Sends a batch. Cancels it at the allocator if it was withdrawn before it was sent, because the
+  /// cancellation that was sent then may have arrived before the batch.
+  void SendBatch(const Placement& placement);
 
   Settings settings;
   JobStateMachine& stored_jobs;
--- a/tests/stored/job_scheduler_test.cc
+++ b/tests/stored/job_scheduler_test.cc
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <functional>
 #include <set>
 #include <string>
 #include <utility>
@@ -28,6 +29,8 @@
   /// The allocators that were to be avoided in the last choice.
   std::set<base::HostId> avoided_allocators;
   bool is_allocator_reachable = true;
+  /// Called before a batch reaches its allocator, if set.
+  std::function<void()> before_placement;
   /// The scheduler that learns of changes of the jobs.
   JobScheduler* notified_scheduler = &this->scheduler;
   stored::JobStateMachine jobs{[this](const std::vector<base::SubmissionId>& ids) {
@@ -49,6 +52,9 @@
       return base::HostId(this->chosen_allocator);
     };
     hooks.place_batch = [this](const base::HostId& host, const runs::TaskBatch& batch) {
+      if (this->before_placement) {
+        std::exchange(this->before_placement, {})();
+      }
       if (this->is_allocator_reachable) {
         this->placed_batches.emplace_back(host, batch);
       }
@@ -505,3 +511,70 @@
   this->scheduler.Tick();
   LONGS_EQUAL(0, this->TakePlacements().size());
 }
+
+// Guards against a second run of a task beside a batch that reaches the allocator after the
+// cancellation of its job there: the process stood still while it sent the batch, and then noticed
+// that the allocator had counted it as lost.
+TEST(JobScheduler, CancelsABatchThatWasWithdrawnWhileItWasSent) {
+  this->BecomeLeader();
+  this->before_placement = [this] { this->scheduler.OnAllocatorLost(base::HostId("a1")); };
+  this->Submit("job");
+  LONGS_EQUAL(1, this->TakePlacements().size());
+  LONGS_EQUAL(1, this->cancelled_jobs.size());
+  CHECK(this->cancelled_jobs.front().first == base::HostId("a1"));
+  this->AdvanceTime(1700);
+  LONGS_EQUAL(0, this->TakePlacements().size());
+  this->AdvanceTime(300);
+  LONGS_EQUAL(1, this->TakePlacements().size());
+  LONGS_EQUAL(1, this->cancelled_jobs.size());
+}
+
+// Guards against the same when the leader notices after the standstill that its lease has expired,
+// or learns that the job has ended.
+TEST(JobScheduler, CancelsABatchThatWasSentAfterItsJobWasCancelled) {
+  this->BecomeLeader();
+  this->before_placement = [this] {
+    this->clock.Advance(milliseconds(600));
+    this->scheduler.Tick();
+  };
+  this->Submit("job");
+  LONGS_EQUAL(1, this->TakePlacements().size());
+  // One cancellation before the batch and one after it.
+  LONGS_EQUAL(2, this->cancelled_jobs.size());
+  this->BecomeLeader();
+  this->AdvanceTime(1000);
+  this->TakePlacements();
+  this->cancelled_jobs.clear();
+  this->before_placement = [this] {
+    this->jobs.Apply(JobCommand{JobCommand::Cancel{base::SubmissionId("other")}}.Encode());
+  };
+  this->Submit("other");
+  LONGS_EQUAL(2, this->cancelled_jobs.size());
+}
+
+// Guards against tasks that wait for ever for a batch: the cancellation of a withdrawn batch is for
+// all batches of the job at the allocator.
+TEST(JobScheduler, PlacesAllTasksAgainThatTheCancellationOfAWithdrawnBatchEnds) {
+  this->BecomeLeader();
+  this->Submit("job", 2);
+  const runs::TaskBatch first = this->TakePlacements().front().second;
+  const RunEvent returned = MakeEvent(first, 0, RunEvent::Kind::kReturned);
+  CHECK(this->scheduler.ClassifyRunEvent(returned) == EventDisposition::kAcknowledge);
+  // The second batch holds the returned task; both are withdrawn, and a third one is placed by the
+  // time when the second one is sent.
+  this->before_placement = [this] {
+    this->scheduler.OnAllocatorLost(base::HostId("a1"));
+    this->AdvanceTime(2500);
+  };
+  this->AdvanceTime(2000);
+  this->TakePlacements();
+  this->AdvanceTime(3000);
+  const auto placements = this->TakePlacements();
+  std::set<base::TaskIndex> placed_tasks;
+  for (const auto& [host, batch] : placements) {
+    for (const runs::BatchTask& task : batch.tasks) {
+      placed_tasks.insert(task.key.index);
+    }
+  }
+  LONGS_EQUAL(2, placed_tasks.size());
+}
