Let waiting tasks hold back only those that would use the same capacity

Cause: an allocator reports one number of waiting tasks. It leaves out tasks whose size fits on no target, but counts those that only some targets can run as a backlog of all of them. The leader places nothing with an allocator whose backlog reaches its capacity, so that the tasks for scarce targets closed all allocators for every other stored job.

The report has no other input that closes an allocator than this backlog. Two other explanations were ruled out: that the small tasks were placed and waited behind the large ones at an allocator (none of their batches ended there as not run, and targets were free), and that no allocator reported (the large jobs ran on).

An allocator now lists, for up to eight kinds of waiting tasks that can't use all of its capacity, what they require, how many of them their targets hold, and how many wait (runs::WaitingTaskSummary). gateway::Backlog says what that means for further tasks: tasks of a kind that they don't include hold them back only as far as the targets of that kind hold; tasks of their own kind hold them back in full, and are placed with an allocator only until as many wait there as its targets hold.

All readers of the report were looked at: - The choice for stored jobs and for best-effort ones, the refusal of a job on arrival and Retry-After use gateway::Backlog. - Recalls go by all waiting tasks as before; they may leave a batch where it is, but recall none for capacity that it can't use. - Tasks wait as a kind for a label, a size, memory, accelerators, or targets that are lost, drained, ejected or evacuated: the last ones can't start runs and count for no kind. Tasks that wait for others of their own step (maximum_tasks_per_target) aren't counted while targets have room. - Entry hosts: read only. Queues are divided by size, labels don't exist, and a host with free slots is chosen whatever waits there.

Reports have a further field, blocked. Earlier program versions ignore it, and their reports are read as before.

--- a/src/clusterhost/gateway_host.cc
+++ b/src/clusterhost/gateway_host.cc
@@ -105,8 +105,9 @@
     return this->allocator_selector.ChooseAllocator(request);
   };
   hooks.expected_wait = [this](const base::ServiceId& service, base::TaskCount count,
+                               const runs::TaskRequirements& requirements,
                                base::Priority priority) {
-    return this->allocator_selector.ExpectedWait(service, count, priority);
+    return this->allocator_selector.ExpectedWait(service, count, requirements, priority);
   };
   hooks.place_batch = [this](const HostId& host, const runs::TaskBatch& batch) {
     return this->network->SendReliably(host, batch);
@@ -261,11 +262,11 @@
 
 void GatewayHost::OnAllocatorLost(const HostId& host) {
   this->logger.Warning("allocator unreachable", {{"host", host.value()}});
-  this->configuration_fetcher.OnAllocatorLost(host);
   this->EndRequestsTo(host);
 }
 
 void GatewayHost::EndRequestsTo(const HostId& host) {
+  this->configuration_fetcher.OnAllocatorLost(host);
   this->allocator_selector.OnAllocatorLost(host);
   this->dispatcher.OnAllocatorLost(host);
   this->job_client.OnAllocatorLost(host);
--- a/src/clusterhost/stored_job_manager.cc
+++ b/src/clusterhost/stored_job_manager.cc
@@ -78,8 +78,10 @@
   JobScheduler::Hooks scheduler_hooks;
   scheduler_hooks.now = this->hooks.now;
   scheduler_hooks.choose_allocator = [this](const base::ServiceId& service, base::TaskCount count,
+                                            const runs::TaskRequirements& requirements,
                                             const std::set<HostId>& avoided) {
-    return this->allocator_selector.ChooseAllocatorWithoutFullBacklog(service, count, avoided);
+    return this->allocator_selector.ChooseAllocatorWithoutFullBacklog(service, count, requirements,
+                                                                      avoided);
   };
   scheduler_hooks.place_batch = [this](const HostId& host, const runs::TaskBatch& batch) {
     if (host == this->settings.self) {
--- a/src/gateway/allocator_request.h
+++ b/src/gateway/allocator_request.h
@@ -6,6 +6,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "base/units.h"
+#include "runs/task_requirements.h"
 
 namespace sapphirecrank::gateway {
 
@@ -13,6 +14,8 @@
 struct AllocatorRequest {
   base::ServiceId service;
   base::TaskCount count;
+  /// What each of the tasks requires.
+  runs::TaskRequirements requirements;
   /// Allocators that are chosen only if there is no other one, and only if they have reported their
   /// capacity after the given time. For tasks that these allocators have given back.
   std::map<base::HostId, base::TimePoint> avoided;
--- a/src/gateway/allocator_selector.cc
+++ b/src/gateway/allocator_selector.cc
@@ -1,11 +1,11 @@
 #include "gateway/allocator_selector.h"
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
 #include <utility>
 
 #include "base/mutex_lock.h"
+#include "gateway/backlog.h"
 #include "gateway/round_trip_time.h"
 
 namespace sapphirecrank::gateway {
@@ -45,7 +45,7 @@
   for (const Placement& placement : received.placements) {
     for (runs::CapacityReport::ServiceCapacity& capacity : received.report.service_capacities) {
       if (capacity.service == placement.service) {
-        capacity.free_task_capacity -= placement.count;
+        Backlog::RecordPlacement(capacity, placement.requirements, placement.count);
       }
     }
   }
@@ -57,14 +57,16 @@
 }
 
 std::optional<AllocatorChoice> AllocatorSelector::ChooseAllocator(const AllocatorRequest& request) {
-  return this->ChooseAllocatorBelowBacklog(request, std::numeric_limits<double>::infinity());
+  return this->ChooseAllocatorBelowBacklog(request, std::nullopt);
 }
 
 std::optional<HostId> AllocatorSelector::ChooseAllocatorWithoutFullBacklog(
-    const base::ServiceId& service, TaskCount count, const std::set<HostId>& avoided) {
+    const base::ServiceId& service, TaskCount count, const runs::TaskRequirements& requirements,
+    const std::set<HostId>& avoided) {
   AllocatorRequest request;
   request.service = service;
   request.count = count;
+  request.requirements = requirements;
   for (const HostId& host : avoided) {
     request.avoided.emplace(host, base::TimePoint::min());
   }
@@ -73,7 +75,7 @@
 }
 
 std::optional<AllocatorChoice> AllocatorSelector::ChooseAllocatorBelowBacklog(
-    const AllocatorRequest& request, double maximum_backlog) {
+    const AllocatorRequest& request, std::optional<double> maximum_backlog) {
   base::MutexLock lock(this->mutex);
   // Prefers allocators with a recent report, then those that aren't avoided, then those with free
   // capacity for all tasks, then those in this data centre, where traffic costs least.
@@ -93,12 +95,12 @@
       if (!CanTakeTasks(received, capacity, request.service, current_time)) {
         continue;
       }
-      const auto backlog =
-          static_cast<double>((capacity.waiting_task_count - capacity.free_task_capacity).value()) /
-          static_cast<double>(capacity.total_task_capacity.value());
-      const bool has_free_capacity = capacity.free_task_capacity >= request.count &&
-                                     capacity.waiting_task_count == TaskCount(0);
-      if (backlog >= maximum_backlog ||
+      const Backlog backlog(capacity, request.requirements);
+      const TaskCount excess = backlog.TasksAhead(std::nullopt) - capacity.free_task_capacity;
+      const double excess_share = static_cast<double>(excess.value()) /
+                                  static_cast<double>(capacity.total_task_capacity.value());
+      const bool has_free_capacity = backlog.HasFreeCapacity(request.count);
+      if ((maximum_backlog && (excess_share >= *maximum_backlog || backlog.IsFull())) ||
           (request.needs_free_capacity && !(has_free_capacity && is_recent))) {
         continue;
       }
@@ -109,7 +111,7 @@
         best_rank = rank;
       }
       if (rank == best_rank) {
-        options.push_back({host, &capacity, has_free_capacity, backlog});
+        options.push_back({host, &capacity, has_free_capacity, excess, excess_share});
       }
     }
   }
@@ -117,9 +119,9 @@
     return std::nullopt;
   }
   const Option& chosen = ChooseOption(options, request);
-  chosen.capacity->free_task_capacity -= request.count;
+  Backlog::RecordPlacement(*chosen.capacity, request.requirements, request.count);
   this->capacity_reports[chosen.allocator].placements.push_back(
-      {request.service, request.count, current_time});
+      {request.service, request.count, request.requirements, current_time});
   return AllocatorChoice{chosen.allocator, chosen.has_free_capacity};
 }
 
@@ -127,7 +129,7 @@
                                                                  const AllocatorRequest& request) {
   if (!request.random_number) {
     return *std::min_element(options.begin(), options.end(), [](const Option& a, const Option& b) {
-      return a.backlog < b.backlog;
+      return a.backlog_share < b.backlog_share;
     });
   }
   // All gateways have the same reports. If all of them chose the best allocator, they would fill it
@@ -137,11 +139,10 @@
   for (const Option& option : options) {
     const runs::CapacityReport::ServiceCapacity& capacity = *option.capacity;
     const auto free_count = static_cast<double>(capacity.free_task_capacity.value());
-    const auto waiting_count = static_cast<double>(capacity.waiting_task_count.value());
+    const auto backlog = static_cast<double>(option.backlog.value());
     const auto size = static_cast<double>(capacity.total_task_capacity.value());
-    weights.push_back(option.has_free_capacity
-                          ? std::max(1.0, free_count)
-                          : size * size / std::max(1.0, size + waiting_count - free_count));
+    weights.push_back(option.has_free_capacity ? std::max(1.0, free_count)
+                                               : size * size / std::max(1.0, size + backlog));
     total += weights.back();
   }
   double position = *request.random_number * total;
@@ -173,9 +174,9 @@
   return capacities;
 }
 
-std::optional<base::Duration> AllocatorSelector::ExpectedWait(const base::ServiceId& service,
-                                                              TaskCount count,
-                                                              base::Priority priority) {
+std::optional<base::Duration> AllocatorSelector::ExpectedWait(
+    const base::ServiceId& service, TaskCount count, const runs::TaskRequirements& requirements,
+    base::Priority priority) {
   base::MutexLock lock(this->mutex);
   std::optional<base::Duration> shortest;
   const base::TimePoint current_time = this->now();
@@ -185,12 +186,8 @@
       if (!CanTakeTasks(received, capacity, service, current_time)) {
         continue;
       }
-      TaskCount tasks_ahead = count - capacity.free_task_capacity;
-      for (const runs::WaitingTasks& waiting : capacity.waiting_by_priority) {
-        if (waiting.priority <= priority) {
-          tasks_ahead += waiting.count;
-        }
-      }
+      const TaskCount tasks_ahead = count - capacity.free_task_capacity +
+                                    Backlog(capacity, requirements).TasksAhead(priority);
       const base::Duration wait =
           capacity.mean_end_interval * std::max<int64_t>(0, tasks_ahead.value());
       shortest = std::min(shortest.value_or(wait), wait);
--- a/src/gateway/allocator_selector.h
+++ b/src/gateway/allocator_selector.h
@@ -37,16 +37,19 @@
   /// tasks are subtracted from its free capacity until its next report.
   std::optional<AllocatorChoice> ChooseAllocator(const AllocatorRequest& request);
 
-  /// As `ChooseAllocator`, but leaves out allocators whose backlog (waiting tasks minus free task
-  /// capacity) reaches their total task capacity, and chooses one of `avoided` only if there is no
-  /// other one. For tasks that can be placed later if there is no other allocator.
+  /// As `ChooseAllocator`, but leaves out allocators whose backlog (waiting tasks ahead minus free
+  /// task capacity) reaches their total task capacity, or where the tasks that can only use the
+  /// same part of the capacity fill that part. Chooses one of `avoided` only if there is no other
+  /// one. For tasks that can be placed later if there is no other allocator.
   std::optional<base::HostId> ChooseAllocatorWithoutFullBacklog(
-      const base::ServiceId& service, base::TaskCount count, const std::set<base::HostId>& avoided);
+      const base::ServiceId& service, base::TaskCount count,
+      const runs::TaskRequirements& requirements, const std::set<base::HostId>& avoided);
 
   /// Returns how long `count` tasks of this priority would wait at the allocator where they would
   /// wait least, by the reported backlogs and the rate at which capacity comes free. Returns none
   /// if no allocator could take them, and zero if the rate is unknown.
   std::optional<base::Duration> ExpectedWait(const base::ServiceId& service, base::TaskCount count,
+                                             const runs::TaskRequirements& requirements,
                                              base::Priority priority);
 
   /// Returns the recently reported capacity of all allocators that take tasks, for each service.
@@ -61,12 +64,14 @@
 
  private:
   /// `maximum_backlog` is an exclusive limit, as a share of the allocator's total task capacity.
+  /// Without it, the backlog doesn't matter.
   std::optional<AllocatorChoice> ChooseAllocatorBelowBacklog(const AllocatorRequest& request,
-                                                             double maximum_backlog);
+                                                             std::optional<double> maximum_backlog);
 
   struct Placement {
     base::ServiceId service;
     base::TaskCount count;
+    runs::TaskRequirements requirements;
     base::TimePoint placed_at;
   };
   struct ReceivedReport {
@@ -81,8 +86,10 @@
     base::HostId allocator;
     runs::CapacityReport::ServiceCapacity* capacity = nullptr;
     bool has_free_capacity = false;
-    /// Waiting tasks minus free task capacity, as a share of the total task capacity.
-    double backlog = 0;
+    /// Waiting tasks ahead minus free task capacity.
+    base::TaskCount backlog;
+    /// `backlog` as a share of the total task capacity.
+    double backlog_share = 0;
   };
 
   /// Chooses one of several options that differ in their free capacity or backlog only.
--- a/src/gateway/job_dispatcher.cc
+++ b/src/gateway/job_dispatcher.cc
@@ -43,16 +43,18 @@
       recall_policy([this] { return this->hooks.random_unit(); }) {}
 
 JobResult JobDispatcher::NotRunResult(const Job& job, const std::string& reason) const {
-  const Duration expected_wait =
-      this->hooks.expected_wait(job.service, job.steps.front().task_count, job.priority)
-          .value_or(Duration(0));
+  const Duration expected_wait = this->hooks
+                                     .expected_wait(job.service, job.steps.front().task_count,
+                                                    job.steps.front().Requirements(), job.priority)
+                                     .value_or(Duration(0));
   return {JobResult::Outcome::kNotRun,
           RetryAfterPolicy::RetryAfter(expected_wait, job.priority, job.id), reason};
 }
 
 bool JobDispatcher::IsBacklogTooLong(const Job& job) const {
   const JobStep& step = job.steps.front();
-  const auto expected_wait = this->hooks.expected_wait(job.service, step.task_count, job.priority);
+  const auto expected_wait =
+      this->hooks.expected_wait(job.service, step.task_count, step.Requirements(), job.priority);
   return expected_wait && *expected_wait > kExcessWaitFactor * WaitPolicy::FirstWait(job, step);
 }
 
@@ -92,8 +94,9 @@
                                                                   bool needs_free_capacity) {
   const Job& job = entry.job;
   const JobStep& job_step = job.steps[open_batch.step.value()];
-  AllocatorRequest request{job.service, CountOf(open_batch.tasks), open_batch.avoided,
-                           needs_free_capacity, this->hooks.random_unit()};
+  AllocatorRequest request{
+      job.service,        CountOf(open_batch.tasks), job_step.Requirements(),
+      open_batch.avoided, needs_free_capacity,       this->hooks.random_unit()};
   const auto choice = this->hooks.choose_allocator(request);
   if (!choice) {
     return std::nullopt;
--- a/src/gateway/job_dispatcher.h
+++ b/src/gateway/job_dispatcher.h
@@ -49,10 +49,10 @@
     base::Clock now;
     /// Chooses the allocator for a number of tasks of a service, if there is one.
     std::function<std::optional<AllocatorChoice>(const AllocatorRequest&)> choose_allocator;
-    /// Returns how long a number of tasks of a service and priority would wait for capacity, or
-    /// none if no allocator could take them.
+    /// Returns how long a number of tasks of a service and priority with the same requirements
+    /// would wait for capacity, or none if no allocator could take them.
     std::function<std::optional<base::Duration>(const base::ServiceId&, base::TaskCount,
-                                                base::Priority)>
+                                                const runs::TaskRequirements&, base::Priority)>
         expected_wait;
     /// Sends a batch to an allocator; false means that it was certainly not sent.
     std::function<bool(const base::HostId&, const runs::TaskBatch&)> place_batch;
--- a/src/gateway/job_step.h
+++ b/src/gateway/job_step.h
@@ -7,6 +7,7 @@
 #include "base/time.h"
 #include "base/units.h"
 #include "runs/placement_rule.h"
+#include "runs/task_requirements.h"
 
 namespace sapphirecrank::gateway {
 
@@ -22,6 +23,11 @@
   bool is_long_running = false;
   /// Earlier steps all of whose tasks must be done before this step starts.
   std::vector<base::StepIndex> dependencies;
+
+  /// Returns what each task requires of its target. Thread safety: pure.
+  runs::TaskRequirements Requirements() const {
+    return {this->placement_rule.required_label, this->required_resources};
+  }
 };
 
 }  // namespace sapphirecrank::gateway
--- a/src/protocol/cluster_codec.cc
+++ b/src/protocol/cluster_codec.cc
@@ -160,19 +160,57 @@
   return message;
 }
 
+json EncodeWaitingTasks(const std::vector<runs::WaitingTasks>& waiting_by_priority) {
+  json items = json::array();
+  for (const runs::WaitingTasks& waiting : waiting_by_priority) {
+    items.push_back({{"priority", ToJson(waiting.priority)}, {"count", ToJson(waiting.count)}});
+  }
+  return items;
+}
+
+std::vector<runs::WaitingTasks> DecodeWaitingTasks(FieldReader& reader) {
+  return DecodeArray<runs::WaitingTasks>(reader, "waiting_by_priority", [](FieldReader& item) {
+    runs::WaitingTasks waiting;
+    item.Read("priority", waiting.priority);
+    item.Read("count", waiting.count);
+    return waiting;
+  });
+}
+
+json EncodeBlockedTasks(const std::vector<runs::BlockedTasks>& blocked_tasks) {
+  json items = json::array();
+  for (const runs::BlockedTasks& blocked : blocked_tasks) {
+    items.push_back({{"label", ToJson(blocked.requirements.required_label)},
+                     {"need", EncodeResources(blocked.requirements.resources)},
+                     {"capacity", ToJson(blocked.capacity)},
+                     {"waiting_by_priority", EncodeWaitingTasks(blocked.waiting_by_priority)}});
+  }
+  return items;
+}
+
+std::vector<runs::BlockedTasks> DecodeBlockedTasks(FieldReader& reader) {
+  if (!reader.Has("blocked")) {
+    return {};  // Earlier program versions don't send it.
+  }
+  return DecodeArray<runs::BlockedTasks>(reader, "blocked", [](FieldReader& item) {
+    runs::BlockedTasks blocked;
+    item.Read("label", blocked.requirements.required_label);
+    blocked.requirements.resources = DecodeResources(item, "need");
+    item.Read("capacity", blocked.capacity);
+    blocked.waiting_by_priority = DecodeWaitingTasks(item);
+    return blocked;
+  });
+}
+
 json EncodeMessage(const runs::CapacityReport& message) {
   json services = json::array();
   for (const runs::CapacityReport::ServiceCapacity& service : message.service_capacities) {
-    json waiting_by_priority = json::array();
-    for (const runs::WaitingTasks& waiting : service.waiting_by_priority) {
-      waiting_by_priority.push_back(
-          {{"priority", ToJson(waiting.priority)}, {"count", ToJson(waiting.count)}});
-    }
     services.push_back({{"service", ToJson(service.service)},
                         {"free", ToJson(service.free_task_capacity)},
                         {"total", ToJson(service.total_task_capacity)},
                         {"waiting", ToJson(service.waiting_task_count)},
-                        {"waiting_by_priority", std::move(waiting_by_priority)},
+                        {"waiting_by_priority", EncodeWaitingTasks(service.waiting_by_priority)},
+                        {"blocked", EncodeBlockedTasks(service.blocked_tasks)},
                         {"end_interval", ToJson(service.mean_end_interval)}});
   }
   return {{"type", kCapacityReportType},
@@ -194,13 +232,8 @@
         item.Read("free", service.free_task_capacity);
         item.Read("total", service.total_task_capacity);
         item.Read("waiting", service.waiting_task_count);
-        service.waiting_by_priority = DecodeArray<runs::WaitingTasks>(
-            item, "waiting_by_priority", [](FieldReader& waiting_item) {
-              runs::WaitingTasks waiting;
-              waiting_item.Read("priority", waiting.priority);
-              waiting_item.Read("count", waiting.count);
-              return waiting;
-            });
+        service.waiting_by_priority = DecodeWaitingTasks(item);
+        service.blocked_tasks = DecodeBlockedTasks(item);
         service.mean_end_interval = ReadDuration(item, "end_interval");
         return service;
       });
--- a/src/runs/capacity_report.h
+++ b/src/runs/capacity_report.h
@@ -5,6 +5,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "base/units.h"
+#include "runs/blocked_tasks.h"
 #include "runs/waiting_tasks.h"
 
 namespace sapphirecrank::runs {
@@ -18,10 +19,13 @@
     base::TaskCount free_task_capacity;
     /// Tasks of the same size that fit on the targets when nothing runs there.
     base::TaskCount total_task_capacity;
-    /// Tasks that wait for free capacity.
+    /// Tasks that wait for free capacity, without those for which no target is suitable.
     base::TaskCount waiting_task_count;
     /// The waiting tasks by priority, the highest priority first.
     std::vector<WaitingTasks> waiting_by_priority;
+    /// Those of the waiting tasks that can't use all of the capacity, and those for which no target
+    /// is suitable. Empty in reports of earlier program versions.
+    std::vector<BlockedTasks> blocked_tasks;
     /// Mean time between two ends of runs, each of which frees the capacity of one task; zero if it
     /// is unknown. It isn't compared, because it changes all the time.
     base::Duration mean_end_interval{0};
@@ -30,7 +34,7 @@
       return a.service == b.service && a.free_task_capacity == b.free_task_capacity &&
              a.total_task_capacity == b.total_task_capacity &&
              a.waiting_task_count == b.waiting_task_count &&
-             a.waiting_by_priority == b.waiting_by_priority;
+             a.waiting_by_priority == b.waiting_by_priority && a.blocked_tasks == b.blocked_tasks;
     }
   };
 
--- a/src/runs/service_scheduler.cc
+++ b/src/runs/service_scheduler.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "runs/unplaceable_sizes.h"
+#include "runs/waiting_task_summary.h"
 #include "targets/health_state.h"
 
 namespace sapphirecrank::runs {
@@ -317,16 +318,19 @@
 }
 
 void ServiceScheduler::ReserveTargets(const PlacedBatch& placed, TimePoint now) {
-  if (!this->capacity_reserver.MayReserveFor(placed, now)) {
-    return;
+  if (this->capacity_reserver.MayReserveFor(placed, now)) {
+    this->capacity_reserver.Reserve(placed, this->UsableTargets(now), this->batches, now);
   }
+}
+
+std::vector<const LeasedTarget*> ServiceScheduler::UsableTargets(TimePoint now) const {
   std::vector<const LeasedTarget*> usable_targets;
   for (const auto& [id, target] : this->targets) {
     if (this->CanStartRuns(target, now)) {
       usable_targets.push_back(&target);
     }
   }
-  this->capacity_reserver.Reserve(placed, usable_targets, this->batches, now);
+  return usable_targets;
 }
 
 void ServiceScheduler::EndReservationIfDue(TimePoint now, SchedulerActions& actions) {
@@ -1283,37 +1287,21 @@
   CapacityReport::ServiceCapacity capacity;
   const int64_t mean_processors =
       std::max<int64_t>(1, static_cast<int64_t>(this->mean_required_processors));
-  for (const auto& [id, target] : this->targets) {
-    if (!this->CanStartRuns(target, now)) {
-      continue;
-    }
+  const std::vector<const LeasedTarget*> usable_targets = this->UsableTargets(now);
+  for (const LeasedTarget* target : usable_targets) {
     // A target that is smaller than most tasks holds a small one.
     const int64_t processors_per_task =
-        std::clamp<int64_t>(target.report.capacity.processors.value(), 1, mean_processors);
+        std::clamp<int64_t>(target->report.capacity.processors.value(), 1, mean_processors);
     capacity.free_task_capacity +=
-        base::TaskCount(target.FreeResources().processors.value() / processors_per_task);
+        base::TaskCount(target->FreeResources().processors.value() / processors_per_task);
     capacity.total_task_capacity +=
-        base::TaskCount(target.report.capacity.processors.value() / processors_per_task);
+        base::TaskCount(target->report.capacity.processors.value() / processors_per_task);
   }
-  UnplaceableSizes unplaceable_sizes;
+  WaitingTaskSummary waiting_tasks(usable_targets);
   for (const auto& [position, queued] : this->batch_queue) {
-    // Tasks that no target can hold aren't ahead of others.
-    if (unplaceable_sizes.Includes(queued.required_resources)) {
-      continue;
-    }
-    const PlacedBatch& placed = this->batches.at(queued.key);
-    if (!this->HasUsableTarget(PlacementRule(), placed.batch.tasks.front(), now)) {
-      unplaceable_sizes.Add(queued.required_resources);
-      continue;
-    }
-    const base::TaskCount waiting_count(static_cast<int64_t>(placed.waiting_tasks.size()));
-    capacity.waiting_task_count += waiting_count;
-    if (capacity.waiting_by_priority.empty() ||
-        capacity.waiting_by_priority.back().priority != position.priority) {
-      capacity.waiting_by_priority.push_back({position.priority, base::TaskCount(0)});
-    }
-    capacity.waiting_by_priority.back().count += waiting_count;
+    waiting_tasks.Add(this->batches.at(queued.key));
   }
+  waiting_tasks.WriteTo(capacity);
   capacity.mean_end_interval = this->task_end_rate.MeanInterval(now);
   return capacity;
 }
--- a/src/runs/service_scheduler.h
+++ b/src/runs/service_scheduler.h
@@ -121,6 +121,8 @@
   bool StartBatchTasks(PlacedBatch& placed, base::TimePoint now, SchedulerActions& actions);
   /// Reserves targets for a batch that fits nowhere, unless an earlier batch has a reservation.
   void ReserveTargets(const PlacedBatch& placed, base::TimePoint now);
+  /// Returns the targets that can start runs now.
+  std::vector<const LeasedTarget*> UsableTargets(base::TimePoint now) const;
   /// Ends a reservation that has lasted for its maximum time or serves no purpose any more.
   void EndReservationIfDue(base::TimePoint now, SchedulerActions& actions);
   void StartTask(PlacedBatch& placed, size_t task_position, LeasedTarget& target,
--- a/src/stored/job_scheduler.cc
+++ b/src/stored/job_scheduler.cc
@@ -397,8 +397,9 @@
     return has_more;
   }
   // Without an allocator, the ends of earlier runs may still come and count.
-  const auto allocator = this->hooks.choose_allocator(
-      job.service, base::TaskCount(static_cast<int64_t>(task_count)), refusing_allocators);
+  const auto allocator =
+      this->hooks.choose_allocator(job.service, base::TaskCount(static_cast<int64_t>(task_count)),
+                                   job.steps[step.value()].Requirements(), refusing_allocators);
   if (!allocator) {
     return true;
   }
--- a/src/stored/job_scheduler.h
+++ b/src/stored/job_scheduler.h
@@ -15,6 +15,7 @@
 #include "runs/batch_result.h"
 #include "runs/run_event.h"
 #include "runs/task_batch.h"
+#include "runs/task_requirements.h"
 #include "stored/job_command.h"
 #include "stored/job_state.h"
 #include "stored/job_state_machine.h"
@@ -35,9 +36,10 @@
   /// lock.
   struct Hooks {
     base::Clock now;
-    /// Chooses the allocator for a number of tasks of a service; nothing if there is none. One of
-    /// the given allocators is chosen only if there is no other one.
+    /// Chooses the allocator for a number of tasks of a service with the same requirements; nothing
+    /// if there is none. One of the given allocators is chosen only if there is no other one.
     std::function<std::optional<base::HostId>(const base::ServiceId&, base::TaskCount,
+                                              const runs::TaskRequirements&,
                                               const std::set<base::HostId>&)>
         choose_allocator;
     /// Sends a batch to an allocator. Returns false only if it was certainly not sent.
--- a/tests/gateway/allocator_selector_test.cc
+++ b/tests/gateway/allocator_selector_test.cc
@@ -60,7 +60,8 @@
   this->selector.OnCapacityReport(HostId("near"), MakeReport("near", 20, 0));
   this->selector.OnCapacityReport(HostId("far"), MakeReport("far", 0, 5));
   const auto choose = [this](const std::set<HostId>& avoided) {
-    return *this->selector.ChooseAllocatorWithoutFullBacklog(ServiceId("s"), TaskCount(1), avoided);
+    return *this->selector.ChooseAllocatorWithoutFullBacklog(ServiceId("s"), TaskCount(1),
+                                                             runs::TaskRequirements(), avoided);
   };
   CHECK(choose({}) == HostId("near"));
   CHECK(choose({HostId("near")}) == HostId("far"));
@@ -185,15 +186,18 @@
   report.service_capacities[0].mean_end_interval = std::chrono::milliseconds(10);
   this->selector.OnCapacityReport(HostId("near"), report);
   const auto wait = [this](int32_t priority) {
-    return *this->selector.ExpectedWait(ServiceId("s"), TaskCount(4), base::Priority(priority));
+    return *this->selector.ExpectedWait(ServiceId("s"), TaskCount(4), runs::TaskRequirements(),
+                                        base::Priority(priority));
   };
   CHECK(wait(0) == std::chrono::milliseconds(140));
   CHECK(wait(1) == std::chrono::milliseconds(140));
   CHECK(wait(2) == std::chrono::milliseconds(340));
   this->selector.OnCapacityReport(HostId("far"), MakeReport("far", 8, 0));
   CHECK(wait(2) == base::Duration(0));
-  CHECK_FALSE(
-      this->selector.ExpectedWait(ServiceId("other"), TaskCount(1), base::Priority(0)).has_value());
+  CHECK_FALSE(this->selector
+                  .ExpectedWait(ServiceId("other"), TaskCount(1), runs::TaskRequirements(),
+                                base::Priority(0))
+                  .has_value());
 }
 
 // Guards against requests to a gateway that uses the address of an allocator that is gone.
@@ -205,3 +209,27 @@
   this->selector.OnAllocatorLost(HostId("a"));
   CHECK_FALSE(this->selector.HasReportOf(HostId("a")));
 }
+
+// Guards against stored jobs that no allocator takes while targets are idle: many tasks wait that
+// only scarce targets can run (review/13, LOST).
+TEST(AllocatorSelector, TasksForScarceTargetsCloseNoAllocatorForOthers) {
+  const runs::TaskRequirements scarce{base::LabelId("b"), {}};
+  runs::CapacityReport report = MakeReport("near", 18, 60);
+  report.service_capacities[0].waiting_by_priority = {{base::Priority(0), TaskCount(60)}};
+  report.service_capacities[0].mean_end_interval = std::chrono::milliseconds(100);
+  report.service_capacities[0].blocked_tasks = {
+      {scarce, TaskCount(6), {{base::Priority(0), TaskCount(60)}}}};
+  this->selector.OnCapacityReport(HostId("near"), report);
+  const auto choose = [this](const runs::TaskRequirements& requirements) {
+    return this->selector.ChooseAllocatorWithoutFullBacklog(ServiceId("s"), TaskCount(2),
+                                                            requirements, {});
+  };
+  const auto expected_wait = [this](const runs::TaskRequirements& requirements) {
+    return *this->selector.ExpectedWait(ServiceId("s"), TaskCount(2), requirements,
+                                        base::Priority(0));
+  };
+  CHECK(choose(runs::TaskRequirements()) == HostId("near"));
+  CHECK_FALSE(choose(scarce).has_value());
+  CHECK(expected_wait(runs::TaskRequirements()) == base::Duration(0));
+  CHECK(expected_wait(scarce) > base::Duration(0));
+}
--- a/tests/gateway/concurrent_moves_test.cc
+++ b/tests/gateway/concurrent_moves_test.cc
@@ -48,9 +48,8 @@
     hooks.choose_allocator = [this](const gateway::AllocatorRequest& request) {
       return this->selector.ChooseAllocator(request);
     };
-    hooks.expected_wait = [](const base::ServiceId&, base::TaskCount, base::Priority) {
-      return std::optional<base::Duration>();
-    };
+    hooks.expected_wait = [](const base::ServiceId&, base::TaskCount, const runs::TaskRequirements&,
+                             base::Priority) { return std::optional<base::Duration>(); };
     hooks.place_batch = [this](const HostId& host, const runs::TaskBatch& batch) {
       std::lock_guard<std::mutex> lock(this->mutex);
       this->placed_batches.emplace_back(host, batch);
--- a/tests/gateway/job_dispatcher_property_test.cc
+++ b/tests/gateway/job_dispatcher_property_test.cc
@@ -150,7 +150,7 @@
   hooks.choose_allocator = [this](const AllocatorRequest& request) {
     return this->selector.ChooseAllocator(request);
   };
-  hooks.expected_wait = [](const base::ServiceId&, base::TaskCount,
+  hooks.expected_wait = [](const base::ServiceId&, base::TaskCount, const runs::TaskRequirements&,
                            base::Priority) -> std::optional<base::Duration> {
     return std::nullopt;
   };
--- a/tests/gateway/job_dispatcher_test.cc
+++ b/tests/gateway/job_dispatcher_test.cc
@@ -34,9 +34,8 @@
                     ? std::make_optional(gateway::AllocatorChoice{*this->chosen_allocator, false})
                     : std::nullopt;
        },
-       [this](const base::ServiceId&, base::TaskCount, base::Priority) {
-         return this->expected_wait;
-       },
+       [this](const base::ServiceId&, base::TaskCount, const runs::TaskRequirements&,
+              base::Priority) { return this->expected_wait; },
        [this](const base::HostId& host, const runs::TaskBatch& batch) {
          if (this->is_allocator_reachable) {
            this->placed_batches.emplace_back(host, batch);
@@ -198,7 +197,7 @@
   hooks.cancel_job = [](const base::HostId&, const base::SubmissionId&) {};
   hooks.on_job_end = [](const gateway::Job&, const JobResult&, base::Duration) {};
   hooks.random_unit = [] { return 0.0; };
-  hooks.expected_wait = [](const base::ServiceId&, base::TaskCount,
+  hooks.expected_wait = [](const base::ServiceId&, base::TaskCount, const runs::TaskRequirements&,
                            base::Priority) -> std::optional<base::Duration> {
     return std::nullopt;
   };
@@ -240,7 +239,7 @@
   hooks.cancel_job = [](const base::HostId&, const base::SubmissionId&) {};
   hooks.on_job_end = [](const gateway::Job&, const JobResult&, base::Duration) {};
   hooks.random_unit = [] { return 0.0; };
-  hooks.expected_wait = [](const base::ServiceId&, base::TaskCount,
+  hooks.expected_wait = [](const base::ServiceId&, base::TaskCount, const runs::TaskRequirements&,
                            base::Priority) -> std::optional<base::Duration> {
     return std::nullopt;
   };
--- a/tests/gateway/returned_tasks_test.cc
+++ b/tests/gateway/returned_tasks_test.cc
@@ -33,8 +33,9 @@
       return this->selector.ChooseAllocator(request);
     };
     hooks.expected_wait = [this](const base::ServiceId& service, base::TaskCount count,
+                                 const runs::TaskRequirements& requirements,
                                  base::Priority priority) {
-      return this->selector.ExpectedWait(service, count, priority);
+      return this->selector.ExpectedWait(service, count, requirements, priority);
     };
     hooks.place_batch = [this](const HostId& host, const runs::TaskBatch& batch) {
       this->placed_batches.emplace_back(host, batch);
--- a/tests/gateway/uneven_load_cluster.cc
+++ b/tests/gateway/uneven_load_cluster.cc
@@ -67,7 +67,7 @@
     }
     return selector.ChooseAllocator(request);
   };
-  hooks.expected_wait = [](const base::ServiceId&, base::TaskCount,
+  hooks.expected_wait = [](const base::ServiceId&, base::TaskCount, const runs::TaskRequirements&,
                            base::Priority) -> std::optional<base::Duration> {
     return std::nullopt;
   };
--- a/tests/protocol/message_codec_test.cc
+++ b/tests/protocol/message_codec_test.cc
@@ -209,6 +209,19 @@
   CHECK_FALSE(std::get<runs::CapacityReport>(decoded_report->message).accepts_recalls);
 }
 
+// Guards against blocked tasks that count for others than those of their kind.
+TEST(MessageCodec, BlockedTasksSurviveEncoding) {
+  runs::CapacityReport report;
+  report.service_capacities.emplace_back();
+  report.service_capacities[0].blocked_tasks = {
+      {{base::LabelId("b"), {base::MilliCores(1), base::ByteCount(2), base::AcceleratorCount(3)}},
+       base::TaskCount(4),
+       {{base::Priority(5), base::TaskCount(6)}}}};
+  const auto decoded = DecodeEnvelope(EncodeEnvelope(
+      {base::SequenceNumber(1), base::SequenceNumber(0), base::SessionNumber(4), report}));
+  CHECK(std::get<runs::CapacityReport>(decoded->message) == report);
+}
+
 // Guards against run events that are acknowledged for another run or with another kind.
 TEST(MessageCodec, RunEventsSurviveEncoding) {
   runs::RunEvent event;
--- a/tests/stored/job_scheduler_test.cc
+++ b/tests/stored/job_scheduler_test.cc
@@ -43,7 +43,7 @@
     JobScheduler::Hooks hooks;
     hooks.now = this->clock.AsClock();
     hooks.choose_allocator =
-        [this](const base::ServiceId&, base::TaskCount,
+        [this](const base::ServiceId&, base::TaskCount, const runs::TaskRequirements&,
                const std::set<base::HostId>& avoided) -> std::optional<base::HostId> {
       this->avoided_allocators = avoided;
       if (this->chosen_allocator.empty()) {
--- a/tests/stored/task_succession_test.cc
+++ b/tests/stored/task_succession_test.cc
@@ -69,10 +69,11 @@
     JobScheduler::Hooks hooks;
     hooks.now = this->clock.AsClock();
     hooks.choose_allocator = [this](const base::ServiceId&, base::TaskCount,
+                                    const runs::TaskRequirements& requirements,
                                     const std::set<base::HostId>& avoided) {
       return this->chosen_allocator.empty()
-                 ? this->selector.ChooseAllocatorWithoutFullBacklog(base::ServiceId("service"),
-                                                                    base::TaskCount(1), avoided)
+                 ? this->selector.ChooseAllocatorWithoutFullBacklog(
+                       base::ServiceId("service"), base::TaskCount(1), requirements, avoided)
                  : std::optional<base::HostId>(this->chosen_allocator);
     };
     hooks.place_batch = [this](const base::HostId& host, const runs::TaskBatch& batch) {
