Keep the place of stored tasks in the queue when they are placed again

A stored batch that has begun nothing within 0.4 s is placed again, mostly with another allocator, and got behind all batches there. Tasks that can use any target start soon somewhere; those for scarce targets lost their place again and again.

The leader tells how long the tasks have waited since it learned of the job, and allocators order batches of one priority by that. Batches of best-effort jobs don't say it and keep the order of their arrival.

Batches have a further field, waited. Earlier program versions ignore it, and batches without it are ordered as before.

The test fails without the field, and passes with it.

--- a/src/protocol/cluster_codec.cc
+++ b/src/protocol/cluster_codec.cc
@@ -50,6 +50,7 @@
   map["payload"] = BytesToJson(message.payload);
   map["expected_run_time"] = ToJson(message.expected_run_time);
   map["wait_limit"] = ToJson(message.wait_limit);
+  map["waited"] = ToJson(message.waited);
   map["time_left"] = ToJson(message.time_left);
   map["stored"] = message.is_stored;
   map["returnable"] = message.can_be_returned;
@@ -74,6 +75,9 @@
   reader.Read("attempts", message.maximum_attempts);
   message.payload = reader.ReadBytes("payload");
   message.expected_run_time = ReadDuration(reader, "expected_run_time");
+  if (reader.Has("waited")) {
+    message.waited = ReadDuration(reader, "waited");
+  }
   message.wait_limit = ReadDuration(reader, "wait_limit");
   message.time_left = ReadDuration(reader, "time_left");
   message.is_stored = reader.ReadBool("stored");
--- a/src/runs/placed_batch.h
+++ b/src/runs/placed_batch.h
@@ -45,7 +45,9 @@
   base::TimePoint next_reservation_at;
 
   /// Returns the batch's place in the queue. Thread safety: pure.
-  QueuePosition Position() const { return {this->batch.priority, this->arrival_number}; }
+  QueuePosition Position() const {
+    return {this->batch.priority, this->arrived_at - this->batch.waited, this->arrival_number};
+  }
 };
 
 }  // namespace sapphirecrank::runs
--- a/src/runs/task_batch.h
+++ b/src/runs/task_batch.h
@@ -31,6 +31,9 @@
   base::Duration expected_run_time{0};
   /// If no task has started after this time, the batch ends with `BatchResult::Outcome::kNotRun`.
   base::Duration wait_limit{0};
+  /// How long the tasks had waited before the batch was sent. Zero in batches of earlier program
+  /// versions.
+  base::Duration waited{0};
   /// After this time all runs of the batch are stopped.
   base::Duration time_left{0};
   /// The job is stored: the end of each run is reported to the stored job manager before it is
--- a/src/stored/job_scheduler.cc
+++ b/src/stored/job_scheduler.cc
@@ -168,6 +168,7 @@
       entry.priority = stored->job.priority;
       entry.queue = stored->job.queue;
       entry.arrival_number = this->next_arrival_number++;
+      entry.arrived_at = this->hooks.now();
       TaskState new_task;
       new_task.may_have_runs = may_have_runs;
       for (const auto& step : stored->steps) {
@@ -454,6 +455,8 @@
   const gateway::JobStep& job_step = job.steps[step.value()];
   batch.expected_run_time = job_step.is_long_running ? Duration(0) : job_step.estimated_run_time;
   batch.wait_limit = kBatchWaitLimit;
+  // A batch that is placed again doesn't get behind those of later jobs.
+  batch.waited = this->hooks.now() - entry.arrived_at;
   batch.time_left = kNoDeadline;
   batch.is_stored = true;
   batch.first_run_number = FirstRunNumberOf(entry.last_batch);
--- a/src/stored/job_scheduler.h
+++ b/src/stored/job_scheduler.h
@@ -141,6 +141,8 @@
     base::QueueId queue;
     /// Increases with each job.
     uint64_t arrival_number = 0;
+    /// When this host learned of the job.
+    base::TimePoint arrived_at;
     std::vector<std::vector<TaskState>> steps;
     base::BatchNumber last_batch;
     std::map<base::BatchNumber, base::HostId> open_batches;
--- a/tests/protocol/message_codec_test.cc
+++ b/tests/protocol/message_codec_test.cc
@@ -138,6 +138,7 @@
   batch.maximum_attempts = base::AttemptCount(4);
   batch.payload = std::string("\x00\xff", 2);
   batch.wait_limit = std::chrono::milliseconds(15);
+  batch.waited = std::chrono::milliseconds(16);
   batch.time_left = std::chrono::milliseconds(1500);
   batch.is_stored = true;
   batch.first_run_number = base::RunNumber(65);
@@ -153,6 +154,7 @@
   CHECK(copy.maximum_attempts == batch.maximum_attempts);
   CHECK(copy.payload == batch.payload);
   CHECK(copy.wait_limit == batch.wait_limit);
+  CHECK(copy.waited == batch.waited);
   CHECK(copy.is_stored);
   CHECK(copy.first_run_number == batch.first_run_number);
   CHECK(copy.placement_rule.required_label == batch.placement_rule.required_label);
--- a/tests/stored/scarce_targets_property_test.cc
+++ b/tests/stored/scarce_targets_property_test.cc
@@ -1,7 +1,9 @@
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <string>
+#include <vector>
 
 #include "tests/stored/scarce_targets_simulation.h"
 
@@ -17,6 +19,7 @@
 constexpr base::Duration kMaximumIdleWait = milliseconds(3000);
 constexpr int64_t kTargetSize = 16000;
 constexpr int kAllocatorCount = 3;
+constexpr int kStepMilliseconds = 20;
 
 base::Resources Processors(int64_t milli_cores) {
   return {base::MilliCores(milli_cores), base::ByteCount(0), base::AcceleratorCount(0)};
@@ -70,3 +73,46 @@
   });
   CHECK_TRUE(holds);
 }
+
+// Guards against tasks for scarce targets that wait for ever beside others of their size, which
+// arrive all the time and may use the same targets.
+TEST(ScarceTargetsProperty, ScarceTasksStartWhenTheirTargetsComeFree) {
+  const bool holds = rc::check([] {
+    constexpr int kWidth = 6;
+    ScarceTargetsSimulation simulation;
+    AddTargets(simulation);
+    const int64_t size = *rc::gen::inRange<int64_t>(4000, kTargetSize / 2);
+    const int run_time_ms = *rc::gen::inRange(100, 800);
+    const auto submit_others = [&] {
+      simulation.Submit({"", Processors(size), kWidth, milliseconds(run_time_ms)});
+    };
+    for (int i = 0; i < kWidth; ++i) {
+      submit_others();
+    }
+    std::vector<base::SubmissionId> scarce_jobs;
+    scarce_jobs.reserve(kWidth);
+    for (int i = 0; i < kWidth; ++i) {
+      scarce_jobs.push_back(
+          simulation.Submit({kScarce, Processors(size), kWidth, milliseconds(run_time_ms)}));
+    }
+    // Each scarce target has at least two places. Twice the time that the work takes there, and the
+    // time that a task may wait beside free capacity for each round of runs.
+    constexpr int kRounds = kWidth * kWidth / (2 * kAllocatorCount);
+    const int bound_ms = kRounds * (2 * run_time_ms + 1000) + 3000;
+    const auto have_all_started = [&] {
+      return std::all_of(scarce_jobs.begin(), scarce_jobs.end(),
+                         [&simulation](const base::SubmissionId& job) {
+                           return simulation.CountStartedTasks(job) == kWidth;
+                         });
+    };
+    for (int passed_ms = 0; passed_ms < bound_ms && !have_all_started();
+         passed_ms += kStepMilliseconds) {
+      if (passed_ms % 100 == 0) {
+        submit_others();
+      }
+      simulation.Step();
+    }
+    RC_ASSERT(have_all_started());
+  });
+  CHECK_TRUE(holds);
+}
