stored: Number a gateway's requests from its incarnation

A response to a request for a stored job is matched by the request's number only. Numbers started at 1 in each process, so that a response to an earlier process on the same address, which a leader gives after a commit, could have been taken for the response to a request of the process after it: a job that isn't stored would be reported as accepted.

Numbers of a process start at its incarnation, which is random, so that no late response matches. Messages are unchanged.

Test: JobClient IgnoresResponsesToAnEarlierProcess. Without the number in GatewayHost, requests start at 1 as before.

--- a/src/clusterhost/gateway_host.cc
+++ b/src/clusterhost/gateway_host.cc
@@ -80,7 +80,8 @@
       allocator_selector(this->settings.data_centre, this->now),
       dispatcher(HostId(this->settings.advertised_peer_address.value()),
                  this->JobDispatcherHooks()),
-      job_client(this->JobClientHooks()),
+      job_client(this->JobClientHooks(),
+                 base::JobRequestNumber(this->settings.incarnation.value())),
       network(std::make_unique<peers::PeerNetwork>(MakePeerNetworkSettings(this->settings),
                                                    this->PeerHooks())) {}
 
--- a/src/stored/job_client.cc
+++ b/src/stored/job_client.cc
@@ -25,7 +25,10 @@
 
 }  // namespace
 
-JobClient::JobClient(Hooks hooks) : hooks(std::move(hooks)), shards(kShardCount) {}
+JobClient::JobClient(Hooks hooks, JobRequestNumber first_request_number)
+    : hooks(std::move(hooks)),
+      shards(kShardCount),
+      next_request_number(first_request_number.value()) {}
 
 void JobClient::Submit(const gateway::Job& job, Duration time_limit, ResponseCallback callback) {
   JobRequest request;
@@ -60,7 +63,7 @@
 }
 
 void JobClient::SendRequest(JobRequest request, Duration time_limit, ResponseCallback callback) {
-  const JobRequestNumber request_number(++this->last_request_number);
+  const JobRequestNumber request_number(this->next_request_number++);
   request.request_number = request_number;
   const base::TimePoint now = this->hooks.now();
   this->shards.WithShard(request_number, [&](Shard& shard) {
--- a/src/stored/job_client.h
+++ b/src/stored/job_client.h
@@ -34,7 +34,10 @@
     std::function<bool(const base::HostId&, const JobRequest&)> send_request;
   };
 
-  explicit JobClient(Hooks hooks);
+  /// Requests are numbered from `first_request_number`, which has to differ much between the
+  /// processes that use one address: a response is matched by its number only, and may be late.
+  explicit JobClient(Hooks hooks,
+                     base::JobRequestNumber first_request_number = base::JobRequestNumber(1));
 
   // Each method runs `callback` exactly once, at the latest `time_limit` plus one interval of
   // `Tick` after the call. The outcome is never `kNotLeader`.
@@ -77,7 +80,7 @@
 
   Hooks hooks;
   base::Sharded<base::JobRequestNumber, Shard> shards;
-  std::atomic<uint64_t> last_request_number{0};
+  std::atomic<uint64_t> next_request_number;
   base::Mutex leader_mutex;
   base::HostId leader GUARDED_BY(leader_mutex);
 };
--- a/tests/stored/job_client_test.cc
+++ b/tests/stored/job_client_test.cc
@@ -104,3 +104,24 @@
   this->Respond(Outcome::kDone);
   CHECK(this->last_response->outcome == Outcome::kDone);
 }
+
+// Guards against a response to a request of an earlier process on the same address that is taken
+// for the response to one of this process: a job that isn't stored would be reported as accepted.
+TEST(JobClient, IgnoresResponsesToAnEarlierProcess) {
+  stored::JobClient next_process{
+      {this->clock.AsClock(), [this] { return this->reachable_allocators; },
+       [](const base::HostId&, const stored::JobRequest&) { return true; }},
+      base::JobRequestNumber(1000)};
+  int response_count = 0;
+  next_process.Submit(gateway::Job(), std::chrono::seconds(1),
+                      [&response_count](const stored::JobResponse&) { ++response_count; });
+  stored::JobResponse response;
+  for (uint64_t number = 0; number < 1000; ++number) {
+    response.request_number = base::JobRequestNumber(number);
+    next_process.OnResponse(base::HostId("a1"), response);
+  }
+  LONGS_EQUAL(0, response_count);
+  response.request_number = base::JobRequestNumber(1000);
+  next_process.OnResponse(base::HostId("a1"), response);
+  LONGS_EQUAL(1, response_count);
+}
