soak: Add series of standstills and jobs for a scarce target

Allocators, also the leader, and gateways stand still for 0.7 to 2 s several times in a row, one or two of them at once. A share of the stored jobs requires a label that only one target has, and that target is lost for some seconds. A task on a target without its label is a violation (ROUTE).

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -9,7 +9,10 @@
   connections, in one or both directions.
 - Targets crash, and other ones join in their place; or they start again under their ids, and send
   their first report early or late.
-- The only target that can hold the largest tasks is down for some seconds.
+- The only target that can hold the largest tasks, or the only one with a label, is down for some
+  seconds.
+- Allocators, also the leader, and gateways stand still for 0.7 to 2 s several times in a row, one
+  or two of them at once.
 - A target is cut off from all allocators while an allocator, which may become its owner, is
   restarted. Many of its tasks fail meanwhile.
 - One allocator is cut off from the other two, which may be killed when the cut ends.
@@ -22,7 +25,7 @@
 Jumps of the clock are not simulated, because the hosts use the time of day only in their logs.
 
 Checked during the run, from what callers and targets observe:
-- No target gets more work than its capacity.
+- No target gets more work than its capacity, or a task that requires a label it doesn't have.
 - No task has two runs at the same time.
 - No job whose submissions were all refused has a started task.
 - No read of the configuration returns a version older than one that was acknowledged more than
@@ -74,6 +77,11 @@
 # The first target is larger than the others. Only it can hold tasks of LARGE_TASK_MILLI_PROCESSORS.
 LARGE_TARGET_MILLI_PROCESSORS, LARGE_TASK_MILLI_PROCESSORS = 24000, 20000
 LARGE_JOB_SHARE = 0.1
+# Only this target has the label that a share of the stored jobs requires.
+SCARCE_TARGET, SCARCE_LABEL, SCARCE_JOB_SHARE = 1, "b", 0.15
+# Lengths of standstills in a row and of the pauses between them, in seconds. A host counts another
+# one as lost after a second.
+STANDSTILL_TIMES, STANDSTILL_PAUSES = [(0.7, 0.9), (0.9, 1.1), (1.1, 2.0)], (0.3, 0.7)
 # Shares of the tasks that fail, ordinarily and on a target that is about to be cut off.
 FAILURE_SHARE, FAILURE_SHARE_BEFORE_CUT = 0.01, 0.5
 # Times in seconds.
@@ -84,7 +92,8 @@
 # only the data to the client.
 LINK_FAULT_KINDS = ["silent", "there", "back", "delay", "reset"]
 FAULT_KINDS = ["kill", "kill", "term", "pause", "hup", "crash", "reborn", "reborn", "cut",
-               "cut-and-kill", "wipe", "replace", "full", "lose-large", "owner-change",
+               "cut-and-kill", "wipe", "replace", "full", "lose-large", "lose-scarce",
+               "owner-change", "standstills", "standstills",
                *LINK_FAULT_KINDS,
                *(f"peer-{kind}" for kind in LINK_FAULT_KINDS)]
 CONFIGURATION_DELAY = 2.0
@@ -162,6 +171,7 @@
         self.running_targets = {}
         self.started_jobs = set()
         self.stored_job_steps, self.cancelled_at = {}, {}
+        self.jobs_with_label = set()
         # Tasks of which a run succeeded, those of them whose success was acknowledged to the
         # target, and when each task was started last.
         self.succeeded_tasks, self.acknowledged_tasks, self.last_started_at = set(), set(), {}
@@ -219,9 +229,9 @@
     capacity.
     """
 
-    def __init__(self, name, checks, rng, capacity, data_centre=DATA_CENTRES[0]):
+    def __init__(self, name, checks, rng, capacity, data_centre=DATA_CENTRES[0], label="a"):
         self.name, self.checks, self.rng, self.capacity = name, checks, rng, capacity
-        self.data_centre = data_centre
+        self.data_centre, self.label = data_centre, label
         self.failure_share = FAILURE_SHARE
         self.incarnation_count = 0
         self.is_up = True
@@ -312,6 +322,8 @@
             self.checks.record_violation(
                 f"TWICE: {key} started on {self.id} while the task runs on "
                 f"{self.checks.running_targets[key[0]].id}")
+        if key[0].split(".")[0] in self.checks.jobs_with_label and self.label != SCARCE_LABEL:
+            self.checks.record_violation(f"ROUTE: {key} requires a label that {self.id} lacks")
         self.active_runs[key] = spec["cpu"]
         self.checks.running_targets[key[0]] = self
         self.checks.started_jobs.add(key[0].split(".")[0])
@@ -390,7 +402,7 @@
             body = {"service": SERVICE, "address": self.address, "zone": self.data_centre, "version": "v1",
                     "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": self.heartbeat_count,
                     "capacity": {"cpu": self.capacity, "memMb": 1024, "gpus": 0},
-                    "born": self.incarnation, "labels": ["a", "r1"], "clockMs": self.clock()}
+                    "born": self.incarnation, "labels": [self.label, "r1"], "clockMs": self.clock()}
             to = address or f"{self.rng.choice(ALLOCATORS)}:{CONTROL_PORT}"
             status, response = await call(
                 to, "POST", f"/sapphirecrank/Instances.Heartbeat/{self.id}", body, timeout=1.0)
@@ -571,6 +583,9 @@
         self.replacement_rng = random.Random(f"replacements {seed}")
         # Draws for large jobs and changes of owners.
         self.placement_rng = random.Random(f"placements {seed}")
+        # Draws for jobs that require a label, and for standstills.
+        self.scarce_rng = random.Random(f"scarce targets {seed}")
+        self.standstill_rng = random.Random(f"standstills {seed}")
         # Draws for evacuations.
         self.evacuation_rng = random.Random(f"evacuations {seed}")
         self.program, self.catch_up_time, self.evacuates = program, catch_up_time, evacuates
@@ -730,7 +745,12 @@
             cpu, counts = LARGE_TASK_MILLI_PROCESSORS, [1]
             spec = json.dumps({"cpu": cpu, "seconds": 0.2})
             self.checks.count("large stored jobs")
-        steps = [{"count": count, "cpu": cpu, "memMb": 1, "estRuntimeMs": 200,
+        requirement = {}
+        if cpu != LARGE_TASK_MILLI_PROCESSORS and self.scarce_rng.random() < SCARCE_JOB_SHARE:
+            requirement = {"requires": SCARCE_LABEL}
+            self.checks.jobs_with_label.add(job)
+            self.checks.count("stored jobs that require a label")
+        steps = [{"count": count, "cpu": cpu, "memMb": 1, "estRuntimeMs": 200, **requirement,
                   **({"after": [i - 1]} if i > 0 else {})} for i, count in enumerate(counts)]
         self.checks.stored_job_steps[job] = counts
         statuses = []
@@ -849,6 +869,10 @@
                                           self.rng.choice([0.0, 0.05, 0.2, 1.0]))
         elif kind == "lose-large":
             await self.targets[0].restart(self.proxies[0], duration * 2, 0.0)
+        elif kind == "lose-scarce":
+            await self.targets[SCARCE_TARGET].restart(self.proxies[SCARCE_TARGET], duration * 2, 0.0)
+        elif kind == "standstills":
+            await self.stand_still_repeatedly(host)
         elif kind == "owner-change":
             await self.change_owner_of_cut_target(host, duration)
         elif kind in ("cut", "cut-and-kill"):
@@ -874,6 +898,28 @@
             await asyncio.sleep(duration)
             host.signal(signal.SIGCONT)
 
+    async def stand_still_repeatedly(self, host):
+        """Lets a host, or the leader, stand still several times, sometimes with another host."""
+        rng = self.standstill_rng
+        hosts, others = [host], [h for h in self.hosts if not h.has_active_fault]
+        leader = next((h for h in others if h.address == self.find_leader()), None)
+        if leader is not None and rng.random() < 0.3:
+            hosts = [leader]
+        others = [h for h in others if h not in hosts]
+        if others and rng.random() < 0.3:
+            hosts.append(rng.choice(others))
+        added = [h for h in hosts if h is not host]
+        for other in added:
+            other.has_active_fault = True
+        try:
+            for _ in range(rng.randint(2, 6)):
+                times = rng.choice(STANDSTILL_TIMES)
+                await asyncio.gather(*(self.pause(h, rng.uniform(*times)) for h in hosts))
+                await asyncio.sleep(rng.uniform(*STANDSTILL_PAUSES))
+        finally:
+            for other in added:
+                other.has_active_fault = False
+
     def send_hangup(self, host):
         if self.announces_seeds:
             host.seeds = self.draw_seeds()
@@ -1162,7 +1208,8 @@
             target = Target(f"t{i}", self.checks, self.rng,
                             LARGE_TARGET_MILLI_PROCESSORS if i == 0 else TARGET_MILLI_PROCESSORS,
                             DATA_CENTRES[0] if i < TARGET_COUNT - OTHER_DATA_CENTRE_TARGETS
-                            else DATA_CENTRES[1])
+                            else DATA_CENTRES[1],
+                            SCARCE_LABEL if i == SCARCE_TARGET else "a")
             server = await asyncio.start_server(target.serve, "127.0.0.1", 0)
             proxy = Proxy("127.0.0.1", server.sockets[0].getsockname()[1])
             proxy_server = await asyncio.start_server(proxy.serve, "127.0.0.1", 0)
